Add the design, the blackboard and one path from record to table

Cause: the project starts; everything else builds on the shape of the code. Change: design page, developers' page and glossary; the base package (status codes, histogram, events), the blackboard (tables, handles, read-copy-update, controller runner), the types of records and of the platform's callbacks, and one path from a decision (duties) over a record and apply to the tables.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Thin front of CMake. Each target works from a clean checkout.
+BUILD := build
+JOBS := $(shell nproc)
+
+.PHONY: all deps build check demo bench model sanitize fuzz format lint test install clean
+
+all: build
+
+deps:
+	@sh .ci/deps
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@sh .ci/run-tests $(BUILD)
+
+format: deps
+	@sh .ci/format
+
+lint: build
+	@sh .ci/lint $(BUILD)
+
+check: build
+	@sh .ci/format
+	@sh .ci/lint $(BUILD)
+	@sh .ci/run-tests $(BUILD)
+
+demo: build
+	@sh tests/demo.sh $(BUILD)
+
+bench: build
+	@sh tests/bench/run.sh $(BUILD)
+
+model: deps
+	@sh model/run.sh $(BUILD)
+
+sanitize: deps
+	@sh .ci/sanitize
+
+fuzz: deps
+	@sh tests/fuzz/run.sh
+
+install: build
+	@cmake --install $(BUILD)
+
+clean:
+	rm -rf $(BUILD) build-*
--- /dev/null
+++ b/lib/base/base.h
@@ -0,0 +1,139 @@
+#ifndef CAMPHOR_BASE_H
+#define CAMPHOR_BASE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * 1. Status codes
+ *
+ * Functions that can fail return an int: zero for success, a negative code
+ * otherwise. Each package numbers its codes from its own base, so that a code
+ * names the layer that it comes from.
+ */
+enum cw_status {
+	CW_OK = 0,
+	CW_ENOMEM = -1,
+	CW_EINVAL = -2,
+	CW_ERANGE = -3,
+	CW_EIO = -4,
+};
+
+enum cw_status_base {
+	CW_BASE_BOARD = -100,
+	CW_BASE_CONFIG = -200,
+	CW_BASE_STATE = -300,
+	CW_BASE_FLEET = -400,
+	CW_BASE_SCHED = -500,
+	CW_BASE_GANG = -600,
+	CW_BASE_ROUTE = -700,
+	CW_BASE_PLATFORM = -800,
+	CW_BASE_LINK = -900,
+	CW_BASE_FRONT = -1000,
+	CW_BASE_REPORT = -1100,
+};
+
+bool cw_is_error(int code);
+const char *cw_status_name(int code);
+
+/* Longest message kept for a thread, in bytes with the terminator. */
+#define CW_ERROR_BYTES 512
+
+int cw_error_set(int code, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+const char *cw_error_last(void);
+
+/*
+ * 2. Names, ids, random numbers
+ */
+#define CW_NAME_BYTES 48
+
+uint64_t cw_id_from_name(const char *name);
+uint64_t cw_id_from_pair(uint64_t a, uint64_t b);
+uint64_t cw_hash(const void *data, size_t bytes, uint64_t seed);
+int cw_name_copy(char *dst, size_t dst_bytes, const char *src);
+
+struct cw_rng {
+	uint64_t state;
+};
+
+void cw_rng_seed(struct cw_rng *rng, uint64_t seed);
+uint64_t cw_rng_next(struct cw_rng *rng);
+uint32_t cw_rng_below(struct cw_rng *rng, uint32_t bound);
+double cw_rng_unit(struct cw_rng *rng);
+uint64_t cw_rng_entropy(void);
+
+/*
+ * 3. Time. Only runners and programs read a clock; decisions take the present
+ * time as an argument.
+ */
+int64_t cw_clock_wall_ms(void);
+int64_t cw_clock_mono_ms(void);
+int64_t cw_clock_mono_us(void);
+
+/*
+ * 4. Log-linear histogram. Recording takes no lock.
+ */
+#define HIST_SUB_BITS 4
+#define HIST_SUB_COUNT (1 << HIST_SUB_BITS)
+#define HIST_BUCKETS ((64 - HIST_SUB_BITS) * HIST_SUB_COUNT)
+
+/* C++ test programs include this header but never touch the fields. */
+#ifdef __cplusplus
+#define CW_ATOMIC(type) type
+#else
+#define CW_ATOMIC(type) _Atomic(type)
+#endif
+
+struct hist {
+	CW_ATOMIC(uint64_t) count;
+	CW_ATOMIC(uint64_t) sum;
+	CW_ATOMIC(uint64_t) max;
+	CW_ATOMIC(uint64_t) bucket[HIST_BUCKETS];
+};
+
+void hist_record(struct hist *hist, uint64_t value);
+uint64_t hist_quantile(const struct hist *hist, double quantile);
+uint64_t hist_count(const struct hist *hist);
+double hist_mean(const struct hist *hist);
+
+/*
+ * 5. Numbered events. The list is ev_list.h, the catalogue docs/events.md.
+ */
+enum ev_level {
+	EV_LEVEL_ERROR,
+	EV_LEVEL_WARN,
+	EV_LEVEL_INFO,
+	EV_LEVEL_DEBUG,
+};
+
+enum ev_number {
+#define EV(number, name, level, text) name = number,
+#include "ev_list.h"
+#undef EV
+};
+
+/* Called for each event that is not suppressed, with the formatted line. */
+struct ev_sink {
+	void (*write)(void *ctx, enum ev_number number, enum ev_level level,
+	    const char *line);
+	void *ctx;
+};
+
+void ev_sink_set(const struct ev_sink *sink);
+int ev_open_log4c(void);
+void ev_emit(enum ev_number number, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+uint64_t ev_count(enum ev_number number);
+const char *ev_text(enum ev_number number);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/base/ev_list.h
@@ -0,0 +1,20 @@
+/*
+ * Numbered log events: EV(number, name, level, text). Numbers are never used
+ * again. Each package has its own hundred. No include guard: the file is
+ * included several times with different definitions of EV.
+ */
+/* 100: daemon */
+EV(101, EV_DAEMON_START, EV_LEVEL_INFO, "daemon started")
+EV(102, EV_DAEMON_READY, EV_LEVEL_INFO, "daemon ready for work")
+EV(103, EV_DAEMON_DRAIN, EV_LEVEL_INFO, "graceful shutdown started")
+EV(104, EV_DAEMON_CUT, EV_LEVEL_WARN, "second signal: work cut short")
+EV(105, EV_DAEMON_STOP, EV_LEVEL_INFO, "daemon stopped")
+/* 200: configuration */
+/* 300: state and log */
+/* 400: fleet */
+/* 500: scheduling */
+/* 600: gangs and leases */
+/* 700: requests */
+/* 800: platform */
+/* 900: links */
+/* 1000: front */
--- /dev/null
+++ b/lib/board/board.c
@@ -0,0 +1,179 @@
+#include <assert.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "board_internal.h"
+
+struct table_spec {
+	const char *name;
+	enum bd_writer writer;
+	uint32_t capacity;
+	size_t row_bytes;
+};
+
+static const struct table_spec table_specs[BD_TABLE_COUNT] = {
+#define BD_TABLE(name, type, writer, capacity) \
+	[BD_TABLE_##name] = {#name, writer, capacity, sizeof(type)},
+    BD_TABLES(BD_TABLE)
+#undef BD_TABLE
+};
+
+static int table_init(struct bd_table *table, const struct table_spec *spec);
+static void table_destroy(struct bd_table *table);
+
+static int
+table_init(struct bd_table *table, const struct table_spec *spec)
+{
+	uint32_t i;
+
+	table->name = spec->name;
+	table->writer = spec->writer;
+	table->capacity = spec->capacity;
+	table->row_bytes = spec->row_bytes;
+	table->entries = calloc(spec->capacity, sizeof(*table->entries));
+	table->free_list = calloc(spec->capacity, sizeof(*table->free_list));
+	table->by_id = cds_lfht_new_flavor(
+	    64, 64, 0, CDS_LFHT_AUTO_RESIZE, &urcu_bp_flavor, NULL);
+	if (table->entries == NULL || table->free_list == NULL ||
+	    table->by_id == NULL)
+		return BD_ENOMEM;
+	/* The lowest free index is used first, which keeps iteration short. */
+	for (i = 0; i < spec->capacity; i++)
+		table->free_list[i] = spec->capacity - 1 - i;
+	table->free_count = spec->capacity;
+	return CW_OK;
+}
+
+static void
+table_destroy(struct bd_table *table)
+{
+	if (table->by_id != NULL)
+		cds_lfht_destroy(table->by_id, NULL);
+	free(table->entries);
+	free(table->free_list);
+}
+
+/* Returns the name of a status code of this package. */
+const char *
+bd_status_name(int code)
+{
+	switch (code) {
+	case BD_ESTALE:
+		return "stale handle";
+	case BD_EFULL:
+		return "table is full";
+	case BD_EEXIST:
+		return "row exists already";
+	case BD_ENOTFOUND:
+		return "no such row";
+	case BD_ENOMEM:
+		return "out of memory";
+	default:
+		return cw_status_name(code);
+	}
+}
+
+/* Returns the name of a table, as in docs/design.md. */
+const char *
+bd_table_name(enum bd_table_number number)
+{
+	assert(number < BD_TABLE_COUNT);
+	return table_specs[number].name;
+}
+
+/* Returns how many rows a table can hold. */
+uint32_t
+bd_capacity(enum bd_table_number number)
+{
+	assert(number < BD_TABLE_COUNT);
+	return table_specs[number].capacity;
+}
+
+/* Creates a board with all tables empty. Returns BD_ENOMEM. */
+int
+bd_board_create(struct bd_board **out)
+{
+	struct bd_board *board = calloc(1, sizeof(*board));
+	pthread_condattr_t attr;
+	int code = CW_OK;
+	int i;
+
+	if (board == NULL)
+		return BD_ENOMEM;
+	pthread_mutex_init(&board->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&board->changed, &attr);
+	pthread_condattr_destroy(&attr);
+	for (i = 0; i < BD_TABLE_COUNT && code == CW_OK; i++)
+		code = table_init(&board->tables[i], &table_specs[i]);
+	if (cw_is_error(code)) {
+		bd_board_destroy(board);
+		return cw_error_set(code, "no memory for the tables");
+	}
+	*out = board;
+	return CW_OK;
+}
+
+/* Frees a board. No other thread may use it any more. */
+void
+bd_board_destroy(struct bd_board *board)
+{
+	int i;
+
+	for (i = 0; i < BD_TABLE_COUNT; i++)
+		if (board->tables[i].by_id != NULL)
+			bd_clear(board, i, board->tables[i].writer);
+	urcu_bp_barrier();
+	for (i = 0; i < BD_TABLE_COUNT; i++)
+		table_destroy(&board->tables[i]);
+	pthread_cond_destroy(&board->changed);
+	pthread_mutex_destroy(&board->lock);
+	free(board);
+}
+
+/* Tells every thread in bd_wait that tables have changed. */
+void
+bd_publish(struct bd_board *board)
+{
+	pthread_mutex_lock(&board->lock);
+	atomic_fetch_add(&board->version, 1);
+	pthread_cond_broadcast(&board->changed);
+	pthread_mutex_unlock(&board->lock);
+}
+
+/* Returns the number of calls of bd_publish so far. */
+uint64_t
+bd_version(const struct bd_board *board)
+{
+	return atomic_load(&((struct bd_board *)board)->version);
+}
+
+/*
+ * Blocks until the version differs from seen or timeout_ms has passed, and
+ * returns the present version.
+ */
+uint64_t
+bd_wait(struct bd_board *board, uint64_t seen, int64_t timeout_ms)
+{
+	struct timespec until;
+	uint64_t version;
+
+	if (timeout_ms < 0)
+		timeout_ms = 0;
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += timeout_ms / 1000;
+	until.tv_nsec += timeout_ms % 1000 * 1000000;
+	if (until.tv_nsec >= 1000000000) {
+		until.tv_sec++;
+		until.tv_nsec -= 1000000000;
+	}
+	pthread_mutex_lock(&board->lock);
+	while ((version = atomic_load(&board->version)) == seen)
+		if (pthread_cond_timedwait(
+			&board->changed, &board->lock, &until) == ETIMEDOUT)
+			break;
+	pthread_mutex_unlock(&board->lock);
+	return version;
+}
--- /dev/null
+++ b/lib/board/board_internal.h
@@ -0,0 +1,47 @@
+#ifndef CAMPHOR_BOARD_INTERNAL_H
+#define CAMPHOR_BOARD_INTERNAL_H
+
+#include <stdatomic.h>
+
+#include <urcu/urcu-bp.h>
+
+#include <urcu/rculfhash.h>
+
+#include "board.h"
+
+/* A row as stored: immutable once published, freed after a grace period. */
+struct bd_box {
+	struct cds_lfht_node node;
+	struct rcu_head rcu;
+	uint64_t id;
+	struct bd_handle handle;
+	size_t bytes;
+	_Alignas(16) unsigned char row[];
+};
+
+struct bd_entry {
+	struct bd_box *box;
+	atomic_uint generation;
+};
+
+struct bd_table {
+	const char *name;
+	enum bd_writer writer;
+	uint32_t capacity;
+	size_t row_bytes; /* of the fixed part */
+	struct bd_entry *entries;
+	struct cds_lfht *by_id;
+	uint32_t *free_list; /* indexes, the next one to use last */
+	uint32_t free_count;
+	atomic_uint used;
+	atomic_uint high; /* one above the highest index ever used */
+};
+
+struct bd_board {
+	struct bd_table tables[BD_TABLE_COUNT];
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	atomic_uint_least64_t version;
+};
+
+#endif
--- /dev/null
+++ b/lib/platform/platform.h
@@ -0,0 +1,181 @@
+#ifndef CAMPHOR_PLATFORM_H
+#define CAMPHOR_PLATFORM_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * 1. Status codes. Every callback returns one of these, and what is known of
+ * the effect: only PF_EUNKNOWN leaves it open whether a change took effect.
+ */
+enum pf_status {
+	PF_EUNREACHABLE = CW_BASE_PLATFORM - 1, /* not sent: no effect */
+	PF_EUNKNOWN = CW_BASE_PLATFORM - 2,     /* sent, no answer */
+	PF_EREFUSED = CW_BASE_PLATFORM - 3,     /* answered: no effect */
+	PF_EEXPIRED = CW_BASE_PLATFORM - 4,     /* records no longer kept */
+	PF_EMALFORMED = CW_BASE_PLATFORM - 5,   /* answer cannot be read */
+	PF_ETOOLARGE = CW_BASE_PLATFORM - 6,
+};
+
+const char *pf_status_name(int code);
+
+/*
+ * 2. The append-only log. One append is one entry and has one offset; offsets
+ * of a stream grow by one.
+ */
+#define PF_LOG_ENTRY_BYTES_MAX (1024 * 1024)
+
+/* Receives entries in order; data is valid during the call only. */
+struct pf_log_sink {
+	int (*entry)(
+	    void *ctx, uint64_t offset, const void *data, size_t bytes);
+	void *ctx;
+};
+
+struct pf_log_range {
+	uint64_t first; /* oldest offset that is kept */
+	uint64_t next;  /* offset of the next append */
+};
+
+struct pf_log {
+	int (*append)(void *ctx, const char *stream, const void *data,
+	    size_t bytes, uint64_t *offset);
+	/* Delivers entries from an offset on; waits up to wait_ms for the
+	 * first. Delivering none is success. PF_EEXPIRED where from is older
+	 * than what is kept. */
+	int (*read)(void *ctx, const char *stream, uint64_t from,
+	    uint32_t wait_ms, const struct pf_log_sink *sink);
+	int (*range)(void *ctx, const char *stream, struct pf_log_range *range);
+	void *ctx;
+};
+
+/*
+ * 3. The lagging list of VMs: entry VMs, workers and upstream runners.
+ */
+enum pf_vm_kind {
+	PF_VM_ENTRY,
+	PF_VM_WORKER,
+	PF_VM_RUNNER,
+};
+
+enum pf_vm_state {
+	PF_VM_LIVE,
+	PF_VM_LEAVING,
+};
+
+struct pf_vm {
+	uint64_t id; /* cw_id_from_name(name) */
+	char name[CW_NAME_BYTES];
+	char address[CW_NAME_BYTES]; /* "ip:port" */
+	char region[24];
+	char zone[24];
+	char rack[24]; /* workers only */
+	uint32_t kind;
+	uint32_t state;
+	uint32_t cores_milli;
+	uint32_t memory_mb;
+	uint32_t accels;
+	uint32_t reserved;
+};
+
+struct pf_vm_sink {
+	int (*vm)(void *ctx, const struct pf_vm *vm);
+	void *ctx;
+};
+
+struct pf_vm_list {
+	int (*list)(void *ctx, const struct pf_vm_sink *sink);
+	void *ctx;
+};
+
+/*
+ * 4. Tasks on workers. A worker keeps, for each accelerator, the highest token
+ * that it has seen, and refuses lower ones with PF_EREFUSED.
+ */
+enum pf_task_state {
+	PF_TASK_NONE,
+	PF_TASK_RESERVED,
+	PF_TASK_COMMITTED,
+	PF_TASK_RUNNING,
+	PF_TASK_DONE,
+	PF_TASK_FAILED,
+	PF_TASK_STOPPED,
+	PF_TASK_LAPSED,
+};
+
+struct pf_task {
+	uint64_t worker; /* cw_id_from_name of its name */
+	uint64_t job;
+	uint64_t token; /* fencing token */
+	uint32_t member;
+	uint32_t accel_mask;
+	uint32_t cores_milli;
+	uint32_t memory_mb;
+	int64_t lease_ms;
+	int64_t resume_ms; /* run time held by the last checkpoint */
+	const char *worker_name;
+	const char *input; /* passed to the task, JSON text of the caller */
+};
+
+/* What a worker tells about one task; usage lags. */
+struct pf_task_report {
+	uint64_t worker;
+	uint64_t job;
+	uint64_t token;
+	uint32_t member;
+	uint32_t state; /* enum pf_task_state */
+	uint32_t used_cores_milli;
+	uint32_t used_memory_mb;
+	int64_t run_ms;        /* work done, with what was resumed */
+	int64_t checkpoint_ms; /* run_ms that the last checkpoint holds */
+	char message[64];      /* why it failed */
+};
+
+struct pf_report_sink {
+	int (*report)(void *ctx, const struct pf_task_report *report);
+	void *ctx;
+};
+
+/* Each function takes several tasks of one rack in one message and stores a
+ * status for each in results. The returned status is that of the message. */
+struct pf_tasks {
+	int (*reserve)(
+	    void *ctx, const struct pf_task *tasks, size_t count, int *results);
+	int (*commit)(
+	    void *ctx, const struct pf_task *tasks, size_t count, int *results);
+	int (*start)(
+	    void *ctx, const struct pf_task *tasks, size_t count, int *results);
+	int (*renew)(
+	    void *ctx, const struct pf_task *tasks, size_t count, int *results);
+	int (*checkpoint)(
+	    void *ctx, const struct pf_task *tasks, size_t count, int *results);
+	int (*throttle)(
+	    void *ctx, const struct pf_task *tasks, size_t count, int *results);
+	int (*stop)(
+	    void *ctx, const struct pf_task *tasks, size_t count, int *results);
+	/* Reports on the tasks with one token; lagging, possibly stale. */
+	int (*reports)(void *ctx, const struct pf_task *tasks, size_t count,
+	    const struct pf_report_sink *sink);
+	void *ctx;
+};
+
+/*
+ * 5. All of the platform, and the HTTP adapter.
+ */
+struct pf_platform {
+	struct pf_log log;
+	struct pf_vm_list vms;
+	struct pf_tasks tasks;
+};
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/state/state.h
@@ -0,0 +1,265 @@
+#ifndef CAMPHOR_STATE_H
+#define CAMPHOR_STATE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "board.h"
+#include "platform.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * 1. Status codes
+ */
+enum st_status {
+	ST_EMALFORMED = CW_BASE_STATE - 1, /* record cannot be decoded */
+	ST_ESTALE = CW_BASE_STATE - 2,     /* an epoch no longer holds */
+	ST_EREPEATED = CW_BASE_STATE - 3,  /* applied before */
+	ST_EUNKNOWNKIND = CW_BASE_STATE - 4,
+	ST_ECONFLICT = CW_BASE_STATE - 5, /* configuration or key */
+	ST_EREJECTED = CW_BASE_STATE - 6, /* breaks a rule of apply */
+	ST_ENOTREADY = CW_BASE_STATE - 7,
+	ST_EUNAVAILABLE = CW_BASE_STATE - 8, /* log out of reach, not sent */
+	ST_EUNKNOWN = CW_BASE_STATE - 9,     /* appended perhaps */
+	ST_ENOMEM = CW_BASE_STATE - 10,
+	ST_EFULL = CW_BASE_STATE - 11,
+	ST_ETOOLARGE = CW_BASE_STATE - 12,
+};
+
+const char *st_status_name(int code);
+
+/*
+ * 2. Records. A position orders them: log offset << 12 | index in the batch.
+ * Position 0 is before every record.
+ */
+#define REC_VERSION 1
+#define REC_BATCH_MAX 256
+#define REC_POSITION_INDEX_BITS 12
+#define REC_CONFIG_TEXT_BYTES_MAX (256 * 1024)
+#define REC_ANSWER_BYTES_MAX (64 * 1024)
+
+enum rec_kind {
+	REC_CONFIG = 1,
+	REC_WORKER = 2,
+	REC_JOB_SUBMIT = 3,
+	REC_JOB_CANCEL = 4,
+	REC_JOB_OWNER = 5,
+	REC_PLACE = 6,
+	REC_GANG_STARTED = 7,
+	REC_GANG_ENDED = 8,
+	REC_PREEMPT = 9,
+	REC_CHECKPOINT = 10,
+	REC_PLAN = 11,
+	REC_SHORT = 12,
+	REC_DUTY = 13,
+	REC_QUARANTINE = 14,
+	REC_REQ_INTENT = 15,
+	REC_REQ_OUTCOME = 16,
+	REC_REQ_EXPIRE = 17,
+	REC_JOB_EXPIRE = 18,
+};
+
+const char *rec_kind_name(uint32_t kind);
+
+struct rec_config {
+	uint64_t base_version;
+	char author[CW_NAME_BYTES];
+	const char *text; /* not terminated */
+	uint32_t text_bytes;
+};
+
+/* Facts about a worker; epoch is that of the row which they change, 0 for a
+ * new worker. */
+struct rec_worker {
+	uint64_t epoch;
+	struct bd_worker facts; /* epoch, quarantine fields unused */
+};
+
+struct rec_job_submit {
+	uint64_t account;
+	uint64_t owner;
+	struct bd_shape shape;
+	uint32_t class_number;
+	uint32_t cross_region;
+	int64_t declared_ms;
+	char name[CW_NAME_BYTES];
+	char submit_key[CW_NAME_BYTES];
+	char input[BD_JOB_INPUT_BYTES];
+};
+
+/* JOB_CANCEL needs no epoch: the first of end and cancel in the log wins. */
+struct rec_job_cancel {
+	uint64_t job;
+};
+
+struct rec_job_owner {
+	uint64_t job;
+	uint64_t epoch;
+	uint64_t owner;
+};
+
+/* Members in order; several may stand on one worker. */
+struct rec_place {
+	uint64_t job;
+	uint64_t epoch;
+	uint64_t promise; /* 0: borrowed */
+	uint32_t member_count;
+	struct bd_slot members[BD_GANG_MAX];
+};
+
+struct rec_gang_started {
+	uint64_t job;
+	uint64_t token;
+};
+
+enum rec_outcome {
+	REC_OUTCOME_DONE,
+	REC_OUTCOME_FAILED, /* the job ends with the reason */
+	REC_OUTCOME_RETRY,  /* waits again, resumes from its checkpoint */
+};
+
+struct rec_gang_ended {
+	uint64_t job;
+	uint64_t token;
+	uint64_t worker; /* that failed, 0: none */
+	uint32_t outcome;
+	uint32_t reason;
+	int64_t progress_ms; /* run time held by the last checkpoint */
+};
+
+struct rec_preempt {
+	uint64_t job;
+	uint64_t token;
+	uint64_t for_job; /* 0: none */
+	uint32_t reason;
+	uint32_t reserved;
+	int64_t deadline_ms;
+};
+
+struct rec_checkpoint {
+	uint64_t job;
+	uint64_t token;
+	int64_t progress_ms;
+};
+
+/* A new plan for a promise. slot_count 0 takes the plan away. */
+struct rec_plan {
+	uint64_t promise;
+	uint64_t epoch;
+	uint32_t slot_count;
+	struct bd_slot slots[BD_GANG_MAX];
+};
+
+struct rec_short {
+	uint64_t promise;
+	uint64_t epoch;
+	int64_t since_ms; /* 0: no longer short */
+};
+
+struct rec_duty {
+	uint64_t duty;
+	uint64_t epoch; /* 0: never held */
+	uint64_t owner; /* 0: given up */
+};
+
+struct rec_quarantine {
+	uint64_t worker;
+	uint64_t epoch;
+	int64_t until_ms; /* 0: back in service */
+};
+
+struct rec_req_intent {
+	uint64_t id; /* cw_id_from_pair(account, hash of the key) */
+	uint64_t request_id;
+	uint64_t account;
+	uint64_t service;
+	uint64_t owner;
+	uint64_t body_hash;
+};
+
+struct rec_req_outcome {
+	uint64_t id;
+	uint64_t request_id;
+	uint32_t http_status;
+	uint32_t answer_bytes;
+	const char *answer;
+};
+
+/* Removes every entry whose intent or end is older. */
+struct rec_req_expire {
+	int64_t before_ms;
+};
+
+struct rec_job_expire {
+	int64_t before_ms;
+};
+
+/* One record. Pointers in the body are valid as long as the buffer that it
+ * was decoded from, or as the proposer keeps them. */
+struct rec {
+	uint32_t version;
+	uint32_t kind;
+	uint64_t writer;   /* incarnation */
+	uint64_t sequence; /* grows by one for each record of a writer */
+	int64_t time_ms;
+	union {
+		struct rec_config config;
+		struct rec_worker worker;
+		struct rec_job_submit job_submit;
+		struct rec_job_cancel job_cancel;
+		struct rec_job_owner job_owner;
+		struct rec_place place;
+		struct rec_gang_started gang_started;
+		struct rec_gang_ended gang_ended;
+		struct rec_preempt preempt;
+		struct rec_checkpoint checkpoint;
+		struct rec_plan plan;
+		struct rec_short short_since;
+		struct rec_duty duty;
+		struct rec_quarantine quarantine;
+		struct rec_req_intent req_intent;
+		struct rec_req_outcome req_outcome;
+		struct rec_req_expire req_expire;
+		struct rec_job_expire job_expire;
+	} body;
+};
+
+/*
+ * 3. Applying. The state controller's thread applies records in the order of
+ * their positions; equal records give equal tables on every VM.
+ */
+struct st_state;
+
+int st_create(struct st_state **out, struct bd_board *board);
+void st_destroy(struct st_state *state);
+int st_apply(struct st_state *state, const struct rec *rec, uint64_t position);
+uint64_t st_position(const struct st_state *state);
+uint64_t st_digest(const struct st_state *state);
+
+/*
+ * 4. Proposing. A decision hands records to a sink; the sink stamps writer,
+ * sequence and time_ms and copies what pointers refer to. done, where it is
+ * not NULL, is called once from the follower's thread with the status of
+ * apply (CW_OK, ST_ESTALE, ...), or ST_EUNAVAILABLE or ST_EUNKNOWN, and the
+ * record's position.
+ */
+struct st_done {
+	void (*call)(void *ctx, int status, uint64_t position);
+	void *ctx;
+};
+
+struct st_sink {
+	int (*propose)(
+	    void *ctx, const struct rec *rec, const struct st_done *done);
+	void *ctx;
+};
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/tests/test_base.cc
@@ -0,0 +1,61 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+#include "base.h"
+
+namespace {
+
+// Guards against bucket limits that shift a quantile by more than 1/16.
+TEST(Hist, QuantilesAreWithinOneSixteenth)
+{
+	static struct hist hist;
+
+	for (uint64_t value = 1; value <= 100000; value++)
+		hist_record(&hist, value);
+	EXPECT_EQ(hist_count(&hist), 100000u);
+	EXPECT_NEAR((double)hist_quantile(&hist, 0.5), 50000, 50000 / 16.0);
+	EXPECT_NEAR((double)hist_quantile(&hist, 0.99), 99000, 99000 / 16.0);
+	EXPECT_EQ(hist_quantile(&hist, 1.0), 100000u);
+}
+
+// Guards against names that are cut without an error.
+TEST(Name, TooLongIsRefused)
+{
+	char dst[8] = "kept";
+
+	EXPECT_EQ(cw_name_copy(dst, sizeof(dst), "eightchr"), CW_ERANGE);
+	EXPECT_STREQ(dst, "kept");
+	EXPECT_NE(strstr(cw_error_last(), "eightchr"), nullptr);
+}
+
+struct Captured {
+	int lines = 0;
+	std::string last;
+};
+
+void
+capture(void *ctx, enum ev_number, enum ev_level, const char *line)
+{
+	auto *captured = static_cast<Captured *>(ctx);
+	captured->lines++;
+	captured->last = line;
+}
+
+// Guards against events that lose their number or are not counted.
+TEST(Event, IsCountedAndFormatted)
+{
+	Captured captured;
+	struct ev_sink sink = {capture, &captured};
+	uint64_t before = ev_count(EV_DAEMON_START);
+
+	ev_sink_set(&sink);
+	ev_emit(EV_DAEMON_START, "version=%d", 3);
+	ev_sink_set(nullptr);
+	EXPECT_EQ(ev_count(EV_DAEMON_START), before + 1);
+	EXPECT_EQ(captured.lines, 1);
+	EXPECT_NE(captured.last.find("event=101"), std::string::npos);
+	EXPECT_NE(captured.last.find("version=3"), std::string::npos);
+}
+
+} // namespace
