--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -40,6 +40,7 @@
 	BD_WRITER_LIMITS,
 	BD_WRITER_USAGE,
 	BD_WRITER_GANG,
+	BD_WRITER_VMS,
 };
 
 /*
@@ -328,6 +329,36 @@
 	BD_HEALTH_LEAVING,
 };
 
+enum bd_vm_kind {
+	BD_VM_ENTRY,
+	BD_VM_WORKER,
+	BD_VM_RUNNER,
+};
+
+enum bd_vm_state {
+	BD_VM_LIVE,
+	BD_VM_LEAVING,
+	BD_VM_GONE, /* was on the platform's list before */
+};
+
+/* Latest copy of the platform's lagging list. Written by the VM list
+ * controller. */
+struct bd_vm {
+	uint64_t id; /* cw_id_from_name(name) */
+	char name[CW_NAME_BYTES];
+	char address[CW_NAME_BYTES]; /* "ip:port" */
+	char region[24];
+	char zone[24];
+	char rack[24];
+	uint32_t kind;  /* enum bd_vm_kind */
+	uint32_t state; /* enum bd_vm_state */
+	uint32_t cores_milli;
+	uint32_t memory_mb;
+	uint32_t accels;
+	uint32_t reserved;
+	int64_t changed_ms;
+};
+
 /* This VM's view of a runner. Written by health. */
 struct bd_health {
 	uint64_t id;    /* runner */
@@ -386,6 +417,7 @@
 	BD_TABLE(request, struct bd_request, BD_WRITER_STATE, 131072)     \
 	BD_TABLE(duty, struct bd_duty, BD_WRITER_STATE, 64)               \
 	BD_TABLE(log_writer, struct bd_log_writer, BD_WRITER_STATE, 8192) \
+	BD_TABLE(vm, struct bd_vm, BD_WRITER_VMS, 8192)                   \
 	BD_TABLE(member, struct bd_member, BD_WRITER_MEMBERSHIP, 256)     \
 	BD_TABLE(health, struct bd_health, BD_WRITER_HEALTH, 4096)        \
 	BD_TABLE(share, struct bd_share, BD_WRITER_LIMITS, 256)           \
