--- a/lib/config/config.h
+++ b/lib/config/config.h
@@ -74,7 +74,6 @@
  * derived fields are filled in; epochs, plans and versions are zero.
  */
 struct cfg_text {
-	struct bd_config global; /* text_bytes is 0 */
 	size_t account_count;
 	struct bd_account *accounts;
 	size_t promise_count; /* one for each copy of a shape */
@@ -83,9 +82,10 @@
 	struct bd_service *services;
 	size_t runner_count;
 	struct bd_runner *runners;
+	struct bd_config global; /* text_bytes is 0 */
 };
 
-int cfg_text_parse(const char *text, size_t bytes, struct cfg_text **out,
+int cfg_text_parse(const char *bytes, size_t byte_count, struct cfg_text **out,
     struct cfg_errors *errors);
 void cfg_text_free(struct cfg_text *text);
 
--- /dev/null
+++ b/tests/test_config.cc
@@ -0,0 +1,200 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "config.h"
+
+namespace {
+
+const char base_text[] = R"([fleet]
+entry_vms = 9
+[[account]]
+name = "a"
+key_salt = "000102030405060708090a0b0c0d0e0f"
+key_sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+quota = 16
+[[account.guarantee]]
+members = 2
+accelerators = 4
+copies = 2
+[[service]]
+name = "s"
+accounts = ["a"]
+[[service.upstream]]
+region = "r"
+zone = "z"
+addresses = ["10.0.0.1:9000"]
+)";
+
+const char base_settings[] = R"(name = "entry-1"
+region = "r"
+zone = "z"
+http_address = "127.0.0.1:8080"
+peer_address = "127.0.0.1:7000"
+platform_address = "127.0.0.1:8500"
+)";
+
+std::string
+replaced(std::string text, const std::string &from, const std::string &to)
+{
+	size_t at = text.find(from);
+	EXPECT_NE(at, std::string::npos) << from;
+	return text.replace(at, from.size(), to);
+}
+
+struct Broken {
+	const char *from;
+	const char *to;
+	uint32_t line;
+	const char *mend; // part of the message
+};
+
+// Guards against broken texts that are accepted or whose error names neither
+// the place nor the mend.
+TEST(ConfigText, EachBrokenTextNamesLineAndMend)
+{
+	const Broken cases[] = {
+	    {"entry_vms = 9", "entry_vms = 0", 2, "from 1 to 64"},
+	    {"entry_vms = 9", "entry_vms = \"9\"", 2, "an integer"},
+	    {"entry_vms = 9", "entry_vm = 9", 2, "\"entry_vms\""},
+	    {"entry_vms = 9", "entry_vms = 9\nreclaim = 4", 3, "\"4s\""},
+	    {"entry_vms = 9", "entry_vms = 9\nreclaim = \"4 parsec\"", 3,
+		"a duration"},
+	    {"entry_vms = 9", "entry_vms = 9\nreclaim = \"2s\"", 1, "shorter"},
+	    {"entry_vms = 9", "entry_vms = 9\nfragmentation_weight = 1.5", 3,
+		"from 0 to 1"},
+	    {"entry_vms = 9", "entry_vms = 9\ncross_region_bandwidth = \"6M\"",
+		3, "Mbit/s"},
+	    {"entry_vms = 9", "entry_vms = ", 2, ""},
+	    {"name = \"a\"", "name = \"a b\"", 4, "letters"},
+	    {"name = \"a\"", "", 3, "lacks the key \"name\""},
+	    {"key_salt = \"00", "key_salt = \"zz", 5, "camphorctl key"},
+	    {"quota = 16", "quota = 15", 0, "above its quota"},
+	    {"quota = 16", "quota = 16\nrole = \"admin\"", 8,
+		"caller, operator"},
+	    {"members = 2", "members = 65", 9, "from 1 to 64"},
+	    {"accelerators = 4", "accelerators = 4\nmemory = \"4\"", 11,
+		"64GiB"},
+	    {"accounts = [\"a\"]", "accounts = [\"b\"]", 14,
+		"add an [[account]]"},
+	    {"accounts = [\"a\"]", "accounts = [\"a\"]\nclass = \"fast\"", 15,
+		"urgent, normal, batch"},
+	    {"10.0.0.1:9000", "example.org:9000", 18, "IP:PORT"},
+	    {"[\"10.0.0.1:9000\"]", "[\"10.0.0.1:9000\", \"10.0.0.1:9000\"]", 0,
+		"twice"},
+	    {"[[service]]", "[service]", 12, "an array"},
+	};
+
+	for (const Broken &broken : cases) {
+		std::string text = replaced(base_text, broken.from, broken.to);
+		struct cfg_errors errors = {};
+		struct cfg_text *parsed = nullptr;
+
+		EXPECT_NE(
+		    cfg_text_parse(text.data(), text.size(), &parsed, &errors),
+		    CW_OK)
+		    << broken.to;
+		ASSERT_GE(errors.count, 1u) << broken.to;
+		EXPECT_EQ(errors.errors[0].line, broken.line)
+		    << broken.to << ": " << errors.errors[0].text;
+		EXPECT_NE(strstr(errors.errors[0].text, broken.mend), nullptr)
+		    << broken.to << ": " << errors.errors[0].text;
+	}
+}
+
+// Guards against a check that stops at the first error.
+TEST(ConfigText, AllErrorsAreListedInOneRun)
+{
+	std::string text =
+	    replaced(base_text, "entry_vms = 9", "entry_vms = 0");
+	struct cfg_errors errors = {};
+	struct cfg_text *parsed = nullptr;
+
+	text = replaced(text, "members = 2", "members = 0");
+	text = replaced(text, "10.0.0.1:9000", "nowhere");
+	EXPECT_EQ(cfg_text_parse(text.data(), text.size(), &parsed, &errors),
+	    CFG_EINVALID);
+	EXPECT_EQ(errors.count, 3u);
+}
+
+// Guards against rows that do not follow from the text.
+TEST(ConfigText, RowsFollowFromTheText)
+{
+	struct cfg_errors errors = {};
+	struct cfg_text *text = nullptr;
+
+	ASSERT_EQ(cfg_text_parse(base_text, strlen(base_text), &text, &errors),
+	    CW_OK);
+	ASSERT_EQ(text->promise_count, 2u);
+	EXPECT_NE(text->promises[0].id, text->promises[1].id);
+	EXPECT_EQ(text->promises[0].account, text->accounts[0].id);
+	ASSERT_EQ(text->runner_count, 1u);
+	EXPECT_EQ(text->runners[0].service, text->services[0].id);
+	EXPECT_EQ(text->services[0].accounts[0], text->accounts[0].id);
+	EXPECT_EQ(text->global.reclaim_ms, 4000u);
+	cfg_text_free(text);
+}
+
+// Guards against examples that the checker refuses, and against a key check
+// that takes a wrong key.
+TEST(ConfigText, ExamplesAreValid)
+{
+	for (const char *name : {"hlidarfell", "himal"}) {
+		std::string path = std::string(TEST_SOURCE_DIR) + "/examples/" +
+		    name + ".toml";
+		struct cfg_errors errors = {};
+		struct cfg_text *text = nullptr;
+		char *bytes = nullptr;
+		size_t count = 0;
+
+		ASSERT_EQ(cfg_file_read(
+			      path.c_str(), 1 << 20, &bytes, &count, &errors),
+		    CW_OK);
+		ASSERT_EQ(cfg_text_parse(bytes, count, &text, &errors), CW_OK)
+		    << errors.errors[0].text;
+		EXPECT_EQ(text->account_count, 5u);
+		EXPECT_TRUE(
+		    cfg_key_matches(&text->accounts[0], "key-operators"));
+		EXPECT_FALSE(cfg_key_matches(&text->accounts[0], "key-other"));
+		cfg_text_free(text);
+		free(bytes);
+	}
+}
+
+// Guards against settings that start a daemon with half of its addresses.
+TEST(ConfigSettings, ChecksAndExample)
+{
+	const Broken cases[] = {
+	    {"127.0.0.1:8080", "localhost:8080", 4, "IP:PORT"},
+	    {"zone = \"z\"", "zome = \"z\"", 3, "\"zone\""},
+	    {"zone = \"z\"", "zone = \"z\"\npeers = [\"x\"]", 4, "IP:PORT"},
+	    {"zone = \"z\"", "zone = \"z\"\ndrain = \"1\"", 4, "a duration"},
+	    {"zone = \"z\"", "zone = \"z\"\ncurve_public = \"k\"", 0,
+		"go together"},
+	};
+	static struct cfg_settings settings;
+
+	for (const Broken &broken : cases) {
+		std::string text =
+		    replaced(base_settings, broken.from, broken.to);
+		struct cfg_errors errors = {};
+
+		EXPECT_EQ(cfg_settings_parse(
+			      text.data(), text.size(), &settings, &errors),
+		    CFG_EINVALID);
+		ASSERT_GE(errors.count, 1u) << broken.to;
+		EXPECT_EQ(errors.errors[0].line, broken.line) << broken.to;
+		EXPECT_NE(strstr(errors.errors[0].text, broken.mend), nullptr)
+		    << errors.errors[0].text;
+	}
+	struct cfg_errors errors = {};
+	std::string path =
+	    std::string(TEST_SOURCE_DIR) + "/examples/camphord.toml";
+	ASSERT_EQ(cfg_settings_load(path.c_str(), &settings, &errors), CW_OK);
+	EXPECT_EQ(settings.peer_count, 3u);
+	EXPECT_EQ(
+	    cfg_settings_load("/nonexistent", &settings, &errors), CFG_EFILE);
+}
+
+} // namespace
