Show what is used and planned of each worker on the board

Cause: placement and apply both need the sums over the tasks of a worker; scanning the task table for them is linear in all tasks. Change: used and planned masks, cores and memory are fields of struct bd_worker. Conclusion: readers get the sums with the worker row.

--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -177,6 +177,14 @@
 	uint32_t quarantine_count;
 	uint32_t consecutive_failures;
 	uint64_t failed_accounts[2]; /* of the latest failures in a row */
+	/* Sums over its tasks, and over the plans on it with the shapes that
+	 * they promise. They change without moving the epoch. */
+	uint32_t used_mask;
+	uint32_t used_cores_milli;
+	uint32_t used_memory_mb;
+	uint32_t planned_mask;
+	uint32_t planned_cores_milli;
+	uint32_t planned_memory_mb;
 };
 
 enum bd_job_state {
--- a/lib/state/state.h
+++ b/lib/state/state.h
@@ -76,7 +76,7 @@
  * new worker. */
 struct rec_worker {
 	uint64_t epoch;
-	struct bd_worker facts; /* epoch, quarantine fields unused */
+	struct bd_worker facts; /* only names, sizes and state are used */
 };
 
 struct rec_job_submit {
