Add the HTTP server over CivetWeb

Cause: callers and operators meet the daemon over HTTP/1.1. Change: routes by method and prefix, bounds on header, body, time and connections, JSON refusals that say "not run", optional TLS, a mode that ends kept connections for the graceful shutdown. CivetWeb is used in one file only. Conclusion: tests cover refusals, chunked bodies, header injection and a caller that sends half a request.

--- /dev/null
+++ b/lib/link/http_server.c
@@ -0,0 +1,338 @@
+#include <assert.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <civetweb.h>
+
+#include "http_server.h"
+
+/* Responses up to this size leave in one write, hence in one packet. */
+#define ONE_WRITE_BYTES 8192
+#define HEAD_BYTES 2560
+
+struct lk_http_server {
+	struct mg_context *context;
+	struct lk_http_route routes[LK_HTTP_ROUTES_MAX];
+	size_t route_count;
+	uint16_t port;
+	atomic_bool draining;
+};
+
+static int on_request(struct mg_connection *connection);
+static int on_error(
+    struct mg_connection *connection, int status, const char *message);
+static int on_message(
+    const struct mg_connection *connection, const char *message);
+static const struct lk_http_route *find_route(
+    const struct lk_http_server *server, const char *method, const char *path,
+    bool *path_known);
+static int read_body(struct mg_connection *connection,
+    const struct mg_request_info *info, size_t bytes_max, void **out,
+    size_t *out_bytes);
+static size_t format_head(struct mg_connection *connection,
+    const struct lk_http_response *response, char *head);
+static void write_response(struct mg_connection *connection,
+    const struct lk_http_server *server, struct lk_http_response *response);
+static void refuse(struct mg_connection *connection,
+    const struct lk_http_server *server, int status, const char *text);
+
+/* CivetWeb's own page for a request that never reached a handler. */
+static int
+on_error(struct mg_connection *connection, int status, const char *message)
+{
+	(void)message;
+	refuse(connection, mg_get_user_context_data(connection), status,
+	    "{\"error\":\"request cannot be read\",\"ran\":\"not run\","
+	    "\"retry_after_ms\":0}");
+	return 0;
+}
+
+/* CivetWeb's messages carry no number; the counters of the front tell more. */
+static int
+on_message(const struct mg_connection *connection, const char *message)
+{
+	(void)connection;
+	(void)message;
+	return 1;
+}
+
+static const struct lk_http_route *
+find_route(const struct lk_http_server *server, const char *method,
+    const char *path, bool *path_known)
+{
+	const struct lk_http_route *best = NULL;
+	size_t best_length = 0;
+	size_t i;
+
+	*path_known = false;
+	for (i = 0; i < server->route_count; i++) {
+		const struct lk_http_route *route = &server->routes[i];
+		size_t length = strlen(route->prefix);
+
+		if (strncmp(path, route->prefix, length) != 0)
+			continue;
+		*path_known = true;
+		if ((route->method == NULL ||
+			strcmp(method, route->method) == 0) &&
+		    (best == NULL || length > best_length)) {
+			best = route;
+			best_length = length;
+		}
+	}
+	return best;
+}
+
+/*
+ * Reads the body into *out, which the caller frees. Returns 0, or the HTTP
+ * status of the refusal: 400 for a body shorter than announced, 413, 500.
+ */
+static int
+read_body(struct mg_connection *connection, const struct mg_request_info *info,
+    size_t bytes_max, void **out, size_t *out_bytes)
+{
+	bool chunked = mg_get_header(connection, "Transfer-Encoding") != NULL;
+	size_t announced = info->content_length > 0 && !chunked
+	    ? (size_t)info->content_length
+	    : 0;
+	size_t room = chunked ? bytes_max + 1 : announced;
+	size_t got = 0;
+	char *body;
+	int n;
+
+	*out = NULL;
+	*out_bytes = 0;
+	if (announced > bytes_max)
+		return 413;
+	if (room == 0)
+		return 0;
+	body = malloc(room + 1);
+	if (body == NULL)
+		return 500;
+	while (
+	    got < room && (n = mg_read(connection, body + got, room - got)) > 0)
+		got += (size_t)n;
+	if (got > bytes_max || got < announced) {
+		free(body);
+		return got > bytes_max ? 413 : 400;
+	}
+	*out = body;
+	*out_bytes = got;
+	return 0;
+}
+
+/* Returns the bytes of the head, which are less than HEAD_BYTES. */
+static size_t
+format_head(struct mg_connection *connection,
+    const struct lk_http_response *response, char *head)
+{
+	size_t used;
+	uint32_t i;
+
+	used = (size_t)snprintf(head, HEAD_BYTES,
+	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+	    "Connection: %s\r\n",
+	    response->status,
+	    mg_get_response_code_text(connection, response->status),
+	    response->content_type != NULL ? response->content_type
+					   : "application/json",
+	    response->body_bytes, response->close ? "close" : "keep-alive");
+	for (i = 0; i < response->header_count; i++)
+		used += (size_t)snprintf(head + used, HEAD_BYTES - used,
+		    "%s: %s\r\n", response->headers[i].name,
+		    response->headers[i].value);
+	used += (size_t)snprintf(head + used, HEAD_BYTES - used, "\r\n");
+	assert(used < HEAD_BYTES);
+	return used;
+}
+
+static void
+write_response(struct mg_connection *connection,
+    const struct lk_http_server *server, struct lk_http_response *response)
+{
+	char buffer[HEAD_BYTES + ONE_WRITE_BYTES];
+	size_t head_bytes;
+
+	if (atomic_load_explicit(&((struct lk_http_server *)server)->draining,
+		memory_order_relaxed))
+		response->close = true;
+	head_bytes = format_head(connection, response, buffer);
+	if (response->body_bytes <= ONE_WRITE_BYTES) {
+		if (response->body_bytes > 0)
+			memcpy(buffer + head_bytes, response->body,
+			    response->body_bytes);
+		mg_write(connection, buffer, head_bytes + response->body_bytes);
+	} else {
+		mg_write(connection, buffer, head_bytes);
+		mg_write(connection, response->body, response->body_bytes);
+	}
+	if (response->body_free != NULL)
+		response->body_free(response->body);
+	response->body_free = NULL;
+}
+
+static void
+refuse(struct mg_connection *connection, const struct lk_http_server *server,
+    int status, const char *text)
+{
+	struct lk_http_response response = {0};
+
+	/* The rest of the request may still be on its way. */
+	response.close = true;
+	lk_http_response_static(&response, status, text);
+	write_response(connection, server, &response);
+}
+
+static int
+on_request(struct mg_connection *connection)
+{
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	const struct lk_http_server *server = info->user_data;
+	struct lk_http_response response = {0};
+	struct lk_http_request request = {0};
+	const struct lk_http_route *route;
+	const char *connection_header;
+	bool path_known;
+	void *body;
+	int status;
+
+	if (info->local_uri == NULL)
+		return 0;
+	route = find_route(
+	    server, info->request_method, info->local_uri, &path_known);
+	if (route == NULL) {
+		status = path_known ? 405 : 404;
+		refuse(connection, server, status,
+		    path_known
+			? "{\"error\":\"method is not allowed here\","
+			  "\"ran\":\"not run\",\"retry_after_ms\":0}"
+			: "{\"error\":\"no such path\",\"ran\":\"not run\","
+			  "\"retry_after_ms\":0}");
+		return status;
+	}
+	status = read_body(connection, info, route->body_bytes_max, &body,
+	    &request.body_bytes);
+	if (status != 0) {
+		refuse(connection, server, status,
+		    "{\"error\":\"body is incomplete or too long\","
+		    "\"ran\":\"not run\",\"retry_after_ms\":0}");
+		return status;
+	}
+	request.method = info->request_method;
+	request.path = info->local_uri;
+	request.query = info->query_string != NULL ? info->query_string : "";
+	request.remote = info->remote_addr;
+	request.body = body;
+	request.is_tls = info->is_ssl != 0;
+	request.impl = connection;
+	response.status = 500;
+	connection_header = mg_get_header(connection, "Connection");
+	response.close = (connection_header != NULL &&
+			     strcasecmp(connection_header, "close") == 0) ||
+	    strcmp(info->http_version, "1.0") == 0;
+	route->handle(route->ctx, &request, &response);
+	free(body);
+	status = response.status;
+	write_response(connection, server, &response);
+	return status;
+}
+
+/* Returns the value of a request's header, NULL where it is missing. */
+const char *
+lk_http_request_header(const struct lk_http_request *request, const char *name)
+{
+	return mg_get_header(request->impl, name);
+}
+
+/* Copies the decoded value of a query parameter. Returns false where it is
+ * missing or longer than the buffer. */
+bool
+lk_http_request_query(const struct lk_http_request *request, const char *name,
+    char *value, size_t value_bytes)
+{
+	return mg_get_var(request->query, strlen(request->query), name, value,
+		   value_bytes) >= 0;
+}
+
+/*
+ * Starts a server. At most threads + queue connections are held; further ones
+ * wait in the backlog of the socket. Returns LK_ESERVER where the address or
+ * the certificate cannot be used.
+ */
+int
+lk_http_server_start(
+    struct lk_http_server **out, const struct lk_http_server_config *config)
+{
+	static const struct mg_callbacks callbacks = {
+	    .begin_request = on_request,
+	    .http_error = on_error,
+	    .log_message = on_message,
+	};
+	bool tls =
+	    config->tls_certificate != NULL && *config->tls_certificate != '\0';
+	struct lk_http_server *server = calloc(1, sizeof(*server));
+	struct mg_server_port ports[2] = {0};
+	char port[CW_NAME_BYTES + 2];
+	char numbers[5][12];
+	const char *options[32] = {"listening_ports", port, "num_threads",
+	    numbers[0], "connection_queue", numbers[1], "max_request_size",
+	    numbers[2], "request_timeout_ms", numbers[3],
+	    "keep_alive_timeout_ms", numbers[4], "enable_keep_alive", "yes",
+	    "tcp_nodelay", "1", "decode_url", "yes", NULL};
+
+	assert(config->route_count <= LK_HTTP_ROUTES_MAX);
+	if (server == NULL)
+		return cw_error_set(CW_ENOMEM, "no memory for the server");
+	memcpy(server->routes, config->routes,
+	    config->route_count * sizeof(*config->routes));
+	server->route_count = config->route_count;
+	snprintf(port, sizeof(port), "%s%s", config->address, tls ? "s" : "");
+	snprintf(numbers[0], sizeof(numbers[0]), "%u", config->threads);
+	snprintf(numbers[1], sizeof(numbers[1]), "%u", config->queue);
+	snprintf(
+	    numbers[2], sizeof(numbers[2]), "%u", config->header_bytes_max);
+	snprintf(
+	    numbers[3], sizeof(numbers[3]), "%u", config->request_timeout_ms);
+	snprintf(numbers[4], sizeof(numbers[4]), "%u", config->idle_timeout_ms);
+	if (tls) {
+		options[18] = "ssl_certificate";
+		options[19] = config->tls_certificate;
+	}
+	mg_init_library(MG_FEATURES_TLS);
+	server->context = mg_start(&callbacks, server, options);
+	if (server->context == NULL) {
+		free(server);
+		mg_exit_library();
+		return cw_error_set(
+		    LK_ESERVER, "cannot listen on %s", config->address);
+	}
+	mg_get_server_ports(server->context, 2, ports);
+	server->port = (uint16_t)ports[0].port;
+	*out = server;
+	return CW_OK;
+}
+
+/* Returns the port that the server listens on. */
+uint16_t
+lk_http_server_port(const struct lk_http_server *server)
+{
+	return server->port;
+}
+
+/* Ends each connection after its present answer from now on. */
+void
+lk_http_server_drain(struct lk_http_server *server)
+{
+	atomic_store(&server->draining, true);
+}
+
+/* Stops listening, waits for the handlers that run, and frees the server. */
+void
+lk_http_server_stop(struct lk_http_server *server)
+{
+	mg_stop(server->context);
+	mg_exit_library();
+	free(server);
+}
--- /dev/null
+++ b/tests/test_link_http.cc
@@ -0,0 +1,143 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "http_server.h"
+
+namespace {
+
+void
+echo(void *ctx, const struct lk_http_request *request,
+    struct lk_http_response *response)
+{
+	const char *name = lk_http_request_header(request, "x-name");
+
+	lk_http_response_header(
+	    response, "X-Seen", name == nullptr ? "none" : name);
+	lk_http_response_header(response, "X-Bad", "a\r\nSet-Cookie: b");
+	lk_http_response_copy(response, *static_cast<int *>(ctx), request->body,
+	    request->body_bytes);
+}
+
+struct Server {
+	Server()
+	{
+		struct lk_http_route routes[] = {
+		    {"POST", "/echo", 64, echo, &status},
+		    {"POST", "/echo/deep", 64, echo, &deep},
+		};
+		struct lk_http_server_config config;
+		lk_http_server_config_default(&config);
+		config.address = "127.0.0.1:0";
+		config.threads = 2;
+		config.header_bytes_max = 2048;
+		config.request_timeout_ms = 500;
+		config.routes = routes;
+		config.route_count = 2;
+		EXPECT_EQ(lk_http_server_start(&server, &config), CW_OK);
+	}
+	~Server()
+	{
+		lk_http_server_stop(server);
+	}
+	Server(const Server &) = delete;
+	Server &operator=(const Server &) = delete;
+
+	// Sends raw bytes, and returns what comes back until the end or, for
+	// kept connections, until as many bodies as asked for have arrived.
+	std::string
+	exchange(const std::string &bytes, bool half_close)
+	{
+		struct sockaddr_in address = {};
+		std::string got;
+		char buffer[4096];
+		ssize_t n;
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		address.sin_family = AF_INET;
+		address.sin_port = htons(lk_http_server_port(server));
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(
+		    connect(fd, (struct sockaddr *)&address, sizeof(address)),
+		    0);
+		EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+		    (ssize_t)bytes.size());
+		if (half_close)
+			shutdown(fd, SHUT_WR);
+		while ((n = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+			got.append(buffer, (size_t)n);
+		close(fd);
+		return got;
+	}
+	int status = 200;
+	int deep = 201;
+	struct lk_http_server *server = nullptr;
+};
+
+const char CLOSE[] = "Host: a\r\nConnection: close\r\n";
+
+// Guards against routes that shadow each other and against requests beyond the
+// limits that reach a handler.
+TEST(LinkHttp, RoutesAndRefusals)
+{
+	Server server;
+	struct {
+		std::string request;
+		const char *first_line;
+	} cases[] = {
+	    {"POST /echo HTTP/1.1\r\nContent-Length: 2\r\n", "200"},
+	    {"POST /echo/deep/er HTTP/1.1\r\nContent-Length: 2\r\n", "201"},
+	    {"GET /echo HTTP/1.1\r\n", "405"},
+	    {"POST /other HTTP/1.1\r\nContent-Length: 2\r\n", "404"},
+	    {"POST /echo HTTP/1.1\r\nContent-Length: 65\r\n", "413"},
+	    {"POST /echo HTTP/1.1\r\nContent-Length: 3\r\n", "400"},
+	    {"POST /echo HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n",
+		"4"},
+	};
+	for (auto &c : cases) {
+		std::string got =
+		    server.exchange(c.request + CLOSE + "\r\nhi", true);
+		EXPECT_EQ(got.compare(9, strlen(c.first_line), c.first_line), 0)
+		    << c.request << got;
+		if (got.compare(9, 1, "2") != 0) {
+			EXPECT_NE(
+			    got.find("\"ran\":\"not run\""), std::string::npos)
+			    << got;
+		}
+	}
+}
+
+// Guards against a header value that starts a new header, and against a
+// chunked body that is cut or passes the limit.
+TEST(LinkHttp, HeadersAndChunkedBodies)
+{
+	Server server;
+	std::string head = std::string("POST /echo HTTP/1.1\r\nX-Name: me\r\n"
+				       "Transfer-Encoding: chunked\r\n") +
+	    CLOSE + "\r\n";
+	std::string got =
+	    server.exchange(head + "5\r\nhello\r\n0\r\n\r\n", false);
+
+	EXPECT_NE(got.find("X-Seen: me"), std::string::npos) << got;
+	EXPECT_EQ(got.find("Set-Cookie"), std::string::npos);
+	EXPECT_EQ(got.substr(got.size() - 5), "hello");
+	got = server.exchange(
+	    head + "50\r\n" + std::string(80, 'x') + "\r\n0\r\n\r\n", false);
+	EXPECT_EQ(got.compare(9, 3, "413"), 0) << got;
+}
+
+// Guards against a caller that opens a connection and sends half a request: it
+// would hold a thread for ever.
+TEST(LinkHttp, SlowRequestIsEnded)
+{
+	Server server;
+	std::string got = server.exchange("POST /echo HTTP/1.1\r\nHost", false);
+
+	EXPECT_EQ(got.find("200"), std::string::npos);
+}
+
+} // namespace
