Add the stand-in for the platform, the workers and the upstreams

Serves the log, the VM list, worker tasks with leases and fencing tokens, and upstream runners on loopback, with faults that are switched by HTTP.

--- /dev/null
+++ b/tests/standin/tasks.c
@@ -0,0 +1,357 @@
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin.h"
+
+#define TASKS_MAX 16384
+#define ACCELS_MAX 32
+#define RESERVE_MS 10000
+
+/* The wire's numbers for the result and the state of a task. */
+enum result {
+	RESULT_OK,
+	RESULT_REFUSED,
+	RESULT_UNREACHABLE
+};
+enum state {
+	NONE,
+	RESERVED,
+	COMMITTED,
+	RUNNING,
+	DONE,
+	FAILED,
+	STOPPED,
+	LAPSED
+};
+
+struct task {
+	uint32_t worker;
+	uint32_t member;
+	uint32_t mask;
+	uint32_t state;
+	uint32_t cores_milli;
+	uint32_t memory_mb;
+	int64_t job;
+	int64_t token;
+	int64_t lease_until_ms;
+	int64_t started_ms;
+	int64_t resume_ms;
+	int64_t run_total_ms;
+	int64_t checkpoint_ms;
+	int64_t ended_ms;
+	int fail;
+	int throttled;
+};
+
+/* One task as the caller names it. */
+struct call {
+	const char *name;
+	const char *input;
+	json_int_t job, token, lease_ms, resume_ms;
+	int member, mask, cores_milli, memory_mb;
+	uint32_t worker;
+};
+
+static struct task tasks[TASKS_MAX];
+/* Lowest token that a worker accepts for each accelerator. */
+static int64_t token_floor[SI_WORKERS_MAX][ACCELS_MAX];
+static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
+
+static int64_t run_ms(const struct task *task, int64_t now_ms);
+static void end(struct task *task, uint32_t state, int64_t now_ms);
+static void advance(struct task *task, int64_t now_ms);
+static struct task *find(const struct call *call);
+static struct task *make(void);
+static int reserve(const struct call *call, int64_t now_ms);
+static int start(struct task *task, const struct call *call, int64_t now_ms);
+static int stop(const struct call *call, int64_t now_ms);
+static int act(const char *verb, const struct call *call, int64_t now_ms);
+static bool decode(json_t *item, struct call *call);
+static void report(
+    json_t *reports, size_t index, const struct call *call, int64_t now_ms);
+
+void
+si_worker_name(uint32_t index, char *name, size_t bytes)
+{
+	snprintf(name, bytes, "w%u", index);
+}
+
+/* Run time done so far; a throttled task works at half speed. */
+static int64_t
+run_ms(const struct task *task, int64_t now_ms)
+{
+	int64_t until = task->state == RUNNING || task->ended_ms == 0
+	    ? now_ms
+	    : task->ended_ms;
+
+	if (task->started_ms == 0)
+		return task->resume_ms;
+	return task->resume_ms +
+	    (until - task->started_ms) / (task->throttled ? 2 : 1);
+}
+
+static void
+end(struct task *task, uint32_t state, int64_t now_ms)
+{
+	uint32_t bit;
+
+	task->state = state;
+	task->ended_ms = now_ms;
+	for (bit = 0; bit < ACCELS_MAX; bit++)
+		if ((task->mask >> bit & 1) != 0 &&
+		    token_floor[task->worker][bit] <= task->token)
+			token_floor[task->worker][bit] = task->token + 1;
+}
+
+/* Brings a task up to the present time. A lapsed reservation is forgotten and
+ * may be made again; a lapsed lease ends the token. */
+static void
+advance(struct task *task, int64_t now_ms)
+{
+	char name[CW_NAME_BYTES];
+
+	if (task->state == RESERVED && now_ms >= task->lease_until_ms)
+		memset(task, 0, sizeof(*task));
+	if (task->state != COMMITTED && task->state != RUNNING)
+		return;
+	si_worker_name(task->worker, name, sizeof(name));
+	if (si_fault_is_on("worker_dead", name))
+		end(task, LAPSED, now_ms);
+	else if (task->state == RUNNING &&
+	    (task->fail || si_fault_is_on("worker_fails_all", name)))
+		end(task, FAILED, now_ms);
+	else if (task->state == RUNNING &&
+	    run_ms(task, now_ms) >= task->run_total_ms)
+		end(task, DONE, now_ms);
+	else if (now_ms >= task->lease_until_ms)
+		end(task, LAPSED, now_ms);
+}
+
+static struct task *
+find(const struct call *call)
+{
+	size_t i;
+
+	for (i = 0; i < TASKS_MAX; i++)
+		if (tasks[i].state != NONE && tasks[i].job == call->job &&
+		    tasks[i].token == call->token &&
+		    tasks[i].member == (uint32_t)call->member)
+			return &tasks[i];
+	return NULL;
+}
+
+/* An unused row, or else that of the task which ended first. */
+static struct task *
+make(void)
+{
+	struct task *oldest = NULL;
+	size_t i;
+
+	for (i = 0; i < TASKS_MAX; i++) {
+		if (tasks[i].state == NONE)
+			return &tasks[i];
+		if (tasks[i].state >= DONE &&
+		    (oldest == NULL || tasks[i].ended_ms < oldest->ended_ms))
+			oldest = &tasks[i];
+	}
+	return oldest;
+}
+
+/* A higher token ends whatever an older one holds on the accelerators. */
+static int
+reserve(const struct call *call, int64_t now_ms)
+{
+	struct task *task = find(call);
+	uint32_t mask = (uint32_t)call->mask, bit;
+	size_t i;
+
+	if (task != NULL)
+		return task->state <= RUNNING ? RESULT_OK : RESULT_REFUSED;
+	if (si_settings.accels < 32 && mask >> si_settings.accels != 0)
+		return RESULT_REFUSED;
+	for (bit = 0; bit < ACCELS_MAX; bit++)
+		if ((mask >> bit & 1) != 0 &&
+		    token_floor[call->worker][bit] > call->token)
+			return RESULT_REFUSED;
+	task = make();
+	if (task == NULL)
+		return RESULT_REFUSED;
+	for (i = 0; i < TASKS_MAX; i++)
+		if (tasks[i].worker == call->worker &&
+		    (tasks[i].mask & mask) != 0 && tasks[i].state >= RESERVED &&
+		    tasks[i].state <= RUNNING)
+			end(&tasks[i], STOPPED, now_ms);
+	for (bit = 0; bit < ACCELS_MAX; bit++)
+		if ((mask >> bit & 1) != 0)
+			token_floor[call->worker][bit] = call->token;
+	*task = (struct task){.worker = call->worker,
+	    .member = (uint32_t)call->member,
+	    .mask = mask,
+	    .state = RESERVED,
+	    .cores_milli = (uint32_t)call->cores_milli,
+	    .memory_mb = (uint32_t)call->memory_mb,
+	    .job = call->job,
+	    .token = call->token,
+	    .lease_until_ms = now_ms + RESERVE_MS};
+	return RESULT_OK;
+}
+
+static int
+start(struct task *task, const struct call *call, int64_t now_ms)
+{
+	json_int_t total = 1000, cores = task->cores_milli * 4 / 5;
+	json_t *input = json_loads(call->input, 0, NULL);
+
+	if (task->state == RUNNING || task->state == DONE) {
+		json_decref(input);
+		return RESULT_OK;
+	}
+	if (input != NULL)
+		json_unpack(input, "{s?I s?b s?I}", "run_ms", &total, "fail",
+		    &task->fail, "use_cores_milli", &cores);
+	json_decref(input);
+	if (task->state != COMMITTED)
+		return RESULT_REFUSED;
+	task->state = RUNNING;
+	task->started_ms = now_ms;
+	task->run_total_ms = total;
+	task->resume_ms = task->checkpoint_ms = call->resume_ms;
+	task->cores_milli = (uint32_t)cores;
+	task->lease_until_ms = now_ms + call->lease_ms;
+	return RESULT_OK;
+}
+
+/* Also refuses a reservation with this token that comes late. */
+static int
+stop(const struct call *call, int64_t now_ms)
+{
+	struct task *task = find(call);
+	struct task tombstone = {.worker = call->worker,
+	    .mask = (uint32_t)call->mask,
+	    .token = call->token};
+
+	if (task == NULL)
+		end(&tombstone, STOPPED, now_ms);
+	else if (task->state <= RUNNING)
+		end(task, STOPPED, now_ms);
+	return RESULT_OK;
+}
+
+static int
+act(const char *verb, const struct call *call, int64_t now_ms)
+{
+	struct task *task;
+
+	if (si_fault_is_on("worker_dead", call->name))
+		return RESULT_UNREACHABLE;
+	if (strcmp(verb, "stop") == 0)
+		return stop(call, now_ms);
+	if (strcmp(verb, "reserve") == 0)
+		return reserve(call, now_ms);
+	task = find(call);
+	if (task == NULL)
+		return RESULT_REFUSED;
+	if (strcmp(verb, "start") == 0)
+		return start(task, call, now_ms);
+	if (task->state == DONE)
+		return RESULT_OK;
+	if (strcmp(verb, "commit") == 0) {
+		if (task->state < RESERVED || task->state > RUNNING)
+			return RESULT_REFUSED;
+		if (task->state == RESERVED)
+			task->state = COMMITTED;
+		task->lease_until_ms = now_ms + call->lease_ms;
+		return RESULT_OK;
+	}
+	if (task->state != COMMITTED && task->state != RUNNING)
+		return RESULT_REFUSED;
+	if (strcmp(verb, "renew") == 0)
+		task->lease_until_ms = now_ms + call->lease_ms;
+	else if (strcmp(verb, "checkpoint") == 0)
+		task->checkpoint_ms = run_ms(task, now_ms);
+	else if (strcmp(verb, "throttle") == 0)
+		task->throttled = 1;
+	else
+		return RESULT_REFUSED;
+	return RESULT_OK;
+}
+
+/* [worker, job, token, member, mask, lease_ms, cores_milli, memory_mb,
+ * resume_ms, input]; the last four are optional. */
+static bool
+decode(json_t *item, struct call *call)
+{
+	unsigned index;
+
+	memset(call, 0, sizeof(*call));
+	call->input = "";
+	return json_unpack(item, "[s I I i i I]", &call->name, &call->job,
+		   &call->token, &call->member, &call->mask,
+		   &call->lease_ms) == 0 &&
+	    (json_array_size(item) == 6 ||
+		json_unpack(item, "[s I I i i I i i I s]", &call->name,
+		    &call->job, &call->token, &call->member, &call->mask,
+		    &call->lease_ms, &call->cores_milli, &call->memory_mb,
+		    &call->resume_ms, &call->input) == 0) &&
+	    sscanf(call->name, "w%u", &index) == 1 &&
+	    (call->worker = index) < si_settings.workers;
+}
+
+/* Adds [index, state, cores_milli, memory_mb, run_ms, checkpoint_ms,
+ * message]. The state is the present one, use and run time lag. */
+static void
+report(json_t *reports, size_t index, const struct call *call, int64_t now_ms)
+{
+	struct task *task = find(call);
+	int64_t seen_ms = now_ms - si_settings.usage_lag_ms;
+	bool known;
+
+	if (task == NULL || si_fault_is_on("worker_dead", call->name))
+		return;
+	known = task->started_ms != 0 && task->started_ms <= seen_ms;
+	json_array_append_new(reports,
+	    json_pack("[i i i i I I s]", (int)index, (int)task->state,
+		known ? (int)task->cores_milli : 0,
+		known ? (int)task->memory_mb : 0,
+		(json_int_t)(task->state == DONE ? task->run_total_ms
+			: known                  ? run_ms(task, seen_ms)
+						 : task->resume_ms),
+		(json_int_t)task->checkpoint_ms,
+		task->state == FAILED ? "task failed" : ""));
+}
+
+/* POST /tasks/{verb} and POST /tasks/reports with {"tasks":[...]}. */
+int
+si_tasks_handle(const struct si_request *request)
+{
+	const char *verb = request->info->local_uri + strlen("/tasks/");
+	json_t *json = json_loadb(request->body, request->body_bytes, 0, NULL);
+	json_t *list = json_object_get(json, "tasks"), *out = json_array(),
+	       *item;
+	bool wants_reports = strcmp(verb, "reports") == 0;
+	int64_t now_ms = cw_clock_mono_ms();
+	struct call call;
+	size_t i;
+
+	pthread_mutex_lock(&mutex);
+	for (i = 0; i < TASKS_MAX; i++)
+		if (tasks[i].state != NONE)
+			advance(&tasks[i], now_ms);
+	json_array_foreach(list, i, item)
+	{
+		bool valid = decode(item, &call);
+
+		if (wants_reports && valid)
+			report(out, i, &call, now_ms);
+		else if (!wants_reports)
+			json_array_append_new(out,
+			    json_integer(valid ? act(verb, &call, now_ms)
+					       : RESULT_UNREACHABLE));
+	}
+	pthread_mutex_unlock(&mutex);
+	json_decref(json);
+	return si_answer_json(request->conn, 200,
+	    json_pack("{s:o}", wants_reports ? "reports" : "results", out));
+}
