Add the HTTP adapter of the platform

pf_http_create implements the callback tables over the HTTP form of docs/platform.md with pooled libcurl handles. A call that ends without a whole answer closes its connection. PF_EUNREACHABLE is returned only where no byte was sent; an unreadable answer to a change is PF_EUNKNOWN, because its effect is open, and PF_EMALFORMED for a read. pf_vm_list gains announce.

--- /dev/null
+++ b/lib/platform/http.c
@@ -0,0 +1,271 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform_internal.h"
+
+#define CONNECT_MS_DEFAULT 500
+#define TOTAL_MS_DEFAULT 3000
+#define ANSWER_BYTES_DEFAULT (2 * 1024 * 1024)
+#define ANSWER_BYTES_FIRST 1024
+
+static void global_init(void);
+static CURL *handle_take(struct pf_http *http);
+static void handle_give(struct pf_http *http, CURL *handle);
+static size_t keep_answer(char *data, size_t size, size_t count, void *arg);
+static CURL *prepare(struct pf_http *http, struct pf_http_call *call);
+static int judge_failure(CURL *handle, CURLcode code, bool is_change);
+static int judge_status(CURL *handle, const char *path);
+
+static pthread_once_t global_once = PTHREAD_ONCE_INIT;
+
+static void
+global_init(void)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+/*
+ * Creates an adapter; threads may share it. settings->address is
+ * "http://ip:port". Returns CW_EINVAL for another form and CW_ENOMEM.
+ */
+int
+pf_http_create(struct pf_http **out, const struct pf_http_settings *settings)
+{
+	struct pf_http *http;
+
+	assert(out != NULL && settings->address != NULL);
+	if (strncmp(settings->address, "http://", 7) != 0)
+		return cw_error_set(CW_EINVAL,
+		    "platform address \"%.64s\" is not http://ip:port",
+		    settings->address);
+	pthread_once(&global_once, global_init);
+	http = calloc(1, sizeof(*http));
+	if (http == NULL)
+		return CW_ENOMEM;
+	if (cw_name_copy(http->base, sizeof(http->base), settings->address) !=
+	    CW_OK) {
+		free(http);
+		return CW_EINVAL;
+	}
+	http->connect_ms = settings->connect_ms != 0 ? settings->connect_ms
+						     : CONNECT_MS_DEFAULT;
+	http->total_ms =
+	    settings->total_ms != 0 ? settings->total_ms : TOTAL_MS_DEFAULT;
+	http->answer_bytes_max = settings->answer_bytes_max != 0
+	    ? settings->answer_bytes_max
+	    : ANSWER_BYTES_DEFAULT;
+	/* Without this libcurl asks for leave before it sends a large body. */
+	http->headers = curl_slist_append(NULL, "Expect:");
+	pthread_mutex_init(&http->mutex, NULL);
+	*out = http;
+	return CW_OK;
+}
+
+/* Closes all connections. No call may be in progress. */
+void
+pf_http_destroy(struct pf_http *http)
+{
+	if (http == NULL)
+		return;
+	while (http->idle_count > 0)
+		curl_easy_cleanup(http->idle[--http->idle_count]);
+	curl_slist_free_all(http->headers);
+	pthread_mutex_destroy(&http->mutex);
+	free(http);
+}
+
+/* Fills in the callback tables; they are valid as long as the adapter. */
+void
+pf_http_platform(struct pf_http *http, struct pf_platform *out)
+{
+	assert(http != NULL && out != NULL);
+	pf_http_log(http, &out->log);
+	pf_http_vms(http, &out->vms);
+	pf_http_tasks(http, &out->tasks);
+}
+
+/* The handle given back last comes first: its connection is the least likely
+ * to have been closed for idleness. */
+static CURL *
+handle_take(struct pf_http *http)
+{
+	CURL *handle = NULL;
+
+	pthread_mutex_lock(&http->mutex);
+	if (http->idle_count > 0)
+		handle = http->idle[--http->idle_count];
+	pthread_mutex_unlock(&http->mutex);
+	if (handle != NULL)
+		curl_easy_reset(handle);
+	else
+		handle = curl_easy_init();
+	return handle;
+}
+
+static void
+handle_give(struct pf_http *http, CURL *handle)
+{
+	pthread_mutex_lock(&http->mutex);
+	if (http->idle_count < PF_HTTP_IDLE_MAX) {
+		http->idle[http->idle_count++] = handle;
+		handle = NULL;
+	}
+	pthread_mutex_unlock(&http->mutex);
+	if (handle != NULL)
+		curl_easy_cleanup(handle);
+}
+
+/* Returns less than it was given where the answer is larger than allowed. */
+static size_t
+keep_answer(char *data, size_t size, size_t count, void *arg)
+{
+	struct pf_http_call *call = arg;
+	size_t bytes = size * count, room = ANSWER_BYTES_FIRST;
+	char *grown;
+
+	if (bytes > call->answer_max - call->answer_bytes)
+		return 0;
+	while (room < call->answer_bytes + bytes + 1)
+		room *= 2;
+	if (call->answer == NULL || room > ANSWER_BYTES_FIRST) {
+		grown = realloc(call->answer, room);
+		if (grown == NULL)
+			return 0;
+		call->answer = grown;
+	}
+	memcpy(call->answer + call->answer_bytes, data, bytes);
+	call->answer_bytes += bytes;
+	call->answer[call->answer_bytes] = '\0';
+	return bytes;
+}
+
+static CURL *
+prepare(struct pf_http *http, struct pf_http_call *call)
+{
+	CURL *handle = handle_take(http);
+	char url[256];
+
+	if (handle == NULL)
+		return NULL;
+	snprintf(url, sizeof(url), "%s%s", http->base, call->path);
+	curl_easy_setopt(handle, CURLOPT_URL, url);
+	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(handle, CURLOPT_PROXY, "");
+	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, http->headers);
+	curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call->method);
+	curl_easy_setopt(
+	    handle, CURLOPT_CONNECTTIMEOUT_MS, (long)http->connect_ms);
+	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+	    (long)http->total_ms + (long)call->wait_ms);
+	curl_easy_setopt(handle, CURLOPT_MAXCONNECTS, 1L);
+	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, keep_answer);
+	curl_easy_setopt(handle, CURLOPT_WRITEDATA, call);
+	if (call->body != NULL) {
+		curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)call->body_bytes);
+		curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call->body);
+	}
+	return handle;
+}
+
+/* Turns a failure without a whole answer into a status. */
+static int
+judge_failure(CURL *handle, CURLcode code, bool is_change)
+{
+	long sent = 0;
+	int status = PF_EUNKNOWN;
+
+	curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent);
+	if (code == CURLE_COULDNT_CONNECT || sent == 0)
+		status = PF_EUNREACHABLE;
+	else if (code == CURLE_WRITE_ERROR && !is_change)
+		status = PF_ETOOLARGE;
+	return cw_error_set(status, "platform: %s", curl_easy_strerror(code));
+}
+
+static int
+judge_status(CURL *handle, const char *path)
+{
+	long status = 0;
+
+	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	switch (status) {
+	case 200:
+		return CW_OK;
+	case 408:
+	case 500:
+	case 502:
+	case 504:
+		return cw_error_set(PF_EUNKNOWN,
+		    "platform answered %ld to %.64s", status, path);
+	case 410:
+		return PF_EEXPIRED;
+	case 413:
+		return PF_ETOOLARGE;
+	default:
+		return cw_error_set(PF_EREFUSED,
+		    "platform answered %ld to %.64s", status, path);
+	}
+}
+
+/*
+ * Makes one call on a reused connection. A connection whose call failed is
+ * closed. On CW_OK the caller frees call->answer, which is never NULL.
+ */
+int
+pf_http_call(struct pf_http *http, struct pf_http_call *call)
+{
+	CURL *handle;
+	CURLcode done;
+	int code;
+
+	call->answer = NULL;
+	call->answer_bytes = 0;
+	call->answer_max = http->answer_bytes_max;
+	handle = prepare(http, call);
+	if (handle == NULL)
+		return cw_error_set(PF_EUNREACHABLE, "no memory for a call");
+	done = curl_easy_perform(handle);
+	if (done != CURLE_OK) {
+		code = judge_failure(handle, done, call->is_change);
+		curl_easy_cleanup(handle);
+	} else {
+		code = judge_status(handle, call->path);
+		handle_give(http, handle);
+	}
+	if (code == CW_OK && call->answer == NULL) {
+		call->answer = calloc(1, 1);
+		if (call->answer == NULL)
+			code = PF_EUNKNOWN;
+	}
+	if (code != CW_OK) {
+		free(call->answer);
+		call->answer = NULL;
+	}
+	return code;
+}
+
+/* As pf_http_call, for an answer that is a JSON object; the caller drops the
+ * reference. */
+int
+pf_http_call_json(
+    struct pf_http *http, struct pf_http_call *call, json_t **json)
+{
+	json_error_t error;
+	int code = pf_http_call(http, call);
+
+	if (code != CW_OK)
+		return code;
+	*json = json_loadb(
+	    call->answer, call->answer_bytes, JSON_REJECT_DUPLICATES, &error);
+	free(call->answer);
+	call->answer = NULL;
+	if (json_is_object(*json))
+		return CW_OK;
+	json_decref(*json);
+	*json = NULL;
+	return cw_error_set(call->is_change ? PF_EUNKNOWN : PF_EMALFORMED,
+	    "answer to %.64s is not a JSON object", call->path);
+}
--- /dev/null
+++ b/lib/platform/names.c
@@ -0,0 +1,23 @@
+#include "platform.h"
+
+/* Returns the name of a status code of the platform or of the base. */
+const char *
+pf_status_name(int code)
+{
+	switch (code) {
+	case PF_EUNREACHABLE:
+		return "unreachable";
+	case PF_EUNKNOWN:
+		return "effect unknown";
+	case PF_EREFUSED:
+		return "refused";
+	case PF_EEXPIRED:
+		return "expired";
+	case PF_EMALFORMED:
+		return "malformed";
+	case PF_ETOOLARGE:
+		return "too large";
+	default:
+		return cw_status_name(code);
+	}
+}
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -92,6 +92,9 @@
 struct pf_vm_list {
 	int (*list)(void *ctx, const struct pf_vm_sink *sink);
 	void *ctx;
+	/* Registers this entry VM, or tells that it leaves (state). May be
+	 * NULL where the platform registers VMs itself. */
+	int (*announce)(void *ctx, const struct pf_vm *self);
 };
 
 /*
@@ -142,6 +145,8 @@
 	void *ctx;
 };
 
+#define PF_TASKS_MAX 256 /* in one message */
+
 /* Each function takes several tasks of one rack in one message and stores a
  * status for each in results. The returned status is that of the message. */
 struct pf_tasks {
@@ -174,6 +179,21 @@
 	struct pf_tasks tasks;
 };
 
+/* Zero takes the default. */
+struct pf_http_settings {
+	const char *address; /* "http://ip:port" */
+	uint32_t connect_ms; /* 500 */
+	uint32_t total_ms;   /* 3000, of one call; a long poll adds its wait */
+	uint32_t answer_bytes_max; /* 2 MiB */
+};
+
+struct pf_http;
+
+int pf_http_create(
+    struct pf_http **out, const struct pf_http_settings *settings);
+void pf_http_destroy(struct pf_http *http);
+void pf_http_platform(struct pf_http *http, struct pf_platform *out);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/lib/platform/platform_internal.h
@@ -0,0 +1,46 @@
+#ifndef CAMPHOR_PLATFORM_INTERNAL_H
+#define CAMPHOR_PLATFORM_INTERNAL_H
+
+#include <pthread.h>
+#include <stdbool.h>
+
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "platform.h"
+
+/* Idle handles, each with one open connection, that wait for a caller. */
+#define PF_HTTP_IDLE_MAX 32
+
+struct pf_http {
+	char base[CW_NAME_BYTES];
+	uint32_t connect_ms;
+	uint32_t total_ms;
+	uint32_t answer_bytes_max;
+	struct curl_slist *headers;
+	pthread_mutex_t mutex;
+	CURL *idle[PF_HTTP_IDLE_MAX];
+	size_t idle_count;
+};
+
+struct pf_http_call {
+	const char *method;
+	const char *path;
+	const void *body; /* NULL: none */
+	size_t body_bytes;
+	uint32_t wait_ms;  /* more time for a long poll */
+	bool is_change;    /* an unreadable answer leaves the effect open */
+	size_t answer_max; /* set by pf_http_call */
+	char *answer;      /* terminated; the caller frees it */
+	size_t answer_bytes;
+};
+
+int pf_http_call(struct pf_http *http, struct pf_http_call *call);
+int pf_http_call_json(
+    struct pf_http *http, struct pf_http_call *call, json_t **json);
+
+void pf_http_log(struct pf_http *http, struct pf_log *out);
+void pf_http_vms(struct pf_http *http, struct pf_vm_list *out);
+void pf_http_tasks(struct pf_http *http, struct pf_tasks *out);
+
+#endif
