Add the HTTP client with connections pooled by runner

Cause: requests go on to upstreams over kept connections; libcurl repeats a request by itself where a kept connection dies after the request was read, so a request could run twice. Change: handles in lock-free pools by runner, a call hands its request to one connection only, and its outcome says how far the request and answer came. An answer whose end is not announced counts as truncated.

--- /dev/null
+++ b/lib/link/http_client.c
@@ -0,0 +1,508 @@
+#include <assert.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <curl/curl.h>
+
+#include "http_client.h"
+
+/* A connection that was idle for longer may have been closed by the upstream
+ * at the moment of reuse; 5 s is below the usual keep-alive times. */
+#define REUSE_IDLE_MAX_S 5L
+/* Unacknowledged bytes end a connection after this time: it is silent. */
+#define SILENT_MS 3000
+#define PROBE_IDLE_S 3
+#define PROBE_INTERVAL_S 1
+#define PROBE_COUNT 3
+#define ANSWER_BYTES_FIRST 1024
+
+/* One curl handle, which holds at most one connection. */
+struct handle {
+	CURL *curl;
+	int64_t used_ms;
+	const struct lk_http_call *call;
+	struct lk_http_answer *answer;
+	size_t room;
+	uint32_t issued; /* requests handed to a connection by this call */
+	bool too_large;
+	bool no_memory;
+	bool has_end; /* the head tells where the body ends */
+	bool says_close;
+	bool says_leaving;
+};
+
+struct pool {
+	_Atomic(struct handle *) idle[LK_HTTP_IDLE_MAX];
+};
+
+struct lk_http_client {
+	_Atomic(struct pool *) pools[LK_HTTP_POOLS];
+};
+
+static int on_issue(
+    void *ctx, char *ip, char *local_ip, int port, int local_port);
+static curl_socket_t on_open(
+    void *ctx, curlsocktype purpose, struct curl_sockaddr *address);
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
+static size_t on_body(char *data, size_t size, size_t count, void *ctx);
+static size_t on_header(char *data, size_t size, size_t count, void *ctx);
+static bool header_is(
+    const char *line, size_t bytes, const char *name, const char **value);
+static struct handle *handle_create(void);
+static void handle_destroy(struct handle *handle);
+static struct pool *pool_get(struct lk_http_client *client, uint32_t index);
+static struct handle *pool_take(struct pool *pool, uint32_t idle_max);
+static void pool_put(
+    struct pool *pool, struct handle *handle, uint32_t idle_max);
+static uint32_t thread_slot(uint32_t count);
+static int prepare(struct handle *handle, const struct lk_http_call *call,
+    struct curl_slist **list);
+static enum lk_http_outcome classify(
+    const struct handle *handle, CURLcode code);
+static int client_call(
+    void *ctx, const struct lk_http_call *call, struct lk_http_answer *answer);
+
+/* Returns the name of an outcome for logs and metrics. */
+const char *
+lk_http_outcome_name(enum lk_http_outcome outcome)
+{
+	static const char *const names[] = {"whole", "not_started", "lost",
+	    "truncated", "timeout", "too_large"};
+
+	assert(outcome < LK_HTTP_OUTCOME_COUNT);
+	return names[outcome];
+}
+
+/*
+ * libcurl repeats a request by itself where a kept connection ends without an
+ * answer. The upstream may have run it, so a call hands its request to one
+ * connection only.
+ */
+static int
+on_issue(void *ctx, char *ip, char *local_ip, int port, int local_port)
+{
+	struct handle *handle = ctx;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	if (handle->issued > 0)
+		return CURL_PREREQFUNC_ABORT;
+	handle->issued++;
+	return CURL_PREREQFUNC_OK;
+}
+
+/* Spares the upstream the connection of a repetition that on_issue refuses. */
+static curl_socket_t
+on_open(void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+	const struct handle *handle = ctx;
+
+	(void)purpose;
+	if (handle->issued > 0)
+		return CURL_SOCKET_BAD;
+	return socket(address->family, address->socktype | SOCK_CLOEXEC,
+	    address->protocol);
+}
+
+/* A dead path is noticed by the kernel, however long the deadline is. */
+static int
+on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	static const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {
+	    {IPPROTO_TCP, TCP_USER_TIMEOUT, SILENT_MS},
+	    {SOL_SOCKET, SO_KEEPALIVE, 1},
+	    {IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S},
+	    {IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S},
+	    {IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT},
+	};
+	size_t i;
+
+	(void)ctx;
+	(void)purpose;
+	for (i = 0; i < sizeof(options) / sizeof(*options); i++)
+		setsockopt(fd, options[i].level, options[i].name,
+		    &options[i].value, sizeof(options[i].value));
+	return CURL_SOCKOPT_OK;
+}
+
+static size_t
+on_body(char *data, size_t size, size_t count, void *ctx)
+{
+	struct handle *handle = ctx;
+	struct lk_http_answer *answer = handle->answer;
+	size_t bytes = size * count;
+	size_t room = handle->room;
+	void *grown;
+
+	if (bytes > handle->call->answer_bytes_max - answer->body_bytes) {
+		handle->too_large = true;
+		return 0;
+	}
+	while (answer->body_bytes + bytes > room)
+		room = room == 0 ? ANSWER_BYTES_FIRST : room * 2;
+	if (room > handle->room) {
+		grown = realloc(answer->body, room);
+		if (grown == NULL) {
+			handle->no_memory = true;
+			return 0;
+		}
+		answer->body = grown;
+		handle->room = room;
+	}
+	memcpy((char *)answer->body + answer->body_bytes, data, bytes);
+	answer->body_bytes += bytes;
+	return bytes;
+}
+
+/* Finds the value of a header line with the given name. */
+static bool
+header_is(const char *line, size_t bytes, const char *name, const char **value)
+{
+	size_t length = strlen(name);
+
+	if (bytes <= length || line[length] != ':' ||
+	    strncasecmp(line, name, length) != 0)
+		return false;
+	*value = line + length + 1;
+	while (**value == ' ' || **value == '\t')
+		(*value)++;
+	return true;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	struct handle *handle = ctx;
+	struct lk_http_answer *answer = handle->answer;
+	size_t bytes = size * count;
+	char line[256];
+	size_t n = bytes < sizeof(line) - 1 ? bytes : sizeof(line) - 1;
+	const char *value;
+
+	memcpy(line, data, n);
+	while (n > 0 && (line[n - 1] == '\r' || line[n - 1] == '\n'))
+		n--;
+	line[n] = '\0';
+	if (strncmp(line, "HTTP/", 5) == 0) {
+		handle->has_end = false;
+		handle->says_close = false;
+	} else if (header_is(line, n, "Content-Length", &value) ||
+	    header_is(line, n, "Transfer-Encoding", &value))
+		handle->has_end = true;
+	else if (header_is(line, n, "Connection", &value))
+		handle->says_close = strcasecmp(value, "close") == 0;
+	else if (header_is(line, n, "X-Upstream-Leaving", &value))
+		handle->says_leaving = strcmp(value, "1") == 0;
+	else if (header_is(line, n, "Retry-After", &value)) {
+		long seconds = strtol(value, NULL, 10);
+
+		answer->retry_after_ms = seconds >= 0 && seconds <= 3600
+		    ? (int32_t)seconds * 1000
+		    : -1;
+	} else if (header_is(line, n, "Content-Type", &value))
+		snprintf(answer->content_type, sizeof(answer->content_type),
+		    "%s", value);
+	return bytes;
+}
+
+static struct handle *
+handle_create(void)
+{
+	struct handle *handle = calloc(1, sizeof(*handle));
+	CURL *curl;
+
+	if (handle == NULL)
+		return NULL;
+	curl = curl_easy_init();
+	if (curl == NULL) {
+		free(handle);
+		return NULL;
+	}
+	handle->curl = curl;
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(
+	    curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(curl, CURLOPT_MAXCONNECTS, 1L);
+	curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, REUSE_IDLE_MAX_S);
+	curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, on_issue);
+	curl_easy_setopt(curl, CURLOPT_PREREQDATA, handle);
+	curl_easy_setopt(curl, CURLOPT_OPENSOCKETFUNCTION, on_open);
+	curl_easy_setopt(curl, CURLOPT_OPENSOCKETDATA, handle);
+	curl_easy_setopt(curl, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, handle);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, handle);
+	return handle;
+}
+
+static void
+handle_destroy(struct handle *handle)
+{
+	curl_easy_cleanup(handle->curl);
+	free(handle);
+}
+
+/* Returns the pool of a runner, which is made at the first use. */
+static struct pool *
+pool_get(struct lk_http_client *client, uint32_t index)
+{
+	_Atomic(struct pool *) *place = &client->pools[index % LK_HTTP_POOLS];
+	struct pool *pool = atomic_load(place);
+	struct pool *fresh;
+
+	if (pool != NULL)
+		return pool;
+	fresh = calloc(1, sizeof(*fresh));
+	if (fresh == NULL)
+		return NULL;
+	if (atomic_compare_exchange_strong(place, &pool, fresh))
+		return fresh;
+	free(fresh);
+	return pool;
+}
+
+/* Spreads threads over the places of a pool. */
+static uint32_t
+thread_slot(uint32_t count)
+{
+	static atomic_uint threads;
+	static _Thread_local uint32_t number = UINT32_MAX;
+
+	if (number == UINT32_MAX)
+		number = atomic_fetch_add(&threads, 1) & 0xffff;
+	return number % count;
+}
+
+static struct handle *
+pool_take(struct pool *pool, uint32_t idle_max)
+{
+	uint32_t first = thread_slot(idle_max);
+	struct handle *handle;
+	uint32_t i;
+
+	for (i = 0; i < idle_max; i++) {
+		_Atomic(struct handle *) *place =
+		    &pool->idle[(first + i) % idle_max];
+
+		if (atomic_load_explicit(place, memory_order_relaxed) == NULL)
+			continue;
+		handle = atomic_exchange(place, NULL);
+		if (handle != NULL)
+			return handle;
+	}
+	return handle_create();
+}
+
+static void
+pool_put(struct pool *pool, struct handle *handle, uint32_t idle_max)
+{
+	uint32_t first = thread_slot(idle_max);
+	uint32_t i;
+
+	for (i = 0; i < idle_max; i++) {
+		struct handle *expected = NULL;
+
+		if (atomic_compare_exchange_strong(
+			&pool->idle[(first + i) % idle_max], &expected, handle))
+			return;
+	}
+	handle_destroy(handle);
+}
+
+static int
+prepare(struct handle *handle, const struct lk_http_call *call,
+    struct curl_slist **list)
+{
+	char url[1024];
+	CURL *curl = handle->curl;
+	size_t i;
+
+	if ((size_t)snprintf(url, sizeof(url), "http://%s%s", call->address,
+		call->path) >= sizeof(url))
+		return CW_EINVAL;
+	*list = curl_slist_append(NULL, "Expect:");
+	for (i = 0; i < call->header_count && *list != NULL; i++) {
+		struct curl_slist *grown =
+		    curl_slist_append(*list, call->headers[i]);
+
+		if (grown == NULL) {
+			curl_slist_free_all(*list);
+			*list = NULL;
+		}
+	}
+	if (*list == NULL)
+		return CW_ENOMEM;
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, *list);
+	curl_easy_setopt(
+	    curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)call->body_bytes);
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
+	    call->body != NULL ? (const char *)call->body : "");
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(
+	    curl, CURLOPT_CONNECTTIMEOUT_MS, (long)call->connect_timeout_ms);
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, call->fresh ? 1L : 0L);
+	return CW_OK;
+}
+
+static enum lk_http_outcome
+classify(const struct handle *handle, CURLcode code)
+{
+	const struct lk_http_answer *answer = handle->answer;
+	bool has_body = answer->status != 204 && answer->status != 304;
+
+	if (code == CURLE_OK)
+		return handle->has_end || !has_body ? LK_HTTP_WHOLE
+						    : LK_HTTP_TRUNCATED;
+	if (handle->issued == 0)
+		return LK_HTTP_NOT_STARTED;
+	if (handle->too_large)
+		return LK_HTTP_TOO_LARGE;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return LK_HTTP_TIMEOUT;
+	return answer->status == 0 ? LK_HTTP_LOST : LK_HTTP_TRUNCATED;
+}
+
+static int
+client_call(
+    void *ctx, const struct lk_http_call *call, struct lk_http_answer *answer)
+{
+	uint32_t idle_max = call->idle_max == 0 ? 1 : call->idle_max;
+	struct pool *pool = pool_get(ctx, call->pool);
+	struct curl_slist *list = NULL;
+	struct handle *handle;
+	curl_off_t bytes = 0;
+	long value = 0;
+	CURLcode code;
+	int status;
+
+	assert(call->timeout_ms > 0);
+	memset(answer, 0, sizeof(*answer));
+	answer->retry_after_ms = -1;
+	answer->outcome = LK_HTTP_NOT_STARTED;
+	if (idle_max > LK_HTTP_IDLE_MAX)
+		idle_max = LK_HTTP_IDLE_MAX;
+	handle = pool == NULL ? NULL : pool_take(pool, idle_max);
+	if (handle == NULL)
+		return cw_error_set(CW_ENOMEM, "no memory for a connection");
+	handle->call = call;
+	handle->answer = answer;
+	handle->room = 0;
+	handle->issued = 0;
+	handle->too_large = handle->no_memory = false;
+	handle->has_end = handle->says_close = handle->says_leaving = false;
+	status = prepare(handle, call, &list);
+	if (status != CW_OK) {
+		handle_destroy(handle);
+		return cw_error_set(
+		    status, "call of %s cannot be prepared", call->address);
+	}
+	code = curl_easy_perform(handle->curl);
+	curl_easy_getinfo(handle->curl, CURLINFO_RESPONSE_CODE, &value);
+	answer->status = (int)value;
+	curl_easy_getinfo(handle->curl, CURLINFO_NUM_CONNECTS, &value);
+	answer->pooled = value == 0;
+	curl_easy_getinfo(handle->curl, CURLINFO_REQUEST_SIZE, &value);
+	answer->bytes_out = (uint64_t)value;
+	curl_easy_getinfo(handle->curl, CURLINFO_HEADER_SIZE, &value);
+	curl_easy_getinfo(handle->curl, CURLINFO_SIZE_DOWNLOAD_T, &bytes);
+	answer->bytes_in = (uint64_t)value + (uint64_t)bytes;
+	answer->outcome = classify(handle, code);
+	answer->leaving = handle->says_leaving ||
+	    (answer->status == 503 && handle->says_close);
+	curl_slist_free_all(list);
+	if (answer->outcome != LK_HTTP_WHOLE) {
+		free(answer->body);
+		answer->body = NULL;
+		answer->body_bytes = 0;
+	}
+	handle->used_ms = cw_clock_mono_ms();
+	/* A handle that failed is not trusted again, nor its connection. */
+	if (code == CURLE_OK)
+		pool_put(pool, handle, idle_max);
+	else
+		handle_destroy(handle);
+	return CW_OK;
+}
+
+/* Creates a client without connections. Returns CW_ENOMEM. */
+int
+lk_http_client_create(struct lk_http_client **out)
+{
+	struct lk_http_client *client = calloc(1, sizeof(*client));
+
+	if (client == NULL || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
+		free(client);
+		return cw_error_set(CW_ENOMEM, "no memory for the client");
+	}
+	*out = client;
+	return CW_OK;
+}
+
+/* Closes all connections and frees the client; no call may be running. */
+void
+lk_http_client_destroy(struct lk_http_client *client)
+{
+	uint32_t i;
+
+	lk_http_client_sweep(client, INT64_MAX, 0);
+	for (i = 0; i < LK_HTTP_POOLS; i++)
+		free(atomic_load(&client->pools[i]));
+	free(client);
+	curl_global_cleanup();
+}
+
+/* Returns the callback that makes calls with this client. */
+struct lk_http_caller
+lk_http_client_caller(struct lk_http_client *client)
+{
+	struct lk_http_caller caller = {client_call, client};
+
+	return caller;
+}
+
+/* Closes connections that were not used for idle_ms; returns how many. now_ms
+ * is of cw_clock_mono_ms. */
+uint32_t
+lk_http_client_sweep(
+    struct lk_http_client *client, int64_t now_ms, int64_t idle_ms)
+{
+	uint32_t closed = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < LK_HTTP_POOLS; i++) {
+		struct pool *pool = atomic_load(&client->pools[i]);
+
+		for (k = 0; pool != NULL && k < LK_HTTP_IDLE_MAX; k++) {
+			struct handle *handle =
+			    atomic_exchange(&pool->idle[k], NULL);
+			struct handle *empty = NULL;
+
+			if (handle == NULL)
+				continue;
+			if (now_ms - handle->used_ms < idle_ms &&
+			    atomic_compare_exchange_strong(
+				&pool->idle[k], &empty, handle))
+				continue;
+			handle_destroy(handle);
+			closed++;
+		}
+	}
+	return closed;
+}
--- a/tests/test_link_http.cc
+++ b/tests/test_link_http.cc
@@ -1,12 +1,9 @@
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <string>
 
+#include "fake_upstream.h"
+#include "http_client.h"
 #include "http_server.h"
 
 namespace {
@@ -140,4 +137,121 @@
 	EXPECT_EQ(got.find("200"), std::string::npos);
 }
 
+struct Client {
+	Client()
+	{
+		EXPECT_EQ(lk_http_client_create(&client), CW_OK);
+	}
+	~Client()
+	{
+		free(answer.body);
+		lk_http_client_destroy(client);
+	}
+	Client(const Client &) = delete;
+	Client &operator=(const Client &) = delete;
+
+	enum lk_http_outcome
+	call(const std::string &address, uint32_t timeout_ms = 20000)
+	{
+		struct lk_http_caller caller = lk_http_client_caller(client);
+		struct lk_http_call out = {};
+
+		free(answer.body);
+		out.idle_max = 4;
+		out.address = address.c_str();
+		out.path = "/run";
+		out.body = "ask";
+		out.body_bytes = 3;
+		out.answer_bytes_max = 1000;
+		out.connect_timeout_ms = 5000;
+		out.timeout_ms = timeout_ms;
+		EXPECT_EQ(caller.call(caller.ctx, &out, &answer), CW_OK);
+		return answer.outcome;
+	}
+	struct lk_http_client *client = nullptr;
+	struct lk_http_answer answer = {};
+};
+
+// Guards against a truncated answer taken as whole, and against a failure
+// after the request left that is taken for one before.
+TEST(LinkHttp, OutcomeTellsHowFarTheRequestCame)
+{
+	struct {
+		Action action;
+		enum lk_http_outcome outcome;
+	} cases[] = {
+	    {answer("200 OK", "fine"), LK_HTTP_WHOLE},
+	    {{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+		 Action::CLOSE},
+		LK_HTTP_TRUNCATED},
+	    {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "9\r\nhalf",
+		 Action::CLOSE},
+		LK_HTTP_TRUNCATED},
+	    {{"HTTP/1.1 200 OK\r\n\r\nno end announced", Action::CLOSE},
+		LK_HTTP_TRUNCATED},
+	    {{"", Action::CLOSE}, LK_HTTP_LOST},
+	    {{"", Action::SILENCE}, LK_HTTP_TIMEOUT},
+	    {answer("200 OK", std::string(1001, 'x')), LK_HTTP_TOO_LARGE},
+	};
+	for (auto &c : cases) {
+		FakeUpstream upstream([&](const std::string &, int, int) {
+			return c.action;
+		});
+		Client client;
+		bool silent = c.outcome == LK_HTTP_TIMEOUT;
+
+		EXPECT_EQ(client.call(upstream.address, silent ? 50 : 20000),
+		    c.outcome)
+		    << c.action.bytes;
+		EXPECT_EQ(
+		    client.answer.body != nullptr, c.outcome == LK_HTTP_WHOLE);
+	}
+	Client client;
+	std::string gone = FakeUpstream(nullptr).address;
+	EXPECT_EQ(client.call(gone), LK_HTTP_NOT_STARTED);
+}
+
+// Guards against libcurl's own repetition on a kept connection that dies after
+// the request was read: the upstream would run it twice.
+TEST(LinkHttp, RequestIsIssuedOnceOnADyingKeptConnection)
+{
+	FakeUpstream upstream([](const std::string &, int, int on_connection) {
+		return on_connection == 0 ? answer("200 OK", "fine")
+					  : Action{"", Action::CLOSE};
+	});
+	Client client;
+
+	ASSERT_EQ(client.call(upstream.address), LK_HTTP_WHOLE);
+	EXPECT_FALSE(client.answer.pooled);
+	EXPECT_EQ(client.call(upstream.address), LK_HTTP_LOST);
+	EXPECT_EQ(upstream.requests, 2);
+	EXPECT_EQ(client.call(upstream.address), LK_HTTP_WHOLE);
+	EXPECT_EQ(upstream.connections, 2);
+}
+
+// Guards against signals of a leaving upstream that are overlooked.
+TEST(LinkHttp, LeavingIsReported)
+{
+	struct {
+		const char *status;
+		const char *headers;
+		bool leaving;
+	} cases[] = {
+	    {"200 OK", "x-upstream-leaving: 1\r\n", true},
+	    {"503 Busy", "Connection: close\r\n", true},
+	    {"200 OK", "Connection: close\r\n", false},
+	    {"503 Busy", "Retry-After: 2\r\n", false},
+	};
+	for (auto &c : cases) {
+		FakeUpstream upstream([&](const std::string &, int, int) {
+			return answer(c.status, "", c.headers);
+		});
+		Client client;
+
+		EXPECT_EQ(client.call(upstream.address), LK_HTTP_WHOLE);
+		EXPECT_EQ(client.answer.leaving, c.leaving) << c.headers;
+	}
+}
+
 } // namespace
