Add routing, health, limits and the retry budget

Cause: requests need a runner within microseconds, and a failing, leaving or full one must not get them. Change: candidates by service are published by read-copy-update; a choice takes the better of two random ones by load and latency, in the own zone first, and crosses regions within a byte budget. Accounts have a floor and leases; waiting requests are ordered by class, fair share and deadline and refused early. At most a tenth of first tries is repeated.

--- /dev/null
+++ b/lib/route/answers.c
@@ -0,0 +1,237 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "route_internal.h"
+
+#define SCAN_INTERVAL_MS 1000
+#define RETIRED_INTERVAL_MS 100
+#define KEEP_DEFAULT_MS (10 * 60 * 1000)
+/* Entries that one put may evict, which bounds its time. */
+#define EVICT_MAX 64
+
+static size_t entry_bytes(const struct rt_entry *entry);
+static void retire(struct rt_route *route, struct rt_entry *entry);
+static void evict(struct rt_route *route);
+static void free_retired(struct rt_route *route);
+
+/* Returns the name of what is known of a request, as callers see it. */
+const char *
+rt_ran_name(enum rt_ran ran)
+{
+	static const char *const names[] = {"not run", "unknown", "ran"};
+
+	assert(ran <= RT_RAN_YES);
+	return names[ran];
+}
+
+/* Returns a number that this VM gives to no other request. */
+uint64_t
+rt_request_number(struct rt_route *route)
+{
+	return atomic_fetch_add(&route->requests, 1) + 1;
+}
+
+/* Writes the id of a request: the owner's incarnation and its number. */
+void
+rt_id_format(uint64_t owner, uint64_t request, char id[RT_ID_BYTES])
+{
+	snprintf(id, RT_ID_BYTES, "%016llx%016llx", (unsigned long long)owner,
+	    (unsigned long long)request);
+}
+
+/* Reads an id of 32 lower-case hexadecimal digits. Returns RT_ENOTFOUND for
+ * any other text. */
+int
+rt_id_parse(const char *id, uint64_t *owner, uint64_t *request)
+{
+	uint64_t parts[2] = {0, 0};
+	int i;
+
+	for (i = 0; i < RT_ID_BYTES - 1; i++) {
+		const char *digits = "0123456789abcdef";
+		const char *digit =
+		    id[i] == '\0' ? NULL : strchr(digits, id[i]);
+
+		if (digit == NULL)
+			return RT_ENOTFOUND;
+		parts[i / 16] = parts[i / 16] << 4 | (uint64_t)(digit - digits);
+	}
+	if (id[RT_ID_BYTES - 1] != '\0')
+		return RT_ENOTFOUND;
+	*owner = parts[0];
+	*request = parts[1];
+	return CW_OK;
+}
+
+static size_t
+entry_bytes(const struct rt_entry *entry)
+{
+	return sizeof(*entry) + entry->answer.body_bytes;
+}
+
+/* Readers may still look at the entry: rt_answer_step frees it later. */
+static void
+retire(struct rt_route *route, struct rt_entry *entry)
+{
+	struct rt_entry *head = atomic_load(&route->retired);
+
+	atomic_fetch_sub(&route->ring_bytes, entry_bytes(entry));
+	do
+		entry->next = head;
+	while (!atomic_compare_exchange_weak(&route->retired, &head, entry));
+}
+
+/* Drops the oldest finished answers while they pass the bound in bytes. */
+static void
+evict(struct rt_route *route)
+{
+	int i;
+
+	for (i = 0; i < EVICT_MAX &&
+	     atomic_load(&route->ring_bytes) > route->settings.answer_bytes_max;
+	     i++) {
+		uint64_t tail = atomic_load(&route->ring_tail);
+		uint64_t last = atomic_load(&route->requests);
+		uint64_t oldest = tail;
+		struct rt_entry *entry;
+
+		/* Older ones were overwritten as the ring went round. */
+		if (last > RT_RING && oldest < last - RT_RING)
+			oldest = last - RT_RING;
+		if (oldest > last ||
+		    !atomic_compare_exchange_strong(
+			&route->ring_tail, &tail, oldest + 1))
+			return;
+		tail = oldest;
+		urcu_bp_read_lock();
+		entry = atomic_load(&route->ring[tail % RT_RING]);
+		if (entry != NULL && !entry->answer.running &&
+		    atomic_compare_exchange_strong(
+			&route->ring[tail % RT_RING], &entry, NULL)) {
+			retire(route, entry);
+			rt_count(route, RT_COUNT_ANSWERS_EVICTED, 1);
+		}
+		urcu_bp_read_unlock();
+	}
+}
+
+/*
+ * Keeps a copy of an answer of this VM, or the note that the request runs;
+ * the answer replaces the note. Older answers go where space is short. Takes
+ * no lock. Returns RT_ENOMEM.
+ */
+int
+rt_answer_put(
+    struct rt_route *route, const struct rt_answer *answer, int64_t now_ms)
+{
+	_Atomic(struct rt_entry *) *place =
+	    &route->ring[answer->request % RT_RING];
+	struct rt_entry *entry = malloc(sizeof(*entry) + answer->body_bytes);
+	struct rt_entry *old;
+
+	assert(answer->request != 0);
+	if (entry == NULL)
+		return RT_ENOMEM;
+	entry->answer = *answer;
+	entry->answer.body = entry->body;
+	entry->kept_ms = now_ms;
+	if (answer->body_bytes > 0)
+		memcpy(entry->body, answer->body, answer->body_bytes);
+	atomic_fetch_add(&route->ring_bytes, entry_bytes(entry));
+	urcu_bp_read_lock();
+	old = atomic_load(place);
+	do {
+		/* A request that has run since the ring went round once. */
+		if (old != NULL && old->answer.running &&
+		    old->answer.request != answer->request) {
+			retire(route, entry);
+			entry = NULL;
+			break;
+		}
+	} while (!atomic_compare_exchange_weak(place, &old, entry));
+	if (entry != NULL && old != NULL)
+		retire(route, old);
+	urcu_bp_read_unlock();
+	evict(route);
+	return CW_OK;
+}
+
+/* Copies a kept answer; the caller frees out->body. Returns RT_ENOTFOUND or
+ * RT_ENOMEM. */
+int
+rt_answer_get(struct rt_route *route, uint64_t request, struct rt_answer *out)
+{
+	const struct rt_entry *entry;
+	int code = RT_ENOTFOUND;
+
+	urcu_bp_read_lock();
+	entry = atomic_load(&route->ring[request % RT_RING]);
+	if (entry != NULL && entry->answer.request == request) {
+		*out = entry->answer;
+		out->body = malloc(out->body_bytes + 1);
+		code = out->body == NULL ? RT_ENOMEM : CW_OK;
+		if (code == CW_OK)
+			memcpy(out->body, entry->body, out->body_bytes);
+	}
+	urcu_bp_read_unlock();
+	return code;
+}
+
+static void
+free_retired(struct rt_route *route)
+{
+	struct rt_entry *entry = atomic_exchange(&route->retired, NULL);
+
+	if (entry == NULL)
+		return;
+	urcu_bp_synchronize_rcu();
+	while (entry != NULL) {
+		struct rt_entry *next = entry->next;
+
+		free(entry);
+		entry = next;
+	}
+}
+
+/* Drops answers that were kept for their time and frees dropped ones. Returns
+ * when to run again (ms). */
+int64_t
+rt_answer_step(struct rt_route *route, int64_t now_ms)
+{
+	const struct bd_config *config;
+	int64_t keep_ms = KEEP_DEFAULT_MS;
+	uint32_t i;
+
+	free_retired(route);
+	if (now_ms - route->answers_scan_ms < SCAN_INTERVAL_MS)
+		return now_ms + RETIRED_INTERVAL_MS;
+	route->answers_scan_ms = now_ms;
+	bd_read_begin();
+	config = bd_config_lookup(route->board, BD_CONFIG_ID);
+	if (config != NULL && config->request_keep_ms > 0)
+		keep_ms = config->request_keep_ms;
+	for (i = 0; i < RT_RING; i++) {
+		struct rt_entry *entry = atomic_load(&route->ring[i]);
+
+		if (entry != NULL && !entry->answer.running &&
+		    now_ms - entry->kept_ms >= keep_ms &&
+		    atomic_compare_exchange_strong(
+			&route->ring[i], &entry, NULL))
+			retire(route, entry);
+	}
+	bd_read_end();
+	return now_ms + RETIRED_INTERVAL_MS;
+}
+
+/* Frees all answers; no thread uses them any more. */
+void
+rt_answers_destroy(struct rt_route *route)
+{
+	uint32_t i;
+
+	free_retired(route);
+	for (i = 0; i < RT_RING; i++)
+		free(atomic_load(&route->ring[i]));
+}
--- /dev/null
+++ b/lib/route/queue.c
@@ -0,0 +1,323 @@
+#include <assert.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "route_internal.h"
+
+/* Requests of one account that may wait, where its row names no number. */
+#define ACCOUNT_QUEUE_MAX_DEFAULT 256
+#define LATENCY_FIRST_US 1000
+#define RETRY_AFTER_MIN_MS 10
+#define RETRY_AFTER_MAX_MS 10000
+
+static int64_t latency_of(const struct rt_queue *queue);
+static uint32_t slots_of(struct rt_route *route, uint64_t id);
+static int64_t estimate_us(struct rt_route *route, const struct rt_queue *queue,
+    const struct rt_waiter *waiter, uint32_t *own);
+static struct rt_waiter *next_waiter(struct rt_queue *queue);
+static uint64_t start_of(
+    const struct rt_queue *queue, const struct rt_waiter *waiter);
+static void unlink_waiter(struct rt_queue *queue, struct rt_waiter *waiter);
+static void end_wait(
+    struct rt_queue *queue, struct rt_waiter *waiter, int status);
+static void dispatch_locked(
+    struct rt_route *route, struct rt_queue *queue, int64_t now_us);
+static void sleep_until(
+    struct rt_queue *queue, struct rt_waiter *waiter, int64_t wait_us);
+static uint32_t account_limits(
+    struct rt_route *route, uint64_t account, uint32_t *weight_milli);
+
+/* Returns the queue of a service, made at its first use. Ids that were used
+ * once keep their place. */
+struct rt_queue *
+rt_queue_get(struct rt_route *route, uint64_t service)
+{
+	uint32_t place = (uint32_t)(service % RT_SERVICES);
+	uint32_t i;
+
+	for (i = 0; i < RT_SERVICES; i++) {
+		struct rt_queue *queue =
+		    &route->queues[(place + i) % RT_SERVICES];
+		uint64_t id =
+		    atomic_load_explicit(&queue->service, memory_order_acquire);
+
+		if (id == service)
+			return queue;
+		if (id == 0 &&
+		    (atomic_compare_exchange_strong(
+			 &queue->service, &id, service) ||
+			id == service))
+			return queue;
+	}
+	/* More ids than places: services share, which is fair though slower. */
+	return &route->queues[place];
+}
+
+static int64_t
+latency_of(const struct rt_queue *queue)
+{
+	uint32_t latency_us = atomic_load_explicit(
+	    &((struct rt_queue *)queue)->latency_us, memory_order_relaxed);
+
+	return latency_us == 0 ? LATENCY_FIRST_US : latency_us;
+}
+
+static uint32_t
+slots_of(struct rt_route *route, uint64_t id)
+{
+	const struct rt_service *service;
+	uint32_t slots;
+
+	urcu_bp_read_lock();
+	service = rt_service_find(rcu_dereference(route->index), id);
+	slots = service == NULL ? 0 : service->slots;
+	urcu_bp_read_unlock();
+	return slots;
+}
+
+/*
+ * Estimates the wait of a new request: those that go before it, divided by the
+ * places, times the time of an attempt. Of another account of the same class
+ * at most as many go before it as of its own. Also counts its account's
+ * waiting requests.
+ */
+static int64_t
+estimate_us(struct rt_route *route, const struct rt_queue *queue,
+    const struct rt_waiter *waiter, uint32_t *own)
+{
+	const struct rt_admission *admission = waiter->admission;
+	uint32_t slots = slots_of(route, admission->service);
+	uint32_t others[64] = {0};
+	uint32_t before = 0;
+	uint32_t own_before = 0;
+	const struct rt_waiter *w;
+	uint32_t i;
+
+	*own = 0;
+	for (w = queue->head; w != NULL; w = w->next) {
+		bool same = w->account == waiter->account;
+
+		*own += same;
+		if (w->admission->class_number > admission->class_number)
+			continue;
+		if (w->admission->class_number < admission->class_number)
+			before++;
+		else if (!same)
+			others[w->account % 64]++;
+		else if (w->admission->deadline_us <= admission->deadline_us)
+			own_before++;
+	}
+	for (i = 0; i < 64; i++)
+		before +=
+		    others[i] < own_before + 1 ? others[i] : own_before + 1;
+	before += own_before;
+	return (int64_t)(before + 1) * latency_of(queue) /
+	    (slots == 0 ? 1 : slots);
+}
+
+static uint64_t
+start_of(const struct rt_queue *queue, const struct rt_waiter *waiter)
+{
+	uint64_t finish = queue->virtual_finish[waiter->account];
+
+	return finish > queue->virtual_time ? finish : queue->virtual_time;
+}
+
+/* Order: class, then the account that got the least for its weight, then the
+ * deadline. */
+static struct rt_waiter *
+next_waiter(struct rt_queue *queue)
+{
+	struct rt_waiter *best = NULL;
+	struct rt_waiter *w;
+
+	for (w = queue->head; w != NULL; w = w->next) {
+		const struct rt_admission *a = w->admission;
+		const struct rt_admission *b;
+		uint64_t start;
+		uint64_t best_start;
+
+		if (best == NULL) {
+			best = w;
+			continue;
+		}
+		b = best->admission;
+		start = start_of(queue, w);
+		best_start = start_of(queue, best);
+		if (a->class_number != b->class_number) {
+			if (a->class_number < b->class_number)
+				best = w;
+		} else if (start != best_start) {
+			if (start < best_start)
+				best = w;
+		} else if (a->deadline_us <= b->deadline_us) /* older */
+			best = w;
+	}
+	return best;
+}
+
+static void
+unlink_waiter(struct rt_queue *queue, struct rt_waiter *waiter)
+{
+	struct rt_waiter **link = &queue->head;
+
+	while (*link != waiter)
+		link = &(*link)->next;
+	*link = waiter->next;
+	atomic_fetch_sub(&queue->waiting, 1);
+}
+
+static void
+end_wait(struct rt_queue *queue, struct rt_waiter *waiter, int status)
+{
+	unlink_waiter(queue, waiter);
+	waiter->status = status;
+	pthread_cond_signal(&waiter->wake);
+}
+
+/* Gives free places to waiting requests. One whose deadline would pass during
+ * the attempt is refused, so that no place is spent on a late answer. */
+static void
+dispatch_locked(struct rt_route *route, struct rt_queue *queue, int64_t now_us)
+{
+	struct rt_waiter *waiter;
+
+	while ((waiter = next_waiter(queue)) != NULL) {
+		struct rt_pick_query query = {waiter->admission, NULL, 0};
+		uint64_t start = start_of(queue, waiter);
+		int code;
+
+		if (waiter->admission->deadline_us - now_us <
+		    latency_of(queue)) {
+			end_wait(queue, waiter, RT_ETOOLATE);
+			continue;
+		}
+		code = rt_pick_take(route, &query, now_us, waiter->pick);
+		if (code == RT_EBUSY)
+			break;
+		if (code == CW_OK) {
+			queue->virtual_time = start;
+			queue->virtual_finish[waiter->account] =
+			    start + 1000000000ULL / waiter->weight_milli;
+		}
+		end_wait(queue, waiter, code);
+	}
+}
+
+/* Gives the free places of a service to requests that wait. */
+void
+rt_queue_dispatch(
+    struct rt_route *route, struct rt_queue *queue, int64_t now_us)
+{
+	pthread_mutex_lock(&queue->lock);
+	dispatch_locked(route, queue, now_us);
+	pthread_mutex_unlock(&queue->lock);
+}
+
+/* Does so for every service: places also come up without an end of a request,
+ * when a runner is added or comes back. */
+void
+rt_queue_dispatch_all(struct rt_route *route, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < RT_SERVICES; i++)
+		if (atomic_load(&route->queues[i].waiting) > 0)
+			rt_queue_dispatch(route, &route->queues[i], now_us);
+}
+
+/* Returns how many requests of the account may wait, and its weight. */
+static uint32_t
+account_limits(struct rt_route *route, uint64_t account, uint32_t *weight_milli)
+{
+	const struct bd_account *row;
+	uint32_t max = ACCOUNT_QUEUE_MAX_DEFAULT;
+
+	*weight_milli = 1000;
+	bd_read_begin();
+	row = bd_account_lookup(route->board, account);
+	if (row != NULL && row->queue_max > 0)
+		max = row->queue_max;
+	if (row != NULL && row->weight_milli > 0)
+		*weight_milli = row->weight_milli;
+	bd_read_end();
+	return max;
+}
+
+/* Sleeps until the waiter is woken or the time has passed. */
+static void
+sleep_until(struct rt_queue *queue, struct rt_waiter *waiter, int64_t wait_us)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += wait_us / 1000000;
+	until.tv_nsec += wait_us % 1000000 * 1000;
+	if (until.tv_nsec >= 1000000000) {
+		until.tv_sec++;
+		until.tv_nsec -= 1000000000;
+	}
+	while (waiter->status == RT_EBUSY &&
+	    pthread_cond_timedwait(&waiter->wake, &queue->lock, &until) !=
+		ETIMEDOUT)
+		;
+}
+
+/*
+ * Waits in the queue of a service for a place. Refuses at once with
+ * RT_EQUEUEFULL or, where the estimated wait passes the deadline, with
+ * RT_ETOOLATE.
+ */
+int
+rt_queue_wait(struct rt_route *route, struct rt_queue *queue,
+    const struct rt_admission *admission, int64_t now_us, struct rt_pick *pick,
+    struct rt_refusal *refusal)
+{
+	struct rt_waiter waiter = {0};
+	pthread_condattr_t attr;
+	uint32_t own_max;
+	uint32_t own;
+	int64_t wait_us;
+
+	waiter.admission = admission;
+	waiter.pick = pick;
+	waiter.account = rt_account_slot(route, admission->account);
+	waiter.status = RT_EBUSY;
+	own_max =
+	    account_limits(route, admission->account, &waiter.weight_milli);
+	pthread_mutex_lock(&queue->lock);
+	wait_us = estimate_us(route, queue, &waiter, &own);
+	refusal->retry_after_ms = wait_us / 1000 < RETRY_AFTER_MIN_MS
+	    ? RETRY_AFTER_MIN_MS
+	    : wait_us / 1000 > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS
+						  : (uint32_t)(wait_us / 1000);
+	if (own >= own_max ||
+	    atomic_load(&queue->waiting) >= route->settings.queue_max)
+		waiter.status = RT_EQUEUEFULL;
+	else if (now_us + wait_us + latency_of(queue) > admission->deadline_us)
+		waiter.status = RT_ETOOLATE;
+	if (waiter.status == RT_EBUSY) {
+		pthread_condattr_init(&attr);
+		pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+		pthread_cond_init(&waiter.wake, &attr);
+		pthread_condattr_destroy(&attr);
+		waiter.next = queue->head;
+		queue->head = &waiter;
+		atomic_fetch_add(&queue->waiting, 1);
+		rt_count(route, RT_COUNT_QUEUED, 1);
+		/* A place may have come free before this one was seen. */
+		dispatch_locked(route, queue, now_us);
+		if (waiter.status == RT_EBUSY)
+			sleep_until(
+			    queue, &waiter, admission->deadline_us - now_us);
+		if (waiter.status == RT_EBUSY) {
+			unlink_waiter(queue, &waiter);
+			waiter.status = RT_ETOOLATE;
+		}
+		pthread_cond_destroy(&waiter.wake);
+	}
+	pthread_mutex_unlock(&queue->lock);
+	return waiter.status;
+}
--- /dev/null
+++ b/lib/route/retry.c
@@ -0,0 +1,92 @@
+#include <assert.h>
+
+#include "route_internal.h"
+
+/* Tenths of a retry. The budget starts empty, so that at no time more than a
+ * tenth of the first tries is repeated. */
+#define FIRST_TRY_TENTHS 1
+#define RETRY_TENTHS 10
+#define BUDGET_MAX_TENTHS 1000
+#define BACKOFF_FIRST_US 5000
+#define BACKOFF_MAX_US 500000
+/* Time that an attempt needs at least. */
+#define ATTEMPT_MIN_US 1000
+
+static bool is_failure(const struct rt_retry_query *query);
+static bool take_budget(struct rt_route *route);
+
+/* Counts a first try, which pays for a tenth of a retry. */
+void
+rt_retry_first(struct rt_route *route)
+{
+	int tenths =
+	    atomic_load_explicit(&route->retry_tenths, memory_order_relaxed);
+
+	rt_count(route, RT_COUNT_REQUESTS, 1);
+	rt_count(route, RT_COUNT_ATTEMPTS, 1);
+	if (tenths < BUDGET_MAX_TENTHS)
+		atomic_fetch_add_explicit(&route->retry_tenths,
+		    FIRST_TRY_TENTHS, memory_order_relaxed);
+}
+
+static bool
+take_budget(struct rt_route *route)
+{
+	int tenths =
+	    atomic_load_explicit(&route->retry_tenths, memory_order_relaxed);
+
+	while (tenths >= RETRY_TENTHS)
+		if (atomic_compare_exchange_weak_explicit(&route->retry_tenths,
+			&tenths, tenths - RETRY_TENTHS, memory_order_relaxed,
+			memory_order_relaxed))
+			return true;
+	return false;
+}
+
+/* 500 is an answer of the service itself and is passed on; 502, 503 and 504
+ * tell of its surroundings. */
+static bool
+is_failure(const struct rt_retry_query *query)
+{
+	if (query->outcome == RT_OUTCOME_OK)
+		return false;
+	if (query->outcome == RT_OUTCOME_ERROR)
+		return query->http_status >= 502 && query->http_status <= 504;
+	return true;
+}
+
+/*
+ * Decides on a further attempt. Only a request that is idempotent, or of which
+ * no byte has left, is tried again; the delay has full jitter and leaves time
+ * for the attempt. random is a random number.
+ */
+struct rt_retry
+rt_retry_decide(struct rt_route *route, const struct rt_retry_query *query,
+    int64_t now_us, uint64_t random)
+{
+	struct rt_retry retry = {RT_VERDICT_FINAL, 0};
+	uint32_t doublings = query->attempt < 8 ? query->attempt - 1 : 7;
+	int64_t backoff_us = (int64_t)BACKOFF_FIRST_US << doublings;
+
+	assert(query->attempt >= 1);
+	if (!is_failure(query))
+		return retry;
+	if (backoff_us > BACKOFF_MAX_US)
+		backoff_us = BACKOFF_MAX_US;
+	retry.delay_us = (int64_t)(random % (uint64_t)(backoff_us + 1));
+	if (!query->idempotent && query->started)
+		retry.verdict = RT_VERDICT_UNSAFE;
+	else if (query->attempt >= query->attempts_max)
+		retry.verdict = RT_VERDICT_NO_ATTEMPT;
+	else if (now_us + retry.delay_us + ATTEMPT_MIN_US >= query->deadline_us)
+		retry.verdict = RT_VERDICT_NO_TIME;
+	else if (!take_budget(route)) {
+		rt_count(route, RT_COUNT_RETRIES_DENIED, 1);
+		retry.verdict = RT_VERDICT_NO_BUDGET;
+	} else {
+		rt_count(route, RT_COUNT_RETRIES, 1);
+		rt_count(route, RT_COUNT_ATTEMPTS, 1);
+		retry.verdict = RT_VERDICT_RETRY;
+	}
+	return retry;
+}
--- /dev/null
+++ b/lib/route/route.c
@@ -0,0 +1,206 @@
+#include <assert.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "route_internal.h"
+
+#define QUEUE_MAX_DEFAULT 1024
+#define ANSWER_BYTES_DEFAULT (32u * 1024 * 1024)
+#define REQUEST_FIRST_MASK 0x3fffffffff000000ULL
+
+static _Thread_local struct cw_rng thread_rng;
+static _Thread_local bool thread_seeded;
+
+static int allocate(struct rt_route *route);
+
+/* Returns the name of a status code of this package. */
+const char *
+rt_status_name(int code)
+{
+	static const char *const names[] = {
+	    "this VM is shutting down",
+	    "above the account's rate",
+	    "above the account's concurrency",
+	    "queue is full",
+	    "would wait beyond the deadline",
+	    "no upstream in service",
+	    "all upstreams are full",
+	    "out of memory",
+	    "not found",
+	    "in progress",
+	    "repeated",
+	    "key was used with another body",
+	    "log is out of reach",
+	    "owner does not answer",
+	};
+	int number = CW_BASE_ROUTE - 1 - code;
+
+	if (number < 0 || number >= (int)(sizeof(names) / sizeof(*names)))
+		return cw_status_name(code);
+	return names[number];
+}
+
+/* Fills in settings that suit one entry VM; self, zone and region are 0. */
+void
+rt_settings_default(struct rt_settings *settings)
+{
+	memset(settings, 0, sizeof(*settings));
+	settings->queue_max = QUEUE_MAX_DEFAULT;
+	settings->answer_bytes_max = ANSWER_BYTES_DEFAULT;
+}
+
+static int
+allocate(struct rt_route *route)
+{
+	uint32_t i;
+
+	route->gauges = aligned_alloc(64, RT_RUNNERS * sizeof(*route->gauges));
+	route->accounts =
+	    aligned_alloc(64, RT_ACCOUNTS * sizeof(*route->accounts));
+	route->queues = aligned_alloc(64, RT_SERVICES * sizeof(*route->queues));
+	route->stripes =
+	    aligned_alloc(64, RT_STRIPES * sizeof(*route->stripes));
+	route->watches = calloc(RT_RUNNERS, sizeof(*route->watches));
+	route->ring = calloc(RT_RING, sizeof(*route->ring));
+	if (route->gauges == NULL || route->accounts == NULL ||
+	    route->queues == NULL || route->stripes == NULL ||
+	    route->watches == NULL || route->ring == NULL)
+		return RT_ENOMEM;
+	memset(route->gauges, 0, RT_RUNNERS * sizeof(*route->gauges));
+	memset(route->accounts, 0, RT_ACCOUNTS * sizeof(*route->accounts));
+	memset(route->queues, 0, RT_SERVICES * sizeof(*route->queues));
+	memset(route->stripes, 0, RT_STRIPES * sizeof(*route->stripes));
+	for (i = 0; i < RT_SERVICES; i++)
+		pthread_mutex_init(&route->queues[i].lock, NULL);
+	return CW_OK;
+}
+
+/* Creates a router over a board. Until rt_index_step has run it has no runner
+ * to choose. Returns RT_ENOMEM. */
+int
+rt_create(struct rt_route **out, struct bd_board *board,
+    const struct rt_settings *settings)
+{
+	struct rt_route *route = calloc(1, sizeof(*route));
+	pthread_condattr_t attr;
+
+	assert(board != NULL && settings->self != 0);
+	if (route == NULL)
+		return cw_error_set(RT_ENOMEM, "no memory for the router");
+	route->board = board;
+	route->settings = *settings;
+	route->index_scan_ms = INT64_MIN / 2;
+	route->health_step_ms = -1;
+	/* Numbers of several VMs must not meet in records of one key. */
+	atomic_store(&route->requests, cw_rng_entropy() & REQUEST_FIRST_MASK);
+	atomic_store(&route->ring_tail, atomic_load(&route->requests));
+	pthread_mutex_init(&route->drain_lock, NULL);
+	pthread_mutex_init(&route->fleet_lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&route->drained, &attr);
+	pthread_condattr_destroy(&attr);
+	if (allocate(route) != CW_OK) {
+		rt_destroy(route);
+		return cw_error_set(RT_ENOMEM, "no memory for the router");
+	}
+	*out = route;
+	return CW_OK;
+}
+
+/* Frees a router that no thread uses any more. */
+void
+rt_destroy(struct rt_route *route)
+{
+	uint32_t i;
+	uint32_t k;
+
+	rt_once_destroy(route);
+	if (route->ring != NULL)
+		rt_answers_destroy(route);
+	urcu_bp_barrier();
+	for (i = 0; i < RT_ACCOUNTS && route->accounts != NULL; i++)
+		for (k = 0; k < BD_CLASS_COUNT; k++)
+			free(atomic_load(&route->accounts[i].hists[k]));
+	for (i = 0; i < RT_PEERS; i++)
+		free(route->peers[i]);
+	free(route->index);
+	free(route->gauges);
+	free(route->accounts);
+	free(route->queues);
+	free(route->stripes);
+	free(route->watches);
+	free(route->ring);
+	pthread_cond_destroy(&route->drained);
+	pthread_mutex_destroy(&route->drain_lock);
+	pthread_mutex_destroy(&route->fleet_lock);
+	free(route);
+}
+
+/* Returns the calling thread's random numbers. */
+struct cw_rng *
+rt_rng(void)
+{
+	if (!thread_seeded)
+		rt_seed(cw_rng_entropy());
+	return &thread_rng;
+}
+
+/* Fixes the random numbers of the calling thread, so that a run can be
+ * repeated. */
+void
+rt_seed(uint64_t seed)
+{
+	cw_rng_seed(&thread_rng, seed);
+	thread_seeded = true;
+}
+
+/* Takes no new work from now on; what runs goes on. */
+void
+rt_drain(struct rt_route *route)
+{
+	atomic_store(&route->draining, true);
+}
+
+/* Tells whether rt_drain was called. */
+bool
+rt_is_draining(const struct rt_route *route)
+{
+	return atomic_load(&((struct rt_route *)route)->draining);
+}
+
+/* Returns how many requests were let in and have not left. */
+uint32_t
+rt_in_flight(const struct rt_route *route)
+{
+	return atomic_load(&((struct rt_route *)route)->in_flight);
+}
+
+/* Waits until no request is in flight, at most timeout_ms. Call rt_drain
+ * first. Returns false where requests are left. */
+bool
+rt_drain_wait(struct rt_route *route, int64_t timeout_ms)
+{
+	struct timespec until;
+	bool empty;
+
+	assert(rt_is_draining(route));
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += timeout_ms / 1000;
+	until.tv_nsec += timeout_ms % 1000 * 1000000;
+	if (until.tv_nsec >= 1000000000) {
+		until.tv_sec++;
+		until.tv_nsec -= 1000000000;
+	}
+	pthread_mutex_lock(&route->drain_lock);
+	while (!(empty = rt_in_flight(route) == 0))
+		if (pthread_cond_timedwait(&route->drained, &route->drain_lock,
+			&until) == ETIMEDOUT) {
+			empty = rt_in_flight(route) == 0;
+			break;
+		}
+	pthread_mutex_unlock(&route->drain_lock);
+	return empty;
+}
--- a/lib/state/state.h
+++ b/lib/state/state.h
@@ -184,7 +184,7 @@
 struct rec_req_outcome {
 	uint64_t id;
 	uint64_t request_id;
-	uint32_t http_status;
+	uint32_t http_status; /* 0: did not run, the entry is removed */
 	uint32_t answer_bytes;
 	const char *answer;
 };
--- /dev/null
+++ b/tests/test_route_limit.cc
@@ -0,0 +1,220 @@
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "route_fixture.h"
+
+namespace {
+
+struct Waiting {
+	Waiting(Router &router, uint64_t account, enum bd_class c, int64_t ms)
+	    : r(router)
+	{
+		a = r.admission(true, account);
+		a.class_number = c;
+		a.deadline_us = (r.now_ms + ms) * 1000;
+		thread = std::thread([this] {
+			struct rt_refusal refusal = {};
+			code = rt_admit(
+			    r.route, &a, r.now_ms * 1000, &pick, &refusal);
+			order = ++sequence;
+		});
+	}
+	~Waiting()
+	{
+		thread.join();
+	}
+	Waiting(const Waiting &) = delete;
+	Waiting &operator=(const Waiting &) = delete;
+
+	Router &r;
+	struct rt_admission a;
+	struct rt_pick pick = {};
+	std::atomic<int> code{1};
+	std::atomic<int> order{0};
+	std::thread thread;
+	static std::atomic<int> sequence;
+};
+std::atomic<int> Waiting::sequence{0};
+
+void
+await_queued(Router &r, uint64_t n)
+{
+	while (rt_counter_read(r.route, RT_COUNT_QUEUED) < n)
+		std::this_thread::yield();
+}
+
+// Guards against more than the share of this VM: half of the limit divided by
+// the VMs, and a lease until it lapses, also after a pause.
+TEST(RouteLimit, FloorAndLease)
+{
+	Router r;
+	struct rt_refusal refusal;
+	uint64_t account = r.account("himal", 800, 16);
+	auto enter = [&](bool leave) {
+		int n = 0;
+		while (rt_enter(r.route, account, r.now_ms * 1000, &refusal) ==
+		    CW_OK)
+			n++;
+		for (int i = 0; leave && i < n; i++)
+			rt_leave(r.route, account);
+		return n;
+	};
+	r.config(4, 0);
+	EXPECT_EQ(enter(true), 0) << "before the share is known";
+	r.step();
+	EXPECT_EQ(enter(true), 2) << "concurrency 16 / 2 / 4";
+	struct rt_lease lease = {account, 100, 30, r.now_ms + 3000};
+	rt_lease_set(r.route, &lease);
+	r.step();
+	EXPECT_EQ(enter(true), 32);
+	struct rt_demand demand[4];
+	ASSERT_EQ(rt_demand_read(r.route, demand, 4), 1u);
+	EXPECT_EQ(demand[0].account, account);
+	EXPECT_GE(demand[0].concurrency, 33u) << "what was refused counts";
+	r.now_ms += 3001;
+	EXPECT_EQ(enter(true), 2) << "lapsed before the controller ran";
+
+	r.account("himal", 800, 0);
+	r.step(10000);
+	EXPECT_EQ(enter(true), 25) << "800 / 2 / 4 a second for 250 ms";
+	EXPECT_EQ(
+	    rt_enter(r.route, account, r.now_ms * 1000, &refusal), RT_ERATE);
+	EXPECT_GE(refusal.retry_after_ms, 1u);
+	r.now_ms += 100;
+	EXPECT_EQ(enter(true), 10);
+	EXPECT_EQ(rt_in_flight(r.route), 0u);
+}
+
+// Guards against a queue without order: urgent first, then by account, and
+// the requests of one account by deadline.
+TEST(RouteLimit, QueueOrder)
+{
+	Router r;
+	struct rt_pick held;
+	uint64_t a = cw_id_from_name("himal");
+	uint64_t b = cw_id_from_name("other");
+
+	r.runner("10.0.0.1:1", 1);
+	r.step();
+	ASSERT_EQ(r.pick(&held), CW_OK);
+	Waiting w1(r, a, BD_CLASS_NORMAL, 9000);
+	await_queued(r, 1);
+	Waiting w2(r, a, BD_CLASS_NORMAL, 8000);
+	await_queued(r, 2);
+	Waiting w3(r, b, BD_CLASS_NORMAL, 8500);
+	await_queued(r, 3);
+	Waiting w4(r, b, BD_CLASS_URGENT, 9500);
+	await_queued(r, 4);
+	Waiting *expected[] = {&w4, &w2, &w3, &w1};
+	r.done(held, RT_OUTCOME_OK);
+	int last = 0;
+	for (Waiting *w : expected) {
+		while (w->order == 0)
+			std::this_thread::yield();
+		EXPECT_EQ(w->code, CW_OK);
+		EXPECT_GT(w->order, last);
+		last = w->order;
+		r.done(w->pick, RT_OUTCOME_OK);
+	}
+}
+
+// Guards against requests that wait in vain: beyond the deadline or the bounds
+// they are refused at once, with a time.
+TEST(RouteLimit, EarlyRefusal)
+{
+	Router r;
+	struct rt_pick held;
+	struct rt_pick p;
+	struct rt_refusal refusal = {};
+	struct rt_admission a = r.admission();
+
+	EXPECT_EQ(
+	    rt_admit(r.route, &a, r.now_ms * 1000, &p, &refusal), RT_ENORUNNER);
+	r.account("himal", 0, 0, 1);
+	r.runner("10.0.0.1:1", 1);
+	r.step();
+	ASSERT_EQ(r.pick(&held), CW_OK);
+	r.done(held, RT_OUTCOME_OK, 2000000);
+	ASSERT_EQ(r.pick(&held), CW_OK);
+	a.deadline_us = (r.now_ms + 3000) * 1000;
+	EXPECT_EQ(
+	    rt_admit(r.route, &a, r.now_ms * 1000, &p, &refusal), RT_ETOOLATE);
+	EXPECT_EQ(refusal.retry_after_ms, 2000u);
+	{
+		Waiting w(r, a.account, BD_CLASS_NORMAL, 9000);
+		await_queued(r, 1);
+		a.deadline_us = (r.now_ms + 100000) * 1000;
+		EXPECT_EQ(rt_admit(r.route, &a, r.now_ms * 1000, &p, &refusal),
+		    RT_EQUEUEFULL);
+		// Another account is not refused for it.
+		Waiting other(
+		    r, cw_id_from_name("other"), BD_CLASS_NORMAL, 9000);
+		await_queued(r, 2);
+		r.done(held, RT_OUTCOME_OK);
+		for (Waiting *x : {&w, &other}) {
+			while (x->order == 0)
+				std::this_thread::yield();
+			EXPECT_EQ(x->code, CW_OK);
+			r.done(x->pick, RT_OUTCOME_OK);
+		}
+	}
+}
+
+// Guards against a burst of one account that delays another: with 3 waiting of
+// the one, the other's first request goes second.
+TEST(RouteLimit, OverloadOfOneAccountLeavesTheOthersAlone)
+{
+	Router r;
+	struct rt_pick held;
+
+	r.runner("10.0.0.1:1", 1);
+	r.step();
+	ASSERT_EQ(r.pick(&held), CW_OK);
+	std::vector<std::unique_ptr<Waiting>> hog;
+	for (int i = 0; i < 3; i++) {
+		hog.push_back(std::make_unique<Waiting>(
+		    r, cw_id_from_name("himal"), BD_CLASS_NORMAL, 5000 + i));
+		await_queued(r, (uint64_t)i + 1);
+	}
+	Waiting other(r, cw_id_from_name("other"), BD_CLASS_NORMAL, 9000);
+	await_queued(r, 4);
+	r.done(held, RT_OUTCOME_OK);
+	while (hog[0]->order == 0)
+		std::this_thread::yield();
+	r.done(hog[0]->pick, RT_OUTCOME_OK);
+	while (other.order == 0)
+		std::this_thread::yield();
+	EXPECT_EQ(hog[1]->order, 0);
+	r.done(other.pick, RT_OUTCOME_OK);
+	for (int i = 1; i < 3; i++) {
+		while (hog[i]->order == 0)
+			std::this_thread::yield();
+		r.done(hog[i]->pick, RT_OUTCOME_OK);
+	}
+}
+
+// Guards against a shutdown that takes new work or does not wait for what
+// runs.
+TEST(RouteLimit, Drain)
+{
+	Router r;
+	struct rt_refusal refusal = {};
+	uint64_t account = cw_id_from_name("himal");
+
+	r.step();
+	ASSERT_EQ(rt_enter(r.route, account, r.now_ms * 1000, &refusal), CW_OK);
+	rt_drain(r.route);
+	EXPECT_EQ(rt_enter(r.route, account, r.now_ms * 1000, &refusal),
+	    RT_EDRAINING);
+	EXPECT_GT(refusal.retry_after_ms, 0u);
+	EXPECT_FALSE(rt_drain_wait(r.route, 10));
+	std::thread last([&] {
+		rt_leave(r.route, account);
+	});
+	EXPECT_TRUE(rt_drain_wait(r.route, 20000));
+	last.join();
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_route_pick.cc
@@ -0,0 +1,133 @@
+#include <map>
+#include <string>
+
+#include "route_fixture.h"
+
+namespace {
+
+// Guards against traffic that leaves the zone while the zone has places, and
+// against full runners that get work.
+TEST(RoutePick, OwnZoneThenRegionThenOtherRegionWithinTheBudget)
+{
+	Router r;
+	struct rt_pick p[8];
+
+	r.config(1, 2000);
+	r.runner("10.0.0.1:1", 2, "z1", "r1");
+	r.runner("10.0.0.2:1", 2, "z2", "r1");
+	r.runner("10.0.0.3:1", 3, "z3", "r2");
+	r.step();
+	const char *expected[] = {"10.0.0.1:1", "10.0.0.1:1", "10.0.0.2:1",
+	    "10.0.0.2:1", "10.0.0.3:1", "10.0.0.3:1"};
+	for (int i = 0; i < 6; i++) {
+		ASSERT_EQ(r.pick(&p[i]), CW_OK) << i;
+		EXPECT_STREQ(p[i].address, expected[i]);
+	}
+	// The third crossing passes the budget of 2000 bytes a second.
+	EXPECT_EQ(r.pick(&p[6]), RT_EBUSY);
+	EXPECT_EQ(rt_counter_read(r.route, RT_COUNT_CROSS_REFUSED), 1u);
+	r.done(p[0], RT_OUTCOME_OK);
+	ASSERT_EQ(r.pick(&p[6]), CW_OK);
+	EXPECT_STREQ(p[6].address, "10.0.0.1:1");
+	r.done(p[4], RT_OUTCOME_OK);
+	EXPECT_EQ(rt_counter_read(r.route, RT_COUNT_CROSS_REQUEST_BYTES), 500u);
+	r.now_ms += 1000;
+	EXPECT_EQ(r.pick(&p[7]), CW_OK);
+}
+
+// Guards against a choice that ignores load, latency or what other VMs send.
+TEST(RoutePick, PrefersTheLessLoadedAndFaster)
+{
+	Router r;
+	struct rt_pick p;
+	std::map<std::string, int> count;
+
+	uint64_t slow = r.runner("10.0.0.1:1", 100);
+	uint64_t fast = r.runner("10.0.0.2:1", 100);
+	r.step();
+	for (int i = 0; i < 200; i++) {
+		ASSERT_EQ(r.pick(&p), CW_OK);
+		r.done(p, RT_OUTCOME_OK, p.runner_id == slow ? 9000 : 1000);
+		count[p.address] += i >= 100;
+	}
+	EXPECT_GT(count["10.0.0.2:1"], 90);
+	struct rt_load load = {fast, 100};
+	rt_load_set(r.route, 5, &load, 1);
+	ASSERT_EQ(r.pick(&p), CW_OK);
+	EXPECT_EQ(p.runner_id, slow);
+	r.done(p, RT_OUTCOME_OK);
+	rt_load_forget(r.route, 5);
+	ASSERT_EQ(r.pick(&p), CW_OK);
+	EXPECT_EQ(p.runner_id, fast);
+}
+
+// Guards against new work for a leaving upstream more than 3 s after any of
+// its signals, and against work for one that the configuration lost.
+TEST(RoutePick, LeavingUpstreamGetsNoNewWork)
+{
+	enum Signal {
+		LIST,
+		ANSWER,
+		CONFIG,
+		REMOVED
+	};
+
+	for (Signal signal : {LIST, ANSWER, CONFIG, REMOVED}) {
+		Router r;
+		struct rt_pick p;
+		uint64_t id = r.runner("10.0.0.1:1", 4);
+
+		r.runner("10.0.0.2:1", 1);
+		r.step();
+		do
+			ASSERT_EQ(r.pick(&p), CW_OK);
+		while (p.runner_id != id);
+		if (signal == LIST) {
+			struct bd_vm vm = {};
+			vm.id = 9;
+			vm.kind = BD_VM_RUNNER;
+			vm.state = BD_VM_LEAVING;
+			strcpy(vm.address, "10.0.0.1:1");
+			r.put(BD_TABLE_vm, BD_WRITER_VMS, vm);
+		} else if (signal == CONFIG)
+			r.runner("10.0.0.1:1", 4, "z1", "r1", 1);
+		else if (signal == REMOVED)
+			bd_remove(
+			    r.board, BD_TABLE_runner, BD_WRITER_STATE, id);
+		r.done(p, RT_OUTCOME_OK, 1000, signal == ANSWER);
+		// An answer takes effect at once, the tables with the index.
+		if (signal != ANSWER)
+			r.step(3000);
+		for (int i = 0; i < 20; i++) {
+			if (r.pick(&p) != CW_OK)
+				continue;
+			EXPECT_NE(p.runner_id, id) << signal;
+			r.done(p, RT_OUTCOME_OK);
+		}
+	}
+}
+
+// Guards against an index slot that a new runner takes over with the load and
+// failures of the old one.
+TEST(RoutePick, ReusedRowStartsAfresh)
+{
+	Router r;
+	struct rt_pick old;
+	struct rt_pick p;
+	uint64_t id = r.runner("10.0.0.1:1", 1);
+	struct rt_load load = {id, 1};
+
+	r.step();
+	ASSERT_EQ(r.pick(&old), CW_OK);
+	rt_load_set(r.route, 5, &load, 1);
+	bd_remove(r.board, BD_TABLE_runner, BD_WRITER_STATE, id);
+	r.runner("10.0.0.2:1", 2);
+	r.step();
+	ASSERT_EQ(r.pick(&p), CW_OK);
+	EXPECT_EQ(p.runner.index, old.runner.index);
+	r.done(old, RT_OUTCOME_LOST, 1000, true);
+	r.done(p, RT_OUTCOME_OK);
+	EXPECT_EQ(r.pick(&p), CW_OK);
+}
+
+} // namespace
