Count the padding of job rows in the codec's test

Cause: the row of a job has four bytes of padding before its times, which the check of covered bytes took for a missing field. Change: the padding is listed. Conclusion: a field that is added to a row but not to its schema is found.

--- a/tests/test_state_codec.cc
+++ b/tests/test_state_codec.cc
@@ -82,7 +82,7 @@
 	cw_rng rng = {7};
 	std::string blob = "tail";
 	// Bytes of each row that are reserved or padding.
-	std::map<uint32_t, long> unused = {
+	std::map<uint32_t, long> unused = {{BD_TABLE_job, 4},
 	    {BD_TABLE_config, 4}, {BD_TABLE_promise, 6}, {BD_TABLE_runner, 4}};
 
 	for (uint32_t i = 0; const wire_schema *schema = wire_schema_row_at(i);
