--- /dev/null
+++ b/lib/sched/explain.c
@@ -0,0 +1,390 @@
+#include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+static const char *const condition_names[SCH_CONDITION_COUNT] = {
+    [SCH_CONDITION_UNKNOWN_JOB] = "unknown job",
+    [SCH_CONDITION_ENDED] = "ended",
+    [SCH_CONDITION_RUNNING] = "has its place",
+    [SCH_CONDITION_PREEMPTING] = "is being stopped",
+    [SCH_CONDITION_CAN_START] = "can start now",
+    [SCH_CONDITION_RECLAIMING] = "its guaranteed plan is being cleared",
+    [SCH_CONDITION_HELD_BACK] = "held back after a reclaim",
+    [SCH_CONDITION_QUOTA] = "its account is above its quota",
+    [SCH_CONDITION_RESERVED] = "a starving gang holds a reservation",
+    [SCH_CONDITION_FRAGMENTED] = "enough is free, but not together",
+    [SCH_CONDITION_NO_CAPACITY] = "other jobs hold what it needs",
+    [SCH_CONDITION_GUARANTEE_SHORT] = "its guarantee is short of hardware",
+    [SCH_CONDITION_FITS_NOWHERE] = "it fits no workers at all",
+};
+
+static const char *const condition_changes[SCH_CONDITION_COUNT] = {
+    [SCH_CONDITION_UNKNOWN_JOB] = "submit it",
+    [SCH_CONDITION_ENDED] = "nothing",
+    [SCH_CONDITION_RUNNING] = "nothing",
+    [SCH_CONDITION_PREEMPTING] = "nothing; it waits again afterwards",
+    [SCH_CONDITION_CAN_START] = "nothing; the next decision places it",
+    [SCH_CONDITION_RECLAIMING] =
+	"nothing; the borrowers stop by the deadline below",
+    [SCH_CONDITION_HELD_BACK] =
+	"the hold time ends, or unplanned accelerators become free",
+    [SCH_CONDITION_QUOTA] = "jobs of its account end, or its quota is raised",
+    [SCH_CONDITION_RESERVED] =
+	"the gang starts, or a shorter run time is declared",
+    [SCH_CONDITION_FRAGMENTED] =
+	"jobs below end, or a shape with smaller members is submitted",
+    [SCH_CONDITION_NO_CAPACITY] = "jobs below end, or workers are added",
+    [SCH_CONDITION_GUARANTEE_SHORT] = "lost workers return or are replaced",
+    [SCH_CONDITION_FITS_NOWHERE] =
+	"a smaller shape is submitted, or larger workers are added",
+};
+
+struct text {
+	char *data;
+	size_t bytes;
+	size_t used;
+};
+
+static void take_facts(
+    struct sch *sch, uint32_t job, struct sch_explanation *out);
+static void add_holder(
+    struct sch *sch, uint32_t job, struct sch_explanation *out);
+static bool is_short(const struct sch *sch, const struct sch_job *job);
+static uint32_t waiting_condition(
+    struct sch *sch, uint32_t job, struct sch_explanation *out);
+static void find_holders(
+    struct sch *sch, uint32_t job, struct sch_explanation *out);
+static void explain_live(
+    struct sch *sch, uint32_t job, struct sch_explanation *out);
+static int ignore_proposal(
+    void *ctx, const struct rec *rec, const struct st_done *done);
+static void put(struct text *text, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+static void put_span(struct text *text, int64_t ms);
+
+/* Returns the name of a condition in plain words. */
+const char *
+sch_condition_name(uint32_t condition)
+{
+	return condition < SCH_CONDITION_COUNT ? condition_names[condition]
+					       : "unknown condition";
+}
+
+/* Facts that do not depend on the condition. */
+static void
+take_facts(struct sch *sch, uint32_t job, struct sch_explanation *out)
+{
+	const struct sch_job *entry = &sch->jobs[job];
+	const struct sch_account *account = &sch->accounts[entry->account];
+	struct sch_need need = sch_need_of(&entry->row->shape);
+	uint32_t r;
+	uint32_t w;
+
+	out->account_accels = (uint32_t)account->accels;
+	if (account->row != NULL)
+		out->account_quota = account->row->quota_accels;
+	for (r = 0; r < sch->rack_count; r++) {
+		const struct sch_rack *rack = &sch->racks[r];
+		uint32_t members = 0;
+
+		for (w = rack->first; w < rack->first + rack->count; w++) {
+			const struct sch_worker *worker = &sch->workers[w];
+
+			if (!worker->usable)
+				continue;
+			out->free_accels +=
+			    (uint32_t)__builtin_popcount(worker->free.mask);
+			members += sch_room_members(&worker->free, &need);
+		}
+		if (members > need.members)
+			members = need.members;
+		if (members * need.accels > out->free_together)
+			out->free_together = members * need.accels;
+	}
+}
+
+static void
+add_holder(struct sch *sch, uint32_t job, struct sch_explanation *out)
+{
+	const struct sch_job *entry = &sch->jobs[job];
+	const struct sch_account *account = &sch->accounts[entry->account];
+	struct sch_holder *holder;
+
+	if (entry->mark == sch->mark)
+		return;
+	sch->jobs[job].mark = sch->mark;
+	out->holder_count++;
+	if (out->holder_count > SCH_EXPLAIN_HOLDERS_MAX)
+		return;
+	holder = &out->holders[out->holder_count - 1];
+	holder->job = entry->row->id;
+	holder->account = entry->row->account;
+	memcpy(holder->job_name, entry->row->name, CW_NAME_BYTES);
+	if (account->row != NULL)
+		memcpy(holder->account_name, account->row->name, CW_NAME_BYTES);
+	holder->accels =
+	    (uint32_t)entry->row->shape.members * entry->row->shape.accels;
+	holder->guaranteed = entry->promise != SCH_NONE;
+	holder->end_ms = entry->end_ms;
+}
+
+static bool
+is_short(const struct sch *sch, const struct sch_job *job)
+{
+	struct sch_need need = sch_need_of(&job->row->shape);
+	uint32_t p = sch->accounts[job->account].first_promise;
+
+	for (; p != SCH_NONE; p = sch->promises[p].next_of_account) {
+		struct sch_need whole =
+		    sch_need_of(&sch->promises[p].row->shape);
+
+		if (!sch->promises[p].valid && sch_need_covers(&whole, &need))
+			return true;
+	}
+	return false;
+}
+
+/* Why the placement decision has left a job waiting. */
+static uint32_t
+waiting_condition(struct sch *sch, uint32_t job, struct sch_explanation *out)
+{
+	const struct sch_job *entry = &sch->jobs[job];
+	struct sch_account *account = &sch->accounts[entry->account];
+	uint32_t j;
+
+	if (entry->task_count > 0)
+		return SCH_CONDITION_CAN_START;
+	if (!sch_fits_somewhere(sch, entry->row))
+		return SCH_CONDITION_FITS_NOWHERE;
+	for (j = 0; j < sch->job_count; j++) {
+		if (!sch->jobs[j].victim ||
+		    (entry->settled ? sch->jobs[j].row->preempted_for != 0 &&
+				sch->jobs[j].row->preempted_for !=
+				    entry->row->id
+				    : true))
+			continue;
+		out->until_ms = sch->jobs[j].row->preempt_deadline_ms;
+	}
+	if (entry->settled)
+		return SCH_CONDITION_RECLAIMING;
+	out->until_ms = 0;
+	if (is_short(sch, entry))
+		return SCH_CONDITION_GUARANTEE_SHORT;
+	if (entry->row->hold_until_ms > sch->now_ms) {
+		out->until_ms = entry->row->hold_until_ms;
+		return SCH_CONDITION_HELD_BACK;
+	}
+	if (sch->reservation.job != 0 &&
+	    sch->reservation.job != entry->row->id &&
+	    out->free_together >= out->need_accels)
+		return SCH_CONDITION_RESERVED;
+	if (out->free_accels >= out->need_accels && out->need_accels > 0 &&
+	    out->free_together < out->need_accels)
+		return SCH_CONDITION_FRAGMENTED;
+	if (account->share > 0 && out->ahead > 0)
+		return SCH_CONDITION_QUOTA;
+	return SCH_CONDITION_NO_CAPACITY;
+}
+
+/* Names the jobs on the workers where the job is expected to start. */
+static void
+find_holders(struct sch *sch, uint32_t job, struct sch_explanation *out)
+{
+	struct sch_spot spots[BD_GANG_MAX];
+	uint32_t count;
+	uint32_t i;
+	uint32_t t;
+
+	sch->mark++;
+	out->start_ms =
+	    sch_start_estimate(sch, sch->jobs[job].row, spots, &count);
+	for (i = 0; i < count; i++)
+		for (t = sch->workers[spots[i].worker].first_task;
+		     t != SCH_NONE; t = sch->tasks[t].next_of_worker)
+			if (sch->tasks[t].mask == 0 ||
+			    (sch->tasks[t].mask & spots[i].mask) != 0)
+				add_holder(sch, sch->tasks[t].job, out);
+}
+
+static int
+ignore_proposal(void *ctx, const struct rec *rec, const struct st_done *done)
+{
+	(void)ctx;
+	(void)rec;
+	if (done != NULL && done->call != NULL)
+		done->call(done->ctx, CW_OK, 0);
+	return CW_OK;
+}
+
+/* Runs the placement decision on the view without proposing anything, and
+ * looks at what became of the job. */
+static void
+explain_live(struct sch *sch, uint32_t job, struct sch_explanation *out)
+{
+	struct st_sink sink = sch->spec.sink;
+	struct sch_reservation reservation = sch->reservation;
+	const struct bd_job *row = sch->jobs[job].row;
+	uint32_t next;
+
+	take_facts(sch, job, out);
+	if (row->state == BD_JOB_PREEMPTING) {
+		out->condition = SCH_CONDITION_PREEMPTING;
+		out->until_ms = row->preempt_deadline_ms;
+		return;
+	}
+	if (row->state != BD_JOB_WAITING) {
+		out->condition = SCH_CONDITION_RUNNING;
+		out->until_ms = sch->jobs[job].end_ms;
+		return;
+	}
+	out->waited_ms = sch->now_ms - row->waiting_since_ms;
+	sch->spec.sink.propose = ignore_proposal;
+	sch->proposed = 0;
+	sch_place_run(sch);
+	sch->spec.sink = sink;
+	sch_order_start(sch);
+	while ((next = sch_order_pick(sch)) != SCH_NONE && next != job)
+		if (sch->jobs[next].task_count == 0)
+			out->ahead++;
+	out->condition = waiting_condition(sch, job, out);
+	if (out->condition != SCH_CONDITION_CAN_START)
+		find_holders(sch, job, out);
+	sch->reservation = reservation;
+}
+
+/*
+ * Explains the state of a job: the condition that it meets, the jobs that hold
+ * what it needs, and what would have to change. Costs as much as a placement
+ * decision and proposes nothing. Use a struct sch of its own where the
+ * scheduler runs in another thread. Returns SCH_ENOTFOUND for a job that the
+ * tables do not know.
+ */
+int
+sch_explain(
+    struct sch *sch, uint64_t job, int64_t now_ms, struct sch_explanation *out)
+{
+	const struct bd_job *row;
+	uint32_t number;
+
+	assert(out != NULL);
+	memset(out, 0, sizeof(*out));
+	out->job = job;
+	bd_read_begin();
+	sch_view_load(sch, now_ms);
+	row = bd_job_lookup(sch->spec.board, job);
+	if (row != NULL) {
+		out->state = row->state;
+		out->reason = row->reason;
+		out->need_accels =
+		    (uint32_t)row->shape.members * row->shape.accels;
+		memcpy(out->name, row->name, CW_NAME_BYTES);
+		number = sch_index_get(&sch->job_index, job);
+		if (number == SCH_NONE)
+			out->condition = SCH_CONDITION_ENDED;
+		else
+			explain_live(sch, number, out);
+	}
+	bd_read_end();
+	if (row == NULL)
+		return cw_error_set(
+		    SCH_ENOTFOUND, "no job %016llx", (unsigned long long)job);
+	return CW_OK;
+}
+
+static void
+put(struct text *text, const char *format, ...)
+{
+	va_list args;
+	int length;
+
+	if (text->used + 1 >= text->bytes)
+		return;
+	va_start(args, format);
+	length = vsnprintf(
+	    text->data + text->used, text->bytes - text->used, format, args);
+	va_end(args);
+	if (length < 0)
+		return;
+	text->used += (size_t)length;
+	if (text->used >= text->bytes)
+		text->used = text->bytes - 1;
+}
+
+static void
+put_span(struct text *text, int64_t ms)
+{
+	int64_t s = ms / 1000;
+
+	if (s >= 3600)
+		put(text, "%lld h %lld min", (long long)(s / 3600),
+		    (long long)(s % 3600 / 60));
+	else if (s >= 60)
+		put(text, "%lld min %lld s", (long long)(s / 60),
+		    (long long)(s % 60));
+	else
+		put(text, "%lld s", (long long)s);
+}
+
+/*
+ * Formats an explanation as plain text of at most 20 lines of 80 columns.
+ * Returns its length; the text is cut at bytes - 1. Times are relative to
+ * now_ms.
+ */
+size_t
+sch_explain_format(const struct sch_explanation *explanation, int64_t now_ms,
+    char *buffer, size_t bytes)
+{
+	const struct sch_explanation *e = explanation;
+	struct text text = {buffer, bytes, 0};
+	uint32_t shown = e->holder_count < SCH_EXPLAIN_HOLDERS_MAX
+	    ? e->holder_count
+	    : SCH_EXPLAIN_HOLDERS_MAX;
+	uint32_t i;
+
+	assert(bytes > 0);
+	buffer[0] = '\0';
+	put(&text, "job %016llx %s: %s\n", (unsigned long long)e->job, e->name,
+	    bd_job_state_name(e->state));
+	put(&text, "condition: %s\n", sch_condition_name(e->condition));
+	put(&text, "last change: %s\n", bd_reason_name(e->reason));
+	if (e->condition != SCH_CONDITION_ENDED) {
+		put(&text,
+		    "needs %u accelerators; free %u, together %u; account "
+		    "holds %u of %u\n",
+		    e->need_accels, e->free_accels, e->free_together,
+		    e->account_accels, e->account_quota);
+	}
+	if (e->state == BD_JOB_WAITING) {
+		put(&text, "waited ");
+		put_span(&text, e->waited_ms);
+		put(&text, "; %u jobs go first\n", e->ahead);
+	}
+	if (e->start_ms > now_ms) {
+		put(&text, "expected to start in ");
+		put_span(&text, e->start_ms - now_ms);
+		put(&text, "\n");
+	}
+	if (e->until_ms > now_ms) {
+		put(&text, "until: in ");
+		put_span(&text, e->until_ms - now_ms);
+		put(&text, "\n");
+	}
+	put(&text, "what has to change: %s\n",
+	    condition_changes[e->condition < SCH_CONDITION_COUNT ? e->condition
+								 : 0]);
+	for (i = 0; i < shown; i++) {
+		const struct sch_holder *h = &e->holders[i];
+
+		put(&text, "held by %016llx %.24s (%.20s), %u, %s, ends in ",
+		    (unsigned long long)h->job, h->job_name, h->account_name,
+		    h->accels, h->guaranteed ? "guaranteed" : "borrowed");
+		put_span(&text, h->end_ms > now_ms ? h->end_ms - now_ms : 0);
+		put(&text, "\n");
+	}
+	if (e->holder_count > shown)
+		put(&text, "and %u more\n", e->holder_count - shown);
+	return text.used;
+}
--- /dev/null
+++ b/lib/sched/fit.c
@@ -0,0 +1,266 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+/* Racks tried in all, failed ones included. At the target size a search of
+ * this length takes some tens of milliseconds. */
+#define FIT_TRIES_MAX 4096
+
+struct fit_step {
+	uint64_t score; /* of the rack in use; later tries are higher */
+	uint32_t tried;
+	uint32_t spot_first;
+};
+
+struct fit {
+	const struct bd_promise *promises;
+	const struct bd_worker **workers;
+	uint32_t worker_count;
+	struct sch_rack *racks;
+	uint32_t rack_count;
+	struct sch_room *rooms;
+	struct fit_step *steps;
+	struct sch_spot *spots;
+	uint32_t *order;
+};
+
+static int compare_workers(const void *a, const void *b);
+static bool larger_first(const void *ctx, uint32_t a, uint32_t b);
+static int fit_alloc(struct fit *fit, size_t workers, size_t promises);
+static void fit_free(struct fit *fit);
+static void fit_load(
+    struct fit *fit, const struct bd_worker *workers, size_t count);
+static uint64_t rack_score(const struct fit *fit, const struct sch_rack *rack);
+static bool try_rack(struct fit *fit, uint32_t depth);
+static void undo(struct fit *fit, uint32_t depth);
+static uint32_t search(struct fit *fit, uint32_t count);
+
+static int
+compare_workers(const void *a, const void *b)
+{
+	const struct bd_worker *x = *(const struct bd_worker *const *)a;
+	const struct bd_worker *y = *(const struct bd_worker *const *)b;
+
+	if (x->region != y->region)
+		return x->region < y->region ? -1 : 1;
+	if (x->zone != y->zone)
+		return x->zone < y->zone ? -1 : 1;
+	if (x->rack != y->rack)
+		return x->rack < y->rack ? -1 : 1;
+	return (x->id > y->id) - (x->id < y->id);
+}
+
+static bool
+larger_first(const void *ctx, uint32_t a, uint32_t b)
+{
+	const struct fit *fit = ctx;
+	const struct bd_shape *x = &fit->promises[a].shape;
+	const struct bd_shape *y = &fit->promises[b].shape;
+	uint64_t size_x = (uint64_t)x->members * x->accels;
+	uint64_t size_y = (uint64_t)y->members * y->accels;
+
+	if (size_x != size_y)
+		return size_x > size_y;
+	if (x->accels != y->accels)
+		return x->accels > y->accels;
+	size_x = (uint64_t)x->members * x->cores_milli;
+	size_y = (uint64_t)y->members * y->cores_milli;
+	if (size_x != size_y)
+		return size_x > size_y;
+	if (x->memory_mb != y->memory_mb)
+		return x->memory_mb > y->memory_mb;
+	return a < b;
+}
+
+static int
+fit_alloc(struct fit *fit, size_t workers, size_t promises)
+{
+	fit->workers = calloc(workers + 1, sizeof(*fit->workers));
+	fit->racks = calloc(workers + 1, sizeof(*fit->racks));
+	fit->rooms = calloc(workers + 1, sizeof(*fit->rooms));
+	fit->steps = calloc(promises + 1, sizeof(*fit->steps));
+	fit->spots = calloc(promises * BD_GANG_MAX + 1, sizeof(*fit->spots));
+	fit->order = calloc(promises + 1, sizeof(*fit->order));
+	if (fit->workers == NULL || fit->racks == NULL || fit->rooms == NULL ||
+	    fit->steps == NULL || fit->spots == NULL || fit->order == NULL)
+		return cw_error_set(SCH_ENOMEM, "no memory for the fit check");
+	return CW_OK;
+}
+
+static void
+fit_free(struct fit *fit)
+{
+	free(fit->workers);
+	free(fit->racks);
+	free(fit->rooms);
+	free(fit->steps);
+	free(fit->spots);
+	free(fit->order);
+}
+
+/* A worker that is leaving or lost does not count; one in quarantine does,
+ * for it comes back. */
+static void
+fit_load(struct fit *fit, const struct bd_worker *workers, size_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (workers[i].state == BD_WORKER_UP)
+			fit->workers[fit->worker_count++] = &workers[i];
+	qsort(fit->workers, fit->worker_count, sizeof(*fit->workers),
+	    compare_workers);
+	for (i = 0; i < fit->worker_count; i++) {
+		const struct bd_worker *row = fit->workers[i];
+		struct sch_rack *rack;
+
+		if (i == 0 || row->rack != fit->workers[i - 1]->rack ||
+		    row->zone != fit->workers[i - 1]->zone ||
+		    row->region != fit->workers[i - 1]->region)
+			fit->racks[fit->rack_count++].first = i;
+		rack = &fit->racks[fit->rack_count - 1];
+		rack->count++;
+		fit->rooms[i].mask = sch_mask_lowest(UINT32_MAX, row->accels);
+		fit->rooms[i].cores = row->cores_milli;
+		fit->rooms[i].memory = row->memory_mb;
+	}
+}
+
+/* Smaller for a rack with less left over. Racks with equal scores count as
+ * alike, and only one of them is tried. */
+static uint64_t
+rack_score(const struct fit *fit, const struct sch_rack *rack)
+{
+	uint64_t accels = 0;
+	uint64_t cores = 0;
+	uint32_t w;
+
+	for (w = rack->first; w < rack->first + rack->count; w++) {
+		accels += (uint64_t)__builtin_popcount(fit->rooms[w].mask);
+		cores += (uint64_t)fit->rooms[w].cores;
+	}
+	return accels << 40 | cores;
+}
+
+/* Plans the promise of this depth in the tightest rack that it has not been
+ * tried in. */
+static bool
+try_rack(struct fit *fit, uint32_t depth)
+{
+	const struct bd_promise *promise = &fit->promises[fit->order[depth]];
+	struct sch_need need = sch_need_of(&promise->shape);
+	struct fit_step *step = &fit->steps[depth];
+	struct sch_spot *spots = &fit->spots[step->spot_first];
+
+	for (;;) {
+		uint32_t best = SCH_NONE;
+		uint64_t best_score = UINT64_MAX;
+		uint32_t r;
+
+		for (r = 0; r < fit->rack_count; r++) {
+			uint64_t score = rack_score(fit, &fit->racks[r]);
+
+			if (step->tried && score <= step->score)
+				continue;
+			if (score < best_score) {
+				best = r;
+				best_score = score;
+			}
+		}
+		if (best == SCH_NONE)
+			return false;
+		step->tried = true;
+		step->score = best_score;
+		if (sch_rack_take(fit->rooms, &fit->racks[best], &need, spots))
+			return true;
+	}
+}
+
+static void
+undo(struct fit *fit, uint32_t depth)
+{
+	const struct bd_shape *shape = &fit->promises[fit->order[depth]].shape;
+	const struct sch_spot *spots =
+	    &fit->spots[fit->steps[depth].spot_first];
+	uint32_t i;
+
+	for (i = 0; i < shape->members; i++) {
+		struct sch_room *room = &fit->rooms[spots[i].worker];
+
+		room->mask |= spots[i].mask;
+		room->cores += shape->cores_milli;
+		room->memory += shape->memory_mb;
+	}
+}
+
+/* Depth-first search. Returns SCH_NONE where all promises are planned, else
+ * the first one (in the order of sizes) that could not be. */
+static uint32_t
+search(struct fit *fit, uint32_t count)
+{
+	uint32_t depth = 0;
+	uint32_t failed = SCH_NONE;
+	uint32_t tries = 0;
+
+	while (depth < count) {
+		fit->steps[depth].spot_first = depth * BD_GANG_MAX;
+		if (try_rack(fit, depth)) {
+			depth++;
+			if (depth < count)
+				fit->steps[depth].tried = false;
+			continue;
+		}
+		if (failed == SCH_NONE)
+			failed = fit->order[depth];
+		if (depth == 0 || ++tries == FIT_TRIES_MAX)
+			return failed;
+		undo(fit, --depth);
+	}
+	return SCH_NONE;
+}
+
+/*
+ * Tells whether all guaranteed shapes can be planned at once on these workers,
+ * largest first, each in one rack. Returns SCH_EUNFIT and the first shape that
+ * cannot in *unfit, or SCH_ENOMEM. The search is bounded, so a tight set of
+ * shapes may be refused although an exact search would plan it.
+ */
+int
+sch_fit_check(const struct bd_worker *workers, size_t worker_count,
+    const struct bd_promise *promises, size_t promise_count,
+    struct sch_fit *unfit)
+{
+	struct fit fit = {.promises = promises};
+	uint32_t failed;
+	uint32_t i;
+	int code;
+
+	assert(unfit != NULL);
+	code = fit_alloc(&fit, worker_count, promise_count);
+	if (code == CW_OK) {
+		fit_load(&fit, workers, worker_count);
+		for (i = 0; i < promise_count; i++)
+			fit.order[i] = i;
+		sch_sort(
+		    fit.order, (uint32_t)promise_count, larger_first, &fit);
+		failed = search(&fit, (uint32_t)promise_count);
+		if (failed != SCH_NONE) {
+			const struct bd_promise *promise = &promises[failed];
+
+			unfit->account = promise->account;
+			unfit->promise = failed;
+			unfit->number = promise->number;
+			unfit->copy = promise->copy;
+			unfit->shape = promise->shape;
+			code = cw_error_set(SCH_EUNFIT,
+			    "shape %u, copy %u (%u x %u accelerators) fits no "
+			    "rack beside the larger shapes",
+			    promise->number, promise->copy,
+			    promise->shape.members, promise->shape.accels);
+		}
+	}
+	fit_free(&fit);
+	return code;
+}
--- /dev/null
+++ b/lib/sched/guarantee.c
@@ -0,0 +1,162 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+static int check_holds(struct sch *sch);
+static int check_plans(struct sch *sch);
+static int check_guaranteed(struct sch *sch);
+static int check_gangs(struct sch *sch);
+
+/* Each accelerator is held by at most one task, and exists. */
+static int
+check_holds(struct sch *sch)
+{
+	uint32_t w;
+	uint32_t t;
+
+	for (w = 0; w < sch->worker_count; w++) {
+		const struct sch_worker *worker = &sch->workers[w];
+		uint32_t held = 0;
+
+		for (t = worker->first_task; t != SCH_NONE;
+		     t = sch->tasks[t].next_of_worker) {
+			uint32_t mask = sch->tasks[t].mask;
+
+			if ((mask & held) != 0 ||
+			    (mask & ~worker->all.mask) != 0)
+				return cw_error_set(SCH_EGUARANTEE,
+				    "worker %s: accelerators %#x are held "
+				    "twice or do not exist",
+				    worker->row->name, mask);
+			held |= mask;
+		}
+	}
+	return CW_OK;
+}
+
+/* Plans are disjoint, and the plans on a worker that is up ask for no more
+ * cores and memory than it has. */
+static int
+check_plans(struct sch *sch)
+{
+	uint32_t w;
+	uint32_t c;
+
+	for (w = 0; w < sch->worker_count; w++) {
+		const struct sch_worker *worker = &sch->workers[w];
+		uint32_t planned = 0;
+
+		for (c = worker->first_cell; c != SCH_NONE;
+		     c = sch->cells[c].next_of_worker) {
+			if ((sch->cells[c].mask & planned) != 0)
+				return cw_error_set(SCH_EGUARANTEE,
+				    "worker %s: accelerators %#x are in two "
+				    "plans",
+				    worker->row->name,
+				    sch->cells[c].mask & planned);
+			planned |= sch->cells[c].mask;
+		}
+		if (worker->row->state == BD_WORKER_UP &&
+		    (worker->plans.cores > worker->all.cores ||
+			worker->plans.memory > worker->all.memory))
+			return cw_error_set(SCH_EGUARANTEE,
+			    "worker %s: plans ask for more cores or memory "
+			    "than it has",
+			    worker->row->name);
+	}
+	return CW_OK;
+}
+
+/* Guaranteed jobs belong to the promise's account and hold no more of a plan
+ * than there is in it. With this every other job inside a plan is a borrower,
+ * which can be stopped. */
+static int
+check_guaranteed(struct sch *sch)
+{
+	uint32_t c;
+	uint32_t j;
+
+	for (j = 0; j < sch->job_count; j++) {
+		const struct bd_job *row = sch->jobs[j].row;
+		uint32_t p;
+
+		if (row->promise == 0 || sch->jobs[j].first_task == SCH_NONE)
+			continue;
+		p = sch_index_get(&sch->promise_index, row->promise);
+		if (p != SCH_NONE &&
+		    sch->promises[p].row->account != row->account)
+			return cw_error_set(SCH_EGUARANTEE,
+			    "job %llx is guaranteed in the plan of another "
+			    "account",
+			    (unsigned long long)row->id);
+	}
+	for (c = 0; c < sch->cell_count; c++)
+		if (sch->cells[c].free.cores < 0 ||
+		    sch->cells[c].free.memory < 0)
+			return cw_error_set(SCH_EGUARANTEE,
+			    "worker %s: guaranteed jobs hold more of a plan "
+			    "than it has",
+			    sch->workers[sch->cells[c].worker].row->name);
+	return CW_OK;
+}
+
+/* A gang that has a place has all of its members there. */
+static int
+check_gangs(struct sch *sch)
+{
+	uint32_t j;
+
+	for (j = 0; j < sch->job_count; j++) {
+		const struct sch_job *job = &sch->jobs[j];
+		uint32_t want = job->row->state == BD_JOB_WAITING
+		    ? 0
+		    : job->row->shape.members;
+
+		if (job->task_count != want)
+			return cw_error_set(SCH_EGUARANTEE,
+			    "job %llx has %u of %u members placed",
+			    (unsigned long long)job->row->id, job->task_count,
+			    want);
+	}
+	return CW_OK;
+}
+
+/* Checks the loaded view; see sch_guarantee_check. */
+int
+sch_guarantee_run(struct sch *sch)
+{
+	int code = check_holds(sch);
+
+	if (code == CW_OK)
+		code = check_plans(sch);
+	if (code == CW_OK)
+		code = check_guaranteed(sch);
+	if (code == CW_OK)
+		code = check_gangs(sch);
+	return code;
+}
+
+/*
+ * Verifies the guarantee condition over all tables: no accelerator is held
+ * twice, plans are disjoint and within their workers, what runs as guaranteed
+ * belongs to the plan's account and fits it, and every gang is whole. Returns
+ * SCH_EGUARANTEE with a message, or SCH_ENOMEM.
+ */
+int
+sch_guarantee_check(const struct bd_board *board)
+{
+	struct sch_spec spec = {.board = board};
+	struct sch *sch;
+	int code = sch_create(&sch, &spec);
+
+	if (code != CW_OK)
+		return code;
+	bd_read_begin();
+	sch_view_load(sch, 0);
+	code = sch_guarantee_run(sch);
+	bd_read_end();
+	sch_destroy(sch);
+	return code;
+}
--- /dev/null
+++ b/lib/sched/learn.c
@@ -0,0 +1,191 @@
+#include <assert.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+/* Weight of a new value in the average. */
+#define LEARN_ALPHA 0.2
+/* The published factor moves only when the average has left it by this part:
+ * placements should not change with every report. */
+#define LEARN_HYSTERESIS 0.15
+/* Factors beyond these say more about a fault than about the account. */
+#define LEARN_FACTOR_MIN 0.125
+#define LEARN_FACTOR_MAX 8.0
+
+static struct sch_ewma *slot_of(
+    const struct sch *sch, uint64_t account, uint32_t class_number, bool make);
+static double clamp(double factor);
+static void average(double *mean, double value, uint32_t samples);
+static void publish(uint32_t *milli, double mean);
+static void learn_end(struct sch *sch, const struct bd_job *job);
+static void learn_size(
+    struct sch *sch, const struct bd_job *job, const struct bd_usage *usage);
+
+static double
+clamp(double factor)
+{
+	if (factor < LEARN_FACTOR_MIN)
+		return LEARN_FACTOR_MIN;
+	return factor > LEARN_FACTOR_MAX ? LEARN_FACTOR_MAX : factor;
+}
+
+/* Returns the entry of an account and class, NULL where there is none and
+ * none is to be made or the table is full. */
+static struct sch_ewma *
+slot_of(
+    const struct sch *sch, uint64_t account, uint32_t class_number, bool make)
+{
+	uint64_t id = cw_id_from_pair(account, class_number);
+	uint32_t i;
+
+	for (i = 0; i < SCH_LEARN_SLOTS; i++) {
+		struct sch_ewma *slot =
+		    &sch->learned[(id + i) % SCH_LEARN_SLOTS];
+
+		if (slot->id == id)
+			return slot;
+		if (slot->id != 0)
+			continue;
+		if (!make)
+			return NULL;
+		slot->id = id;
+		slot->run = 1;
+		slot->cores = 1;
+		slot->memory = 1;
+		slot->published.run_milli = 1000;
+		slot->published.cores_milli = 1000;
+		slot->published.memory_milli = 1000;
+		return slot;
+	}
+	return NULL;
+}
+
+/* The first values count in full, so that learning starts at once. */
+static void
+average(double *mean, double value, uint32_t samples)
+{
+	double alpha = samples < 4 ? 1.0 / (samples + 1) : LEARN_ALPHA;
+
+	*mean += alpha * (clamp(value) - *mean);
+}
+
+static void
+publish(uint32_t *milli, double mean)
+{
+	double held = *milli / 1000.0;
+
+	if (mean > held * (1 + LEARN_HYSTERESIS) ||
+	    mean < held * (1 - LEARN_HYSTERESIS))
+		*milli = (uint32_t)(mean * 1000 + 0.5);
+}
+
+/* Run time of a job that is done: what the last attempt ran and what its
+ * checkpoint held before. */
+static void
+learn_end(struct sch *sch, const struct bd_job *job)
+{
+	const struct bd_usage *usage =
+	    bd_usage_lookup(sch->spec.board, job->id);
+	int64_t run_ms = job->ended_ms - job->started_ms;
+	struct sch_ewma *slot;
+
+	if (job->declared_ms <= 0 || job->started_ms == 0)
+		return;
+	if (usage != NULL && usage->run_ms > run_ms)
+		run_ms = usage->run_ms;
+	slot = slot_of(sch, job->account, job->class_number, true);
+	if (slot == NULL)
+		return;
+	average(&slot->run, (double)run_ms / (double)job->declared_ms,
+	    slot->published.samples);
+	publish(&slot->published.run_milli, slot->run);
+	slot->published.samples++;
+}
+
+/* Sizes are learned from reports of running jobs as well. */
+static void
+learn_size(
+    struct sch *sch, const struct bd_job *job, const struct bd_usage *usage)
+{
+	struct sch_ewma *slot =
+	    slot_of(sch, job->account, job->class_number, true);
+
+	if (slot == NULL)
+		return;
+	if (job->shape.cores_milli > 0) {
+		average(&slot->cores,
+		    (double)usage->cores_milli / job->shape.cores_milli,
+		    SCH_NONE);
+		publish(&slot->published.cores_milli, slot->cores);
+	}
+	if (job->shape.memory_mb > 0) {
+		average(&slot->memory,
+		    (double)usage->memory_mb / job->shape.memory_mb, SCH_NONE);
+		publish(&slot->published.memory_milli, slot->memory);
+	}
+}
+
+/* Takes in every job that has ended and every usage report that has come since
+ * the last call. Call within a read section. */
+void
+sch_learn_run(struct sch *sch)
+{
+	const struct bd_usage *usage;
+	const struct bd_job *job;
+	uint64_t epoch = sch->learned_epoch;
+	int64_t reported_ms = sch->learned_usage_ms;
+	uint32_t cursor = 0;
+
+	while ((job = bd_job_next(sch->spec.board, &cursor)) != NULL) {
+		if (job->epoch <= sch->learned_epoch)
+			continue;
+		if (job->epoch > epoch)
+			epoch = job->epoch;
+		if (job->state == BD_JOB_DONE)
+			learn_end(sch, job);
+	}
+	cursor = 0;
+	while ((usage = bd_usage_next(sch->spec.board, &cursor)) != NULL) {
+		if (usage->reported_ms <= sch->learned_usage_ms)
+			continue;
+		if (usage->reported_ms > reported_ms)
+			reported_ms = usage->reported_ms;
+		job = bd_job_lookup(sch->spec.board, usage->id);
+		if (job != NULL)
+			learn_size(sch, job, usage);
+	}
+	sch->learned_epoch = epoch;
+	sch->learned_usage_ms = reported_ms;
+}
+
+/* Stores the factors of an account and class; 1000 where nothing is known. */
+void
+sch_learned_get(const struct sch *sch, uint64_t account, uint32_t class_number,
+    struct sch_learned *out)
+{
+	const struct sch_ewma *slot =
+	    slot_of(sch, account, class_number, false);
+
+	memset(out, 0, sizeof(*out));
+	out->run_milli = 1000;
+	out->cores_milli = 1000;
+	out->memory_milli = 1000;
+	if (slot != NULL)
+		*out = slot->published;
+}
+
+/* Returns the whole run time (ms, at least 1000) that a job is expected to
+ * need: its declaration times the learned factor. */
+int64_t
+sch_expected_run_ms(const struct sch *sch, const struct bd_job *job)
+{
+	struct sch_learned learned;
+	int64_t run_ms = job->declared_ms;
+
+	if (run_ms <= 0)
+		run_ms = SCH_RUN_DEFAULT_MS;
+	sch_learned_get(sch, job->account, job->class_number, &learned);
+	run_ms = run_ms / 1000 * learned.run_milli +
+	    run_ms % 1000 * learned.run_milli / 1000;
+	return run_ms < 1000 ? 1000 : run_ms;
+}
--- /dev/null
+++ b/lib/sched/order.c
@@ -0,0 +1,145 @@
+#include <assert.h>
+
+#include "scheduler_internal.h"
+
+static bool goes_before(const void *ctx, uint32_t a, uint32_t b);
+static void enter_level(struct sch *sch);
+
+/* Recomputes an account's dominant share above its quota, divided by its
+ * weight, in millionths; 0 within the quota. */
+void
+sch_share_update(struct sch *sch, uint32_t account)
+{
+	struct sch_account *entry = &sch->accounts[account];
+	double quota = 0;
+	double weight = 1;
+	double share = 0;
+	double cores = 0;
+
+	if (sch->total_accels > 0)
+		share = (double)entry->accels / (double)sch->total_accels;
+	if (sch->total_cores > 0)
+		cores = (double)entry->cores / (double)sch->total_cores;
+	if (cores > share)
+		share = cores;
+	if (entry->row != NULL) {
+		if (sch->total_accels > 0)
+			quota = (double)entry->row->quota_accels /
+			    (double)sch->total_accels;
+		if (entry->row->weight_milli > 0)
+			weight = (double)entry->row->weight_milli / 1000;
+	}
+	share = share > quota ? (share - quota) / weight : 0;
+	entry->share = (int64_t)(share * 1e6);
+}
+
+static bool
+goes_before(const void *ctx, uint32_t a, uint32_t b)
+{
+	const struct sch *sch = ctx;
+	const struct sch_job *x = &sch->jobs[a];
+	const struct sch_job *y = &sch->jobs[b];
+
+	if (x->level != y->level)
+		return x->level < y->level;
+	if (x->account != y->account)
+		return x->account < y->account;
+	if (x->ratio != y->ratio)
+		return x->ratio > y->ratio;
+	return x->row->id < y->row->id;
+}
+
+/*
+ * Sorts the waiting jobs by level and account and, within these, by age
+ * relative to the expected run time: (wait + run) / run. A short job thus does
+ * not wait for a long one that came just before it, and every ratio grows
+ * until the job's turn comes.
+ */
+void
+sch_order_build(struct sch *sch)
+{
+	uint32_t i;
+
+	for (i = 0; i < sch->waiting_count; i++) {
+		struct sch_job *job = &sch->jobs[sch->waiting[i]];
+		int64_t wait = sch->now_ms - job->row->waiting_since_ms;
+		int64_t raised;
+
+		if (wait < 0)
+			wait = 0;
+		raised = wait / SCH_AGING_MS;
+		job->level = job->row->class_number > raised
+		    ? job->row->class_number - (uint32_t)raised
+		    : 0;
+		job->ratio = 1000 * (wait + job->run_ms) / job->run_ms;
+	}
+	sch_sort(sch->waiting, sch->waiting_count, goes_before, sch);
+	sch_order_start(sch);
+}
+
+/* Starts a walk over the waiting jobs in order. */
+void
+sch_order_start(struct sch *sch)
+{
+	uint32_t i;
+
+	sch->level_next = 0;
+	for (i = 0; i < sch->account_count; i++) {
+		sch->accounts[i].cursor = 0;
+		sch->accounts[i].limit = 0;
+	}
+}
+
+/* Gives every account its run of jobs of the next level. */
+static void
+enter_level(struct sch *sch)
+{
+	uint32_t level = sch->jobs[sch->waiting[sch->level_next]].level;
+	uint32_t i = sch->level_next;
+
+	while (i < sch->waiting_count &&
+	    sch->jobs[sch->waiting[i]].level == level) {
+		struct sch_account *account =
+		    &sch->accounts[sch->jobs[sch->waiting[i]].account];
+
+		if (account->limit <= sch->level_next)
+			account->cursor = i;
+		account->limit = ++i;
+	}
+	sch->level_next = i;
+}
+
+/*
+ * Returns the next waiting job: the most urgent level first, there the account
+ * with the lowest share above quota at this moment, so that each placement
+ * counts for the choice of the next job. Returns SCH_NONE at the end.
+ */
+uint32_t
+sch_order_pick(struct sch *sch)
+{
+	for (;;) {
+		struct sch_account *best = NULL;
+		int64_t best_ratio = 0;
+		uint32_t i;
+
+		for (i = 0; i < sch->account_count; i++) {
+			struct sch_account *account = &sch->accounts[i];
+			int64_t ratio;
+
+			if (account->cursor >= account->limit)
+				continue;
+			ratio = sch->jobs[sch->waiting[account->cursor]].ratio;
+			if (best == NULL || account->share < best->share ||
+			    (account->share == best->share &&
+				ratio > best_ratio)) {
+				best = account;
+				best_ratio = ratio;
+			}
+		}
+		if (best != NULL)
+			return sch->waiting[best->cursor++];
+		if (sch->level_next >= sch->waiting_count)
+			return SCH_NONE;
+		enter_level(sch);
+	}
+}
--- /dev/null
+++ b/lib/sched/quarantine.c
@@ -0,0 +1,183 @@
+#include <assert.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+#define QUARANTINE_FAILURES 3
+#define QUARANTINE_BASE_MS (60 * 1000)
+#define QUARANTINE_MAX_MS (60 * 60 * 1000)
+/* A probe that has run this long proves the worker. */
+#define QUARANTINE_PROBE_MS (30 * 1000)
+/* Probation ends by itself when nothing was placed there for this long. */
+#define QUARANTINE_IDLE_MS (10 * 60 * 1000)
+
+static bool ran_elsewhere(const struct sch *sch, uint64_t worker);
+static bool is_suspect(const struct sch *sch, const struct sch_worker *worker);
+static bool is_proved(const struct sch *sch, const struct sch_worker *worker);
+static int64_t backoff_ms(const struct bd_worker *row);
+static int propose(
+    struct sch *sch, const struct sch_worker *worker, int64_t until_ms);
+static int judge_worker(
+    struct sch *sch, struct sch_worker *worker, uint32_t *room);
+static bool is_bad_job(const struct sch *sch, const struct bd_job *job);
+
+/* Tells whether some job that failed on the worker has run well on others
+ * since. */
+static bool
+ran_elsewhere(const struct sch *sch, uint64_t worker)
+{
+	const struct bd_job *job;
+	uint32_t cursor = 0;
+	uint32_t i;
+
+	while ((job = bd_job_next(sch->spec.board, &cursor)) != NULL) {
+		if (job->state != BD_JOB_DONE &&
+		    (job->state != BD_JOB_RUNNING ||
+			sch->now_ms - job->started_ms < QUARANTINE_PROBE_MS))
+			continue;
+		for (i = 0; i < BD_JOB_FAILED_WORKERS; i++)
+			if (job->failed_workers[i] == worker)
+				return true;
+	}
+	return false;
+}
+
+/* A worker is to blame when several jobs in a row have failed on it, and the
+ * jobs cannot be: they are of different accounts, or ran elsewhere. */
+static bool
+is_suspect(const struct sch *sch, const struct sch_worker *worker)
+{
+	const struct bd_worker *row = worker->row;
+
+	if (row->consecutive_failures < QUARANTINE_FAILURES)
+		return false;
+	if (row->failed_accounts[0] != 0 && row->failed_accounts[1] != 0 &&
+	    row->failed_accounts[0] != row->failed_accounts[1])
+		return true;
+	return ran_elsewhere(sch, row->id);
+}
+
+/* A worker on probation is proved by a task that has run for a while, or by
+ * time without any failure. */
+static bool
+is_proved(const struct sch *sch, const struct sch_worker *worker)
+{
+	uint32_t t;
+
+	for (t = worker->first_task; t != SCH_NONE;
+	     t = sch->tasks[t].next_of_worker) {
+		const struct bd_job *job = sch->jobs[sch->tasks[t].job].row;
+
+		if (job->state == BD_JOB_RUNNING &&
+		    job->started_ms >= worker->row->quarantine_until_ms &&
+		    sch->now_ms - job->started_ms >= QUARANTINE_PROBE_MS)
+			return true;
+	}
+	return worker->first_task == SCH_NONE &&
+	    sch->now_ms - worker->row->quarantine_until_ms >=
+	    QUARANTINE_IDLE_MS;
+}
+
+/* Doubles with each quarantine of the worker. */
+static int64_t
+backoff_ms(const struct bd_worker *row)
+{
+	uint32_t doublings =
+	    row->quarantine_count < 10 ? row->quarantine_count : 10;
+	int64_t backoff = (int64_t)QUARANTINE_BASE_MS << doublings;
+
+	return backoff < QUARANTINE_MAX_MS ? backoff : QUARANTINE_MAX_MS;
+}
+
+static int
+propose(struct sch *sch, const struct sch_worker *worker, int64_t until_ms)
+{
+	struct rec rec = {.kind = REC_QUARANTINE};
+
+	rec.body.quarantine.worker = worker->row->id;
+	rec.body.quarantine.epoch = worker->row->epoch;
+	rec.body.quarantine.until_ms = until_ms;
+	return sch_propose(sch, &rec);
+}
+
+/* Puts a worker into quarantine where the cap has room for it, or ends its
+ * probation. A failure during probation sends it back for longer. */
+static int
+judge_worker(struct sch *sch, struct sch_worker *worker, uint32_t *room)
+{
+	const struct bd_worker *row = worker->row;
+
+	if (row->state != BD_WORKER_UP || worker->quarantined)
+		return CW_OK;
+	if (worker->probation && row->consecutive_failures == 0 &&
+	    is_proved(sch, worker))
+		return propose(sch, worker, 0);
+	if (!(worker->probation && row->consecutive_failures > 0) &&
+	    !is_suspect(sch, worker))
+		return CW_OK;
+	if (*room == 0)
+		return CW_OK;
+	(*room)--;
+	worker->usable = false;
+	worker->quarantined = true;
+	return propose(sch, worker, sch->now_ms + backoff_ms(row));
+}
+
+/* A job is to blame when it has failed on several workers that are not. */
+static bool
+is_bad_job(const struct sch *sch, const struct bd_job *job)
+{
+	uint32_t good = 0;
+	uint32_t i;
+
+	if (job->failures < QUARANTINE_FAILURES)
+		return false;
+	for (i = 0; i < BD_JOB_FAILED_WORKERS; i++) {
+		uint32_t w = job->failed_workers[i] == 0
+		    ? SCH_NONE
+		    : sch_index_get(&sch->worker_index, job->failed_workers[i]);
+
+		if (w != SCH_NONE && !sch->workers[w].quarantined &&
+		    !sch->workers[w].probation &&
+		    !is_suspect(sch, &sch->workers[w]))
+			good++;
+	}
+	return good >= QUARANTINE_FAILURES;
+}
+
+/*
+ * Tells bad workers from bad jobs. Workers go first: a job that failed on a
+ * worker which is in quarantine by this very decision is not blamed for it. At
+ * most the configured part of all workers is in quarantine at a time, though
+ * always one of four or more.
+ */
+int
+sch_quarantine_run(struct sch *sch)
+{
+	uint32_t limit = (uint32_t)((uint64_t)sch->worker_count *
+	    sch->config->quarantine_cap_milli / 1000);
+	uint32_t used = 0;
+	uint32_t room;
+	uint32_t i;
+	int code = CW_OK;
+
+	if (limit == 0 && sch->worker_count >= 4 &&
+	    sch->config->quarantine_cap_milli > 0)
+		limit = 1;
+	for (i = 0; i < sch->worker_count; i++)
+		used += sch->workers[i].quarantined;
+	room = used < limit ? limit - used : 0;
+	for (i = 0; i < sch->worker_count && code == CW_OK; i++)
+		if (sch_has_budget(sch))
+			code = judge_worker(sch, &sch->workers[i], &room);
+	for (i = 0; i < sch->waiting_count && code == CW_OK; i++) {
+		struct sch_job *job = &sch->jobs[sch->waiting[i]];
+
+		if (!sch_has_budget(sch) || !is_bad_job(sch, job->row))
+			continue;
+		job->settled = true;
+		code = sch_end_unplaced(
+		    sch, job->row, BD_REASON_JOB_FAILED_REPEATEDLY);
+	}
+	return code;
+}
--- /dev/null
+++ b/lib/sched/scheduler_internal.h
@@ -0,0 +1,298 @@
+#ifndef CAMPHOR_SCHED_INTERNAL_H
+#define CAMPHOR_SCHED_INTERNAL_H
+
+#include <stdatomic.h>
+
+#include "scheduler.h"
+
+#define SCH_NONE UINT32_MAX
+
+#define SCH_WORKERS_MAX 4096
+#define SCH_JOBS_MAX 32768
+#define SCH_TASKS_MAX 32768
+#define SCH_PROMISES_MAX 1024
+#define SCH_CELLS_MAX (SCH_PROMISES_MAX * 16)
+#define SCH_ACCOUNTS_MAX 256
+#define SCH_FAILED_SHAPES_MAX 16
+#define SCH_FAILED_CLAIMS_MAX 4
+#define SCH_THROTTLES_MAX 256
+#define SCH_MOVES_MAX 256
+
+/* Waiting this long makes a job one class more urgent. */
+#define SCH_AGING_MS (60 * 60 * 1000)
+/* A job that has waited this long and cannot be placed may hold the
+ * reservation. */
+#define SCH_STARVE_MS (10 * 60 * 1000)
+/* Facts of workers arrive one by one after a cold start, so a job is not
+ * declared impossible before it has waited this long. */
+#define SCH_UNFIT_GRACE_MS (60 * 1000)
+/* Run time assumed for a job that declared none. */
+#define SCH_RUN_DEFAULT_MS (30 * 60 * 1000)
+/* Proposals of one step: one batch of the log. */
+#define SCH_PROPOSALS_MAX REC_BATCH_MAX
+
+/* Capacity of one worker. */
+struct sch_room {
+	uint32_t mask;
+	int64_t cores;  /* thousandths */
+	int64_t memory; /* MB */
+};
+
+/* What one member of a gang needs. */
+struct sch_need {
+	uint32_t members;
+	uint32_t accels;
+	int64_t cores;
+	int64_t memory;
+};
+
+struct sch_worker {
+	const struct bd_worker *row;
+	uint32_t rack;
+	uint32_t planned;    /* accelerators inside plans */
+	uint32_t blocked;    /* claimed by guaranteed jobs that wait */
+	uint32_t first_task; /* list through next_of_worker */
+	uint32_t first_cell; /* list through next_of_worker */
+	uint32_t quarantined;
+	uint32_t usable;    /* takes new work */
+	uint32_t reserved;  /* for the starving gang */
+	uint32_t probation; /* quarantine is over, not yet proved */
+	struct sch_room all;
+	struct sch_room free;  /* held by no task; less than 0 when claimed */
+	struct sch_room plans; /* sums of the cells */
+	int64_t end_ms;        /* latest expected end of its tasks */
+};
+
+/* Workers are sorted by region, zone, rack and id, so that a rack, a zone and
+ * a region is each a range. */
+struct sch_rack {
+	uint32_t first;
+	uint32_t count;
+	uint64_t zone;
+	uint64_t region;
+};
+
+struct sch_task {
+	uint32_t job;
+	uint32_t worker;
+	uint32_t mask;
+	uint32_t next_of_worker;
+	uint32_t next_of_job;
+};
+
+struct sch_job {
+	const struct bd_job *row;
+	uint32_t account;
+	uint32_t first_task;
+	uint32_t task_count;
+	uint32_t promise; /* whose plan holds all its tasks, or SCH_NONE */
+	uint32_t victim;  /* preempted, by a record or by this decision */
+	uint32_t level;   /* of the order: class less aging */
+	uint32_t settled; /* placed, claimed or ended by this decision */
+	uint32_t mark;    /* of one trial of a claim */
+	int64_t run_ms;   /* expected, whole */
+	int64_t end_ms;   /* expected, of a placed job */
+	int64_t ratio;    /* (wait + run) / run in thousandths */
+};
+
+/* The part of a plan on one worker. free is what no guaranteed job holds. */
+struct sch_cell {
+	uint32_t promise;
+	uint32_t worker;
+	uint32_t next_of_worker;
+	uint32_t members; /* of the promise */
+	uint32_t mask;
+	struct sch_room free;
+};
+
+struct sch_promise {
+	const struct bd_promise *row;
+	uint32_t account;
+	uint32_t first_cell; /* cells of a promise are a range */
+	uint32_t cell_count;
+	uint32_t jobs; /* guaranteed jobs inside */
+	uint32_t valid;
+	uint32_t moved; /* by this decision */
+	uint32_t next_of_account;
+};
+
+struct sch_account {
+	uint64_t id;
+	const struct bd_account *row; /* NULL: not in the text */
+	uint64_t accels;
+	uint64_t cores;
+	uint32_t waiting;
+	uint32_t cursor; /* of the order: its jobs of the present level */
+	uint32_t limit;
+	int64_t share; /* above quota, weighted, in millionths */
+	uint32_t first_promise;
+	uint32_t failed_count;
+	struct sch_need failed[SCH_FAILED_CLAIMS_MAX]; /* in its plans */
+	struct sch_learned learned[BD_CLASS_COUNT];
+};
+
+/* Finds a dense index by id. Entries with an old stamp are empty, so nothing
+ * is cleared between decisions. */
+struct sch_index {
+	struct sch_index_entry {
+		uint64_t id;
+		uint32_t value;
+		uint32_t stamp;
+	} * entries;
+	uint32_t mask;
+	uint32_t stamp;
+};
+
+struct sch_spot {
+	uint32_t worker; /* index */
+	uint32_t mask;
+};
+
+struct sch_reservation {
+	uint64_t job; /* 0: none */
+	int64_t start_ms;
+	int64_t made_ms;
+	uint32_t count;
+	uint64_t workers[BD_GANG_MAX];
+};
+
+struct sch_throttle {
+	uint64_t job;
+	uint64_t token;
+	int64_t since_ms;
+};
+
+/* EWMA of one account and class; published only moves when the average has
+ * left its neighbourhood. */
+struct sch_ewma {
+	uint64_t id;
+	double run;
+	double cores;
+	double memory;
+	struct sch_learned published;
+};
+
+#define SCH_LEARN_SLOTS 2048
+
+struct sch {
+	struct sch_spec spec;
+	atomic_int pending; /* proposals whose status is not known */
+	int64_t pending_since_ms;
+	uint32_t proposed; /* in this step */
+	int64_t now_ms;
+	const struct bd_config *config;
+	struct bd_config config_default;
+
+	struct sch_worker *workers;
+	const struct bd_worker **rows; /* scratch of the sort */
+	uint32_t worker_count;
+	struct sch_rack *racks;
+	uint32_t rack_count;
+	struct sch_job *jobs;
+	uint32_t job_count;
+	struct sch_task *tasks;
+	uint32_t task_count;
+	struct sch_promise *promises;
+	uint32_t promise_count;
+	struct sch_cell *cells;
+	uint32_t cell_count;
+	struct sch_account *accounts;
+	uint32_t account_count;
+	struct sch_index worker_index;
+	struct sch_index job_index;
+	struct sch_index promise_index;
+	struct sch_index account_index;
+	uint32_t *waiting; /* jobs, in the order of the decision */
+	uint32_t waiting_count;
+	uint64_t total_accels;
+	uint64_t total_cores;
+
+	/* Scratch memory of single searches. */
+	struct sch_room *rooms; /* one a worker */
+	uint32_t *counts;       /* one a worker: members that fit */
+	uint32_t *rack_counts;  /* one a rack */
+	uint32_t *order;        /* promises or jobs */
+	struct sch_need failed[SCH_FAILED_SHAPES_MAX];
+	int64_t failed_run_ms[SCH_FAILED_SHAPES_MAX];
+	uint32_t failed_count;
+	uint32_t mark;
+	uint32_t level_next; /* of the order */
+	uint32_t swap_next;  /* promise from which the search goes on */
+	struct sch_reservation reservation;
+	struct sch_throttle throttles[SCH_THROTTLES_MAX];
+	uint32_t throttle_count;
+	int64_t moves_ms[SCH_MOVES_MAX];
+	uint32_t move_next;
+	struct sch_ewma *learned;
+	uint64_t learned_epoch;
+	int64_t learned_usage_ms;
+};
+
+/* view.c, index.c: the flat working view, valid within one read section. */
+void sch_view_load(struct sch *sch, int64_t now_ms);
+int sch_index_init(struct sch_index *index, uint32_t capacity);
+void sch_index_reset(struct sch_index *index);
+void sch_index_put(struct sch_index *index, uint64_t id, uint32_t value);
+uint32_t sch_index_get(const struct sch_index *index, uint64_t id);
+void sch_sort(uint32_t *items, uint32_t count,
+    bool (*before)(const void *ctx, uint32_t a, uint32_t b), const void *ctx);
+struct sch_need sch_need_of(const struct bd_shape *shape);
+
+bool sch_need_covers(const struct sch_need *a, const struct sch_need *b);
+
+/* room.c: members in rooms. */
+uint32_t sch_room_members(
+    const struct sch_room *room, const struct sch_need *need);
+uint32_t sch_room_take(struct sch_room *room, const struct sch_need *need);
+uint32_t sch_mask_lowest(uint32_t mask, uint32_t count);
+bool sch_rack_take(struct sch_room *rooms, const struct sch_rack *rack,
+    const struct sch_need *need, struct sch_spot *spots);
+bool sch_rooms_fit(struct sch *sch, const struct sch_room *rooms,
+    const struct sch_need *need, bool cross_region);
+
+/* plan.c */
+bool sch_plan_find(struct sch *sch, const struct sch_need *need, bool free_only,
+    struct sch_spot *spots);
+int sch_plan_propose(struct sch *sch, uint32_t promise,
+    const struct sch_spot *spots, uint32_t count);
+int sch_plan_run(struct sch *sch);
+
+/* order.c */
+void sch_order_build(struct sch *sch);
+void sch_share_update(struct sch *sch, uint32_t account);
+uint32_t sch_order_pick(struct sch *sch);
+void sch_order_start(struct sch *sch);
+
+/* place.c, embed.c, reclaim.c, reserve.c */
+int sch_place_run(struct sch *sch);
+int sch_place_propose(struct sch *sch, uint32_t job, uint32_t promise,
+    const struct sch_spot *spots);
+bool sch_embed(struct sch *sch, uint32_t job, struct sch_spot *spots);
+bool sch_embed_unplanned(struct sch *sch, uint32_t job, struct sch_spot *spots);
+int sch_claim(struct sch *sch, uint32_t job, bool *done);
+int64_t sch_loss(const struct sch *sch, uint32_t job);
+int sch_preempt(
+    struct sch *sch, uint32_t victim, uint32_t for_job, enum bd_reason reason);
+void sch_reserve_refresh(struct sch *sch);
+void sch_reserve_make(struct sch *sch, uint32_t job);
+void sch_reserve_pin(struct sch *sch, uint32_t job, int64_t start_ms,
+    const struct sch_spot *spots, uint32_t count);
+bool sch_reserve_blocks(
+    const struct sch *sch, uint32_t worker, const struct sch_job *job);
+int64_t sch_start_estimate(struct sch *sch, const struct bd_job *row,
+    struct sch_spot *spots, uint32_t *spot_count);
+
+/* The others. */
+int sch_guarantee_run(struct sch *sch);
+int sch_defrag_run(struct sch *sch);
+int sch_overrun_run(struct sch *sch);
+int sch_quarantine_run(struct sch *sch);
+void sch_learn_run(struct sch *sch);
+int sch_unfit_run(struct sch *sch);
+bool sch_fits_somewhere(struct sch *sch, const struct bd_job *job);
+int sch_end_unplaced(
+    struct sch *sch, const struct bd_job *job, enum bd_reason reason);
+int sch_propose(struct sch *sch, const struct rec *rec);
+bool sch_has_budget(const struct sch *sch);
+
+#endif
--- /dev/null
+++ b/lib/sched/step.c
@@ -0,0 +1,262 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+/* Without a change of the board the scheduler looks again this often: ages,
+ * holds and quarantines run out by time alone. */
+#define STEP_INTERVAL_MS 1000
+/* A status that has not come in this time is lost with its proposal; epochs
+ * make a repetition harmless. */
+#define STEP_PENDING_MAX_MS 15000
+
+static void proposal_done(void *ctx, int status, uint64_t position);
+static int alloc_tables(struct sch *sch);
+static int alloc_scratch(struct sch *sch);
+static int run_one(
+    struct sch *sch, int64_t now_ms, int (*decide)(struct sch *sch));
+static bool is_waiting_for_status(struct sch *sch, int64_t now_ms);
+
+static void
+proposal_done(void *ctx, int status, uint64_t position)
+{
+	struct sch *sch = ctx;
+
+	(void)status;
+	(void)position;
+	atomic_fetch_sub(&sch->pending, 1);
+}
+
+/* Returns the name of a status code of this package. */
+const char *
+sch_status_name(int code)
+{
+	switch (code) {
+	case SCH_ENOMEM:
+		return "out of memory";
+	case SCH_EUNFIT:
+		return "guaranteed shapes do not fit";
+	case SCH_EGUARANTEE:
+		return "guarantee condition is broken";
+	case SCH_ENOTFOUND:
+		return "no such job";
+	default:
+		return cw_status_name(code);
+	}
+}
+
+/* Tells whether this decision may propose more: one batch of the log a step
+ * keeps a burst from delaying other writers. */
+bool
+sch_has_budget(const struct sch *sch)
+{
+	return sch->proposed < SCH_PROPOSALS_MAX;
+}
+
+/* Hands one record to the sink and counts it until its status is known.
+ * Returns the sink's status. */
+int
+sch_propose(struct sch *sch, const struct rec *rec)
+{
+	struct st_done done = {proposal_done, sch};
+	int code;
+
+	sch->proposed++;
+	atomic_fetch_add(&sch->pending, 1);
+	code = sch->spec.sink.propose(sch->spec.sink.ctx, rec, &done);
+	if (code != CW_OK)
+		atomic_fetch_sub(&sch->pending, 1);
+	return code;
+}
+
+static int
+alloc_tables(struct sch *sch)
+{
+	sch->workers = calloc(SCH_WORKERS_MAX, sizeof(*sch->workers));
+	sch->rows = calloc(SCH_WORKERS_MAX, sizeof(*sch->rows));
+	sch->racks = calloc(SCH_WORKERS_MAX, sizeof(*sch->racks));
+	sch->jobs = calloc(SCH_JOBS_MAX, sizeof(*sch->jobs));
+	sch->tasks = calloc(SCH_TASKS_MAX, sizeof(*sch->tasks));
+	sch->promises = calloc(SCH_PROMISES_MAX, sizeof(*sch->promises));
+	sch->cells = calloc(SCH_CELLS_MAX, sizeof(*sch->cells));
+	sch->accounts = calloc(SCH_ACCOUNTS_MAX, sizeof(*sch->accounts));
+	if (sch->workers == NULL || sch->rows == NULL || sch->racks == NULL ||
+	    sch->jobs == NULL || sch->tasks == NULL || sch->promises == NULL ||
+	    sch->cells == NULL || sch->accounts == NULL)
+		return SCH_ENOMEM;
+	return CW_OK;
+}
+
+static int
+alloc_scratch(struct sch *sch)
+{
+	sch->waiting = calloc(SCH_JOBS_MAX, sizeof(*sch->waiting));
+	sch->rooms = calloc(SCH_WORKERS_MAX, sizeof(*sch->rooms));
+	sch->counts = calloc(SCH_WORKERS_MAX, sizeof(*sch->counts));
+	sch->rack_counts = calloc(SCH_WORKERS_MAX, sizeof(*sch->rack_counts));
+	sch->order = calloc(SCH_JOBS_MAX, sizeof(*sch->order));
+	sch->learned = calloc(SCH_LEARN_SLOTS, sizeof(*sch->learned));
+	if (sch->waiting == NULL || sch->rooms == NULL || sch->counts == NULL ||
+	    sch->rack_counts == NULL || sch->order == NULL ||
+	    sch->learned == NULL)
+		return SCH_ENOMEM;
+	if (sch_index_init(&sch->worker_index, SCH_WORKERS_MAX) != CW_OK ||
+	    sch_index_init(&sch->job_index, SCH_JOBS_MAX) != CW_OK ||
+	    sch_index_init(&sch->promise_index, SCH_PROMISES_MAX) != CW_OK ||
+	    sch_index_init(&sch->account_index, SCH_ACCOUNTS_MAX) != CW_OK)
+		return SCH_ENOMEM;
+	return CW_OK;
+}
+
+/*
+ * Creates a scheduler with all the memory that its decisions use (about 10 MB
+ * reserved, of which only what the tables fill is touched). Returns
+ * SCH_ENOMEM.
+ */
+int
+sch_create(struct sch **out, const struct sch_spec *spec)
+{
+	struct sch *sch = calloc(1, sizeof(*sch));
+
+	assert(spec->board != NULL);
+	if (sch == NULL)
+		return cw_error_set(SCH_ENOMEM, "no memory for the scheduler");
+	sch->spec = *spec;
+	sch->config_default.fragmentation_weight_milli = 500;
+	sch->config_default.reclaim_ms = 4000;
+	sch->config_default.checkpoint_ms = 3000;
+	sch->config_default.quarantine_cap_milli = 100;
+	sch->config_default.moves_per_hour = 6;
+	if (alloc_tables(sch) != CW_OK || alloc_scratch(sch) != CW_OK) {
+		sch_destroy(sch);
+		return cw_error_set(SCH_ENOMEM, "no memory for the scheduler");
+	}
+	*out = sch;
+	return CW_OK;
+}
+
+/* Frees a scheduler. The statuses of all its proposals must have come. */
+void
+sch_destroy(struct sch *sch)
+{
+	free(sch->workers);
+	free(sch->rows);
+	free(sch->racks);
+	free(sch->jobs);
+	free(sch->tasks);
+	free(sch->promises);
+	free(sch->cells);
+	free(sch->accounts);
+	free(sch->waiting);
+	free(sch->rooms);
+	free(sch->counts);
+	free(sch->rack_counts);
+	free(sch->order);
+	free(sch->learned);
+	free(sch->worker_index.entries);
+	free(sch->job_index.entries);
+	free(sch->promise_index.entries);
+	free(sch->account_index.entries);
+	free(sch);
+}
+
+static int
+run_one(struct sch *sch, int64_t now_ms, int (*decide)(struct sch *sch))
+{
+	int code;
+
+	bd_read_begin();
+	sch->proposed = 0;
+	sch_view_load(sch, now_ms);
+	code = decide(sch);
+	bd_read_end();
+	return code;
+}
+
+/* Proposes PLAN and SHORT for promises without a usable plan. */
+int
+sch_plan_decide(struct sch *sch, int64_t now_ms)
+{
+	return run_one(sch, now_ms, sch_plan_run);
+}
+
+/* Proposes PLACE and PREEMPT for waiting jobs, and ends those that can never
+ * run. */
+int
+sch_place_decide(struct sch *sch, int64_t now_ms)
+{
+	return run_one(sch, now_ms, sch_place_run);
+}
+
+/* Proposes bounded moves for the gang that holds the reservation. */
+int
+sch_defrag_decide(struct sch *sch, int64_t now_ms)
+{
+	return run_one(sch, now_ms, sch_defrag_run);
+}
+
+/* Throttles gangs that use more than they declared, and moves them. */
+int
+sch_overrun_decide(struct sch *sch, int64_t now_ms)
+{
+	return run_one(sch, now_ms, sch_overrun_run);
+}
+
+/* Proposes QUARANTINE for bad workers and ends bad jobs. */
+int
+sch_quarantine_decide(struct sch *sch, int64_t now_ms)
+{
+	return run_one(sch, now_ms, sch_quarantine_run);
+}
+
+/* Brings the learned run times and sizes up to date. */
+void
+sch_learn(struct sch *sch, int64_t now_ms)
+{
+	bd_read_begin();
+	sch->now_ms = now_ms;
+	sch_learn_run(sch);
+	bd_read_end();
+}
+
+static bool
+is_waiting_for_status(struct sch *sch, int64_t now_ms)
+{
+	if (atomic_load(&sch->pending) <= 0)
+		return false;
+	if (now_ms - sch->pending_since_ms < STEP_PENDING_MAX_MS)
+		return true;
+	return false;
+}
+
+/*
+ * One step of the controller, for ctl_start with a struct sch as the context.
+ * Returns the time (ms) of the next step. Every VM learns; only the holder of
+ * the duty decides.
+ */
+int64_t
+sch_step(void *ctx, int64_t now_ms)
+{
+	static int (*const decisions[])(struct sch * sch) = {sch_quarantine_run,
+	    sch_plan_run, sch_place_run, sch_defrag_run, sch_overrun_run};
+	struct sch *sch = ctx;
+	size_t i;
+	int code = CW_OK;
+
+	if (is_waiting_for_status(sch, now_ms))
+		return now_ms + STEP_INTERVAL_MS;
+	sch_learn(sch, now_ms);
+	if (!sch->spec.may_act(sch->spec.may_act_ctx, now_ms))
+		return now_ms + STEP_INTERVAL_MS;
+	bd_read_begin();
+	sch->proposed = 0;
+	sch->pending_since_ms = now_ms;
+	sch_view_load(sch, now_ms);
+	for (i = 0; i < sizeof(decisions) / sizeof(*decisions) &&
+	     code == CW_OK && sch_has_budget(sch);
+	     i++)
+		code = decisions[i](sch);
+	bd_read_end();
+	return now_ms + STEP_INTERVAL_MS;
+}
--- /dev/null
+++ b/lib/sched/unfit.c
@@ -0,0 +1,68 @@
+#include <assert.h>
+
+#include "scheduler_internal.h"
+
+/* Tells whether a job would fit if every worker that is known, lost ones
+ * included, were empty. */
+bool
+sch_fits_somewhere(struct sch *sch, const struct bd_job *job)
+{
+	struct sch_need need = sch_need_of(&job->shape);
+	uint32_t w;
+
+	for (w = 0; w < sch->worker_count; w++)
+		sch->rooms[w] = sch->workers[w].all;
+	return sch_rooms_fit(sch, sch->rooms, &need, job->cross_region != 0);
+}
+
+/* Proposes that a job which was never placed ends; its token is 0. */
+int
+sch_end_unplaced(
+    struct sch *sch, const struct bd_job *job, enum bd_reason reason)
+{
+	struct rec rec = {.kind = REC_GANG_ENDED};
+
+	assert(job->state == BD_JOB_WAITING);
+	rec.body.gang_ended.job = job->id;
+	rec.body.gang_ended.outcome = REC_OUTCOME_FAILED;
+	rec.body.gang_ended.reason = reason;
+	rec.body.gang_ended.progress_ms = job->progress_ms;
+	return sch_propose(sch, &rec);
+}
+
+/* Ends the waiting jobs that fit no worker or rack at all. Jobs that fit are
+ * mostly covered by one larger job that does, so a burst costs few searches.
+ */
+int
+sch_unfit_run(struct sch *sch)
+{
+	struct sch_need fits[SCH_FAILED_SHAPES_MAX];
+	uint32_t count = 0;
+	uint32_t i;
+	int code = CW_OK;
+
+	for (i = 0; i < sch->waiting_count && code == CW_OK; i++) {
+		struct sch_job *job = &sch->jobs[sch->waiting[i]];
+		struct sch_need need = sch_need_of(&job->row->shape);
+		bool known = false;
+		uint32_t f;
+
+		if (job->settled || sch->worker_count == 0 ||
+		    sch->now_ms - job->row->submitted_ms < SCH_UNFIT_GRACE_MS)
+			continue;
+		for (f = 0; f < count && !known; f++)
+			known = sch_need_covers(&fits[f], &need);
+		if (known || !sch_has_budget(sch))
+			continue;
+		if (sch_fits_somewhere(sch, job->row)) {
+			if (count < SCH_FAILED_SHAPES_MAX &&
+			    job->row->cross_region == 0)
+				fits[count++] = need;
+			continue;
+		}
+		job->settled = true;
+		code =
+		    sch_end_unplaced(sch, job->row, BD_REASON_FITS_NO_WORKER);
+	}
+	return code;
+}
--- /dev/null
+++ b/lib/sched/view.c
@@ -0,0 +1,433 @@
+#include <assert.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+static bool worker_before(const void *ctx, uint32_t a, uint32_t b);
+static void load_workers(struct sch *sch);
+static void load_racks(struct sch *sch);
+static uint32_t account_of(struct sch *sch, uint64_t id);
+static void load_accounts(struct sch *sch);
+static void load_promises(struct sch *sch);
+static void load_cells(struct sch *sch, uint32_t number);
+static uint32_t cell_for(struct sch *sch, uint32_t number, uint32_t worker);
+static void load_jobs(struct sch *sch);
+static void load_tasks(struct sch *sch);
+static void load_ends(struct sch *sch);
+static void hold_cells(struct sch *sch, uint32_t number);
+static int64_t expected_end(const struct sch *sch, const struct sch_job *job);
+
+/* Returns what one member of a gang or promise of this shape needs. */
+struct sch_need
+sch_need_of(const struct bd_shape *shape)
+{
+	struct sch_need need = {shape->members, shape->accels,
+	    shape->cores_milli, shape->memory_mb};
+
+	return need;
+}
+
+/* Tells whether a gang that needs a also needs at least b. */
+bool
+sch_need_covers(const struct sch_need *a, const struct sch_need *b)
+{
+	return a->members >= b->members && a->accels >= b->accels &&
+	    a->cores >= b->cores && a->memory >= b->memory;
+}
+
+static bool
+worker_before(const void *ctx, uint32_t a, uint32_t b)
+{
+	const struct sch *sch = ctx;
+	const struct bd_worker *x = sch->workers[a].row;
+	const struct bd_worker *y = sch->workers[b].row;
+
+	if (x->region != y->region)
+		return x->region < y->region;
+	if (x->zone != y->zone)
+		return x->zone < y->zone;
+	if (x->rack != y->rack)
+		return x->rack < y->rack;
+	return x->id < y->id;
+}
+
+/* Reads the workers' rows and sorts them. The table's order differs between
+ * VMs, the sorted one does not. */
+static void
+load_workers(struct sch *sch)
+{
+	const struct bd_worker *row;
+	uint32_t cursor = 0;
+	uint32_t count = 0;
+	uint32_t i;
+
+	while (count < SCH_WORKERS_MAX &&
+	    (row = bd_worker_next(sch->spec.board, &cursor)) != NULL) {
+		sch->workers[count].row = row;
+		sch->order[count] = count;
+		count++;
+	}
+	sch_sort(sch->order, count, worker_before, sch);
+	for (i = 0; i < count; i++)
+		sch->rows[i] = sch->workers[sch->order[i]].row;
+	sch->worker_count = count;
+	sch->total_accels = 0;
+	sch->total_cores = 0;
+	for (i = 0; i < count; i++) {
+		struct sch_worker *worker = &sch->workers[i];
+
+		row = sch->rows[i];
+		memset(worker, 0, sizeof(*worker));
+		worker->row = row;
+		worker->first_task = SCH_NONE;
+		worker->first_cell = SCH_NONE;
+		worker->all.mask = sch_mask_lowest(UINT32_MAX, row->accels);
+		worker->all.cores = row->cores_milli;
+		worker->all.memory = row->memory_mb;
+		worker->free = worker->all;
+		worker->quarantined = row->quarantine_until_ms > sch->now_ms;
+		worker->probation =
+		    row->quarantine_until_ms != 0 && !worker->quarantined;
+		worker->usable =
+		    row->state == BD_WORKER_UP && !worker->quarantined;
+		sch_index_put(&sch->worker_index, row->id, i);
+		if (row->state == BD_WORKER_UP) {
+			sch->total_accels += row->accels;
+			sch->total_cores += row->cores_milli;
+		}
+	}
+}
+
+static void
+load_racks(struct sch *sch)
+{
+	struct sch_rack *rack = NULL;
+	uint32_t i;
+
+	sch->rack_count = 0;
+	for (i = 0; i < sch->worker_count; i++) {
+		const struct bd_worker *row = sch->workers[i].row;
+		const struct bd_worker *last =
+		    i == 0 ? NULL : sch->workers[i - 1].row;
+
+		if (last == NULL || last->rack != row->rack ||
+		    last->zone != row->zone || last->region != row->region) {
+			rack = &sch->racks[sch->rack_count++];
+			rack->first = i;
+			rack->count = 0;
+			rack->zone = row->zone;
+			rack->region = row->region;
+		}
+		rack->count++;
+		sch->workers[i].rack = sch->rack_count - 1;
+	}
+}
+
+/* Returns the index of an account; one that the text no longer names keeps
+ * its running jobs and gets an entry without a row. */
+static uint32_t
+account_of(struct sch *sch, uint64_t id)
+{
+	uint32_t at = sch_index_get(&sch->account_index, id);
+	struct sch_account *account;
+	uint32_t i;
+
+	if (at != SCH_NONE)
+		return at;
+	if (sch->account_count == SCH_ACCOUNTS_MAX)
+		return 0;
+	at = sch->account_count++;
+	account = &sch->accounts[at];
+	memset(account, 0, sizeof(*account));
+	account->id = id;
+	account->first_promise = SCH_NONE;
+	for (i = 0; i < BD_CLASS_COUNT; i++)
+		sch_learned_get(sch, id, i, &account->learned[i]);
+	sch_index_put(&sch->account_index, id, at);
+	return at;
+}
+
+static void
+load_accounts(struct sch *sch)
+{
+	const struct bd_account *row;
+	uint32_t cursor = 0;
+
+	sch->account_count = 0;
+	while ((row = bd_account_next(sch->spec.board, &cursor)) != NULL)
+		sch->accounts[account_of(sch, row->id)].row = row;
+}
+
+static uint32_t
+cell_for(struct sch *sch, uint32_t number, uint32_t worker)
+{
+	struct sch_promise *promise = &sch->promises[number];
+	struct sch_cell *cell;
+	uint32_t i;
+
+	for (i = 0; i < promise->cell_count; i++)
+		if (sch->cells[promise->first_cell + i].worker == worker)
+			return promise->first_cell + i;
+	if (sch->cell_count == SCH_CELLS_MAX)
+		return SCH_NONE;
+	i = sch->cell_count++;
+	cell = &sch->cells[i];
+	memset(cell, 0, sizeof(*cell));
+	cell->promise = number;
+	cell->worker = worker;
+	cell->next_of_worker = sch->workers[worker].first_cell;
+	sch->workers[worker].first_cell = i;
+	promise->cell_count++;
+	return i;
+}
+
+/* Turns the slots of a plan, one for each member, into one cell a worker and
+ * tells whether the plan can be used as it is. */
+static void
+load_cells(struct sch *sch, uint32_t number)
+{
+	struct sch_promise *promise = &sch->promises[number];
+	const struct bd_promise *row = promise->row;
+	uint32_t i;
+
+	promise->first_cell = sch->cell_count;
+	promise->valid = row->slot_count == row->shape.members;
+	for (i = 0; i < row->slot_count; i++) {
+		const struct bd_slot *slot = &row->slots[i];
+		uint32_t at = sch_index_get(&sch->worker_index, slot->worker);
+		struct sch_worker *worker;
+		struct sch_cell *cell;
+		uint32_t c;
+
+		if (at == SCH_NONE ||
+		    (c = cell_for(sch, number, at)) == SCH_NONE) {
+			promise->valid = false;
+			continue;
+		}
+		worker = &sch->workers[at];
+		cell = &sch->cells[c];
+		if (!worker->usable ||
+		    (slot->accel_mask & ~worker->all.mask) != 0 ||
+		    (uint32_t)__builtin_popcount(slot->accel_mask) !=
+			row->shape.accels)
+			promise->valid = false;
+		cell->members++;
+		cell->mask |= slot->accel_mask;
+		cell->free.mask |= slot->accel_mask;
+		cell->free.cores += row->shape.cores_milli;
+		cell->free.memory += row->shape.memory_mb;
+		worker->planned |= slot->accel_mask;
+		worker->plans.cores += row->shape.cores_milli;
+		worker->plans.memory += row->shape.memory_mb;
+		if (worker->plans.cores > worker->all.cores ||
+		    worker->plans.memory > worker->all.memory)
+			promise->valid = false;
+	}
+}
+
+static void
+load_promises(struct sch *sch)
+{
+	const struct bd_promise *row;
+	uint32_t cursor = 0;
+
+	sch->promise_count = 0;
+	sch->cell_count = 0;
+	while (sch->promise_count < SCH_PROMISES_MAX &&
+	    (row = bd_promise_next(sch->spec.board, &cursor)) != NULL) {
+		uint32_t number = sch->promise_count++;
+		struct sch_promise *promise = &sch->promises[number];
+		struct sch_account *account;
+
+		memset(promise, 0, sizeof(*promise));
+		promise->row = row;
+		promise->account = account_of(sch, row->account);
+		account = &sch->accounts[promise->account];
+		promise->next_of_account = account->first_promise;
+		account->first_promise = number;
+		load_cells(sch, number);
+		sch_index_put(&sch->promise_index, row->id, number);
+	}
+}
+
+static void
+load_jobs(struct sch *sch)
+{
+	const struct bd_job *row;
+	uint32_t cursor = 0;
+
+	sch->job_count = 0;
+	sch->waiting_count = 0;
+	while (sch->job_count < SCH_JOBS_MAX &&
+	    (row = bd_job_next(sch->spec.board, &cursor)) != NULL) {
+		struct sch_job *job = &sch->jobs[sch->job_count];
+
+		if (row->state == BD_JOB_DONE || row->state == BD_JOB_FAILED ||
+		    row->state == BD_JOB_CANCELLED)
+			continue;
+		memset(job, 0, sizeof(*job));
+		job->row = row;
+		job->account = account_of(sch, row->account);
+		job->first_task = SCH_NONE;
+		job->promise = SCH_NONE;
+		job->victim = row->state == BD_JOB_PREEMPTING;
+		job->run_ms = sch_expected_run_ms(sch, row);
+		if (row->state == BD_JOB_WAITING)
+			sch->waiting[sch->waiting_count++] = sch->job_count;
+		sch_index_put(&sch->job_index, row->id, sch->job_count);
+		sch->job_count++;
+	}
+}
+
+/* Tasks take their room from the workers. A task whose worker is unknown
+ * still counts for its job. */
+static void
+load_tasks(struct sch *sch)
+{
+	const struct bd_task *row;
+	uint32_t cursor = 0;
+
+	sch->task_count = 0;
+	while (sch->task_count < SCH_TASKS_MAX &&
+	    (row = bd_task_next(sch->spec.board, &cursor)) != NULL) {
+		uint32_t j = sch_index_get(&sch->job_index, row->job);
+		uint32_t w = sch_index_get(&sch->worker_index, row->worker);
+		struct sch_task *task = &sch->tasks[sch->task_count];
+		struct sch_job *job;
+
+		if (j == SCH_NONE)
+			continue;
+		job = &sch->jobs[j];
+		task->job = j;
+		task->worker = w;
+		task->mask = row->accel_mask;
+		task->next_of_job = job->first_task;
+		task->next_of_worker = SCH_NONE;
+		job->first_task = sch->task_count;
+		job->task_count++;
+		if (w != SCH_NONE) {
+			struct sch_worker *worker = &sch->workers[w];
+
+			task->next_of_worker = worker->first_task;
+			worker->first_task = sch->task_count;
+			worker->free.mask &= ~row->accel_mask;
+			worker->free.cores -= job->row->shape.cores_milli;
+			worker->free.memory -= job->row->shape.memory_mb;
+		}
+		sch->accounts[job->account].accels += job->row->shape.accels;
+		sch->accounts[job->account].cores +=
+		    job->row->shape.cores_milli;
+		sch->task_count++;
+	}
+}
+
+/* Lets a guaranteed job take its part of the plan that it runs in. A job
+ * whose tasks are not all inside the plan (it has moved since) counts as
+ * borrowed. */
+static void
+hold_cells(struct sch *sch, uint32_t number)
+{
+	struct sch_job *job = &sch->jobs[number];
+	uint32_t p = sch_index_get(&sch->promise_index, job->row->promise);
+	uint32_t pass;
+	uint32_t t;
+
+	if (p == SCH_NONE || job->row->account != sch->promises[p].row->account)
+		return;
+	for (pass = 0; pass < 2; pass++)
+		for (t = job->first_task; t != SCH_NONE;
+		     t = sch->tasks[t].next_of_job) {
+			const struct sch_task *task = &sch->tasks[t];
+			struct sch_cell *cell = NULL;
+			uint32_t c;
+
+			for (c = 0; c < sch->promises[p].cell_count; c++) {
+				cell = &sch->cells[sch->promises[p].first_cell +
+				    c];
+				if (cell->worker == task->worker)
+					break;
+			}
+			if (c == sch->promises[p].cell_count ||
+			    (task->mask & ~cell->mask) != 0)
+				return;
+			if (pass == 0)
+				continue;
+			cell->free.mask &= ~task->mask;
+			cell->free.cores -= job->row->shape.cores_milli;
+			cell->free.memory -= job->row->shape.memory_mb;
+		}
+	job->promise = p;
+	sch->promises[p].jobs++;
+}
+
+/* A job beyond its expected end is expected to run for a quarter of its time
+ * so far again. */
+static int64_t
+expected_end(const struct sch *sch, const struct sch_job *job)
+{
+	int64_t started = job->row->started_ms;
+	int64_t end;
+
+	if (started == 0)
+		started = sch->now_ms;
+	end = started + job->run_ms - job->row->progress_ms;
+	if (end < sch->now_ms)
+		end = sch->now_ms + (sch->now_ms - started) / 4 + 1000;
+	return end;
+}
+
+static void
+load_ends(struct sch *sch)
+{
+	uint32_t j;
+	uint32_t t;
+
+	for (j = 0; j < sch->job_count; j++) {
+		struct sch_job *job = &sch->jobs[j];
+
+		if (job->first_task == SCH_NONE)
+			continue;
+		if (job->row->promise != 0)
+			hold_cells(sch, j);
+		job->end_ms = expected_end(sch, job);
+		for (t = job->first_task; t != SCH_NONE;
+		     t = sch->tasks[t].next_of_job) {
+			struct sch_worker *worker;
+
+			if (sch->tasks[t].worker == SCH_NONE)
+				continue;
+			worker = &sch->workers[sch->tasks[t].worker];
+			if (worker->end_ms < job->end_ms)
+				worker->end_ms = job->end_ms;
+		}
+	}
+}
+
+/*
+ * Builds the flat view of the tables that a decision works on. Call within a
+ * read section, in which the view stays valid. Costs one pass over each table.
+ */
+void
+sch_view_load(struct sch *sch, int64_t now_ms)
+{
+	const struct bd_config *config =
+	    bd_config_lookup(sch->spec.board, BD_CONFIG_ID);
+	uint32_t i;
+
+	sch->now_ms = now_ms;
+	sch->config = config == NULL ? &sch->config_default : config;
+	sch_index_reset(&sch->worker_index);
+	sch_index_reset(&sch->job_index);
+	sch_index_reset(&sch->promise_index);
+	sch_index_reset(&sch->account_index);
+	load_workers(sch);
+	load_racks(sch);
+	load_accounts(sch);
+	load_promises(sch);
+	load_jobs(sch);
+	load_tasks(sch);
+	load_ends(sch);
+	for (i = 0; i < sch->account_count; i++)
+		sch_share_update(sch, i);
+	sch->failed_count = 0;
+}
