Add the lease protocol of gangs

The runner sends one message for each verb and rack from a bounded pool; a worker that did not answer is called apart, on at most half of the threads.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -14,7 +14,15 @@
 /* 400: fleet */
 /* 500: scheduling */
 /* 600: gangs and leases */
+EV(601, EV_GANG_RUNNING, EV_LEVEL_INFO, "all members of a gang run")
+EV(602, EV_GANG_DONE, EV_LEVEL_INFO, "all members of a gang are done")
+EV(603, EV_GANG_ABORT, EV_LEVEL_WARN, "gang stopped before it was done")
+EV(604, EV_GANG_PAUSE, EV_LEVEL_WARN,
+    "this VM was paused: leases are proved before they are relied on")
+EV(605, EV_GANG_CALL, EV_LEVEL_WARN, "call to workers failed")
 /* 700: requests */
 /* 800: platform */
+EV(801, EV_PLATFORM_BAD_ANSWER, EV_LEVEL_WARN,
+    "answer of the platform cannot be read")
 /* 900: links */
 /* 1000: front */
--- /dev/null
+++ b/lib/gang/pool.c
@@ -0,0 +1,305 @@
+#include <assert.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool.h"
+
+#define THREADS_MAX 64
+
+/* One message to the platform. */
+struct batch {
+	struct batch *next;
+	struct pool *pool;
+	size_t count;
+	bool alone;
+	int64_t queued_ms;
+	struct gang_answer *answers; /* one for each item */
+	struct pool_item items[];
+};
+
+/*
+ * A bounded pool of threads that wait on a condition. Messages to workers that
+ * did not answer before take at most half of the threads, so that they cannot
+ * hold up the rest.
+ */
+struct pool {
+	struct bd_board *board;
+	const struct pf_tasks *tasks;
+	struct ctl_clock clock;
+	pthread_mutex_t mutex;
+	pthread_cond_t cond;
+	struct batch *waiting; /* in the order of sending */
+	struct batch *done;
+	uint32_t alone_running;
+	uint32_t thread_count;
+	bool stop;
+	pthread_t threads[THREADS_MAX];
+};
+
+static struct batch *take_waiting(struct pool *pool);
+static int keep_report(void *ctx, const struct pf_task_report *report);
+static int send_verb(struct pool *pool, uint32_t verb,
+    const struct pf_task *tasks, size_t count, int *results);
+static void run_batch(struct batch *batch);
+static void *run_thread(void *arg);
+
+/* What frees capacity or keeps it goes before what takes it. */
+int
+pool_rank(uint32_t verb)
+{
+	static const int ranks[GANG_VERB_COUNT] = {
+	    [GANG_RENEW] = 0,
+	    [GANG_STOP] = 1,
+	    [GANG_START] = 2,
+	    [GANG_COMMIT] = 3,
+	    [GANG_RESERVE] = 4,
+	    [GANG_CHECKPOINT] = 5,
+	    [GANG_REPORTS] = 6,
+	};
+
+	return ranks[verb];
+}
+
+int
+pool_create(struct pool **out, struct bd_board *board,
+    const struct pf_tasks *tasks, const struct ctl_clock *clock,
+    uint32_t threads)
+{
+	struct pool *pool = calloc(1, sizeof(*pool));
+
+	assert(threads >= 2 && threads <= THREADS_MAX);
+	if (pool == NULL)
+		return GANG_ENOMEM;
+	pool->board = board;
+	pool->tasks = tasks;
+	pool->clock = *clock;
+	pthread_mutex_init(&pool->mutex, NULL);
+	pthread_cond_init(&pool->cond, NULL);
+	for (; pool->thread_count < threads; pool->thread_count++)
+		if (pthread_create(&pool->threads[pool->thread_count], NULL,
+			run_thread, pool) != 0) {
+			pool_destroy(pool);
+			return cw_error_set(
+			    GANG_ENOTHREAD, "no thread for gang calls");
+		}
+	*out = pool;
+	return CW_OK;
+}
+
+/* Waits for the messages in progress; those not sent are dropped. */
+void
+pool_destroy(struct pool *pool)
+{
+	struct batch *batch;
+	uint32_t i;
+
+	pthread_mutex_lock(&pool->mutex);
+	pool->stop = true;
+	pthread_cond_broadcast(&pool->cond);
+	pthread_mutex_unlock(&pool->mutex);
+	for (i = 0; i < pool->thread_count; i++)
+		pthread_join(pool->threads[i], NULL);
+	while (
+	    (batch = pool->waiting) != NULL || (batch = pool->done) != NULL) {
+		if (batch == pool->waiting)
+			pool->waiting = batch->next;
+		else
+			pool->done = batch->next;
+		free(batch->answers);
+		free(batch);
+	}
+	pthread_cond_destroy(&pool->cond);
+	pthread_mutex_destroy(&pool->mutex);
+	free(pool);
+}
+
+/* Takes the first message that may be sent; the caller holds the mutex. */
+static struct batch *
+take_waiting(struct pool *pool)
+{
+	struct batch **place, *batch;
+
+	for (place = &pool->waiting; (batch = *place) != NULL;
+	     place = &batch->next) {
+		if (batch->alone &&
+		    pool->alone_running >= pool->thread_count / 2)
+			continue;
+		*place = batch->next;
+		pool->alone_running += batch->alone;
+		return batch;
+	}
+	return NULL;
+}
+
+static int
+keep_report(void *ctx, const struct pf_task_report *report)
+{
+	struct batch *batch = ctx;
+	size_t i;
+
+	for (i = 0; i < batch->count; i++) {
+		struct gang_answer *answer = &batch->answers[i];
+
+		if (answer->job == report->job &&
+		    answer->token == report->token &&
+		    answer->member == report->member) {
+			answer->has_report = true;
+			answer->report = *report;
+		}
+	}
+	return CW_OK;
+}
+
+static int
+send_verb(struct pool *pool, uint32_t verb, const struct pf_task *tasks,
+    size_t count, int *results)
+{
+	const struct pf_tasks *to = pool->tasks;
+
+	switch (verb) {
+	case GANG_RESERVE:
+		return to->reserve(to->ctx, tasks, count, results);
+	case GANG_COMMIT:
+		return to->commit(to->ctx, tasks, count, results);
+	case GANG_START:
+		return to->start(to->ctx, tasks, count, results);
+	case GANG_RENEW:
+		return to->renew(to->ctx, tasks, count, results);
+	case GANG_CHECKPOINT:
+		return to->checkpoint(to->ctx, tasks, count, results);
+	default:
+		assert(verb == GANG_STOP);
+		return to->stop(to->ctx, tasks, count, results);
+	}
+}
+
+/* Sends one message and notes an answer for each item. */
+static void
+run_batch(struct batch *batch)
+{
+	struct pool *pool = batch->pool;
+	struct pf_task tasks[PF_TASKS_MAX];
+	int results[PF_TASKS_MAX], status;
+	uint32_t verb = batch->items[0].verb;
+	int64_t sent_ms = pool->clock.now_ms(pool->clock.ctx);
+	size_t i;
+
+	for (i = 0; i < batch->count; i++) {
+		tasks[i] = batch->items[i].task;
+		tasks[i].worker_name = batch->items[i].worker_name;
+		tasks[i].input = batch->items[i].input;
+		results[i] = PF_EUNKNOWN;
+	}
+	/* The caller has given it up: a queue of calls to silent workers would
+	 * grow without bound otherwise. */
+	if (sent_ms - batch->queued_ms > GANG_CALL_MAX_MS) {
+		status = PF_EUNREACHABLE;
+	} else if (verb == GANG_REPORTS) {
+		struct pf_report_sink sink = {keep_report, batch};
+
+		status = pool->tasks->reports(
+		    pool->tasks->ctx, tasks, batch->count, &sink);
+		for (i = 0; i < batch->count; i++)
+			results[i] = status;
+	} else {
+		status = send_verb(pool, verb, tasks, batch->count, results);
+	}
+	if (status != CW_OK)
+		ev_emit(EV_GANG_CALL, "verb=%s tasks=%zu worker=%s status=%s",
+		    gang_verb_name(verb), batch->count,
+		    batch->items[0].worker_name, pf_status_name(status));
+	for (i = 0; i < batch->count; i++) {
+		batch->answers[i].status = results[i];
+		batch->answers[i].sent_ms = sent_ms;
+	}
+}
+
+static void *
+run_thread(void *arg)
+{
+	struct pool *pool = arg;
+	struct batch *batch;
+
+	pthread_mutex_lock(&pool->mutex);
+	while (!pool->stop) {
+		batch = take_waiting(pool);
+		if (batch == NULL) {
+			pthread_cond_wait(&pool->cond, &pool->mutex);
+			continue;
+		}
+		pthread_mutex_unlock(&pool->mutex);
+		run_batch(batch);
+		pthread_mutex_lock(&pool->mutex);
+		if (batch->alone) {
+			pool->alone_running--;
+			pthread_cond_signal(&pool->cond);
+		}
+		batch->next = pool->done;
+		pool->done = batch;
+		bd_publish(pool->board);
+	}
+	pthread_mutex_unlock(&pool->mutex);
+	return NULL;
+}
+
+/* Queues one message. Without memory it is lost: its calls then count as not
+ * answered after GANG_CALL_MAX_MS. */
+void
+pool_send(struct pool *pool, const struct pool_item *items, size_t count)
+{
+	struct batch *batch =
+	    calloc(1, sizeof(*batch) + count * sizeof(batch->items[0]));
+	struct batch **place;
+	size_t i;
+
+	assert(count > 0 && count <= PF_TASKS_MAX);
+	if (batch != NULL)
+		batch->answers = calloc(count, sizeof(batch->answers[0]));
+	if (batch == NULL || batch->answers == NULL) {
+		free(batch);
+		return;
+	}
+	batch->pool = pool;
+	batch->count = count;
+	batch->alone = items[0].alone;
+	batch->queued_ms = pool->clock.now_ms(pool->clock.ctx);
+	memcpy(batch->items, items, count * sizeof(*items));
+	for (i = 0; i < count; i++) {
+		batch->answers[i].job = items[i].task.job;
+		batch->answers[i].token = items[i].task.token;
+		batch->answers[i].member = items[i].task.member;
+		batch->answers[i].verb = items[i].verb;
+		batch->answers[i].sequence = items[i].sequence;
+	}
+	pthread_mutex_lock(&pool->mutex);
+	for (place = &pool->waiting; *place != NULL; place = &(*place)->next)
+		if (pool_rank((*place)->items[0].verb) >
+		    pool_rank(items[0].verb))
+			break;
+	batch->next = *place;
+	*place = batch;
+	pthread_cond_signal(&pool->cond);
+	pthread_mutex_unlock(&pool->mutex);
+}
+
+/* Hands over all answers that have come and frees their messages. */
+void
+pool_take(struct pool *pool,
+    void (*take)(void *ctx, const struct gang_answer *answer), void *ctx)
+{
+	struct batch *batch, *next;
+	size_t i;
+
+	pthread_mutex_lock(&pool->mutex);
+	batch = pool->done;
+	pool->done = NULL;
+	pthread_mutex_unlock(&pool->mutex);
+	for (; batch != NULL; batch = next) {
+		next = batch->next;
+		for (i = 0; i < batch->count; i++)
+			take(ctx, &batch->answers[i]);
+		free(batch->answers);
+		free(batch);
+	}
+}
--- /dev/null
+++ b/lib/gang/set.c
@@ -0,0 +1,298 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gang_internal.h"
+
+/* With gangs at hand a step comes at least this often (ms), so that a pause
+ * is noticed. */
+#define STEP_MAX_MS 2000
+
+struct gang_set {
+	struct bd_board *board;
+	uint64_t self;
+	struct gang_settings settings;
+	struct gang **gangs; /* sorted by token, which no two share */
+	size_t count;
+	size_t room;
+	int64_t
+	    expected_ms; /* when the next step is due, 0: before the first */
+};
+
+static size_t find(const struct gang_set *set, uint64_t token);
+static void add(struct gang_set *set, struct gang *gang);
+static void notice_pause(struct gang_set *set, int64_t now_ms);
+static void open_new(struct gang_set *set, int64_t now_ms);
+static void tell(const struct gang *gang, uint32_t before);
+static void publish_lease(struct gang_set *set, const struct gang *gang);
+static void publish_usage(
+    struct gang_set *set, struct gang *gang, int64_t now_ms);
+static void drop_over(struct gang_set *set);
+
+/* Creates an empty set. self is this VM's incarnation. */
+int
+gang_set_create(struct gang_set **out, struct bd_board *board, uint64_t self,
+    const struct gang_settings *settings)
+{
+	struct gang_set *set = calloc(1, sizeof(*set));
+
+	assert(
+	    settings->renew_ms > 0 && settings->lease_ms > settings->renew_ms);
+	if (set == NULL)
+		return cw_error_set(GANG_ENOMEM, "no memory for gangs");
+	set->board = board;
+	set->self = self;
+	set->settings = *settings;
+	*out = set;
+	return CW_OK;
+}
+
+void
+gang_set_destroy(struct gang_set *set)
+{
+	size_t i;
+
+	if (set == NULL)
+		return;
+	for (i = 0; i < set->count; i++)
+		free(set->gangs[i]);
+	free(set->gangs);
+	free(set);
+}
+
+size_t
+gang_set_count(const struct gang_set *set)
+{
+	return set->count;
+}
+
+/* Returns the place of the token, or where it would stand. */
+static size_t
+find(const struct gang_set *set, uint64_t token)
+{
+	size_t low = 0, high = set->count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (set->gangs[middle]->token < token)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+/* Without memory the gang is dropped; the next step opens it again. */
+static void
+add(struct gang_set *set, struct gang *gang)
+{
+	size_t at = find(set, gang->token);
+
+	if (set->count == set->room) {
+		size_t room = set->room == 0 ? 64 : 2 * set->room;
+		struct gang **grown =
+		    realloc(set->gangs, room * sizeof(struct gang *));
+
+		if (grown == NULL) {
+			free(gang);
+			return;
+		}
+		set->gangs = grown;
+		set->room = room;
+	}
+	memmove(&set->gangs[at + 1], &set->gangs[at],
+	    (set->count - at) * sizeof(struct gang *));
+	set->gangs[at] = gang;
+	set->count++;
+}
+
+/* Hands the answer to its gang; one for a gang that is gone is ignored. */
+void
+gang_set_answer(
+    struct gang_set *set, const struct gang_answer *answer, int64_t now_ms)
+{
+	size_t at = find(set, answer->token);
+
+	if (at < set->count && set->gangs[at]->token == answer->token)
+		gang_answer_apply(
+		    set->gangs[at], answer, &set->settings, now_ms);
+}
+
+static void
+notice_pause(struct gang_set *set, int64_t now_ms)
+{
+	int64_t late_ms = now_ms - set->expected_ms;
+	size_t i;
+
+	if (set->expected_ms == 0 || set->count == 0 ||
+	    late_ms < set->settings.pause_ms)
+		return;
+	ev_emit(EV_GANG_PAUSE, "late_ms=%lld gangs=%zu", (long long)late_ms,
+	    set->count);
+	for (i = 0; i < set->count; i++)
+		gang_pause_end(set->gangs[i], now_ms);
+}
+
+/* Opens the gangs of placed jobs that this VM owns or stands in for. */
+static void
+open_new(struct gang_set *set, int64_t now_ms)
+{
+	const struct bd_job *job;
+	uint32_t cursor = 0;
+	struct gang *gang;
+	size_t at;
+
+	while ((job = bd_job_next(set->board, &cursor)) != NULL) {
+		if (job->token == 0)
+			continue;
+		if (job->owner != set->self &&
+		    !gang_is_standby(set->board, job, set->self))
+			continue;
+		at = find(set, job->token);
+		if (at < set->count && set->gangs[at]->token == job->token)
+			continue;
+		if (gang_open(&gang, set->board, job, set->self, now_ms) ==
+		    CW_OK)
+			add(set, gang);
+	}
+}
+
+/* Logs what operators want to know of a change of phase. */
+static void
+tell(const struct gang *gang, uint32_t before)
+{
+	if (gang->phase == before)
+		return;
+	if (gang->phase == GANG_RUNNING)
+		ev_emit(EV_GANG_RUNNING, "job=%llu token=%llu members=%u",
+		    (unsigned long long)gang->job,
+		    (unsigned long long)gang->token, gang->member_count);
+	else if (gang->phase == GANG_STOPPING)
+		ev_emit(gang->outcome == REC_OUTCOME_DONE ? EV_GANG_DONE
+							  : EV_GANG_ABORT,
+		    "job=%llu token=%llu from=%s reason=%s worker=%016llx",
+		    (unsigned long long)gang->job,
+		    (unsigned long long)gang->token, gang_phase_name(before),
+		    bd_reason_name(gang->reason),
+		    (unsigned long long)gang->failed_worker);
+}
+
+/* The lease of a gang is that of its member which lapses first. */
+static void
+publish_lease(struct gang_set *set, const struct gang *gang)
+{
+	const struct bd_lease *present;
+	struct bd_lease row = {.id = gang->job,
+	    .token = gang->token,
+	    .phase = gang->phase,
+	    .renewed_ms = INT64_MAX};
+	uint32_t i;
+
+	for (i = 0; i < gang->member_count; i++)
+		if (gang->members[i].report != PF_TASK_DONE &&
+		    gang->members[i].leased_ms < row.renewed_ms)
+			row.renewed_ms = gang->members[i].leased_ms;
+	if (row.renewed_ms == INT64_MAX)
+		row.renewed_ms = 0;
+	if (row.renewed_ms != 0)
+		row.until_ms = row.renewed_ms + set->settings.lease_ms;
+	bd_read_begin();
+	present = bd_lease_lookup(set->board, gang->job);
+	/* A gang of an earlier token that is still being stopped. */
+	if (present != NULL &&
+	    (present->token > row.token ||
+		memcmp(present, &row, sizeof(row)) == 0)) {
+		bd_read_end();
+		return;
+	}
+	bd_read_end();
+	bd_put(set->board, BD_TABLE_lease, BD_WRITER_GANG, row.id, &row,
+	    sizeof(row), NULL);
+}
+
+static void
+publish_usage(struct gang_set *set, struct gang *gang, int64_t now_ms)
+{
+	struct bd_usage row = {.id = gang->job, .reported_ms = now_ms};
+	uint32_t i;
+
+	if (!gang->used || gang->phase != GANG_RUNNING)
+		return;
+	gang->used = false;
+	for (i = 0; i < gang->member_count; i++) {
+		const struct gang_member *member = &gang->members[i];
+
+		row.cores_milli += member->used_cores_milli;
+		row.memory_mb += member->used_memory_mb;
+		if (member->run_ms > row.run_ms)
+			row.run_ms = member->run_ms;
+	}
+	bd_put(set->board, BD_TABLE_usage, BD_WRITER_USAGE, row.id, &row,
+	    sizeof(row), NULL);
+}
+
+static void
+drop_over(struct gang_set *set)
+{
+	const struct bd_lease *lease;
+	size_t i, kept = 0;
+	bool shown;
+
+	for (i = 0; i < set->count; i++) {
+		struct gang *gang = set->gangs[i];
+
+		if (gang->phase != GANG_OVER) {
+			set->gangs[kept++] = gang;
+			continue;
+		}
+		bd_read_begin();
+		lease = bd_lease_lookup(set->board, gang->job);
+		shown = lease != NULL && lease->token == gang->token;
+		bd_read_end();
+		if (shown) {
+			bd_remove(set->board, BD_TABLE_lease, BD_WRITER_GANG,
+			    gang->job);
+			bd_remove(set->board, BD_TABLE_usage, BD_WRITER_USAGE,
+			    gang->job);
+		}
+		free(gang);
+	}
+	set->count = kept;
+}
+
+/*
+ * One step for all gangs; answers that have come were given before. Returns
+ * the time (ms) of the next step.
+ */
+int64_t
+gang_set_step(struct gang_set *set, int64_t now_ms, const struct gang_out *out)
+{
+	int64_t next_ms = INT64_MAX, wanted_ms;
+	size_t i;
+
+	notice_pause(set, now_ms);
+	bd_read_begin();
+	open_new(set, now_ms);
+	for (i = 0; i < set->count; i++) {
+		uint32_t before = set->gangs[i]->phase;
+
+		wanted_ms = gang_decide(set->board, set->gangs[i],
+		    &set->settings, set->self, now_ms, out);
+		if (wanted_ms < next_ms)
+			next_ms = wanted_ms;
+		tell(set->gangs[i], before);
+	}
+	bd_read_end();
+	for (i = 0; i < set->count; i++) {
+		publish_lease(set, set->gangs[i]);
+		publish_usage(set, set->gangs[i], now_ms);
+	}
+	drop_over(set);
+	if (set->count > 0 && next_ms > now_ms + STEP_MAX_MS)
+		next_ms = now_ms + STEP_MAX_MS;
+	if (next_ms < now_ms)
+		next_ms = now_ms;
+	set->expected_ms = next_ms;
+	return next_ms;
+}
--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -266,6 +266,7 @@
 		return CW_OK;
 	json_decref(*json);
 	*json = NULL;
+	ev_emit(EV_PLATFORM_BAD_ANSWER, "path=%.64s", call->path);
 	return cw_error_set(call->is_change ? PF_EUNKNOWN : PF_EMALFORMED,
 	    "answer to %.64s is not a JSON object", call->path);
 }
