--- a/lib/route/once.c
+++ b/lib/route/once.c
@@ -11,7 +11,7 @@
 /* An intent of which nothing is known may still be applied for this long. */
 #define RELEASE_WATCH_MS (10 * 60 * 1000)
 /* Status in an outcome for "did not run": the key is free again. */
-#define STATUS_RELEASED 0
+#define STATUS_RELEASED 0u
 
 /* Waits for the end of one proposal; shared with the follower's thread. */
 struct wait {
@@ -29,9 +29,10 @@
 	uint64_t request;
 	int64_t due_ms;
 	int64_t since_ms;
-	int http_status;
-	size_t answer_bytes;
-	char answer[];
+	bool was_seen; /* the intent was applied */
+	uint32_t http_status;
+	size_t envelope_bytes;
+	char envelope[];
 };
 
 static struct wait *wait_create(void);
@@ -39,12 +40,15 @@
 static void on_done(void *ctx, int status, uint64_t position);
 static int wait_for(struct wait *wait, int64_t timeout_ms);
 static void push_pending(struct rt_route *route, struct rt_pending *pending);
+static size_t pack(const struct rt_answer *answer, char *envelope);
+static bool unpack(
+    const char *envelope, size_t bytes, struct rt_answer *answer);
 static struct rt_pending *make_pending(const struct rt_once *once,
-    uint64_t request, int http_status, const void *answer, size_t bytes);
+    uint64_t request, const struct rt_answer *answer);
 static void propose_outcome(
     struct rt_pending *pending, const struct st_sink *sink, int64_t now_ms);
 static bool is_settled(
-    struct rt_route *route, const struct rt_pending *pending, int64_t now_ms);
+    struct rt_route *route, struct rt_pending *pending, int64_t now_ms);
 
 /* Sets the id of a key: the account and the hash of the key. */
 void
@@ -54,6 +58,51 @@
 	once->id = cw_id_from_pair(account, cw_hash(key, strlen(key), account));
 }
 
+/* Puts an answer into one text: what is known of the run, whether the body is
+ * kept, the content type, a line end, the body. */
+static size_t
+pack(const struct rt_answer *answer, char *envelope)
+{
+	size_t type_bytes = strlen(answer->content_type);
+	bool kept = answer->body_bytes + type_bytes + 3 <= REC_ANSWER_BYTES_MAX;
+
+	envelope[0] = (char)('0' + answer->ran);
+	envelope[1] = kept ? 'K' : 'D';
+	memcpy(envelope + 2, answer->content_type, type_bytes);
+	envelope[2 + type_bytes] = '\n';
+	if (!kept)
+		return type_bytes + 3;
+	if (answer->body_bytes > 0)
+		memcpy(envelope + type_bytes + 3, answer->body,
+		    answer->body_bytes);
+	return type_bytes + 3 + answer->body_bytes;
+}
+
+/* Reads what pack wrote. Returns false where the body is not kept. */
+static bool
+unpack(const char *envelope, size_t bytes, struct rt_answer *answer)
+{
+	const char *end = bytes < 3 ? NULL : memchr(envelope, '\n', bytes);
+	size_t type_bytes;
+
+	answer->ran = RT_RAN_YES;
+	if (end == NULL || end - envelope < 2)
+		return false;
+	type_bytes = (size_t)(end - envelope) - 2;
+	if (envelope[0] >= '0' && envelope[0] <= '2')
+		answer->ran = (enum rt_ran)(envelope[0] - '0');
+	if (type_bytes >= sizeof(answer->content_type) || envelope[1] != 'K')
+		return false;
+	memcpy(answer->content_type, envelope + 2, type_bytes);
+	answer->content_type[type_bytes] = '\0';
+	answer->body_bytes = bytes - type_bytes - 3;
+	answer->body = malloc(answer->body_bytes + 1);
+	if (answer->body == NULL)
+		return false;
+	memcpy(answer->body, end + 1, answer->body_bytes);
+	return true;
+}
+
 /*
  * Tells what the log says of a key: RT_ENOTFOUND (it may run),
  * RT_EINPROGRESS, RT_EREPEATED with the outcome, or RT_EKEYREUSED.
@@ -69,28 +118,24 @@
 	memset(known, 0, sizeof(*known));
 	bd_read_begin();
 	row = bd_request_lookup(route->board, once->id);
-	if (row != NULL &&
-	    !(row->state == BD_REQUEST_DONE &&
-		row->http_status == STATUS_RELEASED)) {
-		known->owner = row->owner;
-		known->request = row->request_id;
-		known->http_status = (int)row->http_status;
+	if (row != NULL) {
+		known->answer.owner = row->owner;
+		known->answer.request = row->request_id;
+		known->answer.account = row->account;
+		known->answer.http_status = (int)row->http_status;
+		known->answer.running = row->state != BD_REQUEST_DONE;
 		owner = bd_member_lookup(route->board, row->owner);
 		known->owner_lost = row->owner != route->settings.self &&
 		    (owner == NULL || owner->state == BD_MEMBER_DEAD);
 		if (row->body_hash != once->body_hash ||
 		    row->service != once->service)
 			code = RT_EKEYREUSED;
-		else if (row->state != BD_REQUEST_DONE)
+		else if (known->answer.running)
 			code = RT_EINPROGRESS;
-		else
+		else {
 			code = RT_EREPEATED;
-	}
-	if (code == RT_EREPEATED && row->answer_bytes > 0) {
-		known->answer = malloc(row->answer_bytes);
-		if (known->answer != NULL) {
-			memcpy(known->answer, row->answer, row->answer_bytes);
-			known->answer_bytes = row->answer_bytes;
+			known->answer_kept = unpack(
+			    row->answer, row->answer_bytes, &known->answer);
 		}
 	}
 	bd_read_end();
@@ -182,22 +227,25 @@
 	    !atomic_compare_exchange_weak(&route->pending_new, &head, pending));
 }
 
+/* Makes an outcome; answer NULL stands for "did not run". */
 static struct rt_pending *
-make_pending(const struct rt_once *once, uint64_t request, int http_status,
-    const void *answer, size_t bytes)
+make_pending(const struct rt_once *once, uint64_t request,
+    const struct rt_answer *answer)
 {
-	struct rt_pending *pending = malloc(sizeof(*pending) + bytes);
+	struct rt_pending *pending = malloc(sizeof(*pending) +
+	    (answer == NULL ? 0 : RT_TYPE_BYTES + 3 + answer->body_bytes));
 
 	if (pending == NULL)
 		return NULL;
 	memset(pending, 0, sizeof(*pending));
 	pending->once = *once;
 	pending->request = request;
-	pending->http_status = http_status;
-	pending->answer_bytes = bytes;
 	pending->since_ms = cw_clock_mono_ms();
-	if (bytes > 0)
-		memcpy(pending->answer, answer, bytes);
+	pending->http_status = STATUS_RELEASED;
+	if (answer != NULL) {
+		pending->http_status = (uint32_t)answer->http_status;
+		pending->envelope_bytes = pack(answer, pending->envelope);
+	}
 	return pending;
 }
 
@@ -210,9 +258,9 @@
 	rec.kind = REC_REQ_OUTCOME;
 	rec.body.req_outcome.id = pending->once.id;
 	rec.body.req_outcome.request_id = pending->request;
-	rec.body.req_outcome.http_status = (uint32_t)pending->http_status;
-	rec.body.req_outcome.answer_bytes = (uint32_t)pending->answer_bytes;
-	rec.body.req_outcome.answer = pending->answer;
+	rec.body.req_outcome.http_status = pending->http_status;
+	rec.body.req_outcome.answer_bytes = (uint32_t)pending->envelope_bytes;
+	rec.body.req_outcome.answer = pending->envelope;
 	pending->due_ms = now_ms + PROPOSE_AGAIN_MS;
 	sink->propose(sink->ctx, &rec, NULL);
 }
@@ -251,7 +299,7 @@
 	if (code == CW_OK)
 		return CW_OK;
 	if (code == ST_EUNKNOWN) {
-		release = make_pending(once, request, STATUS_RELEASED, NULL, 0);
+		release = make_pending(once, request, NULL);
 		if (release != NULL)
 			push_pending(route, release);
 		return RT_ELOG;
@@ -264,20 +312,18 @@
 }
 
 /*
- * Records the outcome of a request that rt_once_begin allowed; http_status 0
- * says that it did not run after all. Answers above REC_ANSWER_BYTES_MAX keep
- * their status only. The controller repeats the record until it is applied.
+ * Records the answer of a request that rt_once_begin allowed. Answers above
+ * REC_ANSWER_BYTES_MAX keep their status only. The controller repeats the
+ * record until it is applied.
  */
 void
 rt_once_end(struct rt_route *route, const struct rt_once *once,
-    uint64_t request, int http_status, const void *answer, size_t bytes,
-    const struct st_sink *sink)
+    const struct rt_answer *answer, const struct st_sink *sink)
 {
-	struct rt_pending *pending;
+	struct rt_pending *pending =
+	    make_pending(once, answer->request, answer);
 
-	if (bytes > REC_ANSWER_BYTES_MAX)
-		bytes = 0;
-	pending = make_pending(once, request, http_status, answer, bytes);
+	assert(answer->http_status != (int)STATUS_RELEASED);
 	/* Without memory the key stays "unknown", which is true. */
 	if (pending == NULL)
 		return;
@@ -285,11 +331,24 @@
 	push_pending(route, pending);
 }
 
+/* Frees the key of a request that rt_once_begin allowed and that did not run
+ * after all. */
+void
+rt_once_release(struct rt_route *route, const struct rt_once *once,
+    uint64_t request, const struct st_sink *sink)
+{
+	struct rt_pending *pending = make_pending(once, request, NULL);
+
+	if (pending == NULL)
+		return;
+	propose_outcome(pending, sink, cw_clock_mono_ms());
+	push_pending(route, pending);
+}
+
 /* An outcome is settled when it is applied, or when its intent is not this
  * VM's or has been expired. A release waits for an intent that may come. */
 static bool
-is_settled(
-    struct rt_route *route, const struct rt_pending *pending, int64_t now_ms)
+is_settled(struct rt_route *route, struct rt_pending *pending, int64_t now_ms)
 {
 	const struct bd_request *row;
 	bool settled;
@@ -298,11 +357,13 @@
 	row = bd_request_lookup(route->board, pending->once.id);
 	if (row == NULL)
 		settled = pending->http_status != STATUS_RELEASED ||
+		    pending->was_seen ||
 		    now_ms - pending->since_ms > RELEASE_WATCH_MS;
 	else
 		settled = row->state == BD_REQUEST_DONE ||
 		    row->request_id != pending->request ||
 		    row->owner != route->settings.self;
+	pending->was_seen |= row != NULL;
 	bd_read_end();
 	return settled;
 }
@@ -330,16 +391,8 @@
 			free(pending);
 			continue;
 		}
-		if (pending->due_ms <= now_ms) {
-			bool absent;
-
-			bd_read_begin();
-			absent = bd_request_lookup(
-				     route->board, pending->once.id) == NULL;
-			bd_read_end();
-			if (!absent)
-				propose_outcome(pending, sink, now_ms);
-		}
+		if (pending->due_ms <= now_ms && pending->was_seen)
+			propose_outcome(pending, sink, now_ms);
 		link = &pending->next;
 	}
 	return now_ms + 500;
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -170,39 +170,7 @@
     int64_t now_us, struct rt_pick *pick);
 
 /*
- * 4. At most once. rt_once_begin blocks until the intent is applied; only
- * CW_OK allows the first byte to leave.
- */
-struct rt_once {
-	uint64_t id; /* row of table request */
-	uint64_t account;
-	uint64_t service;
-	uint64_t body_hash;
-};
-
-struct rt_known {
-	uint64_t owner;
-	uint64_t request;
-	int http_status;
-	bool owner_lost; /* the VM that ran it is gone */
-	char *answer; /* the caller frees it; NULL where only the status is kept
-		       */
-	size_t answer_bytes;
-};
-
-void rt_once_id(struct rt_once *once, uint64_t account, const char *key);
-int rt_once_lookup(
-    struct rt_route *route, const struct rt_once *once, struct rt_known *known);
-int rt_once_begin(struct rt_route *route, const struct rt_once *once,
-    uint64_t request, const struct st_sink *sink, int64_t timeout_ms);
-void rt_once_end(struct rt_route *route, const struct rt_once *once,
-    uint64_t request, int http_status, const void *answer, size_t bytes,
-    const struct st_sink *sink);
-int64_t rt_once_step(
-    struct rt_route *route, const struct st_sink *sink, int64_t now_ms);
-
-/*
- * 5. Answers kept for GET /v1/requests/{id}. An id names the owner VM.
+ * 4. Answers kept for GET /v1/requests/{id}. An id names the owner VM.
  */
 #define RT_ID_BYTES 33
 #define RT_TYPE_BYTES 64
@@ -244,6 +212,35 @@
 	void *ctx;
 };
 
+/*
+ * 5. At most once. rt_once_begin blocks until the intent is applied; only
+ * CW_OK allows the first byte to leave.
+ */
+struct rt_once {
+	uint64_t id; /* row of table request */
+	uint64_t account;
+	uint64_t service;
+	uint64_t body_hash;
+};
+
+struct rt_known {
+	struct rt_answer answer; /* the caller frees its body */
+	bool answer_kept;        /* false: only its status is known */
+	bool owner_lost;         /* the VM that ran it is gone */
+};
+
+void rt_once_id(struct rt_once *once, uint64_t account, const char *key);
+int rt_once_lookup(
+    struct rt_route *route, const struct rt_once *once, struct rt_known *known);
+int rt_once_begin(struct rt_route *route, const struct rt_once *once,
+    uint64_t request, const struct st_sink *sink, int64_t timeout_ms);
+void rt_once_end(struct rt_route *route, const struct rt_once *once,
+    const struct rt_answer *answer, const struct st_sink *sink);
+void rt_once_release(struct rt_route *route, const struct rt_once *once,
+    uint64_t request, const struct st_sink *sink);
+int64_t rt_once_step(
+    struct rt_route *route, const struct st_sink *sink, int64_t now_ms);
+
 /*
  * 6. Controllers. Each is called by its own runner thread and returns when it
  * wants to run again (ms).
--- a/lib/state/apply_request.c
+++ b/lib/state/apply_request.c
@@ -38,7 +38,8 @@
 }
 
 /* REQ_OUTCOME: keeps the answer of the request that holds the intent. Stale
- * for any other request id and after the first outcome. */
+ * for any other request id and after the first outcome. Status 0 says that the
+ * request did not run: its key is free again. */
 int
 st_apply_req_outcome(
     struct st_state *state, const struct rec *rec, uint64_t position)
@@ -56,6 +57,8 @@
 	    present.request_id != body->request_id ||
 	    present.state != BD_REQUEST_INTENT)
 		return ST_ESTALE;
+	if (body->http_status == 0)
+		return st_row_remove(state, BD_TABLE_request, body->id);
 	if (state->answer_bytes + kept > ANSWERS_BYTES_MAX)
 		kept = 0;
 	row = malloc(sizeof(*row) + kept);
--- a/tests/route_fixture.h
+++ b/tests/route_fixture.h
@@ -4,24 +4,29 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <list>
+#include <map>
+#include <mutex>
 #include <string>
+#include <vector>
 
+#include "config.h"
 #include "route.h"
+#include "state.h"
 
 // A board with one service and accounts, and the router over it. Time is the
 // field now_ms, which only the test moves.
 struct Router {
-	static constexpr uint64_t SELF = 77;
-
-	Router()
+	explicit Router(uint64_t incarnation = 77) : self(incarnation)
 	{
 		struct rt_settings settings;
 		struct bd_service row = {};
 
 		rt_seed(1);
 		EXPECT_EQ(bd_board_create(&board), CW_OK);
+		EXPECT_EQ(st_create(&state, board), CW_OK);
 		rt_settings_default(&settings);
-		settings.self = SELF;
+		settings.self = self;
 		settings.zone = cw_id_from_name("z1");
 		settings.region = cw_id_from_name("r1");
 		settings.queue_max = 8;
@@ -43,6 +48,7 @@
 	~Router()
 	{
 		rt_destroy(route);
+		st_destroy(state);
 		bd_board_destroy(board);
 	}
 	Router(const Router &) = delete;
@@ -129,14 +135,14 @@
 		o.started_us = o.ended_us - took_us;
 		rt_attempt_done(route, &p, &o);
 	}
+	uint64_t self;
 	struct bd_board *board = nullptr;
+	struct st_state *state = nullptr;
 	struct rt_route *route = nullptr;
 	uint64_t service = 0;
 	int64_t now_ms = 1000000;
 };
 
-#include "config.h"
-
 inline uint64_t
 Router::account(const char *name, uint32_t rate, uint32_t concurrency,
     uint32_t queue_max, const char *key)
@@ -153,4 +159,67 @@
 	return row.id;
 }
 
+// The log of several VMs: a record is applied on all of them at once, in the
+// order of the proposals.
+struct FakeLog {
+	enum Mode {
+		UP,
+		DOWN, // proposals are refused
+		LOST, // applied, but the answer is lost
+		MUTE, // neither applied nor answered, until the next mode
+	};
+
+	explicit FakeLog(std::vector<Router *> routers) : vms(routers)
+	{
+	}
+	struct st_sink
+	sink(Router &vm)
+	{
+		contexts.push_back({this, &vm});
+		return {propose, &contexts.back()};
+	}
+	struct Context {
+		FakeLog *log;
+		Router *vm;
+	};
+	static int
+	propose(void *ctx, const struct rec *rec, const struct st_done *done)
+	{
+		Context *c = static_cast<Context *>(ctx);
+		FakeLog *log = c->log;
+		std::lock_guard<std::mutex> guard(log->lock);
+
+		log->proposed[rec->kind]++;
+		if (log->mode == DOWN)
+			return ST_EUNAVAILABLE;
+		if (log->mode == MUTE)
+			return CW_OK;
+		struct rec copy = *rec;
+		copy.writer = c->vm->self;
+		copy.sequence = ++log->sequence;
+		copy.time_ms = 1000;
+		int code = CW_OK;
+		log->position++;
+		for (Router *vm : log->vms) {
+			int status = st_apply(vm->state, &copy, log->position);
+			if (vm == c->vm)
+				code = status;
+		}
+		log->applied[rec->kind] += code == CW_OK;
+		if (done != nullptr)
+			done->call(done->ctx,
+			    log->mode == LOST ? (int)ST_EUNKNOWN : code,
+			    log->position);
+		return CW_OK;
+	}
+	std::vector<Router *> vms;
+	Mode mode = UP;
+	std::mutex lock;
+	std::list<Context> contexts;
+	uint64_t sequence = 0;
+	uint64_t position = 0;
+	std::map<uint32_t, int> proposed;
+	std::map<uint32_t, int> applied;
+};
+
 #endif
