Add the proxy behind POST /v1/services and GET /v1/requests

Cause: callers need one true answer for each request, whatever happens to upstreams, connections, the log and this VM. Change: checks, limits, queue, intent and attempts over typed structs; HTTP in a file of its own. Errors say whether the request ran; a truncated answer is an error; answers outlive their caller's connection; Prefer: respond-async gives 202 with the id. A silent kept connection is given up early where the request may be tried again. A request whose deadline passed before the start, as after a pause, is not run and frees its key. Conclusion: 50 races of two VMs ran each key once; the tests bring about an upstream that dies before, during and after its answer, a log outage and a pause.

--- /dev/null
+++ b/lib/front/proxy.c
@@ -0,0 +1,373 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "proxy_internal.h"
+
+/* Time for the log to take an intent. */
+#define INTENT_TIMEOUT_MS 3000
+#define LOG_RETRY_MS 1000
+#define ASYNC_RETRY_MS 1000
+#define BYTES_ESTIMATE 2048
+#define ASYNC_THREADS_DEFAULT 16
+#define ASYNC_QUEUE_DEFAULT 64
+
+static bool read_service(struct fr_task *task, struct fr_proxy_answer *answer);
+static bool service_allows(const struct bd_service *service, uint64_t account);
+static bool read_class(struct fr_task *task, struct fr_proxy_answer *answer);
+static bool answer_known(struct fr_task *task, struct fr_proxy_answer *answer);
+static void answer_in_progress(struct fr_task *task,
+    const struct rt_known *known, struct fr_proxy_answer *answer);
+static bool admit(struct fr_task *task, struct fr_proxy_answer *answer);
+static bool begin_once(struct fr_task *task, struct fr_proxy_answer *answer);
+static void give_back(struct fr_task *task);
+static void respond_later(struct fr_task *task, struct fr_proxy_answer *answer);
+
+/* Creates a proxy; what config points to must outlive it. */
+int
+fr_proxy_create(struct fr_proxy **out, const struct fr_proxy_config *config)
+{
+	struct fr_proxy *proxy = calloc(1, sizeof(*proxy));
+
+	assert(config->route != NULL && config->upstream.call != NULL);
+	if (proxy == NULL)
+		return cw_error_set(CW_ENOMEM, "no memory for the proxy");
+	proxy->config = *config;
+	if (config->async_threads == 0)
+		proxy->config.async_threads = ASYNC_THREADS_DEFAULT;
+	if (config->async_queue == 0)
+		proxy->config.async_queue = ASYNC_QUEUE_DEFAULT;
+	if (fr_async_start(proxy) != CW_OK) {
+		fr_proxy_destroy(proxy);
+		return cw_error_set(CW_ENOMEM, "no threads for the proxy");
+	}
+	*out = proxy;
+	return CW_OK;
+}
+
+/* Waits for the requests that are answered later, and frees the proxy. */
+void
+fr_proxy_destroy(struct fr_proxy *proxy)
+{
+	fr_async_stop(proxy);
+	free(proxy);
+}
+
+/* Returns the board that the proxy reads. */
+const struct bd_board *
+fr_proxy_board(const struct fr_proxy *proxy)
+{
+	return proxy->config.board;
+}
+
+static bool
+service_allows(const struct bd_service *service, uint64_t account)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->account_count; i++)
+		if (service->accounts[i] == account)
+			return true;
+	return false;
+}
+
+/* Reads the service's row into the task; an account that may not use it does
+ * not learn whether it exists. */
+static bool
+read_service(struct fr_task *task, struct fr_proxy_answer *answer)
+{
+	const struct fr_proxy_request *request = &task->request;
+	const struct bd_service *row;
+	size_t body_max = 0;
+
+	task->service = cw_id_from_name(request->service);
+	bd_read_begin();
+	row = bd_service_lookup(task->proxy->config.board, task->service);
+	if (row != NULL && !service_allows(row, request->account))
+		row = NULL;
+	if (row != NULL) {
+		task->timeout_ms = row->timeout_ms;
+		task->attempts_max =
+		    row->attempts_max == 0 ? 1 : row->attempts_max;
+		task->answer_bytes_max = row->answer_max_bytes;
+		task->admission.class_number = row->class_default;
+		body_max = row->body_max_bytes;
+	}
+	bd_read_end();
+	if (row == NULL) {
+		fr_answer_error(answer, 404, RT_RAN_NOT, 0, "no such service");
+		return false;
+	}
+	if (request->body_bytes > body_max) {
+		fr_answer_error(answer, 413, RT_RAN_NOT, 0,
+		    "the body is longer than the service allows");
+		return false;
+	}
+	return true;
+}
+
+static bool
+read_class(struct fr_task *task, struct fr_proxy_answer *answer)
+{
+	const char *name = task->request.class_name;
+	uint32_t i;
+
+	if (name == NULL)
+		return true;
+	for (i = 0; i < BD_CLASS_COUNT; i++)
+		if (strcmp(name, bd_class_name(i)) == 0) {
+			task->admission.class_number = i;
+			return true;
+		}
+	fr_answer_error(answer, 400, RT_RAN_NOT, 0,
+	    "X-Class must be urgent, normal or batch");
+	return false;
+}
+
+/* The owner may have the answer before the log has it. */
+static void
+answer_in_progress(struct fr_task *task, const struct rt_known *known,
+    struct fr_proxy_answer *answer)
+{
+	struct rt_answer kept;
+	uint64_t owner = known->answer.owner;
+
+	if (!known->owner_lost &&
+	    fr_answer_find(task->proxy, owner, known->answer.request, &kept) ==
+		CW_OK) {
+		if (!kept.running && kept.account == task->request.account) {
+			fr_answer_kept(answer, &kept);
+			return;
+		}
+		free(kept.body);
+	}
+	fr_answer_error(answer, 409, RT_RAN_UNKNOWN, 0,
+	    known->owner_lost
+		? "the VM that ran this key is gone; its answer is unknown"
+		: "a request with this key is in progress");
+	answer->state = known->owner_lost ? "owner_lost" : "in_progress";
+	rt_id_format(owner, known->answer.request, answer->id);
+}
+
+/* Answers a repeat of a key by what is known; false for a new key. */
+static bool
+answer_known(struct fr_task *task, struct fr_proxy_answer *answer)
+{
+	struct rt_known known;
+	int code =
+	    rt_once_lookup(task->proxy->config.route, &task->once, &known);
+
+	switch (code) {
+	case RT_ENOTFOUND:
+		return false;
+	case RT_EKEYREUSED:
+		fr_answer_error(answer, 422, RT_RAN_NOT, 0,
+		    "this key was used before with another body or service");
+		return true;
+	case RT_EINPROGRESS:
+		answer_in_progress(task, &known, answer);
+		return true;
+	default:
+		break;
+	}
+	if (known.answer_kept ||
+	    (fr_answer_find(task->proxy, known.answer.owner,
+		 known.answer.request, &known.answer) == CW_OK &&
+		!known.answer.running)) {
+		fr_answer_kept(answer, &known.answer);
+		return true;
+	}
+	fr_answer_error(answer, 502, RT_RAN_YES, 0,
+	    "the request ran before; its answer was too large to keep");
+	return true;
+}
+
+static void
+give_back(struct fr_task *task)
+{
+	struct rt_outcome outcome = {0};
+
+	outcome.kind = RT_OUTCOME_UNUSED;
+	outcome.started_us = outcome.ended_us = cw_clock_mono_us();
+	rt_attempt_done(task->proxy->config.route, &task->pick, &outcome);
+	rt_leave(task->proxy->config.route, task->request.account);
+}
+
+/* Records the intent of a request with a key. No byte has left before it is
+ * applied. */
+static bool
+begin_once(struct fr_task *task, struct fr_proxy_answer *answer)
+{
+	const struct fr_proxy_config *config = &task->proxy->config;
+	int64_t left_ms =
+	    (task->admission.deadline_us - cw_clock_mono_us()) / 1000;
+	int code;
+
+	if (left_ms > INTENT_TIMEOUT_MS)
+		left_ms = INTENT_TIMEOUT_MS;
+	code = rt_once_begin(config->route, &task->once, task->number,
+	    &config->sink, left_ms < 1 ? 1 : left_ms);
+	if (code == CW_OK)
+		return true;
+	give_back(task);
+	if (code == RT_EINPROGRESS && answer_known(task, answer))
+		return false;
+	fr_answer_error(answer, 503, RT_RAN_NOT, LOG_RETRY_MS,
+	    "the log does not take the request at the moment");
+	return false;
+}
+
+/* Passes limits, the queue and, with a key, the log. Where it returns false
+ * the answer is set and nothing is held. */
+static bool
+admit(struct fr_task *task, struct fr_proxy_answer *answer)
+{
+	const struct fr_proxy_config *config = &task->proxy->config;
+	uint64_t account = task->request.account;
+	struct rt_refusal refusal = {0};
+	int64_t asked_us = cw_clock_mono_us();
+	int64_t now_us;
+	int code;
+
+	code = rt_enter(config->route, account, asked_us, &refusal);
+	if (code == CW_OK) {
+		code = rt_admit(config->route, &task->admission, asked_us,
+		    &task->pick, &refusal);
+		if (code != CW_OK)
+			rt_leave(config->route, account);
+	}
+	now_us = cw_clock_mono_us();
+	if (code != CW_OK) {
+		fr_answer_refusal(answer, code, &refusal);
+		return false;
+	}
+	rt_time(config->route, account, task->admission.class_number,
+	    RT_HIST_QUEUE, now_us - asked_us);
+	return !task->has_once || begin_once(task, answer);
+}
+
+/* Hands an admitted request to the threads and answers with its id. */
+static void
+respond_later(struct fr_task *task, struct fr_proxy_answer *answer)
+{
+	struct fr_proxy *proxy = task->proxy;
+	struct rt_answer note = {0};
+	struct fr_task *copy = fr_task_copy(task);
+
+	if (copy == NULL) {
+		fr_async_give_up(proxy);
+		if (task->has_once)
+			rt_once_release(proxy->config.route, &task->once,
+			    task->number, &proxy->config.sink);
+		give_back(task);
+		fr_answer_error(
+		    answer, 503, RT_RAN_NOT, ASYNC_RETRY_MS, "short of memory");
+		return;
+	}
+	note.owner = proxy->config.self;
+	note.request = task->number;
+	note.account = task->request.account;
+	note.running = true;
+	note.http_status = 202;
+	note.ran = RT_RAN_UNKNOWN;
+	rt_answer_put(proxy->config.route, &note, cw_clock_mono_ms());
+	fr_async_push(proxy, copy);
+	answer->status = 202;
+	answer->ran = RT_RAN_UNKNOWN;
+	answer->state = "in_progress";
+}
+
+/*
+ * Runs one request: checks, limits, queue, attempts. Blocks until the answer,
+ * at most until the deadline; with respond_async until the request is
+ * admitted. The answer is complete in every case.
+ */
+void
+fr_proxy_run(struct fr_proxy *proxy, const struct fr_proxy_request *request,
+    struct fr_proxy_answer *answer)
+{
+	struct fr_task task = {0};
+	int64_t allowed_ms;
+
+	memset(answer, 0, sizeof(*answer));
+	task.proxy = proxy;
+	task.request = *request;
+	task.arrived_us = cw_clock_mono_us();
+	if (!read_service(&task, answer) || !read_class(&task, answer))
+		return;
+	allowed_ms = task.timeout_ms;
+	if (request->deadline_ms > 0 && request->deadline_ms < allowed_ms)
+		allowed_ms = request->deadline_ms;
+	task.idempotent = request->key == NULL && !request->non_idempotent;
+	task.admission.service = task.service;
+	task.admission.account = request->account;
+	task.admission.idempotent = task.idempotent;
+	task.admission.bytes_estimate = request->body_bytes + BYTES_ESTIMATE;
+	task.admission.deadline_us = task.arrived_us + allowed_ms * 1000;
+	task.number = rt_request_number(proxy->config.route);
+	rt_id_format(proxy->config.self, task.number, task.id);
+	memcpy(answer->id, task.id, sizeof(answer->id));
+	if (request->key != NULL) {
+		task.has_once = true;
+		rt_once_id(&task.once, request->account, request->key);
+		task.once.service = task.service;
+		task.once.body_hash =
+		    cw_hash(request->body, request->body_bytes, 0);
+		if (answer_known(&task, answer))
+			return;
+	}
+	if (request->respond_async && !fr_async_promise(proxy)) {
+		fr_answer_error(answer, 503, RT_RAN_NOT, ASYNC_RETRY_MS,
+		    "too many requests are answered later");
+		return;
+	}
+	if (!admit(&task, answer)) {
+		if (request->respond_async)
+			fr_async_give_up(proxy);
+		return;
+	}
+	if (request->respond_async)
+		respond_later(&task, answer);
+	else
+		fr_task_run(&task, answer);
+}
+
+/* Finds the answer of an earlier request of the account by its id. */
+void
+fr_proxy_fetch(struct fr_proxy *proxy, uint64_t account, const char *id,
+    struct fr_proxy_answer *answer)
+{
+	struct rt_answer kept = {0};
+	uint64_t owner = 0;
+	uint64_t number = 0;
+	int code;
+
+	memset(answer, 0, sizeof(*answer));
+	code = rt_id_parse(id, &owner, &number);
+	if (code == CW_OK)
+		code = fr_answer_find(proxy, owner, number, &kept);
+	if (code == RT_EPEER)
+		code = rt_once_find(proxy->config.route, owner, number, &kept);
+	if (code == CW_OK && kept.account != account) {
+		free(kept.body);
+		code = RT_ENOTFOUND;
+	}
+	if (code == CW_OK && !kept.running) {
+		fr_answer_kept(answer, &kept);
+		return;
+	}
+	if (code == CW_OK) {
+		free(kept.body);
+		answer->status = 202;
+		answer->ran = RT_RAN_UNKNOWN;
+		answer->state = "in_progress";
+		rt_id_format(owner, number, answer->id);
+		return;
+	}
+	if (code == RT_ENOTFOUND)
+		fr_answer_error(answer, 404, RT_RAN_UNKNOWN, 0,
+		    "no answer with this id is kept");
+	else
+		fr_answer_error(answer, 503, RT_RAN_UNKNOWN, LOG_RETRY_MS,
+		    "the VM that owns this request does not answer");
+}
--- a/lib/link/http_message.c
+++ b/lib/link/http_message.c
@@ -23,6 +23,18 @@
 	response->header_count++;
 }
 
+/* Sets the type of the body; longer ones and those with line ends are left at
+ * the default. */
+void
+lk_http_response_type(
+    struct lk_http_response *response, const char *content_type)
+{
+	if (strlen(content_type) < sizeof(response->content_type) &&
+	    strpbrk(content_type, "\r\n") == NULL)
+		memcpy(response->content_type, content_type,
+		    strlen(content_type) + 1);
+}
+
 /* Sets the status and a copy of the body. Returns CW_ENOMEM, and the response
  * is then 500 without a body. */
 int
--- a/lib/link/http_server.h
+++ b/lib/link/http_server.h
@@ -36,8 +36,8 @@
 
 struct lk_http_response {
 	int status;
-	const char *content_type; /* application/json unless set */
-	bool close;               /* end the connection after the answer */
+	char content_type[64]; /* application/json unless set */
+	bool close;            /* end the connection after the answer */
 	uint32_t header_count;
 	struct {
 		char name[LK_HTTP_HEADER_NAME_BYTES];
@@ -55,6 +55,8 @@
 
 void lk_http_response_header(
     struct lk_http_response *response, const char *name, const char *value);
+void lk_http_response_type(
+    struct lk_http_response *response, const char *content_type);
 int lk_http_response_copy(struct lk_http_response *response, int status,
     const void *body, size_t bytes);
 void lk_http_response_take(struct lk_http_response *response, int status,
--- a/lib/route/figures.c
+++ b/lib/route/figures.c
@@ -49,7 +49,8 @@
 rt_outcome_name(enum rt_outcome_kind kind)
 {
 	static const char *const names[RT_OUTCOME_COUNT] = {"ok", "pushback",
-	    "error", "not_started", "lost", "truncated", "timeout", "silent"};
+	    "error", "not_started", "lost", "truncated", "timeout", "silent",
+	    "unused"};
 
 	assert(kind < RT_OUTCOME_COUNT);
 	return names[kind];
--- a/lib/route/once.c
+++ b/lib/route/once.c
@@ -144,6 +144,34 @@
 	return code;
 }
 
+/* Finds the outcome of a request by its id, for one whose owner is gone. Looks
+ * at every entry. Returns RT_ENOTFOUND. */
+int
+rt_once_find(struct rt_route *route, uint64_t owner, uint64_t request,
+    struct rt_answer *out)
+{
+	const struct bd_request *row;
+	uint32_t cursor = 0;
+	int code = RT_ENOTFOUND;
+
+	memset(out, 0, sizeof(*out));
+	bd_read_begin();
+	while ((row = bd_request_next(route->board, &cursor)) != NULL) {
+		if (row->owner != owner || row->request_id != request)
+			continue;
+		out->owner = owner;
+		out->request = request;
+		out->account = row->account;
+		out->http_status = (int)row->http_status;
+		out->running = row->state != BD_REQUEST_DONE;
+		if (out->running || unpack(row->answer, row->answer_bytes, out))
+			code = CW_OK;
+		break;
+	}
+	bd_read_end();
+	return code;
+}
+
 static struct wait *
 wait_create(void)
 {
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -41,8 +41,8 @@
     const struct rt_index *index, const struct rt_group *group, int64_t now_us);
 static bool pay_crossing(struct rt_route *route, const struct rt_index *index,
     uint64_t bytes, int64_t now_us);
-static void fill(struct rt_pick *pick, const struct rt_candidate *candidate,
-    uint64_t service);
+static void fill(const struct rt_route *route, struct rt_pick *pick,
+    const struct rt_candidate *candidate, uint64_t service);
 static void average(atomic_uint *gauge, int64_t value_us);
 static bool is_failure(const struct rt_gauge *gauge,
     const struct rt_outcome *outcome, int64_t elapsed_us);
@@ -239,9 +239,12 @@
 }
 
 static void
-fill(struct rt_pick *pick, const struct rt_candidate *candidate,
-    uint64_t service)
+fill(const struct rt_route *route, struct rt_pick *pick,
+    const struct rt_candidate *candidate, uint64_t service)
 {
+	pick->latency_us = atomic_load_explicit(
+	    &route->gauges[candidate->runner.index].latency_us,
+	    memory_order_relaxed);
 	pick->runner = candidate->runner;
 	pick->runner_id = candidate->id;
 	pick->service = service;
@@ -278,7 +281,7 @@
 			found = choose_probe(
 			    route, index, &service->probes, now_us);
 		if (found != NULL) {
-			fill(pick, found, admission->service);
+			fill(route, pick, found, admission->service);
 			pick->probe = true;
 		}
 	}
@@ -296,7 +299,7 @@
 			continue;
 		found = choose(route, index, group, query, now_us);
 		if (found != NULL)
-			fill(pick, found, admission->service);
+			fill(route, pick, found, admission->service);
 		if (found != NULL && pays)
 			pick->bytes_reserved = admission->bytes_estimate;
 		else if (pays)
--- a/lib/route/retry.c
+++ b/lib/route/retry.c
@@ -29,6 +29,14 @@
 		    FIRST_TRY_TENTHS, memory_order_relaxed);
 }
 
+/* Tells whether the budget pays for a retry at the moment. */
+bool
+rt_retry_is_paid(const struct rt_route *route)
+{
+	return atomic_load_explicit(&((struct rt_route *)route)->retry_tenths,
+		   memory_order_relaxed) >= RETRY_TENTHS;
+}
+
 static bool
 take_budget(struct rt_route *route)
 {
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -81,6 +81,7 @@
 	enum rt_distance distance;
 	bool probe; /* half-open: one request tests an ejected runner */
 	uint64_t bytes_reserved;
+	uint32_t latency_us; /* usual one of the runner, 0: unknown */
 };
 
 struct rt_admission {
@@ -107,6 +108,7 @@
 	RT_OUTCOME_TRUNCATED,
 	RT_OUTCOME_TIMEOUT,
 	RT_OUTCOME_SILENT, /* kept connection without a byte of answer */
+	RT_OUTCOME_UNUSED, /* the place was given back without an attempt */
 	RT_OUTCOME_COUNT,
 };
 
@@ -157,6 +159,7 @@
 
 /* Counts a first try, which pays 0.1 of a retry. */
 void rt_retry_first(struct rt_route *route);
+bool rt_retry_is_paid(const struct rt_route *route);
 
 struct rt_pick_query {
 	const struct rt_admission *admission;
@@ -238,6 +241,8 @@
     const struct rt_answer *answer, const struct st_sink *sink);
 void rt_once_release(struct rt_route *route, const struct rt_once *once,
     uint64_t request, const struct st_sink *sink);
+int rt_once_find(struct rt_route *route, uint64_t owner, uint64_t request,
+    struct rt_answer *out);
 int64_t rt_once_step(
     struct rt_route *route, const struct st_sink *sink, int64_t now_ms);
 
--- a/tests/route_fixture.h
+++ b/tests/route_fixture.h
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <functional>
 #include <list>
 #include <map>
 #include <mutex>
@@ -189,6 +190,8 @@
 		FakeLog *log = c->log;
 		std::lock_guard<std::mutex> guard(log->lock);
 
+		if (log->before)
+			log->before();
 		log->proposed[rec->kind]++;
 		if (log->mode == DOWN)
 			return ST_EUNAVAILABLE;
@@ -214,6 +217,7 @@
 	}
 	std::vector<Router *> vms;
 	Mode mode = UP;
+	std::function<void()> before; // runs ahead of each proposal
 	std::mutex lock;
 	std::list<Context> contexts;
 	uint64_t sequence = 0;
--- /dev/null
+++ b/tests/test_front_proxy.cc
@@ -0,0 +1,406 @@
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "fake_upstream.h"
+#include "front.h"
+#include "proxy.h"
+#include "route_fixture.h"
+
+namespace {
+
+// One entry VM: router, proxy and a scripted upstream behind the callback.
+struct Vm : Router {
+	using Script =
+	    std::function<void(const lk_http_call &, lk_http_answer *, int)>;
+
+	explicit Vm(uint64_t incarnation = 77) : Router(incarnation)
+	{
+		now_ms = cw_clock_mono_ms();
+		step();
+	}
+	~Vm()
+	{
+		if (proxy != nullptr)
+			fr_proxy_destroy(proxy);
+	}
+	void
+	start(FakeLog &log, Script s, struct lk_http_caller *real = nullptr)
+	{
+		struct fr_proxy_config config = {};
+		script = std::move(s);
+		config.board = board;
+		config.route = route;
+		config.upstream = {call, this};
+		if (real != nullptr)
+			config.upstream = *real;
+		config.sink = log.sink(*this);
+		config.peer = {fetch, this};
+		config.self = self;
+		config.async_threads = 2;
+		config.async_queue = 2;
+		ASSERT_EQ(fr_proxy_create(&proxy, &config), CW_OK);
+		step();
+		for (int i = 0; i < 40; i++)
+			rt_retry_first(route);
+	}
+	static int
+	call(void *ctx, const struct lk_http_call *out,
+	    struct lk_http_answer *answer)
+	{
+		Vm *vm = static_cast<Vm *>(ctx);
+		memset(answer, 0, sizeof(*answer));
+		answer->retry_after_ms = -1;
+		vm->script(*out, answer, vm->calls++);
+		return CW_OK;
+	}
+	static int
+	fetch(void *ctx, uint64_t, uint64_t request, struct rt_answer *out)
+	{
+		Vm *other = static_cast<Vm *>(ctx)->other;
+		return other == nullptr
+		    ? (int)RT_EPEER
+		    : rt_answer_get(other->route, request, out);
+	}
+	struct fr_proxy_answer
+	run(const char *key = nullptr, const char *body = "ask",
+	    int64_t deadline_ms = 0, bool async = false)
+	{
+		struct fr_proxy_request request = {};
+		struct fr_proxy_answer answer;
+		request.account = cw_id_from_name("himal");
+		request.service = "quotes";
+		request.key = key;
+		request.body = body;
+		request.body_bytes = strlen(body);
+		request.deadline_ms = deadline_ms;
+		request.respond_async = async;
+		fr_proxy_run(proxy, &request, &answer);
+		text.assign((char *)answer.body, answer.body_bytes);
+		free(answer.body);
+		answer.body = nullptr;
+		EXPECT_EQ(rt_in_flight(route), async ? rt_in_flight(route) : 0);
+		return answer;
+	}
+	Script script;
+	struct fr_proxy *proxy = nullptr;
+	Vm *other = nullptr;
+	std::atomic<int> calls{0};
+	std::string text;
+};
+
+void
+whole(struct lk_http_answer *answer, int status, const char *body)
+{
+	answer->outcome = LK_HTTP_WHOLE;
+	answer->status = status;
+	answer->body = strdup(body);
+	answer->body_bytes = strlen(body);
+	strcpy(answer->content_type, "text/plain");
+}
+
+// Guards against a wrong word on whether the request ran, and against retries
+// of what may have run, for every way in which an upstream can die.
+TEST(FrontProxy, UpstreamThatDiesBeforeDuringAndAfterItsAnswer)
+{
+	struct {
+		enum lk_http_outcome outcome;
+		bool keyed;
+		int calls; // the service allows 3 attempts
+		int status;
+		enum rt_ran ran;
+	} cases[] = {
+	    {LK_HTTP_WHOLE, false, 1, 200, RT_RAN_YES},
+	    {LK_HTTP_NOT_STARTED, false, 3, 503, RT_RAN_NOT},
+	    {LK_HTTP_LOST, false, 3, 502, RT_RAN_UNKNOWN},
+	    {LK_HTTP_TRUNCATED, false, 3, 502, RT_RAN_UNKNOWN},
+	    {LK_HTTP_TOO_LARGE, false, 1, 502, RT_RAN_YES},
+	    {LK_HTTP_TIMEOUT, true, 1, 504, RT_RAN_UNKNOWN},
+	    {LK_HTTP_NOT_STARTED, true, 3, 503, RT_RAN_NOT},
+	    {LK_HTTP_LOST, true, 1, 502, RT_RAN_UNKNOWN},
+	    {LK_HTTP_TRUNCATED, true, 1, 502, RT_RAN_UNKNOWN},
+	};
+	for (auto &c : cases) {
+		Vm vm;
+		FakeLog log({&vm});
+		vm.runner("10.0.0.1:1", 4);
+		vm.runner("10.0.0.2:1", 4);
+		vm.start(log, [&](auto &, lk_http_answer *answer, int) {
+			if (c.outcome == LK_HTTP_WHOLE)
+				whole(answer, 200, "fine");
+			else
+				answer->outcome = c.outcome;
+		});
+		struct fr_proxy_answer got = vm.run(c.keyed ? "k" : nullptr);
+		EXPECT_EQ(vm.calls, c.calls) << c.outcome << c.keyed;
+		EXPECT_EQ(got.status, c.status) << c.outcome << c.keyed;
+		EXPECT_EQ(got.ran, c.ran) << c.outcome << c.keyed;
+		EXPECT_EQ(got.is_error, c.outcome != LK_HTTP_WHOLE);
+		EXPECT_EQ(got.retry_after_ms > 0, got.ran == RT_RAN_NOT);
+		if (!c.keyed)
+			continue;
+		// A repeat runs only what was not run.
+		int before = vm.calls;
+		struct fr_proxy_answer again = vm.run("k");
+		EXPECT_EQ(vm.calls > before, c.ran == RT_RAN_NOT);
+		EXPECT_EQ(again.ran, c.ran);
+	}
+}
+
+// Guards against a retry on the same runner or over a kept connection, and
+// against one that takes no account of the time that is left.
+TEST(FrontProxy, SilentConnectionIsReplaced)
+{
+	Vm vm;
+	FakeLog log({&vm});
+	std::vector<lk_http_call> calls;
+	std::vector<std::string> runners;
+
+	vm.runner("10.0.0.1:1", 4);
+	vm.runner("10.0.0.2:1", 4);
+	vm.start(log,
+	    [&](const lk_http_call &call, lk_http_answer *answer, int number) {
+		    calls.push_back(call);
+		    runners.push_back(call.address);
+		    answer->pooled = number == 0;
+		    if (number == 0)
+			    answer->outcome = LK_HTTP_TIMEOUT;
+		    else
+			    whole(answer, 200, "fine");
+	    });
+	EXPECT_EQ(vm.run(nullptr, "ask", 8000).status, 200);
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_FALSE(calls[0].fresh);
+	EXPECT_EQ(calls[0].timeout_ms, 1000u);
+	EXPECT_TRUE(calls[1].fresh);
+	EXPECT_GT(calls[1].timeout_ms, 1000u);
+	EXPECT_NE(runners[0], runners[1]);
+	EXPECT_EQ(rt_outcome_read(vm.route, RT_OUTCOME_SILENT), 1u);
+	vm.run("k");
+	EXPECT_TRUE(calls.back().fresh) << "non-idempotent";
+}
+
+// Guards against two runs of one key, at any VM, at the same instant and
+// later; against a mixed-up answer; against a reused key.
+TEST(FrontProxy, OneKeyRunsOnceAtTwoVms)
+{
+	Vm a(11);
+	Vm b(22);
+	FakeLog log({&a, &b});
+	std::atomic<int> runs{0};
+	auto script = [&](const lk_http_call &, lk_http_answer *answer, int) {
+		runs++;
+		whole(answer, 201, "hemmed");
+	};
+	for (Vm *vm : {&a, &b}) {
+		struct bd_member member = {};
+		for (uint64_t id : {11, 22}) {
+			member.id = id;
+			vm->put(BD_TABLE_member, BD_WRITER_MEMBERSHIP, member);
+		}
+		vm->runner("10.0.0.1:1", 8);
+		vm->start(log, script);
+	}
+	a.other = &b;
+	b.other = &a;
+	for (int i = 0; i < 50; i++) {
+		std::string key = "order" + std::to_string(i);
+		struct fr_proxy_answer at_b;
+		std::thread thread([&] {
+			at_b = b.run(key.c_str());
+		});
+		struct fr_proxy_answer at_a = a.run(key.c_str());
+		thread.join();
+		ASSERT_EQ(runs, i + 1);
+		for (auto *got : {&at_a, &at_b})
+			ASSERT_TRUE(got->status == 201 ||
+			    (got->status == 409 && got->ran == RT_RAN_UNKNOWN &&
+				std::string(got->state) == "in_progress"));
+		ASSERT_TRUE(at_a.status == 201 || at_b.status == 201);
+		struct fr_proxy_answer late = b.run(key.c_str());
+		ASSERT_EQ(late.status, 201);
+		ASSERT_TRUE(late.repeated);
+		ASSERT_EQ(b.text, "hemmed");
+	}
+	EXPECT_EQ(b.run("order0", "another body").status, 422);
+	EXPECT_EQ(runs, 50);
+}
+
+// Guards against a run or a promise without the log; what is idempotent goes
+// on.
+TEST(FrontProxy, LogOutage)
+{
+	Vm vm;
+	FakeLog log({&vm});
+
+	vm.runner("10.0.0.1:1", 8);
+	vm.start(log, [&](auto &, lk_http_answer *answer, int) {
+		whole(answer, 200, "fine");
+	});
+	log.mode = FakeLog::DOWN;
+	for (bool async : {false, true}) {
+		struct fr_proxy_answer got = vm.run("k", "ask", 0, async);
+		EXPECT_EQ(got.status, 503);
+		EXPECT_EQ(got.ran, RT_RAN_NOT);
+		EXPECT_GT(got.retry_after_ms, 0u);
+	}
+	EXPECT_EQ(vm.calls, 0);
+	EXPECT_EQ(vm.run().status, 200);
+	log.mode = FakeLog::UP;
+	EXPECT_EQ(vm.run("k").status, 200);
+}
+
+// Guards against answers that end with the caller's connection, that another
+// account can read, or that another VM cannot.
+TEST(FrontProxy, AnswerIsFetchedLater)
+{
+	Vm a(11);
+	Vm b(22);
+	FakeLog log({&a, &b});
+	std::atomic<bool> go{false};
+	struct fr_proxy_answer got;
+	uint64_t himal = cw_id_from_name("himal");
+
+	a.runner("10.0.0.1:1", 8);
+	a.start(log, [&](auto &, lk_http_answer *answer, int) {
+		while (!go)
+			std::this_thread::yield();
+		whole(answer, 200, "layout");
+	});
+	b.start(log, nullptr);
+	b.other = &a;
+	got = a.run(nullptr, "ask", 0, true);
+	ASSERT_EQ(got.status, 202);
+	std::string id = got.id;
+	fr_proxy_fetch(b.proxy, himal, id.c_str(), &got);
+	EXPECT_EQ(got.status, 202);
+	go = true;
+	while (got.status == 202)
+		fr_proxy_fetch(b.proxy, himal, id.c_str(), &got);
+	EXPECT_EQ(got.status, 200);
+	EXPECT_EQ(std::string((char *)got.body, got.body_bytes), "layout");
+	free(got.body);
+	fr_proxy_fetch(b.proxy, cw_id_from_name("other"), id.c_str(), &got);
+	EXPECT_EQ(got.status, 404);
+	b.other = nullptr;
+	fr_proxy_fetch(b.proxy, himal, id.c_str(), &got);
+	EXPECT_EQ(got.status, 404) << "owner gone, no record";
+	// The places for later answers are bounded.
+	go = false;
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(a.run(nullptr, "ask", 0, true).status, 202);
+	got = a.run(nullptr, "ask", 0, true);
+	EXPECT_EQ(got.status, 503);
+	EXPECT_EQ(got.ran, RT_RAN_NOT);
+	go = true;
+	rt_drain(a.route);
+	EXPECT_TRUE(rt_drain_wait(a.route, 20000)) << "drain cuts nothing";
+	EXPECT_EQ(a.run().status, 503);
+}
+
+// Guards against a request that starts after its deadline, as when the
+// process was paused between admission and start.
+TEST(FrontProxy, PauseBeforeTheStartIsNotRun)
+{
+	Vm vm;
+	FakeLog log({&vm});
+
+	vm.runner("10.0.0.1:1", 8);
+	vm.start(log, [&](auto &, lk_http_answer *answer, int) {
+		whole(answer, 200, "fine");
+	});
+	log.before = [] {
+		std::this_thread::sleep_for(std::chrono::milliseconds(30));
+	};
+	struct fr_proxy_answer got = vm.run("k", "ask", 20);
+	EXPECT_EQ(got.status, 503);
+	EXPECT_EQ(got.ran, RT_RAN_NOT);
+	EXPECT_EQ(vm.calls, 0);
+	log.before = nullptr;
+	EXPECT_EQ(vm.run("k").status, 200) << "the key is free again";
+}
+
+// Guards against the parts that do not fit together over HTTP: keys, headers,
+// error bodies, and a whole answer of a real upstream.
+TEST(FrontProxy, OverHttp)
+{
+	Vm vm;
+	FakeLog log({&vm});
+	struct lk_http_client *client;
+	struct lk_http_server *server;
+	struct lk_http_server_config config;
+	std::string seen;
+
+	ASSERT_EQ(lk_http_client_create(&client), CW_OK);
+	FakeUpstream upstream([&](const std::string &request, int, int) {
+		seen = request;
+		return answer("200 OK", "{\"price\":3}",
+		    "Content-Type: application/x-quote\r\n");
+	});
+	struct lk_http_caller caller = lk_http_client_caller(client);
+	vm.account("himal", 0, 0, 0, "secret");
+	vm.runner(upstream.address, 4);
+	vm.start(log, nullptr, &caller);
+	struct lk_http_route routes[] = {
+	    {"POST", FR_PROXY_SERVICES, FR_PROXY_BODY_BYTES_MAX,
+		fr_proxy_handle_post, vm.proxy},
+	    {"GET", FR_PROXY_REQUESTS, 0, fr_proxy_handle_get, vm.proxy},
+	};
+	lk_http_server_config_default(&config);
+	config.address = "127.0.0.1:0";
+	config.threads = 2;
+	config.routes = routes;
+	config.route_count = 2;
+	ASSERT_EQ(lk_http_server_start(&server, &config), CW_OK);
+	std::string address =
+	    "127.0.0.1:" + std::to_string(lk_http_server_port(server));
+	struct {
+		std::vector<const char *> headers;
+		const char *path;
+		int status;
+		const char *body;
+	} cases[] = {
+	    {{}, "/v1/services/quotes", 401, "not run"},
+	    {{"X-Account-Key: wrong"}, "/v1/services/quotes", 401, "not run"},
+	    {{"X-Account-Key: secret"}, "/v1/services/none", 404, "not run"},
+	    {{"X-Account-Key: secret", "X-Deadline-Ms: 5s"},
+		"/v1/services/quotes", 400, "not run"},
+	    {{"X-Account-Key: secret", "X-Class: fast"}, "/v1/services/quotes",
+		400, "not run"},
+	    {{"X-Account-Key: secret", "X-Class: urgent",
+		 "X-Deadline-Ms: 5000"},
+		"/v1/services/quotes", 200, "{\"price\":3}"},
+	};
+	for (auto &c : cases) {
+		struct lk_http_call call = {};
+		struct lk_http_answer got;
+		call.pool = 9;
+		call.address = address.c_str();
+		call.path = c.path;
+		call.headers = c.headers.data();
+		call.header_count = c.headers.size();
+		call.body = "{}";
+		call.body_bytes = 2;
+		call.answer_bytes_max = 10000;
+		call.connect_timeout_ms = call.timeout_ms = 20000;
+		ASSERT_EQ(caller.call(caller.ctx, &call, &got), CW_OK);
+		ASSERT_EQ(got.outcome, LK_HTTP_WHOLE);
+		EXPECT_EQ(got.status, c.status);
+		std::string body((char *)got.body, got.body_bytes);
+		EXPECT_NE(body.find(c.body), std::string::npos) << body;
+		EXPECT_STREQ(got.content_type,
+		    c.status == 200 ? "application/x-quote"
+				    : "application/json");
+		free(got.body);
+	}
+	EXPECT_NE(
+	    seen.find("X-Request-Id: 000000000000004d"), std::string::npos)
+	    << seen;
+	EXPECT_NE(seen.find("X-Deadline-Ms: 4"), std::string::npos) << seen;
+	EXPECT_EQ(seen.find("secret"), std::string::npos);
+	EXPECT_EQ(upstream.requests, 1);
+	lk_http_server_stop(server);
+	lk_http_client_destroy(client);
+}
+
+} // namespace
