--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <time.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -75,6 +76,7 @@
 int64_t cw_clock_wall_ms(void);
 int64_t cw_clock_mono_ms(void);
 int64_t cw_clock_mono_us(void);
+void cw_clock_deadline(int64_t wait_ms, struct timespec *until);
 
 /*
  * 4. Log-linear histogram. Recording takes no lock.
--- a/lib/board/board.c
+++ b/lib/board/board.c
@@ -160,15 +160,7 @@
 	struct timespec until;
 	uint64_t version;
 
-	if (timeout_ms < 0)
-		timeout_ms = 0;
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += timeout_ms / 1000;
-	until.tv_nsec += timeout_ms % 1000 * 1000000;
-	if (until.tv_nsec >= 1000000000) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000000000;
-	}
+	cw_clock_deadline(timeout_ms, &until);
 	pthread_mutex_lock(&board->lock);
 	while ((version = atomic_load(&board->version)) == seen)
 		if (pthread_cond_timedwait(
--- a/lib/state/apply.c
+++ b/lib/state/apply.c
@@ -87,9 +87,10 @@
 	int code;
 
 	assert(position > atomic_load(&state->position));
-	state->subject = position;
+	state->subject = 0;
 	code = check_sequence(state, rec);
 	if (code == CW_OK) {
+		state->subject = position;
 		if (rec->version > REC_VERSION ||
 		    rec->kind >= sizeof(apply_table) / sizeof(*apply_table) ||
 		    apply_table[rec->kind] == NULL) {
@@ -103,8 +104,9 @@
 }
 
 /*
- * Returns what the last record was about: its position, or for a JOB_SUBMIT
- * with a key that was used before the id of the first job.
+ * Returns what the last record was about: its position, for a JOB_SUBMIT with
+ * a key that was used before the id of the first job, and 0 for a record that
+ * its writer had appended before.
  */
 uint64_t
 st_subject(const struct st_state *state)
--- /dev/null
+++ b/lib/state/snap_duty.c
@@ -0,0 +1,58 @@
+#include <stdlib.h>
+
+#include "follower_internal.h"
+
+/* How often the tail is looked at, and how soon a failure is repeated. */
+#define LOOK_MS 10000
+
+static bool is_due(struct st_follower *follower, int64_t now_ms);
+
+static bool
+is_due(struct st_follower *follower, int64_t now_ms)
+{
+	bool due;
+
+	pthread_mutex_lock(&follower->lock);
+	due = follower->ready && follower->tail_since_ms != 0 &&
+	    (follower->tail_bytes >= follower->options.snapshot_bytes ||
+		now_ms - follower->tail_since_ms >=
+		    follower->options.snapshot_age_ms);
+	pthread_mutex_unlock(&follower->lock);
+	return due;
+}
+
+/* Writes a snapshot where this VM holds the duty and the tail is long or old.
+ * Returns when (ms) to look again. */
+int64_t
+st_snapshot_step(void *ctx, int64_t now_ms)
+{
+	struct st_snapshotter *snapshotter = ctx;
+	struct st_follower *follower = snapshotter->follower;
+	const struct bd_duty *duty;
+	void *image = NULL;
+	size_t bytes = 0;
+	bool held;
+	int code;
+
+	bd_read_begin();
+	duty = bd_duty_lookup(follower->state->board, BD_DUTY_SNAPSHOT);
+	held = duty != NULL && duty->owner == snapshotter->self;
+	bd_read_end();
+	if (!held || !is_due(follower, now_ms))
+		return now_ms + LOOK_MS;
+	code = st_follower_image(follower, &image, &bytes);
+	if (code == CW_OK)
+		code = st_snapshot_write(
+		    &follower->log, cw_rng_entropy(), image, bytes);
+	free(image);
+	if (code != CW_OK) {
+		ev_emit(
+		    EV_STATE_SNAPSHOT_FAILED, "code=%d bytes=%zu", code, bytes);
+		return now_ms + LOOK_MS;
+	}
+	pthread_mutex_lock(&follower->lock);
+	st_follower_snapshot_known(follower);
+	pthread_mutex_unlock(&follower->lock);
+	ev_emit(EV_STATE_SNAPSHOT_WRITTEN, "bytes=%zu", bytes);
+	return now_ms + LOOK_MS;
+}
--- a/lib/state/state.h
+++ b/lib/state/state.h
@@ -301,6 +301,121 @@
 	void *ctx;
 };
 
+/*
+ * 6. Snapshots. An image holds all tables that follow from the log; the stream
+ * of snapshots holds images in chunks.
+ */
+#define ST_STREAM "state"
+#define ST_SNAPSHOT_STREAM "snap"
+#define ST_SNAPSHOT_CHUNK_BYTES (64 * 1024)
+
+struct st_image {
+	uint64_t basis; /* position */
+	uint64_t digest;
+	size_t rows_at; /* bytes before the rows */
+};
+
+int st_image_encode(struct st_state *state, void **data, size_t *bytes);
+int st_image_header(const void *data, size_t bytes, struct st_image *image);
+int st_image_load(
+    struct st_state *state, const void *data, size_t bytes, bool same_position);
+int st_snapshot_write(
+    const struct pf_log *log, uint64_t id, const void *image, size_t bytes);
+int st_snapshot_read(const struct pf_log *log, void **image, size_t *bytes);
+
+/*
+ * 7. Group commit. The writer appends the records of its sink in batches, one
+ * batch in flight, and is told by the follower what became of them.
+ */
+struct st_writer_options {
+	uint64_t incarnation; /* drawn at start, not 0 */
+	int64_t patience_ms;  /* how long a record waits for its outcome */
+};
+
+struct st_writer_status {
+	uint64_t records; /* proposed so far */
+	uint64_t batches; /* appended so far */
+	uint64_t repeats; /* of appends without an answer */
+	uint64_t unavailable;
+	uint64_t unknown;
+	uint32_t pending;
+};
+
+struct st_writer;
+
+int st_writer_create(struct st_writer **out, const struct pf_log *log,
+    const struct ctl_clock *clock, const struct st_writer_options *options);
+void st_writer_destroy(struct st_writer *writer);
+struct st_sink st_writer_sink(struct st_writer *writer);
+struct st_observer st_writer_observer(struct st_writer *writer);
+void st_writer_status_get(
+    struct st_writer *writer, struct st_writer_status *status);
+int st_writer_start(struct st_writer *writer);
+void st_writer_stop(struct st_writer *writer);
+/* One round without the thread: at most one append. */
+int64_t st_writer_step(struct st_writer *writer, int64_t now_ms);
+
+/*
+ * 8. Following the log. The follower owns the state: it applies what it reads
+ * from the log or is fed by peers, tells observers, and publishes the board.
+ */
+#define ST_TAIL_BYTES (256 * 1024)
+#define ST_OBSERVERS_MAX 8
+
+struct st_follower_options {
+	uint32_t poll_ms;        /* longest wait of one read */
+	int64_t snapshot_age_ms; /* half of the log's retention time */
+	uint64_t snapshot_bytes; /* of the tail */
+};
+
+struct st_follower_status {
+	uint64_t position;
+	uint64_t digest;
+	int64_t contact_ms; /* last contact with the log */
+	bool log_lost;      /* the latest read failed */
+	bool ready;         /* has been level with the log or a peer */
+	uint64_t malformed;
+	uint64_t unknown_kinds;
+	uint64_t rebuilds;
+	uint64_t tail_bytes; /* applied since the last snapshot known */
+};
+
+struct st_follower;
+
+int st_follower_create(struct st_follower **out, struct st_state *state,
+    const struct pf_log *log, const struct ctl_clock *clock,
+    const struct st_follower_options *options);
+void st_follower_destroy(struct st_follower *follower);
+void st_follower_observe(
+    struct st_follower *follower, const struct st_observer *observer);
+int st_follower_recover(struct st_follower *follower);
+int st_follower_start(struct st_follower *follower);
+void st_follower_stop(struct st_follower *follower);
+void st_follower_status_get(
+    struct st_follower *follower, struct st_follower_status *status);
+
+/* Records and images for peers, and from them. */
+int st_follower_tail(struct st_follower *follower, uint64_t from,
+    size_t bytes_max, const struct pf_log_sink *sink);
+int st_follower_feed(struct st_follower *follower, uint64_t offset,
+    const void *data, size_t bytes);
+int st_follower_image(struct st_follower *follower, void **data, size_t *bytes);
+int st_follower_image_load(
+    struct st_follower *follower, const void *data, size_t bytes);
+void st_follower_compare(
+    struct st_follower *follower, uint64_t position, uint64_t digest);
+
+/* Controller step of the snapshot duty; see struct ctl_spec. */
+struct st_snapshotter {
+	struct st_follower *follower;
+	uint64_t self; /* incarnation */
+};
+
+int64_t st_snapshot_step(void *ctx, int64_t now_ms);
+
+/* One round without the thread; returns how many ms to wait before the next. */
+int64_t st_follower_step(struct st_follower *follower, uint32_t wait_ms);
+
 #ifdef __cplusplus
 }
 #endif
