--- /dev/null
+++ b/tests/test_state_apply.cc
@@ -0,0 +1,320 @@
+#include <gtest/gtest.h>
+
+#include "state_world.h"
+
+namespace {
+
+struct Step {
+	const char *line;
+	int code;
+};
+
+// Workers w1 and w2 in rack r1, w3 in rack r2; the text one.toml; each of its
+// two promises planned: a on four accelerators of w1 and w2, b on four of w1.
+struct Fleet : World {
+	Fleet()
+	{
+		add_worker("w1");
+		add_worker("w2");
+		add_worker("w3", "r2");
+		run({
+		    {"config base_version=0 author=ann text=one.toml", CW_OK},
+		    {"plan promise=%a/0/0 epoch=@ slots=#w1:f,#w2:f", CW_OK},
+		    {"plan promise=%b/0/0 epoch=@ slots=#w1:f0", CW_OK},
+		});
+	}
+	void
+	run(const std::vector<Step> &steps)
+	{
+		for (const Step &step : steps) {
+			int code = apply(step.line);
+			EXPECT_EQ(code, step.code)
+			    << step.line << " gives " << st_status_name(code);
+		}
+	}
+	bd_job
+	job(const char *label)
+	{
+		bd_job row = {};
+		EXPECT_TRUE(st_row_copy(
+		    state, BD_TABLE_job, labels.at(label), &row, sizeof(row)));
+		return row;
+	}
+	bd_worker
+	worker(const char *worker)
+	{
+		bd_worker row = {};
+		EXPECT_TRUE(st_row_copy(state, BD_TABLE_worker,
+		    cw_id_from_name(worker), &row, sizeof(row)));
+		return row;
+	}
+};
+
+#define JOB(label, account, shape) \
+	"job_submit label=" label " account=#" account " " shape
+#define TWO_BY_FOUR                                              \
+	"shape.members=2 shape.accels=4 shape.cores_milli=8000 " \
+	"shape.memory_mb=16384"
+#define ONE_BY_FOUR                                               \
+	"shape.members=1 shape.accels=4 shape.cores_milli=16000 " \
+	"shape.memory_mb=32768"
+
+// Guards against a lost answer to a submit that leads to a second job.
+TEST(StateApply, SubmitKeyGivesTheFirstJob)
+{
+	Fleet fleet;
+
+	fleet.run({
+	    {JOB("j", "a", TWO_BY_FOUR) " submit_key=k", CW_OK},
+	    {JOB("again", "a", TWO_BY_FOUR) " submit_key=k", ST_EREPEATED},
+	});
+	EXPECT_EQ(st_subject(fleet.state), fleet.labels["j"]);
+	fleet.run({
+	    {JOB("x", "a", ONE_BY_FOUR) " submit_key=k", ST_ECONFLICT},
+	    {JOB("x", "b", ONE_BY_FOUR) " submit_key=k", CW_OK},
+	    {JOB("x", "none", ONE_BY_FOUR), ST_EREJECTED},
+	    {JOB("x", "a", "shape.members=65 shape.accels=1"), ST_EREJECTED},
+	    {JOB("x", "a", "shape.members=1"), ST_EREJECTED},
+	    {"job_cancel job=$j", CW_OK},
+	    {"job_cancel job=$j", ST_EREJECTED},
+	    {"job_expire before_ms=9000000", CW_OK},
+	    {JOB("new", "a", TWO_BY_FOUR) " submit_key=k", CW_OK},
+	});
+	EXPECT_EQ(bd_count(fleet.board, BD_TABLE_job), 2u);
+}
+
+// Guards against placements that share an accelerator, overfill a worker, use
+// one that is out of service, or break a guarantee.
+TEST(StateApply, PlaceIsRejectedWhereARuleIsBroken)
+{
+	Fleet fleet;
+
+	fleet.run({
+	    {JOB("j", "a", TWO_BY_FOUR), CW_OK},
+	    {"place job=$j epoch=1 members=#w3:f,#w3:f0", ST_ESTALE},
+	    {"place job=$j epoch=@ members=#w3:f", ST_EREJECTED},
+	    {"place job=$j epoch=@ members=#w3:f,#w3:1e", ST_EREJECTED},
+	    {"place job=$j epoch=@ members=#w3:f,#w3:f00", ST_EREJECTED},
+	    {"place job=$j epoch=@ members=#w3:f,#w3:7", ST_EREJECTED},
+	    {"place job=$j epoch=@ members=#w3:f,#none:f", ST_EREJECTED},
+	    // guaranteed: outside of the plan, or in another account's
+	    {"place job=$j epoch=@ promise=%a/0/0 members=#w1:f,#w2:f0",
+		ST_EREJECTED},
+	    {"place job=$j epoch=@ promise=%b/0/0 members=#w1:f0,#w1:f",
+		ST_EREJECTED},
+	    // quarantined and lost workers
+	    {"quarantine worker=#w3 epoch=@ until_ms=99", CW_OK},
+	    {"place job=$j epoch=@ members=#w3:f,#w3:f0", ST_EREJECTED},
+	    {"quarantine worker=#w3 epoch=@ until_ms=0", CW_OK},
+	    {"worker id=#w3 epoch=@ rack=#r2 cores_milli=32000 "
+	     "memory_mb=65536 accels=8 state=2",
+		CW_OK},
+	    {"place job=$j epoch=@ members=#w3:f,#w3:f0", ST_EREJECTED},
+	    {"place job=$j epoch=@ promise=%a/0/0 members=#w1:f,#w2:f", CW_OK},
+	    {"place job=$j epoch=@ members=#w2:f0,#w2:f", ST_ESTALE},
+	    // taken accelerators, cores and memory
+	    {JOB("k", "b", ONE_BY_FOUR), CW_OK},
+	    {"place job=$k epoch=@ members=#w1:f", ST_EREJECTED},
+	    {"place job=$k epoch=@ members=#w1:f0", CW_OK},
+	    {JOB("l", "b",
+		 "shape.members=1 shape.accels=0 shape.cores_milli=8001"),
+		CW_OK},
+	    {"place job=$l epoch=@ members=#w1:0", ST_EREJECTED},
+	    {"place job=$l epoch=@ members=#w2:0", CW_OK},
+	    {JOB("m", "b",
+		 "shape.members=1 shape.accels=1 shape.memory_mb=49153"),
+		CW_OK},
+	    {"place job=$m epoch=@ members=#w2:80", ST_EREJECTED},
+	});
+	EXPECT_EQ(fleet.worker("w1").used_mask, 0xffu);
+	EXPECT_EQ(fleet.worker("w1").used_cores_milli, 24000u);
+	EXPECT_EQ(fleet.worker("w2").used_memory_mb, 16384u);
+}
+
+// Guards against two plans on one accelerator, plans of another shape, and
+// plans that leave a guaranteed gang behind.
+TEST(StateApply, PlansAreDisjointAndKeepGuaranteedGangs)
+{
+	Fleet fleet;
+
+	fleet.run({
+	    {"plan promise=%a/0/0 epoch=1 slots=#w1:f,#w2:f", ST_ESTALE},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w1:f", ST_EREJECTED},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w1:f,#w2:7", ST_EREJECTED},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w1:f,#w3:f", ST_EREJECTED},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w1:1e,#w2:f", ST_EREJECTED},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w2:f,#w2:f", ST_EREJECTED},
+	    // a borrower may run where the plan moves to
+	    {JOB("k", "b", ONE_BY_FOUR), CW_OK},
+	    {"place job=$k epoch=@ members=#w2:f0", CW_OK},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w2:f,#w2:f0", CW_OK},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w1:f,#w2:f", CW_OK},
+	    {JOB("j", "a", TWO_BY_FOUR), CW_OK},
+	    {"place job=$j epoch=@ promise=%a/0/0 members=#w1:f,#w2:f", CW_OK},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w2:f,#w2:f0", ST_EREJECTED},
+	    {"plan promise=%a/0/0 epoch=@", ST_EREJECTED},
+	    {"plan promise=%a/0/0 epoch=@ slots=#w2:f,#w1:f", CW_OK},
+	    {"preempt job=$j token=@ reason=4", ST_EREJECTED},
+	    {"gang_ended job=$j token=@ outcome=2 reason=8", CW_OK},
+	    {"plan promise=%a/0/0 epoch=@", CW_OK},
+	    {"short promise=%a/0/0 epoch=@ since_ms=77", CW_OK},
+	});
+	EXPECT_EQ(fleet.worker("w1").planned_mask, 0xf0u);
+	EXPECT_EQ(fleet.worker("w2").planned_mask, 0u);
+	EXPECT_EQ(fleet.worker("w2").planned_cores_milli, 0u);
+	EXPECT_EQ(fleet.worker("w2").used_mask, 0xf0u);
+}
+
+// Guards against a late or paused owner that changes a gang it lost.
+TEST(StateApply, GangRecordsAreFencedByTheToken)
+{
+	Fleet fleet;
+
+	fleet.run({
+	    {JOB("j", "a", TWO_BY_FOUR), CW_OK},
+	    {"gang_ended job=$j token=0 outcome=0", ST_ESTALE},
+	    {"place label=t job=$j epoch=@ members=#w2:f,#w2:f0", CW_OK},
+	    {"gang_started job=$j token=1", ST_ESTALE},
+	    {"gang_started job=$j token=$t", CW_OK},
+	    {"checkpoint job=$j token=$t progress_ms=500", CW_OK},
+	    {"checkpoint job=$j token=$t progress_ms=400", ST_EREJECTED},
+	    {"preempt job=$j token=$t reason=4 deadline_ms=9", CW_OK},
+	    {"preempt job=$j token=$t reason=4 deadline_ms=9", ST_ESTALE},
+	    {"gang_ended job=$j token=$t outcome=2 reason=4 time=100000",
+		CW_OK},
+	    {"gang_ended job=$j token=$t outcome=0", ST_ESTALE},
+	});
+	EXPECT_EQ(fleet.job("j").state, (uint32_t)BD_JOB_WAITING);
+	EXPECT_EQ(fleet.job("j").progress_ms, 500);
+	EXPECT_GT(fleet.job("j").hold_until_ms, 100000);
+	EXPECT_EQ(fleet.worker("w2").used_mask, 0u);
+	EXPECT_EQ(bd_count(fleet.board, BD_TABLE_task), 0u);
+	fleet.run({
+	    {"place label=u job=$j epoch=@ members=#w2:f,#w2:f0", CW_OK},
+	    {"gang_started job=$j token=$t", ST_ESTALE},
+	    {"checkpoint job=$j token=$t progress_ms=900", ST_ESTALE},
+	    // cancelled while placed: the gang must still be stopped
+	    {"job_cancel job=$j", CW_OK},
+	    {"gang_started job=$j token=$u", ST_ESTALE},
+	    {"job_expire before_ms=900000000", CW_OK},
+	    {"job_owner job=$j epoch=@ owner=5", CW_OK},
+	    {"gang_ended job=$j token=$u outcome=0", CW_OK},
+	});
+	EXPECT_EQ(fleet.job("j").state, (uint32_t)BD_JOB_CANCELLED);
+	EXPECT_EQ(fleet.job("j").token, 0u);
+	EXPECT_EQ(bd_count(fleet.board, BD_TABLE_task), 0u);
+}
+
+// Guards against one failing job that puts a good worker into quarantine, and
+// against quarantine above the cap.
+TEST(StateApply, FailuresCountOncePerJobAndAreForgottenAfterSuccess)
+{
+	Fleet fleet;
+
+	fleet.run({{JOB("j", "a", ONE_BY_FOUR), CW_OK},
+	    {JOB("k", "b", ONE_BY_FOUR), CW_OK}});
+	for (int i = 0; i < 2; i++)
+		fleet.run({
+		    {"place job=$j epoch=@ members=#w2:f0", CW_OK},
+		    {"gang_ended job=$j token=@ outcome=2 reason=8 worker=#w2",
+			CW_OK},
+		});
+	EXPECT_EQ(fleet.worker("w2").consecutive_failures, 1u);
+	EXPECT_EQ(fleet.job("j").failures, 2u);
+	fleet.run({
+	    {"place job=$k epoch=@ members=#w2:f0", CW_OK},
+	    {"gang_ended job=$k token=@ outcome=2 reason=8 worker=#w2", CW_OK},
+	});
+	EXPECT_EQ(fleet.worker("w2").consecutive_failures, 2u);
+	EXPECT_EQ(fleet.worker("w2").failed_accounts[0], cw_id_from_name("b"));
+	EXPECT_EQ(fleet.worker("w2").failed_accounts[1], cw_id_from_name("a"));
+	fleet.run({
+	    {"place job=$k epoch=@ members=#w2:f0", CW_OK},
+	    {"gang_ended job=$k token=@ outcome=0", CW_OK},
+	    {"quarantine worker=#w1 epoch=@ until_ms=9", CW_OK},
+	    {"quarantine worker=#w2 epoch=@ until_ms=9", ST_EREJECTED},
+	    {"quarantine worker=#w1 epoch=@ until_ms=99", CW_OK},
+	    {"quarantine worker=#w1 epoch=1 until_ms=0", ST_ESTALE},
+	});
+	EXPECT_EQ(fleet.worker("w2").consecutive_failures, 0u);
+	EXPECT_EQ(fleet.worker("w1").quarantine_count, 2u);
+}
+
+// Guards against two operators who both win, a change of the text that evicts
+// guaranteed gangs whose promise stays, and one that keeps those that go.
+TEST(StateApply, ConfigurationKeepsPlansOfUnchangedShapes)
+{
+	Fleet fleet;
+
+	fleet.run({
+	    {JOB("j", "a", TWO_BY_FOUR), CW_OK},
+	    {JOB("k", "b", ONE_BY_FOUR), CW_OK},
+	    {"place job=$j epoch=@ promise=%a/0/0 members=#w1:f,#w2:f", CW_OK},
+	    {"place job=$k epoch=@ promise=%b/0/0 members=#w1:f0", CW_OK},
+	    {"config base_version=0 author=bob text=two.toml", ST_ECONFLICT},
+	    {"config base_version=1 author=bob text=absent", ST_EREJECTED},
+	    {"config base_version=1 author=bob text=two.toml", CW_OK},
+	    {"config base_version=1 author=ann text=one.toml", ST_ECONFLICT},
+	});
+	// The shape of a moved from number 0 to 1; that of b is gone.
+	EXPECT_EQ(fleet.job("j").promise, fleet.number("%a/1/0"));
+	EXPECT_EQ(fleet.job("k").promise, 0u);
+	EXPECT_EQ(fleet.worker("w1").planned_mask, 0xfu);
+	EXPECT_EQ(bd_count(fleet.board, BD_TABLE_promise), 2u);
+	EXPECT_EQ(bd_count(fleet.board, BD_TABLE_runner), 1u);
+	fleet.run({
+	    {"plan promise=%a/1/0 epoch=@", ST_EREJECTED},
+	    {"gang_ended job=$j token=@ outcome=0", CW_OK},
+	    {"plan promise=%a/1/0 epoch=@", CW_OK},
+	});
+}
+
+// Guards against a request that runs twice and an outcome of a request that
+// does not hold the intent.
+TEST(StateApply, FirstIntentWinsAndFencesTheOutcome)
+{
+	Fleet fleet;
+
+	fleet.run({
+	    {"req_intent id=7 request_id=70 account=#a time=1000", CW_OK},
+	    {"req_intent id=7 request_id=71 account=#a", ST_ECONFLICT},
+	    {"req_outcome id=7 request_id=71 http_status=200", ST_ESTALE},
+	    {"req_outcome id=7 request_id=70 http_status=200 answer=ok", CW_OK},
+	    {"req_outcome id=7 request_id=70 http_status=500", ST_ESTALE},
+	    {"req_expire before_ms=1000", CW_OK},
+	    {"req_intent id=7 request_id=72 account=#a", ST_ECONFLICT},
+	    {"req_expire before_ms=1001", CW_OK},
+	    {"req_intent id=7 request_id=72 account=#a", CW_OK},
+	});
+	bd_read_begin();
+	EXPECT_EQ(bd_request_lookup(fleet.board, 7)->request_id, 72u);
+	bd_read_end();
+}
+
+// Guards against answers of at-most-once requests that outgrow the daemon's
+// memory, and against one that is passed on as whole although it was dropped.
+TEST(StateApply, AnswersAreBounded)
+{
+	Fleet fleet;
+	std::string answer(REC_ANSWER_BYTES_MAX, 'x');
+	uint64_t dropped = 0;
+
+	for (uint64_t id = 1; id <= 300; id++) {
+		struct rec rec = fleet.parse("req_intent account=#a");
+		rec.body.req_intent.id = rec.body.req_intent.request_id = id;
+		ASSERT_EQ(st_apply(fleet.state, &rec, fleet.next++), CW_OK);
+		rec = fleet.parse("req_outcome http_status=200");
+		rec.body.req_outcome = {
+		    id, id, 200, (uint32_t)answer.size(), answer.data()};
+		ASSERT_EQ(st_apply(fleet.state, &rec, fleet.next++), CW_OK);
+		bd_read_begin();
+		const bd_request *row = bd_request_lookup(fleet.board, id);
+		EXPECT_EQ(
+		    row->answer_bytes, row->answer_dropped ? 0 : answer.size());
+		dropped += row->answer_dropped;
+		bd_read_end();
+	}
+	EXPECT_EQ(dropped, 300 - 16 * 1024 * 1024 / answer.size());
+}
+
+} // namespace
--- a/tests/test_state_codec.cc
+++ b/tests/test_state_codec.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 
-#include "text_state.h"
+#include "state_world.h"
 
 namespace {
 
+const World plain;
+
 struct Decoded {
 	std::vector<int> codes;
 	std::vector<std::string> texts;
@@ -17,8 +19,7 @@
 	Decoded *decoded = static_cast<Decoded *>(ctx);
 	decoded->codes.push_back(status);
 	decoded->texts.push_back(status == CW_OK
-		? text_state::to_text(
-		      wire_schema_of_kind(rec->kind), &rec->body)
+		? plain.to_text(wire_schema_of_kind(rec->kind), &rec->body)
 		: "");
 	return CW_OK;
 }
@@ -123,8 +124,8 @@
 		    << schema->name;
 		EXPECT_EQ(bytes, size);
 		row.resize(size);
-		EXPECT_EQ(text_state::to_text(schema, back.data()),
-		    text_state::to_text(schema, row.data()));
+		EXPECT_EQ(plain.to_text(schema, back.data()),
+		    plain.to_text(schema, row.data()));
 		EXPECT_TRUE(back == row) << schema->name;
 		msgpack_unpacked_destroy(&unpacked);
 		msgpack_sbuffer_destroy(&buffer);
@@ -148,7 +149,7 @@
 		rec.writer = kind;
 		rec.sequence = 1;
 		memcpy(&rec.body, body.data(), schema->bytes);
-		texts->push_back(text_state::to_text(schema, &rec.body));
+		texts->push_back(plain.to_text(schema, &rec.body));
 		EXPECT_EQ(rec_encode(&rec, &data, &bytes), CW_OK);
 		records.push_back({data, bytes});
 	}
