--- a/lib/sched/fit.c
+++ b/lib/sched/fit.c
@@ -77,7 +77,7 @@
 static int
 fit_alloc(struct fit *fit, size_t workers, size_t promises)
 {
-	fit->workers = calloc(workers + 1, sizeof(*fit->workers));
+	fit->workers = calloc(workers + 1, sizeof(const struct bd_worker *));
 	fit->racks = calloc(workers + 1, sizeof(*fit->racks));
 	fit->rooms = calloc(workers + 1, sizeof(*fit->rooms));
 	fit->steps = calloc(promises + 1, sizeof(*fit->steps));
@@ -110,7 +110,7 @@
 	for (i = 0; i < count; i++)
 		if (workers[i].state == BD_WORKER_UP)
 			fit->workers[fit->worker_count++] = &workers[i];
-	qsort(fit->workers, fit->worker_count, sizeof(*fit->workers),
+	qsort(fit->workers, fit->worker_count, sizeof(const struct bd_worker *),
 	    compare_workers);
 	for (i = 0; i < fit->worker_count; i++) {
 		const struct bd_worker *row = fit->workers[i];
--- a/lib/sched/plan.c
+++ b/lib/sched/plan.c
@@ -311,7 +311,9 @@
 
 		if (!sch_has_budget(sch))
 			break;
-		if (entry->moved)
+		/* Apply refuses to leave a guaranteed gang outside. The plan
+		 * of one on lost hardware moves when the gang has ended. */
+		if (entry->moved || (!entry->valid && entry->jobs > 0))
 			continue;
 		if (!entry->valid)
 			code = plan_one(sch, sch->order[i], &swaps);
--- a/lib/sched/quarantine.c
+++ b/lib/sched/quarantine.c
@@ -13,7 +13,11 @@
 
 static bool ran_elsewhere(const struct sch *sch, uint64_t worker);
 static bool is_suspect(const struct sch *sch, const struct sch_worker *worker);
-static bool is_proved(const struct sch *sch, const struct sch_worker *worker);
+static bool is_proved(const struct sch *sch, const struct sch_worker *worker,
+    const struct sch_probation *probation);
+static void end_probation(struct sch *sch, struct sch_probation *probation);
+static int release(struct sch *sch, const struct sch_worker *worker);
+static int clear_leaving(struct sch *sch);
 static int64_t backoff_ms(const struct bd_worker *row);
 static int propose(
     struct sch *sch, const struct sch_worker *worker, int64_t until_ms);
@@ -57,10 +61,23 @@
 	return ran_elsewhere(sch, row->id);
 }
 
+/* Returns the entry of a worker on probation, or NULL. */
+struct sch_probation *
+sch_probation_of(struct sch *sch, uint64_t worker)
+{
+	uint32_t i;
+
+	for (i = 0; i < sch->probation_count; i++)
+		if (sch->probations[i].worker == worker)
+			return &sch->probations[i];
+	return NULL;
+}
+
 /* A worker on probation is proved by a task that has run for a while, or by
  * time without any failure. */
 static bool
-is_proved(const struct sch *sch, const struct sch_worker *worker)
+is_proved(const struct sch *sch, const struct sch_worker *worker,
+    const struct sch_probation *probation)
 {
 	uint32_t t;
 
@@ -69,13 +86,18 @@
 		const struct bd_job *job = sch->jobs[sch->tasks[t].job].row;
 
 		if (job->state == BD_JOB_RUNNING &&
-		    job->started_ms >= worker->row->quarantine_until_ms &&
+		    job->started_ms >= probation->since_ms &&
 		    sch->now_ms - job->started_ms >= QUARANTINE_PROBE_MS)
 			return true;
 	}
 	return worker->first_task == SCH_NONE &&
-	    sch->now_ms - worker->row->quarantine_until_ms >=
-	    QUARANTINE_IDLE_MS;
+	    sch->now_ms - probation->since_ms >= QUARANTINE_IDLE_MS;
+}
+
+static void
+end_probation(struct sch *sch, struct sch_probation *probation)
+{
+	*probation = sch->probations[--sch->probation_count];
 }
 
 /* Doubles with each quarantine of the worker. */
@@ -100,29 +122,74 @@
 	return sch_propose(sch, &rec);
 }
 
+/* Takes a worker back into service on probation. */
+static int
+release(struct sch *sch, const struct sch_worker *worker)
+{
+	struct sch_probation *probation;
+
+	if (sch->probation_count < SCH_PROBATIONS_MAX) {
+		probation = &sch->probations[sch->probation_count++];
+		probation->worker = worker->row->id;
+		probation->since_ms = sch->now_ms;
+	}
+	return propose(sch, worker, 0);
+}
+
 /* Puts a worker into quarantine where the cap has room for it, or ends its
- * probation. A failure during probation sends it back for longer. */
+ * quarantine or probation. A failure during probation sends it back for
+ * longer. */
 static int
 judge_worker(struct sch *sch, struct sch_worker *worker, uint32_t *room)
 {
 	const struct bd_worker *row = worker->row;
+	struct sch_probation *probation = sch_probation_of(sch, row->id);
+	bool failed = probation != NULL && row->consecutive_failures > 0;
 
-	if (row->state != BD_WORKER_UP || worker->quarantined)
+	if (row->state != BD_WORKER_UP)
 		return CW_OK;
-	if (worker->probation && row->consecutive_failures == 0 &&
-	    is_proved(sch, worker))
-		return propose(sch, worker, 0);
-	if (!(worker->probation && row->consecutive_failures > 0) &&
-	    !is_suspect(sch, worker))
+	if (worker->quarantined) {
+		if (row->quarantine_until_ms > sch->now_ms)
+			return CW_OK;
+		return release(sch, worker);
+	}
+	if (!failed && !is_suspect(sch, worker)) {
+		if (probation != NULL && is_proved(sch, worker, probation))
+			end_probation(sch, probation);
 		return CW_OK;
+	}
 	if (*room == 0)
 		return CW_OK;
 	(*room)--;
+	if (probation != NULL)
+		end_probation(sch, probation);
 	worker->usable = false;
 	worker->quarantined = true;
 	return propose(sch, worker, sch->now_ms + backoff_ms(row));
 }
 
+/* Gangs on a worker that is leaving are checkpointed and move while it still
+ * runs. */
+static int
+clear_leaving(struct sch *sch)
+{
+	uint32_t w;
+	uint32_t t;
+	int code = CW_OK;
+
+	for (w = 0; w < sch->worker_count; w++) {
+		if (sch->workers[w].row->state != BD_WORKER_LEAVING)
+			continue;
+		for (t = sch->workers[w].first_task;
+		     t != SCH_NONE && code == CW_OK && sch_has_budget(sch);
+		     t = sch->tasks[t].next_of_worker)
+			if (!sch->jobs[sch->tasks[t].job].victim)
+				code = sch_preempt(sch, sch->tasks[t].job,
+				    SCH_NONE, BD_REASON_WORKER_LOST);
+	}
+	return code;
+}
+
 /* A job is to blame when it has failed on several workers that are not. */
 static bool
 is_bad_job(const struct sch *sch, const struct bd_job *job)
@@ -170,6 +237,8 @@
 	for (i = 0; i < sch->worker_count && code == CW_OK; i++)
 		if (sch_has_budget(sch))
 			code = judge_worker(sch, &sch->workers[i], &room);
+	if (code == CW_OK)
+		code = clear_leaving(sch);
 	for (i = 0; i < sch->waiting_count && code == CW_OK; i++) {
 		struct sch_job *job = &sch->jobs[sch->waiting[i]];
 
--- a/lib/sched/scheduler.h
+++ b/lib/sched/scheduler.h
@@ -141,7 +141,7 @@
 int sch_explain(
     struct sch *sch, uint64_t job, int64_t now_ms, struct sch_explanation *out);
 size_t sch_explain_format(const struct sch_explanation *explanation,
-    int64_t now_ms, char *text, size_t bytes);
+    int64_t now_ms, char *buffer, size_t bytes);
 
 /*
  * 5. Single decisions. Each reads the tables and hands records to the sink of
--- a/lib/sched/scheduler_internal.h
+++ b/lib/sched/scheduler_internal.h
@@ -17,6 +17,7 @@
 #define SCH_FAILED_CLAIMS_MAX 4
 #define SCH_THROTTLES_MAX 256
 #define SCH_MOVES_MAX 256
+#define SCH_PROBATIONS_MAX 64
 
 /* Waiting this long makes a job one class more urgent. */
 #define SCH_AGING_MS (60 * 60 * 1000)
@@ -56,7 +57,7 @@
 	uint32_t quarantined;
 	uint32_t usable;    /* takes new work */
 	uint32_t reserved;  /* for the starving gang */
-	uint32_t probation; /* quarantine is over, not yet proved */
+	uint32_t probation; /* back from quarantine, not yet proved */
 	struct sch_room all;
 	struct sch_room free;  /* held by no task; less than 0 when claimed */
 	struct sch_room plans; /* sums of the cells */
@@ -174,58 +175,71 @@
 
 #define SCH_LEARN_SLOTS 2048
 
+/* Worker that is back from quarantine and not proved yet. */
+struct sch_probation {
+	uint64_t worker;
+	int64_t since_ms;
+};
+
 struct sch {
 	struct sch_spec spec;
-	atomic_int pending; /* proposals whose status is not known */
-	int64_t pending_since_ms;
-	uint32_t proposed; /* in this step */
-	int64_t now_ms;
 	const struct bd_config *config;
 	struct bd_config config_default;
+	int64_t now_ms;
+	int64_t pending_since_ms;
+	uint64_t total_accels;
+	uint64_t total_cores;
 
+	/* The view, allocated once for the largest tables. */
 	struct sch_worker *workers;
 	const struct bd_worker **rows; /* scratch of the sort */
-	uint32_t worker_count;
 	struct sch_rack *racks;
-	uint32_t rack_count;
 	struct sch_job *jobs;
-	uint32_t job_count;
 	struct sch_task *tasks;
-	uint32_t task_count;
 	struct sch_promise *promises;
-	uint32_t promise_count;
 	struct sch_cell *cells;
-	uint32_t cell_count;
 	struct sch_account *accounts;
-	uint32_t account_count;
 	struct sch_index worker_index;
 	struct sch_index job_index;
 	struct sch_index promise_index;
 	struct sch_index account_index;
 	uint32_t *waiting; /* jobs, in the order of the decision */
-	uint32_t waiting_count;
-	uint64_t total_accels;
-	uint64_t total_cores;
 
 	/* Scratch memory of single searches. */
 	struct sch_room *rooms; /* one a worker */
 	uint32_t *counts;       /* one a worker: members that fit */
 	uint32_t *rack_counts;  /* one a rack */
-	uint32_t *order;        /* promises or jobs */
+	uint32_t *order;        /* promises or workers */
 	struct sch_need failed[SCH_FAILED_SHAPES_MAX];
 	int64_t failed_run_ms[SCH_FAILED_SHAPES_MAX];
-	uint32_t failed_count;
-	uint32_t mark;
-	uint32_t level_next; /* of the order */
-	uint32_t swap_next;  /* promise from which the search goes on */
+
+	/* What outlives a decision. All of it can be lost with the VM. */
 	struct sch_reservation reservation;
 	struct sch_throttle throttles[SCH_THROTTLES_MAX];
-	uint32_t throttle_count;
+	struct sch_probation probations[SCH_PROBATIONS_MAX];
 	int64_t moves_ms[SCH_MOVES_MAX];
-	uint32_t move_next;
 	struct sch_ewma *learned;
 	uint64_t learned_epoch;
 	int64_t learned_usage_ms;
+
+	uint32_t worker_count;
+	uint32_t rack_count;
+	uint32_t job_count;
+	uint32_t task_count;
+	uint32_t promise_count;
+	uint32_t cell_count;
+	uint32_t account_count;
+	uint32_t waiting_count;
+	uint32_t failed_count;
+	uint32_t throttle_count;
+	uint32_t probation_count;
+	uint32_t move_next;
+	uint32_t mark;       /* of trials */
+	uint32_t level_next; /* of the order */
+	uint32_t swap_next;  /* promise from which the search goes on */
+	uint32_t proposed;   /* in this step */
+	atomic_int pending;  /* proposals whose status is not known */
+	uint32_t reserved;
 };
 
 /* view.c, index.c: the flat working view, valid within one read section. */
@@ -287,6 +301,7 @@
 int sch_defrag_run(struct sch *sch);
 int sch_overrun_run(struct sch *sch);
 int sch_quarantine_run(struct sch *sch);
+struct sch_probation *sch_probation_of(struct sch *sch, uint64_t worker);
 void sch_learn_run(struct sch *sch);
 int sch_unfit_run(struct sch *sch);
 bool sch_fits_somewhere(struct sch *sch, const struct bd_job *job);
--- a/lib/sched/step.c
+++ b/lib/sched/step.c
@@ -74,7 +74,7 @@
 alloc_tables(struct sch *sch)
 {
 	sch->workers = calloc(SCH_WORKERS_MAX, sizeof(*sch->workers));
-	sch->rows = calloc(SCH_WORKERS_MAX, sizeof(*sch->rows));
+	sch->rows = calloc(SCH_WORKERS_MAX, sizeof(const struct bd_worker *));
 	sch->racks = calloc(SCH_WORKERS_MAX, sizeof(*sch->racks));
 	sch->jobs = calloc(SCH_JOBS_MAX, sizeof(*sch->jobs));
 	sch->tasks = calloc(SCH_TASKS_MAX, sizeof(*sch->tasks));
--- a/lib/sched/view.c
+++ b/lib/sched/view.c
@@ -85,9 +85,10 @@
 		worker->all.cores = row->cores_milli;
 		worker->all.memory = row->memory_mb;
 		worker->free = worker->all;
-		worker->quarantined = row->quarantine_until_ms > sch->now_ms;
-		worker->probation =
-		    row->quarantine_until_ms != 0 && !worker->quarantined;
+		/* Apply refuses placements until QUARANTINE ends it, even
+		 * when its time is over. */
+		worker->quarantined = row->quarantine_until_ms != 0;
+		worker->probation = sch_probation_of(sch, row->id) != NULL;
 		worker->usable =
 		    row->state == BD_WORKER_UP && !worker->quarantined;
 		sch_index_put(&sch->worker_index, row->id, i);
@@ -262,15 +263,16 @@
 	    (row = bd_job_next(sch->spec.board, &cursor)) != NULL) {
 		struct sch_job *job = &sch->jobs[sch->job_count];
 
-		if (row->state == BD_JOB_DONE || row->state == BD_JOB_FAILED ||
-		    row->state == BD_JOB_CANCELLED)
+		/* A cancelled job holds its place until its gang is stopped. */
+		if (row->state >= BD_JOB_DONE && row->token == 0)
 			continue;
 		memset(job, 0, sizeof(*job));
 		job->row = row;
 		job->account = account_of(sch, row->account);
 		job->first_task = SCH_NONE;
 		job->promise = SCH_NONE;
-		job->victim = row->state == BD_JOB_PREEMPTING;
+		job->victim = row->state == BD_JOB_PREEMPTING ||
+		    row->state >= BD_JOB_DONE;
 		job->run_ms = sch_expected_run_ms(sch, row);
 		if (row->state == BD_JOB_WAITING)
 			sch->waiting[sch->waiting_count++] = sch->job_count;
@@ -370,6 +372,8 @@
 
 	if (started == 0)
 		started = sch->now_ms;
+	else if (job->row->checkpoint_ms > started)
+		started = job->row->checkpoint_ms;
 	end = started + job->run_ms - job->row->progress_ms;
 	if (end < sch->now_ms)
 		end = sch->now_ms + (sch->now_ms - started) / 4 + 1000;
