Check reclaim and guarantees over random histories of failures

Cause: nothing checked that the decisions and apply agree. Change: a world that applies proposals in memory, and a test over random submits, cancels, failures of workers, racks and zones. It found that a worker put into quarantine kept its plans usable within the same decision, that plans were moved onto the rest of a broken plan, and that a plan could move only past one other.

--- a/lib/sched/guarantee.c
+++ b/lib/sched/guarantee.c
@@ -148,8 +148,16 @@
 sch_guarantee_check(const struct bd_board *board)
 {
 	struct sch_spec spec = {.board = board};
+	struct sch_limits limits = {
+	    .workers = bd_count(board, BD_TABLE_worker) + 1,
+	    .jobs = bd_count(board, BD_TABLE_job) + 1,
+	    .tasks = bd_count(board, BD_TABLE_task) + 1,
+	    .promises = bd_count(board, BD_TABLE_promise) + 1,
+	    .cells = bd_count(board, BD_TABLE_promise) * BD_GANG_MAX + 1,
+	    .accounts = SCH_ACCOUNTS_MAX,
+	};
 	struct sch *sch;
-	int code = sch_create(&sch, &spec);
+	int code = sch_create_sized(&sch, &spec, &limits);
 
 	if (code != CW_OK)
 		return code;
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -46,7 +46,7 @@
 			cell->free.cores -= shape->cores_milli;
 			cell->free.memory -= shape->memory_mb;
 		}
-		if (sch->task_count == SCH_TASKS_MAX)
+		if (sch->task_count == sch->limits.tasks)
 			continue;
 		task = &sch->tasks[sch->task_count];
 		task->job = job;
--- a/lib/sched/plan.c
+++ b/lib/sched/plan.c
@@ -3,8 +3,10 @@
 
 #include "scheduler_internal.h"
 
-/* Idle plans that one decision may try to move for the sake of others. */
-#define PLAN_SWAPS_MAX 64
+/* Racks that one decision may try to vacate, and plans that it may move for
+ * one promise. */
+#define PLAN_TRIES_MAX 64
+#define PLAN_MOVES_MAX 8
 
 static bool larger_first(const void *ctx, uint32_t a, uint32_t b);
 static void unlink_cell(struct sch *sch, uint32_t number);
@@ -16,9 +18,14 @@
 static uint32_t spots_of(
     const struct sch *sch, uint32_t number, struct sch_spot *spots);
 static int propose_short(struct sch *sch, uint32_t number, int64_t since_ms);
-static int plan_by_swap(
-    struct sch *sch, uint32_t number, uint32_t *swaps, bool *done);
-static int plan_one(struct sch *sch, uint32_t number, uint32_t *swaps);
+static uint32_t idle_plan_in(const struct sch *sch, uint32_t r);
+static uint32_t unplanned_rooms(struct sch *sch, uint32_t r,
+    const struct sch_need *need, bool free_only, uint32_t *free);
+static bool vacate_rack(
+    struct sch *sch, uint32_t number, uint32_t r, int *code);
+static int plan_by_moves(
+    struct sch *sch, uint32_t number, uint32_t *tries, bool *done);
+static int plan_one(struct sch *sch, uint32_t number, uint32_t *tries);
 
 static bool
 larger_first(const void *ctx, uint32_t a, uint32_t b)
@@ -136,50 +143,28 @@
 }
 
 /*
- * Finds a place for a shape in one rack, outside all plans; with free_only on
- * hardware that no job holds or claims. The rack with the least unplanned
- * hardware that suffices is taken, so that whole racks stay unplanned.
+ * Finds a place for a shape in one rack other than avoid, outside all plans;
+ * with free_only on hardware that no job holds or claims. The rack with the
+ * least unplanned hardware that suffices is taken, so that whole racks stay
+ * unplanned.
  */
 bool
 sch_plan_find(struct sch *sch, const struct sch_need *need, bool free_only,
-    struct sch_spot *spots)
+    uint32_t avoid, struct sch_spot *spots)
 {
 	uint32_t best = SCH_NONE;
 	uint32_t best_free = UINT32_MAX;
+	uint32_t free;
 	uint32_t r;
-	uint32_t w;
 
 	for (r = 0; r < sch->rack_count; r++) {
-		const struct sch_rack *rack = &sch->racks[r];
-		uint32_t members = 0;
-		uint32_t free = 0;
-
-		for (w = rack->first; w < rack->first + rack->count; w++) {
-			const struct sch_worker *worker = &sch->workers[w];
-			struct sch_room *room = &sch->rooms[w];
-
-			memset(room, 0, sizeof(*room));
-			if (!worker->usable || worker->probation)
-				continue;
-			room->mask = worker->all.mask & ~worker->planned;
-			room->cores = worker->all.cores - worker->plans.cores;
-			room->memory =
-			    worker->all.memory - worker->plans.memory;
-			if (free_only) {
-				room->mask &=
-				    worker->free.mask & ~worker->blocked;
-				if (room->cores > worker->free.cores)
-					room->cores = worker->free.cores;
-				if (room->memory > worker->free.memory)
-					room->memory = worker->free.memory;
-			}
-			members += sch_room_members(room, need);
-			free += (uint32_t)__builtin_popcount(room->mask);
-		}
-		if (members >= need->members && free < best_free) {
-			best = r;
-			best_free = free;
-		}
+		if (r == avoid ||
+		    unplanned_rooms(sch, r, need, free_only, &free) <
+			need->members ||
+		    free >= best_free)
+			continue;
+		best = r;
+		best_free = free;
 	}
 	return best != SCH_NONE &&
 	    sch_rack_take(sch->rooms, &sch->racks[best], need, spots);
@@ -195,7 +180,7 @@
 	struct rec_plan *body = &rec.body.plan;
 	uint32_t i;
 
-	if (sch->cell_count + count > SCH_CELLS_MAX)
+	if (sch->cell_count + count > sch->limits.cells)
 		return CW_OK;
 	release_plan(sch, promise);
 	hold_plan(sch, promise, spots, count);
@@ -223,53 +208,144 @@
 	return sch_propose(sch, &rec);
 }
 
-/* Looks for an idle plan that can move elsewhere and thereby make room. The
- * record of the plan that moves goes first, so apply finds the plans disjoint
- * at each step. */
-static int
-plan_by_swap(struct sch *sch, uint32_t number, uint32_t *swaps, bool *done)
+/* Returns the smallest idle plan in a rack, or SCH_NONE. */
+static uint32_t
+idle_plan_in(const struct sch *sch, uint32_t r)
+{
+	uint32_t best = SCH_NONE;
+	uint32_t best_size = UINT32_MAX;
+	uint32_t p;
+
+	for (p = 0; p < sch->promise_count; p++) {
+		const struct sch_promise *entry = &sch->promises[p];
+		const struct bd_shape *shape = &entry->row->shape;
+		uint32_t size = (uint32_t)shape->members * shape->accels;
+
+		if (!entry->valid || entry->jobs > 0 || entry->moved ||
+		    entry->cell_count == 0 || size >= best_size ||
+		    sch->workers[sch->cells[entry->first_cell].worker].rack !=
+			r)
+			continue;
+		best = p;
+		best_size = size;
+	}
+	return best;
+}
+
+/* Fills the rooms of a rack with what is outside all plans. Returns how many
+ * members it holds. */
+static uint32_t
+unplanned_rooms(struct sch *sch, uint32_t r, const struct sch_need *need,
+    bool free_only, uint32_t *free)
+{
+	const struct sch_rack *rack = &sch->racks[r];
+	uint32_t members = 0;
+	uint32_t w;
+
+	*free = 0;
+	for (w = rack->first; w < rack->first + rack->count; w++) {
+		const struct sch_worker *worker = &sch->workers[w];
+		struct sch_room *room = &sch->rooms[w];
+
+		memset(room, 0, sizeof(*room));
+		if (!worker->usable || worker->probation)
+			continue;
+		room->mask = worker->all.mask & ~worker->planned;
+		room->cores = worker->all.cores - worker->plans.cores;
+		room->memory = worker->all.memory - worker->plans.memory;
+		if (free_only) {
+			room->mask &= worker->free.mask & ~worker->blocked;
+			if (room->cores > worker->free.cores)
+				room->cores = worker->free.cores;
+			if (room->memory > worker->free.memory)
+				room->memory = worker->free.memory;
+		}
+		members += sch_room_members(room, need);
+		*free += (uint32_t)__builtin_popcount(room->mask);
+	}
+	return members;
+}
+
+/* Makes room in one rack by moving idle plans out of it. Their records go
+ * first, so apply finds the plans disjoint at each step; for the same reason
+ * they go to other racks. */
+static bool
+vacate_rack(struct sch *sch, uint32_t number, uint32_t r, int *code)
 {
 	struct sch_need need = sch_need_of(&sch->promises[number].row->shape);
-	struct sch_spot old[BD_GANG_MAX];
+	struct sch_spot old[PLAN_MOVES_MAX][BD_GANG_MAX];
+	struct sch_spot new[PLAN_MOVES_MAX][BD_GANG_MAX];
 	struct sch_spot mine[BD_GANG_MAX];
-	struct sch_spot other[BD_GANG_MAX];
+	uint32_t moved[PLAN_MOVES_MAX];
+	uint32_t count = 0;
+	uint32_t placed = 0;
+	uint32_t free;
 	uint32_t i;
-	int code;
 
-	for (i = 0; i < sch->promise_count && *swaps < PLAN_SWAPS_MAX; i++) {
-		uint32_t q = sch->swap_next++ % sch->promise_count;
-		struct sch_promise *entry = &sch->promises[q];
-		struct sch_need moved = sch_need_of(&entry->row->shape);
-		bool found;
+	while (unplanned_rooms(sch, r, &need, false, &free) < need.members) {
+		uint32_t q =
+		    count < PLAN_MOVES_MAX ? idle_plan_in(sch, r) : SCH_NONE;
 
-		if (q == number || !entry->valid || entry->jobs > 0 ||
-		    entry->moved ||
-		    sch->cell_count + 4 * BD_GANG_MAX > SCH_CELLS_MAX)
-			continue;
-		(*swaps)++;
-		spots_of(sch, q, old);
+		if (q == SCH_NONE)
+			break;
+		spots_of(sch, q, old[count]);
 		release_plan(sch, q);
-		found = sch_plan_find(sch, &need, false, mine);
-		if (found) {
-			hold_plan(sch, number, mine, need.members);
-			found = sch_plan_find(sch, &moved, false, other);
-			release_plan(sch, number);
+		moved[count++] = q;
+	}
+	if (count > 0 &&
+	    sch_rack_take(sch->rooms, &sch->racks[r], &need, mine)) {
+		for (; placed < count; placed++) {
+			struct sch_need other = sch_need_of(
+			    &sch->promises[moved[placed]].row->shape);
+
+			if (!sch_plan_find(sch, &other, false, r, new[placed]))
+				break;
+			hold_plan(
+			    sch, moved[placed], new[placed], other.members);
 		}
-		hold_plan(sch, q, old, moved.members);
-		if (!found)
-			continue;
-		*done = true;
-		code = sch_plan_propose(sch, q, other, moved.members);
-		if (code == CW_OK)
-			code =
-			    sch_plan_propose(sch, number, mine, need.members);
-		return code;
 	}
-	return CW_OK;
+	for (i = 0; i < count; i++) {
+		release_plan(sch, moved[i]);
+		hold_plan(sch, moved[i], old[i],
+		    sch->promises[moved[i]].row->shape.members);
+	}
+	if (count == 0 || placed < count)
+		return false;
+	*code = CW_OK;
+	for (i = 0; i < count && *code == CW_OK; i++)
+		*code = sch_plan_propose(sch, moved[i], new[i],
+		    sch->promises[moved[i]].row->shape.members);
+	if (*code == CW_OK)
+		*code = sch_plan_propose(sch, number, mine, need.members);
+	return true;
 }
 
 static int
-plan_one(struct sch *sch, uint32_t number, uint32_t *swaps)
+plan_by_moves(struct sch *sch, uint32_t number, uint32_t *tries, bool *done)
+{
+	uint32_t i;
+	int code = CW_OK;
+
+	for (i = 0; i < sch->rack_count && *tries < PLAN_TRIES_MAX; i++) {
+		uint32_t r = sch->swap_next++ % sch->rack_count;
+
+		if (sch->cell_count + 4 * PLAN_MOVES_MAX * BD_GANG_MAX >
+		    sch->limits.cells)
+			break;
+		(*tries)++;
+		if (vacate_rack(sch, number, r, &code)) {
+			*done = true;
+			break;
+		}
+	}
+	return code;
+}
+
+/* Plans one promise: on free hardware, on hardware that borrowers hold, or by
+ * moving idle plans. What is left of a broken plan is given up first, in a
+ * decision of its own, for apply would refuse plans that overlap it. */
+static int
+plan_one(struct sch *sch, uint32_t number, uint32_t *tries)
 {
 	const struct bd_promise *row = sch->promises[number].row;
 	struct sch_need need = sch_need_of(&row->shape);
@@ -280,15 +356,17 @@
 	int code;
 
 	release_plan(sch, number);
-	if (sch_plan_find(sch, &need, true, spots) ||
-	    sch_plan_find(sch, &need, false, spots))
+	if (sch_plan_find(sch, &need, true, SCH_NONE, spots) ||
+	    sch_plan_find(sch, &need, false, SCH_NONE, spots))
 		return sch_plan_propose(sch, number, spots, need.members);
-	code = plan_by_swap(sch, number, swaps, &done);
-	if (done || code != CW_OK)
+	if (row->slot_count > 0) {
+		code = sch_plan_propose(sch, number, spots, 0);
+		sch->promises[number].valid = false;
+		hold_plan(sch, number, old, old_count);
 		return code;
-	/* The plan that is left still counts, for its hardware may return. */
-	hold_plan(sch, number, old, old_count);
-	if (row->short_since_ms == 0)
+	}
+	code = plan_by_moves(sch, number, tries, &done);
+	if (code == CW_OK && !done && row->short_since_ms == 0)
 		code = propose_short(sch, number, sch->now_ms);
 	return code;
 }
@@ -299,7 +377,7 @@
 int
 sch_plan_run(struct sch *sch)
 {
-	uint32_t swaps = 0;
+	uint32_t tries = 0;
 	uint32_t i;
 	int code = CW_OK;
 
@@ -316,7 +394,7 @@
 		if (entry->moved || (!entry->valid && entry->jobs > 0))
 			continue;
 		if (!entry->valid)
-			code = plan_one(sch, sch->order[i], &swaps);
+			code = plan_one(sch, sch->order[i], &tries);
 		else if (entry->row->short_since_ms != 0)
 			code = propose_short(sch, sch->order[i], 0);
 	}
--- a/lib/sched/quarantine.c
+++ b/lib/sched/quarantine.c
@@ -145,6 +145,7 @@
 	const struct bd_worker *row = worker->row;
 	struct sch_probation *probation = sch_probation_of(sch, row->id);
 	bool failed = probation != NULL && row->consecutive_failures > 0;
+	uint32_t c;
 
 	if (row->state != BD_WORKER_UP)
 		return CW_OK;
@@ -165,6 +166,9 @@
 		end_probation(sch, probation);
 	worker->usable = false;
 	worker->quarantined = true;
+	for (c = worker->first_cell; c != SCH_NONE;
+	     c = sch->cells[c].next_of_worker)
+		sch->promises[sch->cells[c].promise].valid = false;
 	return propose(sch, worker, sch->now_ms + backoff_ms(row));
 }
 
--- a/lib/sched/reclaim.c
+++ b/lib/sched/reclaim.c
@@ -417,7 +417,7 @@
 	struct sch_spot spots[BD_GANG_MAX];
 
 	if (entry->jobs > 0 || entry->moved ||
-	    !sch_plan_find(sch, &whole, true, spots))
+	    !sch_plan_find(sch, &whole, true, SCH_NONE, spots))
 		return false;
 	*code = sch_plan_propose(sch, claim->promise, spots, whole.members);
 	if (*code == CW_OK &&
--- a/lib/sched/scheduler_internal.h
+++ b/lib/sched/scheduler_internal.h
@@ -181,8 +181,19 @@
 	int64_t since_ms;
 };
 
+/* Rows that a view can hold. */
+struct sch_limits {
+	uint32_t workers;
+	uint32_t jobs;
+	uint32_t tasks;
+	uint32_t promises;
+	uint32_t cells;
+	uint32_t accounts;
+};
+
 struct sch {
 	struct sch_spec spec;
+	struct sch_limits limits;
 	const struct bd_config *config;
 	struct bd_config config_default;
 	int64_t now_ms;
@@ -266,7 +277,7 @@
 
 /* plan.c */
 bool sch_plan_find(struct sch *sch, const struct sch_need *need, bool free_only,
-    struct sch_spot *spots);
+    uint32_t avoid, struct sch_spot *spots);
 int sch_plan_propose(struct sch *sch, uint32_t promise,
     const struct sch_spot *spots, uint32_t count);
 int sch_plan_run(struct sch *sch);
@@ -307,6 +318,8 @@
 bool sch_fits_somewhere(struct sch *sch, const struct bd_job *job);
 int sch_end_unplaced(
     struct sch *sch, const struct bd_job *job, enum bd_reason reason);
+int sch_create_sized(struct sch **out, const struct sch_spec *spec,
+    const struct sch_limits *limits);
 int sch_propose(struct sch *sch, const struct rec *rec);
 bool sch_has_budget(const struct sch *sch);
 
--- a/lib/sched/step.c
+++ b/lib/sched/step.c
@@ -73,14 +73,15 @@
 static int
 alloc_tables(struct sch *sch)
 {
-	sch->workers = calloc(SCH_WORKERS_MAX, sizeof(*sch->workers));
-	sch->rows = calloc(SCH_WORKERS_MAX, sizeof(const struct bd_worker *));
-	sch->racks = calloc(SCH_WORKERS_MAX, sizeof(*sch->racks));
-	sch->jobs = calloc(SCH_JOBS_MAX, sizeof(*sch->jobs));
-	sch->tasks = calloc(SCH_TASKS_MAX, sizeof(*sch->tasks));
-	sch->promises = calloc(SCH_PROMISES_MAX, sizeof(*sch->promises));
-	sch->cells = calloc(SCH_CELLS_MAX, sizeof(*sch->cells));
-	sch->accounts = calloc(SCH_ACCOUNTS_MAX, sizeof(*sch->accounts));
+	sch->workers = calloc(sch->limits.workers, sizeof(*sch->workers));
+	sch->rows =
+	    calloc(sch->limits.workers, sizeof(const struct bd_worker *));
+	sch->racks = calloc(sch->limits.workers, sizeof(*sch->racks));
+	sch->jobs = calloc(sch->limits.jobs, sizeof(*sch->jobs));
+	sch->tasks = calloc(sch->limits.tasks, sizeof(*sch->tasks));
+	sch->promises = calloc(sch->limits.promises, sizeof(*sch->promises));
+	sch->cells = calloc(sch->limits.cells, sizeof(*sch->cells));
+	sch->accounts = calloc(sch->limits.accounts, sizeof(*sch->accounts));
 	if (sch->workers == NULL || sch->rows == NULL || sch->racks == NULL ||
 	    sch->jobs == NULL || sch->tasks == NULL || sch->promises == NULL ||
 	    sch->cells == NULL || sch->accounts == NULL)
@@ -91,31 +92,31 @@
 static int
 alloc_scratch(struct sch *sch)
 {
-	sch->waiting = calloc(SCH_JOBS_MAX, sizeof(*sch->waiting));
-	sch->rooms = calloc(SCH_WORKERS_MAX, sizeof(*sch->rooms));
-	sch->counts = calloc(SCH_WORKERS_MAX, sizeof(*sch->counts));
-	sch->rack_counts = calloc(SCH_WORKERS_MAX, sizeof(*sch->rack_counts));
-	sch->order = calloc(SCH_JOBS_MAX, sizeof(*sch->order));
+	sch->waiting = calloc(sch->limits.jobs, sizeof(*sch->waiting));
+	sch->rooms = calloc(sch->limits.workers, sizeof(*sch->rooms));
+	sch->counts = calloc(sch->limits.workers, sizeof(*sch->counts));
+	sch->rack_counts =
+	    calloc(sch->limits.workers, sizeof(*sch->rack_counts));
+	sch->order = calloc(
+	    sch->limits.workers + sch->limits.promises, sizeof(*sch->order));
 	sch->learned = calloc(SCH_LEARN_SLOTS, sizeof(*sch->learned));
 	if (sch->waiting == NULL || sch->rooms == NULL || sch->counts == NULL ||
 	    sch->rack_counts == NULL || sch->order == NULL ||
 	    sch->learned == NULL)
 		return SCH_ENOMEM;
-	if (sch_index_init(&sch->worker_index, SCH_WORKERS_MAX) != CW_OK ||
-	    sch_index_init(&sch->job_index, SCH_JOBS_MAX) != CW_OK ||
-	    sch_index_init(&sch->promise_index, SCH_PROMISES_MAX) != CW_OK ||
-	    sch_index_init(&sch->account_index, SCH_ACCOUNTS_MAX) != CW_OK)
+	if (sch_index_init(&sch->worker_index, sch->limits.workers) != CW_OK ||
+	    sch_index_init(&sch->job_index, sch->limits.jobs) != CW_OK ||
+	    sch_index_init(&sch->promise_index, sch->limits.promises) !=
+		CW_OK ||
+	    sch_index_init(&sch->account_index, sch->limits.accounts) != CW_OK)
 		return SCH_ENOMEM;
 	return CW_OK;
 }
 
-/*
- * Creates a scheduler with all the memory that its decisions use (about 10 MB
- * reserved, of which only what the tables fill is touched). Returns
- * SCH_ENOMEM.
- */
+/* Creates a scheduler whose view holds so many rows. Returns SCH_ENOMEM. */
 int
-sch_create(struct sch **out, const struct sch_spec *spec)
+sch_create_sized(struct sch **out, const struct sch_spec *spec,
+    const struct sch_limits *limits)
 {
 	struct sch *sch = calloc(1, sizeof(*sch));
 
@@ -123,6 +124,7 @@
 	if (sch == NULL)
 		return cw_error_set(SCH_ENOMEM, "no memory for the scheduler");
 	sch->spec = *spec;
+	sch->limits = *limits;
 	sch->config_default.fragmentation_weight_milli = 500;
 	sch->config_default.reclaim_ms = 4000;
 	sch->config_default.checkpoint_ms = 3000;
@@ -136,6 +138,20 @@
 	return CW_OK;
 }
 
+/*
+ * Creates a scheduler with all the memory that its decisions use (about 10 MB
+ * reserved, of which only what the tables fill is touched). Returns
+ * SCH_ENOMEM.
+ */
+int
+sch_create(struct sch **out, const struct sch_spec *spec)
+{
+	static const struct sch_limits limits = {SCH_WORKERS_MAX, SCH_JOBS_MAX,
+	    SCH_TASKS_MAX, SCH_PROMISES_MAX, SCH_CELLS_MAX, SCH_ACCOUNTS_MAX};
+
+	return sch_create_sized(out, spec, &limits);
+}
+
 /* Frees a scheduler. The statuses of all its proposals must have come. */
 void
 sch_destroy(struct sch *sch)
--- a/lib/sched/view.c
+++ b/lib/sched/view.c
@@ -61,7 +61,7 @@
 	uint32_t count = 0;
 	uint32_t i;
 
-	while (count < SCH_WORKERS_MAX &&
+	while (count < sch->limits.workers &&
 	    (row = bd_worker_next(sch->spec.board, &cursor)) != NULL) {
 		sch->workers[count].row = row;
 		sch->order[count] = count;
@@ -135,7 +135,7 @@
 
 	if (at != SCH_NONE)
 		return at;
-	if (sch->account_count == SCH_ACCOUNTS_MAX)
+	if (sch->account_count == sch->limits.accounts)
 		return 0;
 	at = sch->account_count++;
 	account = &sch->accounts[at];
@@ -169,7 +169,7 @@
 	for (i = 0; i < promise->cell_count; i++)
 		if (sch->cells[promise->first_cell + i].worker == worker)
 			return promise->first_cell + i;
-	if (sch->cell_count == SCH_CELLS_MAX)
+	if (sch->cell_count == sch->limits.cells)
 		return SCH_NONE;
 	i = sch->cell_count++;
 	cell = &sch->cells[i];
@@ -234,7 +234,7 @@
 
 	sch->promise_count = 0;
 	sch->cell_count = 0;
-	while (sch->promise_count < SCH_PROMISES_MAX &&
+	while (sch->promise_count < sch->limits.promises &&
 	    (row = bd_promise_next(sch->spec.board, &cursor)) != NULL) {
 		uint32_t number = sch->promise_count++;
 		struct sch_promise *promise = &sch->promises[number];
@@ -259,7 +259,7 @@
 
 	sch->job_count = 0;
 	sch->waiting_count = 0;
-	while (sch->job_count < SCH_JOBS_MAX &&
+	while (sch->job_count < sch->limits.jobs &&
 	    (row = bd_job_next(sch->spec.board, &cursor)) != NULL) {
 		struct sch_job *job = &sch->jobs[sch->job_count];
 
@@ -290,7 +290,7 @@
 	uint32_t cursor = 0;
 
 	sch->task_count = 0;
-	while (sch->task_count < SCH_TASKS_MAX &&
+	while (sch->task_count < sch->limits.tasks &&
 	    (row = bd_task_next(sch->spec.board, &cursor)) != NULL) {
 		uint32_t j = sch_index_get(&sch->job_index, row->job);
 		uint32_t w = sch_index_get(&sch->worker_index, row->worker);
--- a/lib/state/apply_gang.c
+++ b/lib/state/apply_gang.c
@@ -19,6 +19,10 @@
     const struct rec_gang_ended *body, const struct bd_slot *members,
     uint64_t position);
 static void end_attempt(struct bd_job *job, const struct rec *rec);
+static int end_unplaced(
+    struct st_state *state, const struct rec *rec, uint64_t position);
+static bool may_reclaim(
+    struct st_state *state, const struct bd_job *victim, uint64_t for_job);
 
 /* Finds a job that holds workers under the token. */
 static bool
@@ -164,6 +168,23 @@
 	job->ended_ms = rec->time_ms;
 }
 
+/* A job that can never run ends from the waiting state; it holds nothing. */
+static int
+end_unplaced(struct st_state *state, const struct rec *rec, uint64_t position)
+{
+	const struct rec_gang_ended *body = &rec->body.gang_ended;
+	struct bd_job row;
+
+	if (body->outcome != REC_OUTCOME_FAILED)
+		return ST_EREJECTED;
+	if (!st_row_copy(state, BD_TABLE_job, body->job, &row, sizeof(row)) ||
+	    row.state != BD_JOB_WAITING)
+		return ST_ESTALE;
+	end_attempt(&row, rec);
+	row.epoch = position;
+	return st_row_put(state, BD_TABLE_job, row.id, &row, sizeof(row));
+}
+
 /*
  * GANG_ENDED: no member runs any more; the workers are free. The job is done,
  * has failed, or waits again. One that was cancelled stays cancelled.
@@ -181,6 +202,8 @@
 	if (body->outcome > REC_OUTCOME_RETRY ||
 	    body->reason >= BD_REASON_COUNT)
 		return ST_EREJECTED;
+	if (body->token == 0)
+		return end_unplaced(state, rec, position);
 	if (!find_placed(state, body->job, body->token, &row))
 		return ST_ESTALE;
 	collect_members(state, &row, members);
@@ -197,8 +220,24 @@
 	return st_row_put(state, BD_TABLE_job, row.id, &row, sizeof(row));
 }
 
+/* A guaranteed gang gives way only to an urgent job of its own account, which
+ * the same guarantee serves. */
+static bool
+may_reclaim(
+    struct st_state *state, const struct bd_job *victim, uint64_t for_job)
+{
+	struct bd_job row;
+
+	if (victim->promise == 0)
+		return true;
+	return st_row_copy(state, BD_TABLE_job, for_job, &row, sizeof(row)) &&
+	    row.account == victim->account &&
+	    row.class_number == BD_CLASS_URGENT &&
+	    victim->class_number != BD_CLASS_URGENT;
+}
+
 /* PREEMPT: the gang is to be checkpointed and stopped by the deadline. A
- * guaranteed gang is never reclaimed. */
+ * guaranteed gang is not reclaimed for another account. */
 int
 st_apply_preempt(
     struct st_state *state, const struct rec *rec, uint64_t position)
@@ -211,7 +250,8 @@
 	if (!find_placed(state, body->job, body->token, &row) ||
 	    (row.state != BD_JOB_PLACED && row.state != BD_JOB_RUNNING))
 		return ST_ESTALE;
-	if (body->reason == BD_REASON_RECLAIMED && row.promise != 0)
+	if (body->reason == BD_REASON_RECLAIMED &&
+	    !may_reclaim(state, &row, body->for_job))
 		return ST_EREJECTED;
 	row.state = BD_JOB_PREEMPTING;
 	row.reason = body->reason;
