--- a/lib/sched/view.c
+++ b/lib/sched/view.c
@@ -61,7 +61,7 @@
 	uint32_t count = 0;
 	uint32_t i;
 
-	while (count < SCH_WORKERS_MAX &&
+	while (count < sch->limits.workers &&
 	    (row = bd_worker_next(sch->spec.board, &cursor)) != NULL) {
 		sch->workers[count].row = row;
 		sch->order[count] = count;
@@ -85,9 +85,10 @@
 		worker->all.cores = row->cores_milli;
 		worker->all.memory = row->memory_mb;
 		worker->free = worker->all;
-		worker->quarantined = row->quarantine_until_ms > sch->now_ms;
-		worker->probation =
-		    row->quarantine_until_ms != 0 && !worker->quarantined;
+		/* Apply refuses placements until QUARANTINE ends it, even
+		 * when its time is over. */
+		worker->quarantined = row->quarantine_until_ms != 0;
+		worker->probation = sch_probation_of(sch, row->id) != NULL;
 		worker->usable =
 		    row->state == BD_WORKER_UP && !worker->quarantined;
 		sch_index_put(&sch->worker_index, row->id, i);
@@ -134,7 +135,7 @@
 
 	if (at != SCH_NONE)
 		return at;
-	if (sch->account_count == SCH_ACCOUNTS_MAX)
+	if (sch->account_count == sch->limits.accounts)
 		return 0;
 	at = sch->account_count++;
 	account = &sch->accounts[at];
@@ -168,7 +169,7 @@
 	for (i = 0; i < promise->cell_count; i++)
 		if (sch->cells[promise->first_cell + i].worker == worker)
 			return promise->first_cell + i;
-	if (sch->cell_count == SCH_CELLS_MAX)
+	if (sch->cell_count == sch->limits.cells)
 		return SCH_NONE;
 	i = sch->cell_count++;
 	cell = &sch->cells[i];
@@ -233,7 +234,7 @@
 
 	sch->promise_count = 0;
 	sch->cell_count = 0;
-	while (sch->promise_count < SCH_PROMISES_MAX &&
+	while (sch->promise_count < sch->limits.promises &&
 	    (row = bd_promise_next(sch->spec.board, &cursor)) != NULL) {
 		uint32_t number = sch->promise_count++;
 		struct sch_promise *promise = &sch->promises[number];
@@ -258,19 +259,20 @@
 
 	sch->job_count = 0;
 	sch->waiting_count = 0;
-	while (sch->job_count < SCH_JOBS_MAX &&
+	while (sch->job_count < sch->limits.jobs &&
 	    (row = bd_job_next(sch->spec.board, &cursor)) != NULL) {
 		struct sch_job *job = &sch->jobs[sch->job_count];
 
-		if (row->state == BD_JOB_DONE || row->state == BD_JOB_FAILED ||
-		    row->state == BD_JOB_CANCELLED)
+		/* A cancelled job holds its place until its gang is stopped. */
+		if (row->state >= BD_JOB_DONE && row->token == 0)
 			continue;
 		memset(job, 0, sizeof(*job));
 		job->row = row;
 		job->account = account_of(sch, row->account);
 		job->first_task = SCH_NONE;
 		job->promise = SCH_NONE;
-		job->victim = row->state == BD_JOB_PREEMPTING;
+		job->victim = row->state == BD_JOB_PREEMPTING ||
+		    row->state >= BD_JOB_DONE;
 		job->run_ms = sch_expected_run_ms(sch, row);
 		if (row->state == BD_JOB_WAITING)
 			sch->waiting[sch->waiting_count++] = sch->job_count;
@@ -288,7 +290,7 @@
 	uint32_t cursor = 0;
 
 	sch->task_count = 0;
-	while (sch->task_count < SCH_TASKS_MAX &&
+	while (sch->task_count < sch->limits.tasks &&
 	    (row = bd_task_next(sch->spec.board, &cursor)) != NULL) {
 		uint32_t j = sch_index_get(&sch->job_index, row->job);
 		uint32_t w = sch_index_get(&sch->worker_index, row->worker);
@@ -370,6 +372,8 @@
 
 	if (started == 0)
 		started = sch->now_ms;
+	else if (job->row->checkpoint_ms > started)
+		started = job->row->checkpoint_ms;
 	end = started + job->run_ms - job->row->progress_ms;
 	if (end < sch->now_ms)
 		end = sch->now_ms + (sch->now_ms - started) / 4 + 1000;
