--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -316,6 +316,7 @@
 	uint32_t state; /* enum bd_member_state */
 	uint32_t self;
 	int64_t heard_ms;
+	int64_t since_ms; /* in this state; of self: start or end of a pause */
 	uint64_t position;
 	uint64_t digest;
 	uint64_t config_version;
--- /dev/null
+++ b/lib/fleet/claim.c
@@ -0,0 +1,66 @@
+#include <assert.h>
+
+#include "fleet.h"
+
+static void clear_claim(void *ctx, int status, uint64_t position);
+static bool is_free(struct fl_claim *claim, int64_t now_ms);
+
+/* Runs on the follower's thread. */
+static void
+clear_claim(void *ctx, int status, uint64_t position)
+{
+	struct fl_claim *claim = ctx;
+
+	(void)position;
+	claim->phase = status == CW_OK || status == ST_ESTALE ? FL_CLAIM_DECIDED
+							      : FL_CLAIM_FAILED;
+}
+
+static bool
+is_free(struct fl_claim *claim, int64_t now_ms)
+{
+	uint32_t phase = claim->phase;
+	int64_t keep_ms =
+	    phase == FL_CLAIM_PENDING ? FL_CLAIM_PENDING_MS : FL_CLAIM_RETRY_MS;
+
+	return claim->id == 0 || phase == FL_CLAIM_DECIDED ||
+	    now_ms - claim->since_ms >= keep_ms;
+}
+
+/*
+ * Proposes a record unless the claim with this id is pending or was proposed
+ * less than FL_CLAIM_RETRY_MS ago. An id stands for one row at one epoch.
+ * Returns the sink's status, CW_OK where nothing was proposed, and FL_EFULL
+ * where FL_CLAIMS_MAX claims are pending. The claims must outlive the sink.
+ */
+int
+fl_claim_propose(struct fl_claims *claims, uint64_t id, int64_t now_ms,
+    const struct st_sink *sink, const struct rec *rec)
+{
+	struct fl_claim *claim = NULL;
+	struct st_done done;
+	uint32_t i;
+	int code;
+
+	assert(id != 0);
+	for (i = 0; i < FL_CLAIMS_MAX; i++)
+		if (claims->claims[i].id == id) {
+			claim = &claims->claims[i];
+			if (!is_free(claim, now_ms))
+				return CW_OK;
+		}
+	for (i = 0; i < FL_CLAIMS_MAX && claim == NULL; i++)
+		if (is_free(&claims->claims[i], now_ms))
+			claim = &claims->claims[i];
+	if (claim == NULL)
+		return FL_EFULL;
+	claim->id = id;
+	claim->since_ms = now_ms;
+	claim->phase = FL_CLAIM_PENDING;
+	done.call = clear_claim;
+	done.ctx = claim;
+	code = sink->propose(sink->ctx, rec, &done);
+	if (cw_is_error(code))
+		claim->phase = FL_CLAIM_FAILED;
+	return code;
+}
--- a/lib/fleet/duty.c
+++ b/lib/fleet/duty.c
@@ -3,64 +3,63 @@
 
 #include "fleet.h"
 
-static bool is_able(const struct bd_member *member);
-static uint32_t rank_of(
-    const struct bd_board *board, uint64_t duty, uint64_t self);
-static int64_t free_since(
-    const struct bd_board *board, const struct bd_duty *duty);
+static int64_t free_since(const struct bd_board *board,
+    const struct bd_member *self, const struct bd_duty *duty);
 static int decide_one(const struct bd_board *board, uint64_t number,
-    uint64_t self, int64_t now_ms, const struct st_sink *sink,
-    int64_t *next_ms);
+    const struct bd_member *self, int64_t now_ms, const struct st_sink *sink,
+    struct fl_claims *claims, int64_t *next_ms);
 
-static bool
-is_able(const struct bd_member *member)
+/* Rendezvous hashing: returns how many able members go before self for a
+ * key. Call within a read section. */
+uint32_t
+fl_rank(const struct bd_board *board, uint64_t key, uint64_t self)
 {
-	return member != NULL && member->state == BD_MEMBER_ALIVE;
-}
-
-/* Rendezvous hashing: how many live members go before this one. */
-static uint32_t
-rank_of(const struct bd_board *board, uint64_t duty, uint64_t self)
-{
-	uint64_t own = cw_id_from_pair(duty, self);
+	uint64_t own = cw_id_from_pair(key, self);
 	const struct bd_member *member;
 	uint32_t cursor = 0;
 	uint32_t rank = 0;
 
 	while ((member = bd_member_next(board, &cursor)) != NULL)
-		if (member->id != self && is_able(member) &&
-		    cw_id_from_pair(duty, member->id) > own)
+		if (member->id != self && fl_member_is_able(member) &&
+		    cw_id_from_pair(key, member->id) > own)
 			rank++;
 	return rank;
 }
 
-/* Returns since when (ms) the duty has no able holder, -1 where it has one. */
+/*
+ * Returns since when (ms) the duty has no able holder, -1 where it has one. A
+ * VM that has just started or was paused has heard nobody yet: it takes an
+ * unknown holder for missing after FL_SUSPECT_MS only.
+ */
 static int64_t
-free_since(const struct bd_board *board, const struct bd_duty *duty)
+free_since(const struct bd_board *board, const struct bd_member *self,
+    const struct bd_duty *duty)
 {
 	const struct bd_member *holder;
 
 	if (duty == NULL || duty->owner == 0)
-		return 0;
+		return self->since_ms + FL_SUSPECT_MS;
 	holder = bd_member_lookup(board, duty->owner);
-	if (is_able(holder))
+	if (fl_member_is_able(holder))
 		return -1;
-	return holder == NULL ? 0 : holder->heard_ms;
+	if (holder == NULL)
+		return self->since_ms + FL_SUSPECT_MS;
+	return holder->since_ms;
 }
 
 static int
-decide_one(const struct bd_board *board, uint64_t number, uint64_t self,
-    int64_t now_ms, const struct st_sink *sink, int64_t *next_ms)
+decide_one(const struct bd_board *board, uint64_t number,
+    const struct bd_member *self, int64_t now_ms, const struct st_sink *sink,
+    struct fl_claims *claims, int64_t *next_ms)
 {
 	const struct bd_duty *duty = bd_duty_lookup(board, number);
-	int64_t since = free_since(board, duty);
+	int64_t due = free_since(board, self, duty);
 	struct rec rec = {0};
-	int64_t due;
 
-	if (since < 0)
+	if (due < 0)
 		return CW_OK;
-	due = since +
-	    (int64_t)rank_of(board, number, self) * FL_DUTY_RANK_DELAY_MS;
+	due +=
+	    (int64_t)fl_rank(board, number, self->id) * FL_DUTY_RANK_DELAY_MS;
 	if (due > now_ms) {
 		if (due < *next_ms)
 			*next_ms = due;
@@ -68,9 +67,10 @@
 	}
 	rec.kind = REC_DUTY;
 	rec.body.duty.duty = number;
-	rec.body.duty.owner = self;
+	rec.body.duty.owner = self->id;
 	rec.body.duty.epoch = duty == NULL ? 0 : duty->epoch;
-	return sink->propose(sink->ctx, &rec, NULL);
+	return fl_claim_propose(claims,
+	    cw_id_from_pair(number, rec.body.duty.epoch), now_ms, sink, &rec);
 }
 
 /*
@@ -80,22 +80,55 @@
  */
 int
 fl_duty_decide(const struct bd_board *board, uint64_t self, int64_t now_ms,
-    const struct st_sink *sink, int64_t *next_ms)
+    const struct st_sink *sink, struct fl_claims *claims, int64_t *next_ms)
 {
+	const struct bd_member *row;
 	uint64_t number;
 	int code = CW_OK;
 
-	assert(sink != NULL && next_ms != NULL);
+	assert(sink != NULL && claims != NULL && next_ms != NULL);
 	bd_read_begin();
-	if (is_able(bd_member_lookup(board, self)))
+	row = bd_member_lookup(board, self);
+	if (fl_member_is_able(row))
 		for (number = 1; number < BD_DUTY_LIMIT && code == CW_OK;
 		     number++)
 			code = decide_one(
-			    board, number, self, now_ms, sink, next_ms);
+			    board, number, row, now_ms, sink, claims, next_ms);
 	bd_read_end();
 	return code;
 }
 
+/*
+ * Gives up every duty that this VM holds, for a graceful shutdown. Returns how
+ * many it still holds by the records applied so far, or the sink's error.
+ */
+int
+fl_duty_release(const struct bd_board *board, uint64_t self, int64_t now_ms,
+    const struct st_sink *sink, struct fl_claims *claims)
+{
+	const struct bd_duty *duty;
+	uint32_t cursor = 0;
+	int held = 0;
+	int code = CW_OK;
+
+	assert(sink != NULL && claims != NULL);
+	bd_read_begin();
+	while (code == CW_OK && (duty = bd_duty_next(board, &cursor)) != NULL) {
+		struct rec rec = {0};
+
+		if (duty->owner != self)
+			continue;
+		held++;
+		rec.kind = REC_DUTY;
+		rec.body.duty.duty = duty->id;
+		rec.body.duty.epoch = duty->epoch;
+		code = fl_claim_propose(claims,
+		    cw_id_from_pair(duty->id, duty->epoch), now_ms, sink, &rec);
+	}
+	bd_read_end();
+	return code == CW_OK ? held : code;
+}
+
 /* Tells whether this VM holds a duty by the records applied so far. */
 bool
 fl_duty_is_held(const struct bd_board *board, uint64_t duty, uint64_t self)
--- /dev/null
+++ b/lib/fleet/fleet.c
@@ -0,0 +1,360 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_internal.h"
+
+static int64_t earlier(int64_t a, int64_t b);
+static void drop_loads(struct fl_fleet *fleet);
+static void run_shares(struct fl_fleet *fleet, int64_t now_ms);
+static void run_duties(
+    struct fl_fleet *fleet, int64_t now_ms, int64_t *next_ms);
+static void run_records(struct fl_fleet *fleet, int64_t now_ms);
+static void end_late_questions(struct fl_fleet *fleet, int64_t now_ms);
+
+static int64_t
+earlier(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+/*
+ * Creates the fleet of one VM; nothing is sent before the first step. The
+ * board, and whatever the callbacks refer to, must outlive it; the sink of
+ * records must end before it does. Returns FL_ENOMEM.
+ */
+int
+fl_create(
+    struct fl_fleet **out, const struct fl_options *options, int64_t now_ms)
+{
+	struct fl_fleet *fleet = calloc(1, sizeof(*fleet));
+
+	assert(options->board != NULL && options->transport.send != NULL);
+	assert(options->seed_count <= FL_MEMBERS_MAX);
+	if (fleet == NULL)
+		return cw_error_set(FL_ENOMEM, "no memory for the fleet");
+	fleet->options = *options;
+	if (fl_vms_init(&fleet->vms, options->board, &options->vms) != CW_OK) {
+		free(fleet);
+		return cw_error_set(FL_ENOMEM, "no memory for the VM list");
+	}
+	pthread_mutex_init(&fleet->lock, NULL);
+	fl_members_init(&fleet->members, &options->self, now_ms);
+	fleet->planned_ms = now_ms;
+	fleet->due.expiry = now_ms + FL_EXPIRY_INTERVAL_MS;
+	*out = fleet;
+	return CW_OK;
+}
+
+/* Frees the fleet. Both steps and the transport have ended; questions that
+ * are open end with FL_EUNREACHABLE. */
+void
+fl_destroy(struct fl_fleet *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < FL_RESULTS_MAX; i++)
+		fl_end_question(
+		    &fleet->questions[i], FL_EUNREACHABLE, 0, NULL, 0);
+	fl_relay_free(&fleet->relay);
+	fl_vms_free(&fleet->vms);
+	pthread_mutex_destroy(&fleet->lock);
+	free(fleet);
+}
+
+/* Loads that a member told before it died no longer count. */
+static void
+drop_loads(struct fl_fleet *fleet)
+{
+	const struct fl_route_hooks *route = &fleet->options.route;
+	uint32_t i;
+
+	for (i = 0; i < fleet->members.count && route->loads_dropped != NULL;
+	     i++)
+		if (fleet->members.peers[i].urgent &&
+		    fleet->members.peers[i].row.state == BD_MEMBER_DEAD)
+			route->loads_dropped(
+			    route->ctx, fleet->members.peers[i].row.id);
+}
+
+/* Writes changed members to the board. Only a changed state wakes the other
+ * controllers. The caller holds the lock. */
+void
+fl_publish_members(struct fl_fleet *fleet)
+{
+	drop_loads(fleet);
+	if (fl_members_apply(&fleet->members, fleet->options.board) > 0)
+		bd_publish(fleet->options.board);
+}
+
+/* Answers an ask for shares where this VM is the granter. */
+void
+fl_answer_ask(struct fl_fleet *fleet, uint64_t asker,
+    const struct fl_share_list *ask, int64_t now_ms,
+    struct fl_share_list *grant, bool *granted)
+{
+	const struct fl_state_hooks *state = &fleet->options.state;
+	/* Read first: the duty row is then at least as recent. */
+	int64_t confirmed_ms = state->confirmed_ms(state->ctx);
+
+	fl_granter_duty(&fleet->granter, fleet->options.board,
+	    fleet->members.self.id, now_ms);
+	*granted = fl_granter_ask(
+	    &fleet->granter, asker, ask, confirmed_ms, now_ms, grant);
+}
+
+/* Asks the holder of BD_DUTY_LIMITS, which may be this VM, for shares. */
+void
+fl_run_ask(struct fl_fleet *fleet, int64_t now_ms)
+{
+	struct fl_share_list *ask = &fleet->out.body.share;
+	const struct bd_duty *duty;
+	uint64_t granter = 0;
+
+	fl_holder_limits(&fleet->holder, fleet->options.board);
+	bd_read_begin();
+	duty = bd_duty_lookup(fleet->options.board, BD_DUTY_LIMITS);
+	if (duty != NULL)
+		granter = duty->owner;
+	bd_read_end();
+	if (granter == fleet->members.self.id)
+		fl_granter_duty(
+		    &fleet->granter, fleet->options.board, granter, now_ms);
+	if (granter == 0 ||
+	    !fl_holder_ask(&fleet->holder, &fleet->options.route, now_ms, ask))
+		return;
+	if (granter == fleet->members.self.id) {
+		bool granted = false;
+
+		fl_answer_ask(fleet, granter, ask, now_ms,
+		    &fleet->in.body.share, &granted);
+		if (granted)
+			(void)fl_holder_grant(
+			    &fleet->holder, &fleet->in.body.share, now_ms);
+	} else {
+		fleet->out.kind = FL_MSG_SHARE_ASK;
+		(void)fl_send_member(fleet, granter);
+	}
+}
+
+static void
+run_shares(struct fl_fleet *fleet, int64_t now_ms)
+{
+	if (now_ms >= fleet->due.ask) {
+		fl_run_ask(fleet, now_ms);
+		fleet->due.ask = now_ms + FL_SHARE_ASK_MS;
+	}
+	fl_holder_lapse(&fleet->holder, now_ms);
+	(void)fl_holder_apply(&fleet->holder, fleet->options.board);
+}
+
+/* Asks a member for records where they are needed. */
+void
+fl_run_relay(struct fl_fleet *fleet, int64_t now_ms, int64_t *next_ms)
+{
+	const struct fl_state_hooks *state = &fleet->options.state;
+	struct fl_relay_input input;
+	uint64_t digest;
+
+	state->mark(state->ctx, &input.position, &digest);
+	input.next_offset = state->next_offset(state->ctx);
+	input.unreachable_since_ms = state->unreachable_since_ms(state->ctx);
+	if (fl_relay_decide(&fleet->relay, &fleet->members, &input, now_ms,
+		&fleet->out, next_ms))
+		(void)fl_send_member(fleet, fleet->relay.peer);
+}
+
+static void
+run_duties(struct fl_fleet *fleet, int64_t now_ms, int64_t *next_ms)
+{
+	const struct fl_options *options = &fleet->options;
+	uint64_t self = fleet->members.self.id;
+
+	if (!fleet->leaving) {
+		(void)fl_duty_decide(options->board, self, now_ms,
+		    &options->sink, &fleet->duty_claims, next_ms);
+		if (now_ms >= fleet->due.jobs) {
+			fleet->due.jobs = now_ms + FL_JOBS_INTERVAL_MS;
+			(void)fl_jobs_decide(options->board, self, now_ms,
+			    &options->sink, &fleet->job_claims,
+			    &fleet->due.jobs);
+		}
+		return;
+	}
+	if (now_ms >= fleet->due.jobs) {
+		fleet->due.jobs = now_ms + FL_JOBS_INTERVAL_MS;
+		(void)fl_duty_release(options->board, self, now_ms,
+		    &options->sink, &fleet->duty_claims);
+		(void)fl_jobs_release(options->board, self, now_ms,
+		    &options->sink, &fleet->job_claims);
+	}
+}
+
+/* Runs the periodic decisions of the duties that this VM may hold. */
+static void
+run_records(struct fl_fleet *fleet, int64_t now_ms)
+{
+	const struct fl_options *options = &fleet->options;
+	struct fl_worker_check check = {
+	    options->worker_failed, options->worker_ctx};
+	uint64_t self = fleet->members.self.id;
+
+	if (now_ms >= fleet->due.expiry) {
+		fleet->due.expiry = now_ms + FL_EXPIRY_INTERVAL_MS;
+		(void)fl_expiry_decide(options->board, self, now_ms,
+		    options->wall.now_ms(options->wall.ctx), &options->sink,
+		    &fleet->expiry_claims);
+	}
+	if (now_ms >= fleet->due.workers && fleet->listed != 0) {
+		fleet->due.workers = now_ms + FL_WORKERS_INTERVAL_MS;
+		(void)fl_workers_decide(options->board, self, now_ms, &check,
+		    &options->sink, &fleet->worker_claims);
+	}
+}
+
+/* Ends a question with its answer; unused ones are left alone. */
+void
+fl_end_question(struct fl_question *question, int status, uint32_t http_status,
+    const void *data, size_t bytes)
+{
+	if (question->ticket == 0)
+		return;
+	question->ticket = 0;
+	question->done.call(
+	    question->done.ctx, status, http_status, data, bytes);
+}
+
+static void
+end_late_questions(struct fl_fleet *fleet, int64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < FL_RESULTS_MAX; i++)
+		if (now_ms >= fleet->questions[i].until_ms)
+			fl_end_question(
+			    &fleet->questions[i], FL_ETIMEOUT, 0, NULL, 0);
+}
+
+/*
+ * One step of the fleet's controller: judges the members, sends heartbeats and
+ * asks, claims duties and jobs. Returns when (ms) it wants to run again.
+ */
+int64_t
+fl_step(void *ctx, int64_t now_ms)
+{
+	struct fl_fleet *fleet = ctx;
+	int64_t next_ms = INT64_MAX;
+	int64_t late_ms;
+
+	pthread_mutex_lock(&fleet->lock);
+	late_ms = fl_members_tick(
+	    &fleet->members, fleet->options.board, fleet->planned_ms, now_ms);
+	if (late_ms != 0) {
+		fl_holder_pause(&fleet->holder);
+		if (fleet->options.route.paused != NULL)
+			fleet->options.route.paused(
+			    fleet->options.route.ctx, late_ms);
+	}
+	if (now_ms >= fleet->due.heartbeat) {
+		fl_send_heartbeats(fleet, now_ms);
+		fleet->due.heartbeat = now_ms + FL_HEARTBEAT_MS;
+	}
+	fl_publish_members(fleet);
+	run_shares(fleet, now_ms);
+	fl_run_relay(fleet, now_ms, &next_ms);
+	run_duties(fleet, now_ms, &next_ms);
+	run_records(fleet, now_ms);
+	end_late_questions(fleet, now_ms);
+	next_ms = earlier(next_ms, fleet->due.heartbeat);
+	next_ms = earlier(next_ms, fleet->due.ask);
+	next_ms = earlier(next_ms, fleet->due.jobs);
+	fleet->planned_ms = next_ms > now_ms ? next_ms : now_ms + 1;
+	next_ms = fleet->planned_ms;
+	pthread_mutex_unlock(&fleet->lock);
+	return next_ms;
+}
+
+/* One step of the VM list's controller, which waits for the platform. Returns
+ * when (ms) it wants to run again. */
+int64_t
+fl_vms_step(void *ctx, int64_t now_ms)
+{
+	struct fl_fleet *fleet = ctx;
+	bool holds = fl_duty_is_held(
+	    fleet->options.board, BD_DUTY_WORKERS, fleet->members.self.id);
+	int64_t poll_ms = holds ? FL_VMS_POLL_HOLDER_MS : FL_VMS_POLL_MS;
+	int64_t next_ms;
+
+	/* A change of the board wakes every controller; the platform is asked
+	 * no more often for it. */
+	if (now_ms < fleet->vms_due_ms &&
+	    (fleet->vms.failures != 0 || fleet->vms_due_ms - now_ms <= poll_ms))
+		return fleet->vms_due_ms;
+	next_ms = fl_vms_poll(&fleet->vms, poll_ms, now_ms);
+	fleet->vms_due_ms = next_ms;
+	if (fleet->vms.listed)
+		fleet->listed = 1;
+	return next_ms;
+}
+
+/* Starts a graceful shutdown at once, and ends it with gone: duties and jobs
+ * are handed over in later steps. */
+void
+fl_leave(struct fl_fleet *fleet, bool gone, int64_t now_ms)
+{
+	pthread_mutex_lock(&fleet->lock);
+	if (!fleet->leaving)
+		ev_emit(EV_DUTIES_RELEASED, "member=%016llx",
+		    (unsigned long long)fleet->members.self.id);
+	fleet->leaving = true;
+	fleet->members.self.state = BD_MEMBER_LEAVING;
+	fleet->members.self.since_ms = now_ms;
+	fleet->members.self_changed = true;
+	fleet->members.self_urgent = true;
+	fleet->due.jobs = now_ms;
+	fl_send_leave(fleet, gone);
+	fl_publish_members(fleet);
+	pthread_mutex_unlock(&fleet->lock);
+}
+
+/*
+ * Asks the VM with the incarnation owner for the answer of a request; done is
+ * called once, at the latest FL_RESULT_TIMEOUT_MS later. Returns
+ * FL_EUNREACHABLE, FL_ENOTFOUND or FL_EFULL without a call of done.
+ */
+int
+fl_result_get(struct fl_fleet *fleet, uint64_t owner, uint64_t request_id,
+    const struct fl_result_done *done, int64_t now_ms)
+{
+	struct fl_question *question;
+	int code;
+
+	assert(done != NULL && done->call != NULL);
+	pthread_mutex_lock(&fleet->lock);
+	question = &fleet->questions[++fleet->ticket % FL_RESULTS_MAX];
+	if (question->ticket != 0) {
+		code = FL_EFULL;
+	} else {
+		fleet->out.kind = FL_MSG_RESULT_GET;
+		fleet->out.body.result_get.request_id = request_id;
+		fleet->out.body.result_get.ticket = fleet->ticket;
+		question->ticket = fleet->ticket;
+		question->owner = owner;
+		question->until_ms = now_ms + FL_RESULT_TIMEOUT_MS;
+		question->done = *done;
+		code = fl_send_member(fleet, owner);
+		if (cw_is_error(code))
+			question->ticket = 0;
+	}
+	pthread_mutex_unlock(&fleet->lock);
+	return code;
+}
+
+/* Copies the counters of control traffic. */
+void
+fl_traffic(struct fl_fleet *fleet, struct fl_counters *counters)
+{
+	pthread_mutex_lock(&fleet->lock);
+	*counters = fleet->traffic;
+	pthread_mutex_unlock(&fleet->lock);
+}
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "board.h"
+#include "platform.h"
 #include "state.h"
 
 #ifdef __cplusplus
@@ -12,16 +13,571 @@
 #endif
 
 /*
- * 1. Duties
+ * 1. Status codes and bounds
  */
+enum fl_status {
+	FL_EMALFORMED = CW_BASE_FLEET - 1,   /* message cannot be decoded */
+	FL_ETOOLARGE = CW_BASE_FLEET - 2,    /* answer or list over its bound */
+	FL_EUNREACHABLE = CW_BASE_FLEET - 3, /* not sent */
+	FL_ETIMEOUT = CW_BASE_FLEET - 4,     /* sent, no answer */
+	FL_ENOTFOUND = CW_BASE_FLEET - 5,
+	FL_EEXPIRED = CW_BASE_FLEET - 6, /* entries no longer kept */
+	FL_EFULL = CW_BASE_FLEET - 7,
+	FL_ENOMEM = CW_BASE_FLEET - 8,
+	FL_EBUFFER = CW_BASE_FLEET - 9, /* message does not fit the buffer */
+};
 
+const char *fl_status_name(int code);
+
+#define FL_MEMBERS_MAX 32
+#define FL_LOADS_MAX 4096
+#define FL_ACCOUNTS_MAX 256
+
+/*
+ * 2. The fleet as one controller. Every effect goes through these callbacks;
+ * each has its own ctx so that packages stay apart.
+ */
+struct fl_transport {
+	/* Sends one message to a peer address; never blocks. */
+	int (*send)(
+	    void *ctx, const char *address, const void *data, size_t bytes);
+	void *ctx;
+};
+
+/* What the fleet needs of the state package. */
+struct fl_state_hooks {
+	/* Position and digest of one and the same moment. */
+	void (*mark)(void *ctx, uint64_t *position, uint64_t *digest);
+	/* Offset of the entry that the follower needs next. */
+	uint64_t (*next_offset)(void *ctx);
+	/* Time (ms, clock of step) since when the log is out of reach, -1
+	 * while it is within reach. */
+	int64_t (*unreachable_since_ms)(void *ctx);
+	/* Time (ms, clock of step) at which the latest log read was SENT that
+	 * reached the end of the log and whose entries are applied. */
+	int64_t (*confirmed_ms)(void *ctx);
+	/* Delivers kept raw entries from an offset on, in order, until the
+	 * sink returns an error; FL_EEXPIRED where from is no longer kept. */
+	int (*tail)(void *ctx, uint64_t from, const struct pf_log_sink *sink);
+	/* Takes one raw entry that a peer relayed. */
+	int (*entry)(
+	    void *ctx, uint64_t offset, const void *data, size_t bytes);
+	/* Reads a part of the present snapshot image; total is its size. */
+	int (*snap_read)(void *ctx, uint64_t start, void *buffer,
+	    size_t bytes_max, size_t *bytes, uint64_t *total,
+	    uint64_t *position);
+	/* Takes a whole snapshot image. */
+	int (*snap_install)(
+	    void *ctx, uint64_t position, const void *data, size_t bytes);
+	/* The tables differ from the other members' at this position. */
+	void (*rebuild)(void *ctx, uint64_t position);
+	void *ctx;
+};
+
+/* What the fleet needs of the request path. Entries may be NULL. */
+struct fl_route_hooks {
+	/* Calls each for every runner with the requests in flight here. */
+	void (*loads)(void *ctx,
+	    void (*each)(void *each_ctx, uint64_t runner, uint32_t in_flight),
+	    void *each_ctx);
+	/* Takes the load of one runner as another member reports it. */
+	void (*load_heard)(
+	    void *ctx, uint64_t member, uint32_t runner_short, uint32_t load);
+	/* A member's loads no longer count. */
+	void (*loads_dropped)(void *ctx, uint64_t member);
+	/* Rate and concurrency that an account could use here now. */
+	void (*demand)(void *ctx, uint64_t account, uint32_t *rate_per_s,
+	    uint32_t *concurrency);
+	/* Copies the kept answer of a request that this VM owns. */
+	int (*result)(void *ctx, uint64_t request_id, uint32_t *http_status,
+	    void *buffer, size_t bytes_max, size_t *bytes);
+	/* This VM was paused: leases lapse until each is proved. */
+	void (*paused)(void *ctx, int64_t late_ms);
+	void *ctx;
+};
+
+struct fl_options {
+	struct bd_board *board;
+	struct bd_member self; /* id, zone, region, name and addresses */
+	int64_t started_ms;    /* wall clock */
+	uint32_t seed_count;
+	char seeds[FL_MEMBERS_MAX][CW_NAME_BYTES]; /* peer addresses */
+	struct st_sink sink;
+	struct fl_transport transport;
+	struct fl_state_hooks state;
+	struct fl_route_hooks route;
+	struct pf_vm_list vms;
+	struct ctl_clock wall; /* for the expiry duty */
+	/* Tells whether a worker's leases failed; may be NULL. */
+	bool (*worker_failed)(void *ctx, uint64_t worker);
+	void *worker_ctx;
+};
+
+struct fl_fleet;
+
+int fl_create(
+    struct fl_fleet **out, const struct fl_options *options, int64_t now_ms);
+void fl_destroy(struct fl_fleet *fleet);
+
+/* Steps for ctl_start; ctx is the fleet. The second polls the platform. */
+int64_t fl_step(void *ctx, int64_t now_ms);
+int64_t fl_vms_step(void *ctx, int64_t now_ms);
+
+/* Takes one message from the transport, on any thread. */
+void fl_receive(
+    struct fl_fleet *fleet, const void *data, size_t bytes, int64_t now_ms);
+
+/* Graceful shutdown: leaving at once, then (gone) after the last request. */
+void fl_leave(struct fl_fleet *fleet, bool gone, int64_t now_ms);
+
+/* Called once, with the answer or FL_ENOTFOUND, FL_ETOOLARGE, FL_ETIMEOUT or
+ * FL_EUNREACHABLE. data is valid during the call. It runs under the fleet's
+ * lock and must not call the fleet. */
+struct fl_result_done {
+	void (*call)(void *ctx, int status, uint32_t http_status,
+	    const void *data, size_t bytes);
+	void *ctx;
+};
+
+int fl_result_get(struct fl_fleet *fleet, uint64_t owner, uint64_t request_id,
+    const struct fl_result_done *done, int64_t now_ms);
+
+/*
+ * 3. Peer messages: typed structs and their MessagePack codec.
+ */
+#define FL_MSG_VERSION 1
+#define FL_MSG_DATA_BYTES_MAX ((size_t)64 * 1024)
+#define FL_MSG_BYTES_MAX (FL_MSG_DATA_BYTES_MAX + 8192)
+#define FL_MSG_LOADS_MAX 128
+#define FL_MSG_ENTRIES_MAX 64
+
+enum fl_msg_kind {
+	FL_MSG_HEARTBEAT = 1,
+	FL_MSG_LEAVE,
+	FL_MSG_TAIL_GET,
+	FL_MSG_TAIL,
+	FL_MSG_SNAP_GET,
+	FL_MSG_SNAP,
+	FL_MSG_SHARE_ASK,
+	FL_MSG_SHARE,
+	FL_MSG_RESULT_GET,
+	FL_MSG_RESULT,
+	FL_MSG_KIND_LIMIT,
+};
+
+const char *fl_msg_kind_name(uint32_t kind);
+
+/* First half of an id: names members, runners and accounts in messages. */
+uint32_t fl_short(uint64_t id);
+
+struct fl_load {
+	uint32_t runner; /* fl_short */
+	uint32_t in_flight;
+};
+
+struct fl_heartbeat {
+	uint64_t position;
+	uint64_t digest;
+	uint64_t config_version;
+	uint32_t leaving;
+	uint32_t identified; /* the identity below is present */
+	int64_t started_ms;
+	uint64_t zone;
+	uint64_t region;
+	char name[CW_NAME_BYTES];
+	char peer_address[CW_NAME_BYTES];
+	char http_address[CW_NAME_BYTES];
+	uint32_t heard_count; /* members heard within FL_SUSPECT_MS */
+	uint32_t load_count;
+	uint32_t heard[FL_MEMBERS_MAX]; /* fl_short */
+	struct fl_load loads[FL_MSG_LOADS_MAX];
+};
+
+struct fl_leave_msg {
+	uint32_t gone; /* 0: no new work; 1: the process ends */
+};
+
+struct fl_tail_get {
+	uint64_t from;
+	uint64_t start; /* bytes of the entry `from` that are there already */
+};
+
+/* One entry, or a part of a large one. */
+struct fl_tail_entry {
+	uint64_t offset;
+	uint32_t total;
+	uint32_t start;
+	uint32_t bytes;
+	const void *data;
+};
+
+struct fl_tail {
+	uint32_t expired; /* entries that old are not kept */
+	uint32_t count;
+	struct fl_tail_entry entries[FL_MSG_ENTRIES_MAX];
+};
+
+struct fl_snap_get {
+	uint64_t position; /* of the image being read, 0: any */
+	uint64_t start;
+};
+
+struct fl_snap {
+	uint64_t position;
+	uint64_t total;
+	uint64_t start;
+	uint32_t bytes;
+	const void *data;
+};
+
+struct fl_share_entry {
+	uint32_t account; /* fl_short */
+	uint32_t rate_per_s;
+	uint32_t concurrency;
+};
+
+/* SHARE_ASK carries what is wanted above the floor, SHARE what is granted. */
+struct fl_share_list {
+	uint64_t sequence;
+	uint32_t count;
+	struct fl_share_entry entries[FL_ACCOUNTS_MAX];
+};
+
+struct fl_result_ask {
+	uint64_t request_id;
+	uint64_t ticket;
+};
+
+struct fl_result {
+	uint64_t ticket;
+	int32_t status;
+	uint32_t http_status;
+	uint32_t bytes;
+	const void *data;
+};
+
+/* Pointers refer to the decoded buffer. */
+struct fl_msg {
+	uint32_t kind;
+	uint64_t sender; /* incarnation */
+	union {
+		struct fl_heartbeat heartbeat;
+		struct fl_leave_msg leave;
+		struct fl_tail_get tail_get;
+		struct fl_tail tail;
+		struct fl_snap_get snap_get;
+		struct fl_snap snap;
+		struct fl_share_list share; /* SHARE_ASK and SHARE */
+		struct fl_result_ask result_get;
+		struct fl_result result;
+	} body;
+};
+
+int fl_msg_encode(
+    const struct fl_msg *msg, void *buffer, size_t bytes_max, size_t *bytes);
+int fl_msg_decode(const void *data, size_t bytes, struct fl_msg *msg);
+
+/*
+ * 4. Membership
+ */
+#define FL_HEARTBEAT_MS 800
+#define FL_SUSPECT_MS 2400
+#define FL_DEAD_MS 6400
+#define FL_PAUSE_MS 1000
+/* Dead members are greeted for this long, so that both sides of a region link
+ * that was cut for an hour find each other again. */
+#define FL_FORGET_MS 7200000
+
+struct fl_peer {
+	struct bd_member row;
+	int64_t started_ms;
+	uint32_t heard_count;
+	uint32_t heard[FL_MEMBERS_MAX]; /* by this member, as it reports */
+	bool leaving;                   /* announced by itself */
+	bool ended;                     /* gone or replaced for good */
+	bool changed;                   /* not yet in table member */
+	bool urgent;                    /* with another state */
+};
+
+struct fl_members {
+	struct bd_member self;
+	uint32_t count;
+	struct fl_peer peers[FL_MEMBERS_MAX];
+	uint64_t removed[FL_MEMBERS_MAX];
+	uint32_t removed_count;
+	bool self_changed;
+	bool self_urgent;
+};
+
+void fl_members_init(
+    struct fl_members *members, const struct bd_member *self, int64_t now_ms);
+int fl_members_heartbeat(struct fl_members *members, uint64_t sender,
+    const struct fl_heartbeat *heartbeat, int64_t now_ms);
+void fl_members_leave(
+    struct fl_members *members, uint64_t sender, bool gone, int64_t now_ms);
+int64_t fl_members_tick(struct fl_members *members,
+    const struct bd_board *board, int64_t planned_ms, int64_t now_ms);
+int fl_members_apply(struct fl_members *members, struct bd_board *board);
+const struct fl_peer *fl_members_find(
+    const struct fl_members *members, uint64_t id);
+uint32_t fl_members_heard(
+    const struct fl_members *members, int64_t now_ms, uint32_t *heard);
+bool fl_member_is_able(const struct bd_member *member);
+
+/*
+ * 5. Claims, duties, ownership of jobs, expiry. The decisions propose records;
+ * a claim is not proposed again while it is pending.
+ */
 /* A VM of rank r waits this long times r before it claims. */
 #define FL_DUTY_RANK_DELAY_MS 1000
+/* A fleet's first 800 workers are recorded in 4 rounds. */
+#define FL_CLAIMS_MAX 256
+/* A claim whose answer never comes is proposed again after this time. */
+#define FL_CLAIM_PENDING_MS 5000
+/* A claim that failed is proposed again after this time. */
+#define FL_CLAIM_RETRY_MS 1000
+#define FL_EXPIRY_INTERVAL_MS 60000
+
+enum fl_claim_phase {
+	FL_CLAIM_FAILED,
+	FL_CLAIM_PENDING,
+	FL_CLAIM_DECIDED, /* the row has another epoch now */
+};
+
+struct fl_claim {
+	CW_ATOMIC(uint32_t) phase; /* enum fl_claim_phase */
+	uint32_t reserved;
+	uint64_t id;
+	int64_t since_ms;
+};
+
+struct fl_claims {
+	struct fl_claim claims[FL_CLAIMS_MAX];
+};
+
+int fl_claim_propose(struct fl_claims *claims, uint64_t id, int64_t now_ms,
+    const struct st_sink *sink, const struct rec *rec);
 
 int fl_duty_decide(const struct bd_board *board, uint64_t self, int64_t now_ms,
-    const struct st_sink *sink, int64_t *next_ms);
+    const struct st_sink *sink, struct fl_claims *claims, int64_t *next_ms);
+int fl_duty_release(const struct bd_board *board, uint64_t self, int64_t now_ms,
+    const struct st_sink *sink, struct fl_claims *claims);
 bool fl_duty_is_held(
     const struct bd_board *board, uint64_t duty, uint64_t self);
+uint32_t fl_rank(const struct bd_board *board, uint64_t key, uint64_t self);
+
+int fl_jobs_decide(const struct bd_board *board, uint64_t self, int64_t now_ms,
+    const struct st_sink *sink, struct fl_claims *claims, int64_t *next_ms);
+int fl_jobs_release(const struct bd_board *board, uint64_t self, int64_t now_ms,
+    const struct st_sink *sink, struct fl_claims *claims);
+int fl_expiry_decide(const struct bd_board *board, uint64_t self,
+    int64_t now_ms, int64_t wall_ms, const struct st_sink *sink,
+    struct fl_claims *claims);
+
+/*
+ * 6. The platform's VM list, and workers
+ */
+#define FL_VMS_POLL_MS 15000
+#define FL_VMS_POLL_HOLDER_MS 5000 /* of BD_DUTY_WORKERS */
+#define FL_VMS_FORGET_MS 600000
+
+struct fl_vms {
+	struct bd_board *board;
+	struct pf_vm_list list;
+	uint32_t count;
+	uint32_t failures; /* in a row */
+	bool overflow;
+	bool listed;
+	struct pf_vm *rows; /* of the list being read */
+};
+
+int fl_vms_init(
+    struct fl_vms *vms, struct bd_board *board, const struct pf_vm_list *list);
+void fl_vms_free(struct fl_vms *vms);
+int64_t fl_vms_poll(struct fl_vms *vms, int64_t poll_ms, int64_t now_ms);
+
+struct fl_worker_check {
+	bool (*failed)(void *ctx, uint64_t worker); /* may be NULL */
+	void *ctx;
+};
+
+int fl_workers_decide(const struct bd_board *board, uint64_t self,
+    int64_t now_ms, const struct fl_worker_check *check,
+    const struct st_sink *sink, struct fl_claims *claims);
+
+/*
+ * 7. Shares of limits. pool(limit) is what is granted in leases; the floors
+ * and the pool together never exceed the limit.
+ */
+#define FL_SHARE_LEASE_MS 3000
+#define FL_SHARE_ASK_MS 1000
+/* The granter counts a lease longer by this, against clocks that run at
+ * different speeds. */
+#define FL_SHARE_MARGIN_PERCENT 10
+/* A granter grants only while its latest contact with the log is younger;
+ * a long poll is up to 2 s old at its end, two of them 4 s. */
+#define FL_SHARE_CONTACT_MS 5000
+
+enum fl_limit_kind {
+	FL_RATE,
+	FL_CONCURRENCY,
+	FL_LIMIT_KINDS,
+};
+
+/* A value of 0 in a limit of an account means unlimited. */
+struct fl_limit {
+	uint32_t of[FL_LIMIT_KINDS];
+};
+
+uint32_t fl_share_floor(uint32_t limit, uint32_t entry_vms);
+uint32_t fl_share_pool(uint32_t limit, uint32_t entry_vms);
+
+/* Holder side. */
+#define FL_ASKS_KEPT 4
+
+struct fl_lease {
+	uint64_t account;
+	struct fl_limit limit;
+	struct fl_limit floor;
+	struct fl_limit granted;
+	int64_t until_ms;
+	bool present; /* in the configuration */
+	bool changed;
+};
+
+struct fl_holder {
+	uint32_t entry_vms;
+	uint32_t count;
+	uint64_t sequence;              /* of the latest ask */
+	uint64_t accepted;              /* highest sequence that was answered */
+	int64_t asked_ms[FL_ASKS_KEPT]; /* by sequence modulo this */
+	struct fl_lease leases[FL_ACCOUNTS_MAX];
+};
+
+void fl_holder_limits(struct fl_holder *holder, const struct bd_board *board);
+bool fl_holder_ask(struct fl_holder *holder, const struct fl_route_hooks *route,
+    int64_t now_ms, struct fl_share_list *ask);
+int fl_holder_grant(struct fl_holder *holder, const struct fl_share_list *grant,
+    int64_t now_ms);
+void fl_holder_lapse(struct fl_holder *holder, int64_t now_ms);
+void fl_holder_pause(struct fl_holder *holder);
+int fl_holder_apply(struct fl_holder *holder, struct bd_board *board);
+
+/* Granter side. */
+#define FL_GRANTS_KEPT 4
+
+struct fl_grant {
+	struct fl_limit granted;
+	int64_t until_ms;
+};
+
+struct fl_asker {
+	uint64_t id;
+	uint64_t sequence;
+	int64_t asked_ms;
+	struct fl_limit wanted[FL_ACCOUNTS_MAX];
+	struct fl_grant grants[FL_ACCOUNTS_MAX][FL_GRANTS_KEPT];
+};
+
+struct fl_granter {
+	uint64_t epoch; /* of the duty row, 0: not held */
+	int64_t ready_ms;
+	uint32_t account_count;
+	uint32_t asker_count;
+	uint64_t accounts[FL_ACCOUNTS_MAX];
+	struct fl_limit pools[FL_ACCOUNTS_MAX];
+	struct fl_asker askers[FL_MEMBERS_MAX];
+};
+
+void fl_granter_duty(struct fl_granter *granter, const struct bd_board *board,
+    uint64_t self, int64_t now_ms);
+bool fl_granter_ask(struct fl_granter *granter, uint64_t asker,
+    const struct fl_share_list *ask, int64_t confirmed_ms, int64_t now_ms,
+    struct fl_share_list *grant);
+
+/*
+ * 8. Record relay
+ */
+#define FL_RELAY_AFTER_MS 500
+#define FL_RELAY_TIMEOUT_MS 800
+/* A member that stays ahead for this long is asked even where the log seems
+ * within reach: a log that has gone silent is noticed late. */
+#define FL_RELAY_BEHIND_MS 1500
+/* Twice the state at the target size is 4 MB. */
+#define FL_SNAP_BYTES_MAX ((size_t)16 * 1024 * 1024)
+
+enum fl_relay_mode {
+	FL_RELAY_IDLE,
+	FL_RELAY_TAIL,
+	FL_RELAY_SNAP,
+};
+
+struct fl_relay {
+	uint32_t mode;    /* enum fl_relay_mode: what is awaited */
+	uint64_t peer;    /* that was asked last */
+	uint64_t avoided; /* that gave no answer */
+	int64_t asked_ms;
+	int64_t behind_since_ms; /* 0: nobody is ahead */
+	uint64_t behind_position;
+	bool wants_snap;
+	bool announced;
+	uint64_t from;     /* offset of the entry in parts */
+	uint64_t position; /* of the snapshot in parts */
+	size_t total;
+	size_t have;
+	unsigned char *parts;
+};
+
+/* What the relay decides on. */
+struct fl_relay_input {
+	int64_t unreachable_since_ms; /* -1: the log is within reach */
+	uint64_t position;
+	uint64_t next_offset;
+};
+
+bool fl_relay_decide(struct fl_relay *relay, const struct fl_members *members,
+    const struct fl_relay_input *input, int64_t now_ms, struct fl_msg *ask,
+    int64_t *next_ms);
+int fl_relay_tail(struct fl_relay *relay, uint64_t sender,
+    const struct fl_tail *tail, const struct fl_state_hooks *state);
+int fl_relay_snap(struct fl_relay *relay, uint64_t sender,
+    const struct fl_snap *snap, const struct fl_state_hooks *state);
+void fl_relay_serve_tail(const struct fl_state_hooks *state,
+    const struct fl_tail_get *get, unsigned char *buffer, struct fl_tail *tail);
+void fl_relay_free(struct fl_relay *relay);
+
+/*
+ * 9. Loads: which changed loads the next heartbeat carries.
+ */
+struct fl_load_sent {
+	uint64_t runner;
+	uint32_t sent;
+	uint32_t present;
+};
+
+struct fl_loads {
+	uint32_t count;
+	uint32_t taken;   /* while the runners are gone through */
+	uint32_t refresh; /* next one that is sent although unchanged */
+	struct fl_load_sent runners[FL_LOADS_MAX];
+};
+
+void fl_loads_take(struct fl_loads *loads, const struct fl_route_hooks *route);
+void fl_loads_fill(struct fl_loads *loads, struct fl_heartbeat *heartbeat);
+void fl_loads_resend(struct fl_loads *loads);
+
+/*
+ * 10. Counters of control traffic, by kind; bytes are those of the messages.
+ */
+struct fl_counters {
+	uint64_t sent_messages[FL_MSG_KIND_LIMIT];
+	uint64_t sent_bytes[FL_MSG_KIND_LIMIT];
+	uint64_t received_bytes[FL_MSG_KIND_LIMIT];
+	uint64_t unsent;
+	uint64_t malformed;
+};
+
+void fl_traffic(struct fl_fleet *fleet, struct fl_counters *counters);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/lib/fleet/fleet_internal.h
@@ -0,0 +1,77 @@
+#ifndef CAMPHOR_FLEET_INTERNAL_H
+#define CAMPHOR_FLEET_INTERNAL_H
+
+#include <pthread.h>
+
+#include "fleet.h"
+
+#define FL_RESULTS_MAX 256
+#define FL_RESULT_TIMEOUT_MS 2000
+#define FL_JOBS_INTERVAL_MS 500
+#define FL_WORKERS_INTERVAL_MS 1000
+
+/* A question about an answer that another VM holds. */
+struct fl_question {
+	uint64_t ticket; /* 0: unused */
+	uint64_t owner;
+	int64_t until_ms;
+	struct fl_result_done done;
+};
+
+/* When each periodic part runs next, ms. */
+struct fl_times {
+	int64_t heartbeat;
+	int64_t ask;
+	int64_t jobs;
+	int64_t expiry;
+	int64_t workers;
+};
+
+struct fl_fleet {
+	pthread_mutex_t lock; /* step and receive */
+	struct fl_options options;
+	struct fl_members members;
+	struct fl_loads loads;
+	struct fl_holder holder;
+	struct fl_granter granter;
+	struct fl_relay relay;
+	struct fl_vms vms;
+	struct fl_claims duty_claims;
+	struct fl_claims job_claims;
+	struct fl_claims worker_claims;
+	struct fl_claims expiry_claims;
+	struct fl_counters traffic;
+	struct fl_times due;
+	struct fl_question questions[FL_RESULTS_MAX];
+	uint64_t ticket;
+	uint64_t mismatch_position;
+	int64_t planned_ms;
+	int64_t vms_due_ms; /* of the VM list thread */
+	CW_ATOMIC(uint32_t) listed;
+	bool leaving;
+	struct fl_msg in;
+	struct fl_msg out;
+	unsigned char data[FL_MSG_DATA_BYTES_MAX];
+	unsigned char frame[FL_MSG_BYTES_MAX];
+};
+
+/* Sends fleet->out, or a frame that is encoded already. The caller holds the
+ * lock. */
+int fl_send(struct fl_fleet *fleet, const char *address);
+int fl_send_frame(
+    struct fl_fleet *fleet, const char *address, uint32_t kind, size_t bytes);
+int fl_send_member(struct fl_fleet *fleet, uint64_t member);
+void fl_send_heartbeats(struct fl_fleet *fleet, int64_t now_ms);
+void fl_send_leave(struct fl_fleet *fleet, bool gone);
+
+/* Asks for records where they are needed; lowers *next_ms. */
+void fl_run_relay(struct fl_fleet *fleet, int64_t now_ms, int64_t *next_ms);
+void fl_run_ask(struct fl_fleet *fleet, int64_t now_ms);
+void fl_publish_members(struct fl_fleet *fleet);
+void fl_answer_ask(struct fl_fleet *fleet, uint64_t asker,
+    const struct fl_share_list *ask, int64_t now_ms,
+    struct fl_share_list *grant, bool *granted);
+void fl_end_question(struct fl_question *question, int status,
+    uint32_t http_status, const void *data, size_t bytes);
+
+#endif
--- /dev/null
+++ b/lib/fleet/members.c
@@ -0,0 +1,362 @@
+#include <assert.h>
+#include <string.h>
+
+#include "fleet.h"
+
+static struct fl_peer *find(struct fl_members *members, uint64_t id);
+static struct fl_peer *make_room(struct fl_members *members);
+static void drop(struct fl_members *members, struct fl_peer *peer);
+static void set_state(
+    struct fl_peer *peer, enum bd_member_state state, int64_t now_ms);
+static bool is_reported(const struct fl_members *members,
+    const struct fl_peer *peer, int64_t now_ms);
+static bool is_replaced(struct fl_members *members,
+    const struct fl_heartbeat *heartbeat, int64_t now_ms);
+static struct fl_peer *join(struct fl_members *members, uint64_t sender,
+    const struct fl_heartbeat *heartbeat, int64_t now_ms);
+static void judge(struct fl_members *members, struct fl_peer *peer,
+    const struct bd_vm *vm, int64_t now_ms);
+static void resume(struct fl_members *members, int64_t late_ms, int64_t now_ms);
+
+static struct fl_peer *
+find(struct fl_members *members, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++)
+		if (members->peers[i].row.id == id)
+			return &members->peers[i];
+	return NULL;
+}
+
+static void
+drop(struct fl_members *members, struct fl_peer *peer)
+{
+	if (members->removed_count < FL_MEMBERS_MAX)
+		members->removed[members->removed_count++] = peer->row.id;
+	*peer = members->peers[--members->count];
+}
+
+/* Returns an unused place; the member that has been dead for longest gives
+ * its own up where all are used. NULL where none is dead. */
+static struct fl_peer *
+make_room(struct fl_members *members)
+{
+	struct fl_peer *oldest = NULL;
+	uint32_t i;
+
+	if (members->count == FL_MEMBERS_MAX) {
+		for (i = 0; i < members->count; i++) {
+			struct fl_peer *peer = &members->peers[i];
+
+			if (peer->row.state == BD_MEMBER_DEAD &&
+			    (oldest == NULL ||
+				peer->row.since_ms < oldest->row.since_ms))
+				oldest = peer;
+		}
+		if (oldest == NULL)
+			return NULL;
+		drop(members, oldest);
+	}
+	return &members->peers[members->count++];
+}
+
+static void
+set_state(struct fl_peer *peer, enum bd_member_state state, int64_t now_ms)
+{
+	static const enum ev_number events[] = {
+	    [BD_MEMBER_ALIVE] = EV_MEMBER_BACK,
+	    [BD_MEMBER_SUSPECT] = EV_MEMBER_SUSPECT,
+	    [BD_MEMBER_DEAD] = EV_MEMBER_DEAD,
+	    [BD_MEMBER_LEAVING] = EV_MEMBER_LEAVING,
+	};
+
+	if (peer->row.state == state)
+		return;
+	ev_emit(events[state], "member=%016llx name=%s silent_ms=%lld",
+	    (unsigned long long)peer->row.id, peer->row.name,
+	    (long long)(now_ms - peer->row.heard_ms));
+	peer->row.state = state;
+	peer->row.since_ms = now_ms;
+	peer->changed = true;
+	peer->urgent = true;
+}
+
+/* Tells whether another live member heard this one lately. A report is as old
+ * as the heartbeat that it came in. */
+static bool
+is_reported(const struct fl_members *members, const struct fl_peer *peer,
+    int64_t now_ms)
+{
+	uint32_t name = fl_short(peer->row.id);
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < members->count; i++) {
+		const struct fl_peer *other = &members->peers[i];
+
+		if (other == peer || other->ended ||
+		    now_ms - other->row.heard_ms > FL_SUSPECT_MS)
+			continue;
+		for (j = 0; j < other->heard_count; j++)
+			if (other->heard[j] == name)
+				return true;
+	}
+	return false;
+}
+
+/* Ends the earlier process at the same address. Returns true where it is the
+ * sender that is the earlier one. */
+static bool
+is_replaced(struct fl_members *members, const struct fl_heartbeat *heartbeat,
+    int64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++) {
+		struct fl_peer *peer = &members->peers[i];
+
+		if (peer->ended ||
+		    strcmp(peer->row.peer_address, heartbeat->peer_address) !=
+			0)
+			continue;
+		if (peer->started_ms > heartbeat->started_ms &&
+		    peer->row.state != BD_MEMBER_DEAD)
+			return true;
+		ev_emit(EV_MEMBER_REPLACED, "member=%016llx address=%s",
+		    (unsigned long long)peer->row.id, peer->row.peer_address);
+		peer->ended = true;
+		set_state(peer, BD_MEMBER_DEAD, now_ms);
+	}
+	return false;
+}
+
+static struct fl_peer *
+join(struct fl_members *members, uint64_t sender,
+    const struct fl_heartbeat *heartbeat, int64_t now_ms)
+{
+	struct fl_peer *peer;
+
+	if (is_replaced(members, heartbeat, now_ms))
+		return NULL;
+	peer = make_room(members);
+	if (peer == NULL)
+		return NULL;
+	memset(peer, 0, sizeof(*peer));
+	peer->row.id = sender;
+	peer->row.zone = heartbeat->zone;
+	peer->row.region = heartbeat->region;
+	memcpy(peer->row.name, heartbeat->name, CW_NAME_BYTES);
+	memcpy(peer->row.peer_address, heartbeat->peer_address, CW_NAME_BYTES);
+	memcpy(peer->row.http_address, heartbeat->http_address, CW_NAME_BYTES);
+	peer->row.since_ms = now_ms;
+	peer->started_ms = heartbeat->started_ms;
+	peer->urgent = true;
+	ev_emit(EV_MEMBER_JOINED, "member=%016llx name=%s address=%s",
+	    (unsigned long long)sender, heartbeat->name,
+	    heartbeat->peer_address);
+	return peer;
+}
+
+/* Starts with this VM alone; self->id is its incarnation. */
+void
+fl_members_init(
+    struct fl_members *members, const struct bd_member *self, int64_t now_ms)
+{
+	memset(members, 0, sizeof(*members));
+	assert(self->id != 0);
+	members->self = *self;
+	members->self.self = 1;
+	members->self.state = BD_MEMBER_ALIVE;
+	members->self.heard_ms = now_ms;
+	members->self.since_ms = now_ms;
+	members->self_changed = true;
+	members->self_urgent = true;
+}
+
+/*
+ * Takes a heartbeat. Returns FL_ENOTFOUND where the sender is unknown and the
+ * heartbeat does not tell who it is, FL_EFULL where it cannot be a member, and
+ * FL_EEXPIRED for a process that has ended or was replaced.
+ */
+int
+fl_members_heartbeat(struct fl_members *members, uint64_t sender,
+    const struct fl_heartbeat *heartbeat, int64_t now_ms)
+{
+	struct fl_peer *peer = find(members, sender);
+
+	if (sender == members->self.id)
+		return CW_OK;
+	if (peer == NULL) {
+		if (heartbeat->identified == 0)
+			return FL_ENOTFOUND;
+		peer = join(members, sender, heartbeat, now_ms);
+		if (peer == NULL)
+			return FL_EFULL;
+	}
+	if (peer->ended)
+		return FL_EEXPIRED;
+	peer->row.heard_ms = now_ms;
+	peer->row.position = heartbeat->position;
+	peer->row.digest = heartbeat->digest;
+	if (heartbeat->config_version > peer->row.config_version)
+		peer->row.config_version = heartbeat->config_version;
+	peer->heard_count = heartbeat->heard_count;
+	memcpy(peer->heard, heartbeat->heard,
+	    heartbeat->heard_count * sizeof(*peer->heard));
+	peer->changed = true;
+	if (heartbeat->leaving != 0)
+		peer->leaving = true;
+	set_state(
+	    peer, peer->leaving ? BD_MEMBER_LEAVING : BD_MEMBER_ALIVE, now_ms);
+	return CW_OK;
+}
+
+/* Takes a leave message, which holds at once; gone tells that the process
+ * ends now. */
+void
+fl_members_leave(
+    struct fl_members *members, uint64_t sender, bool gone, int64_t now_ms)
+{
+	struct fl_peer *peer = find(members, sender);
+
+	if (peer == NULL || peer->ended)
+		return;
+	peer->leaving = true;
+	peer->ended = gone;
+	set_state(peer, gone ? BD_MEMBER_DEAD : BD_MEMBER_LEAVING, now_ms);
+}
+
+static void
+judge(struct fl_members *members, struct fl_peer *peer, const struct bd_vm *vm,
+    int64_t now_ms)
+{
+	int64_t heard_ms = peer->row.heard_ms;
+	bool listed_gone = vm != NULL && vm->state == BD_VM_GONE;
+	bool listed_leaving = vm != NULL && vm->state == BD_VM_LEAVING;
+	bool silent;
+
+	if (peer->row.state == BD_MEMBER_DEAD)
+		return;
+	/* While this VM was paused it could not hear anybody. */
+	if (heard_ms < members->self.since_ms)
+		heard_ms = members->self.since_ms;
+	silent = now_ms - heard_ms > FL_SUSPECT_MS &&
+	    !is_reported(members, peer, now_ms);
+	if (silent && (now_ms - heard_ms > FL_DEAD_MS || listed_gone))
+		set_state(peer, BD_MEMBER_DEAD, now_ms);
+	else if (peer->leaving || listed_leaving)
+		set_state(peer, BD_MEMBER_LEAVING, now_ms);
+	else
+		set_state(
+		    peer, silent ? BD_MEMBER_SUSPECT : BD_MEMBER_ALIVE, now_ms);
+}
+
+static void
+resume(struct fl_members *members, int64_t late_ms, int64_t now_ms)
+{
+	ev_emit(EV_FLEET_PAUSED, "late_ms=%lld", (long long)late_ms);
+	members->self.since_ms = now_ms;
+	members->self_changed = true;
+	members->self_urgent = true;
+}
+
+/*
+ * Judges every member by the present time. planned_ms is when this call was
+ * due. Returns by how many ms the call came late where that tells a pause
+ * (FL_PAUSE_MS), 0 otherwise.
+ */
+int64_t
+fl_members_tick(struct fl_members *members, const struct bd_board *board,
+    int64_t planned_ms, int64_t now_ms)
+{
+	int64_t late_ms = now_ms - planned_ms;
+	uint32_t i;
+
+	if (late_ms > FL_PAUSE_MS)
+		resume(members, late_ms, now_ms);
+	else
+		late_ms = 0;
+	members->self.heard_ms = now_ms;
+	bd_read_begin();
+	for (i = 0; i < members->count; i++) {
+		struct fl_peer *peer = &members->peers[i];
+
+		judge(members, peer,
+		    bd_vm_lookup(board, cw_id_from_name(peer->row.name)),
+		    now_ms);
+	}
+	bd_read_end();
+	for (i = members->count; i-- > 0;)
+		if (members->peers[i].row.state == BD_MEMBER_DEAD &&
+		    now_ms - members->peers[i].row.since_ms > FL_FORGET_MS)
+			drop(members, &members->peers[i]);
+	return late_ms;
+}
+
+/*
+ * Writes the changed rows to table member. Returns how many members changed
+ * their state, joined or were forgotten, or an error of the board.
+ */
+int
+fl_members_apply(struct fl_members *members, struct bd_board *board)
+{
+	int urgent = (int)members->removed_count;
+	int code = CW_OK;
+	uint32_t i;
+
+	for (i = 0; i < members->removed_count; i++)
+		bd_remove(board, BD_TABLE_member, BD_WRITER_MEMBERSHIP,
+		    members->removed[i]);
+	members->removed_count = 0;
+	for (i = 0; i < members->count && code == CW_OK; i++) {
+		struct fl_peer *peer = &members->peers[i];
+
+		if (!peer->changed)
+			continue;
+		code = bd_put(board, BD_TABLE_member, BD_WRITER_MEMBERSHIP,
+		    peer->row.id, &peer->row, sizeof(peer->row), NULL);
+		urgent += peer->urgent;
+		peer->changed = false;
+		peer->urgent = false;
+	}
+	if (members->self_changed && code == CW_OK) {
+		code = bd_put(board, BD_TABLE_member, BD_WRITER_MEMBERSHIP,
+		    members->self.id, &members->self, sizeof(members->self),
+		    NULL);
+		urgent += members->self_urgent;
+		members->self_changed = false;
+		members->self_urgent = false;
+	}
+	return code == CW_OK ? urgent : code;
+}
+
+/* Returns a member other than this VM, NULL where it is unknown. */
+const struct fl_peer *
+fl_members_find(const struct fl_members *members, uint64_t id)
+{
+	return find((struct fl_members *)members, id);
+}
+
+/* Stores the short ids of the members heard within FL_SUSPECT_MS, at most
+ * FL_MEMBERS_MAX, and returns their number. */
+uint32_t
+fl_members_heard(
+    const struct fl_members *members, int64_t now_ms, uint32_t *heard)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++)
+		if (!members->peers[i].ended &&
+		    now_ms - members->peers[i].row.heard_ms <= FL_SUSPECT_MS)
+			heard[count++] = fl_short(members->peers[i].row.id);
+	return count;
+}
+
+/* Tells whether a member may get new work and duties; NULL is not able. */
+bool
+fl_member_is_able(const struct bd_member *member)
+{
+	return member != NULL && member->state == BD_MEMBER_ALIVE;
+}
--- /dev/null
+++ b/lib/fleet/msg_encode.c
@@ -0,0 +1,201 @@
+#include <assert.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "fleet.h"
+
+struct out {
+	unsigned char *data;
+	size_t bytes;
+	size_t bytes_max;
+	bool overflow;
+};
+
+static int write_out(void *ctx, const char *data, size_t bytes);
+static void pack_text(msgpack_packer *pk, const char *text);
+static void pack_bin(msgpack_packer *pk, const void *data, size_t bytes);
+static void pack_heartbeat(msgpack_packer *pk, const struct fl_heartbeat *body);
+static void pack_tail(msgpack_packer *pk, const struct fl_tail *body);
+static void pack_snap(msgpack_packer *pk, const struct fl_snap *body);
+static void pack_share(msgpack_packer *pk, const struct fl_share_list *body);
+static void pack_result(msgpack_packer *pk, const struct fl_result *body);
+static void pack_body(msgpack_packer *pk, const struct fl_msg *msg);
+
+static int
+write_out(void *ctx, const char *data, size_t bytes)
+{
+	struct out *out = ctx;
+
+	if (out->overflow || bytes > out->bytes_max - out->bytes) {
+		out->overflow = true;
+		return -1;
+	}
+	memcpy(out->data + out->bytes, data, bytes);
+	out->bytes += bytes;
+	return 0;
+}
+
+static void
+pack_text(msgpack_packer *pk, const char *text)
+{
+	size_t bytes = strnlen(text, CW_NAME_BYTES - 1);
+
+	msgpack_pack_str(pk, bytes);
+	msgpack_pack_str_body(pk, text, bytes);
+}
+
+static void
+pack_bin(msgpack_packer *pk, const void *data, size_t bytes)
+{
+	msgpack_pack_bin(pk, bytes);
+	if (bytes != 0)
+		msgpack_pack_bin_body(pk, data, bytes);
+}
+
+static void
+pack_heartbeat(msgpack_packer *pk, const struct fl_heartbeat *body)
+{
+	uint32_t i;
+
+	assert(body->heard_count <= FL_MEMBERS_MAX);
+	assert(body->load_count <= FL_MSG_LOADS_MAX);
+	msgpack_pack_array(pk, 7);
+	msgpack_pack_uint64(pk, body->position);
+	msgpack_pack_uint64(pk, body->digest);
+	msgpack_pack_uint64(pk, body->config_version);
+	msgpack_pack_uint32(pk, body->leaving);
+	msgpack_pack_array(pk, body->identified != 0 ? 6 : 0);
+	if (body->identified != 0) {
+		msgpack_pack_int64(pk, body->started_ms);
+		msgpack_pack_uint64(pk, body->zone);
+		msgpack_pack_uint64(pk, body->region);
+		pack_text(pk, body->name);
+		pack_text(pk, body->peer_address);
+		pack_text(pk, body->http_address);
+	}
+	msgpack_pack_array(pk, body->heard_count);
+	for (i = 0; i < body->heard_count; i++)
+		msgpack_pack_uint32(pk, body->heard[i]);
+	msgpack_pack_array(pk, (size_t)body->load_count * 2);
+	for (i = 0; i < body->load_count; i++) {
+		msgpack_pack_uint32(pk, body->loads[i].runner);
+		msgpack_pack_uint32(pk, body->loads[i].in_flight);
+	}
+}
+
+static void
+pack_tail(msgpack_packer *pk, const struct fl_tail *body)
+{
+	uint32_t i;
+
+	assert(body->count <= FL_MSG_ENTRIES_MAX);
+	msgpack_pack_array(pk, 1 + (size_t)body->count * 4);
+	msgpack_pack_uint32(pk, body->expired);
+	for (i = 0; i < body->count; i++) {
+		msgpack_pack_uint64(pk, body->entries[i].offset);
+		msgpack_pack_uint32(pk, body->entries[i].total);
+		msgpack_pack_uint32(pk, body->entries[i].start);
+		pack_bin(pk, body->entries[i].data, body->entries[i].bytes);
+	}
+}
+
+static void
+pack_snap(msgpack_packer *pk, const struct fl_snap *body)
+{
+	msgpack_pack_array(pk, 4);
+	msgpack_pack_uint64(pk, body->position);
+	msgpack_pack_uint64(pk, body->total);
+	msgpack_pack_uint64(pk, body->start);
+	pack_bin(pk, body->data, body->bytes);
+}
+
+static void
+pack_share(msgpack_packer *pk, const struct fl_share_list *body)
+{
+	uint32_t i;
+
+	assert(body->count <= FL_ACCOUNTS_MAX);
+	msgpack_pack_array(pk, 1 + (size_t)body->count * 3);
+	msgpack_pack_uint64(pk, body->sequence);
+	for (i = 0; i < body->count; i++) {
+		msgpack_pack_uint32(pk, body->entries[i].account);
+		msgpack_pack_uint32(pk, body->entries[i].rate_per_s);
+		msgpack_pack_uint32(pk, body->entries[i].concurrency);
+	}
+}
+
+static void
+pack_result(msgpack_packer *pk, const struct fl_result *body)
+{
+	msgpack_pack_array(pk, 4);
+	msgpack_pack_uint64(pk, body->ticket);
+	msgpack_pack_int32(pk, body->status);
+	msgpack_pack_uint32(pk, body->http_status);
+	pack_bin(pk, body->data, body->bytes);
+}
+
+static void
+pack_body(msgpack_packer *pk, const struct fl_msg *msg)
+{
+	switch (msg->kind) {
+	case FL_MSG_HEARTBEAT:
+		pack_heartbeat(pk, &msg->body.heartbeat);
+		break;
+	case FL_MSG_LEAVE:
+		msgpack_pack_array(pk, 1);
+		msgpack_pack_uint32(pk, msg->body.leave.gone);
+		break;
+	case FL_MSG_TAIL_GET:
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, msg->body.tail_get.from);
+		msgpack_pack_uint64(pk, msg->body.tail_get.start);
+		break;
+	case FL_MSG_TAIL:
+		pack_tail(pk, &msg->body.tail);
+		break;
+	case FL_MSG_SNAP_GET:
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, msg->body.snap_get.position);
+		msgpack_pack_uint64(pk, msg->body.snap_get.start);
+		break;
+	case FL_MSG_SNAP:
+		pack_snap(pk, &msg->body.snap);
+		break;
+	case FL_MSG_SHARE_ASK:
+	case FL_MSG_SHARE:
+		pack_share(pk, &msg->body.share);
+		break;
+	case FL_MSG_RESULT_GET:
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, msg->body.result_get.request_id);
+		msgpack_pack_uint64(pk, msg->body.result_get.ticket);
+		break;
+	default:
+		pack_result(pk, &msg->body.result);
+		break;
+	}
+}
+
+/*
+ * Encodes a message as the array [version, kind, sender, body]; the body is an
+ * array by position. Stores the size in *bytes. Returns FL_EBUFFER where the
+ * message does not fit; FL_MSG_BYTES_MAX holds every message within bounds.
+ */
+int
+fl_msg_encode(
+    const struct fl_msg *msg, void *buffer, size_t bytes_max, size_t *bytes)
+{
+	struct out out = {buffer, 0, bytes_max, false};
+	msgpack_packer pk;
+
+	assert(msg->kind > 0 && msg->kind < FL_MSG_KIND_LIMIT);
+	msgpack_packer_init(&pk, &out, write_out);
+	msgpack_pack_array(&pk, 4);
+	msgpack_pack_uint32(&pk, FL_MSG_VERSION);
+	msgpack_pack_uint32(&pk, msg->kind);
+	msgpack_pack_uint64(&pk, msg->sender);
+	pack_body(&pk, msg);
+	*bytes = out.bytes;
+	return out.overflow ? FL_EBUFFER : CW_OK;
+}
--- /dev/null
+++ b/lib/fleet/names.c
@@ -0,0 +1,48 @@
+#include "fleet.h"
+
+/* Returns the name of a status code of this package. */
+const char *
+fl_status_name(int code)
+{
+	switch (code) {
+	case FL_EMALFORMED:
+		return "malformed peer message";
+	case FL_ETOOLARGE:
+		return "too large for a peer message";
+	case FL_EUNREACHABLE:
+		return "peer out of reach";
+	case FL_ETIMEOUT:
+		return "no answer from the peer";
+	case FL_ENOTFOUND:
+		return "not found at the peer";
+	case FL_EEXPIRED:
+		return "entries no longer kept";
+	case FL_EFULL:
+		return "too many at once";
+	case FL_ENOMEM:
+		return "out of memory";
+	case FL_EBUFFER:
+		return "buffer too small for the message";
+	default:
+		return cw_status_name(code);
+	}
+}
+
+/* Returns the name of a message kind, as in metrics. */
+const char *
+fl_msg_kind_name(uint32_t kind)
+{
+	static const char *const names[FL_MSG_KIND_LIMIT] = {"unknown",
+	    "heartbeat", "leave", "tail_get", "tail", "snap_get", "snap",
+	    "share_ask", "share", "result_get", "result"};
+
+	return kind < FL_MSG_KIND_LIMIT ? names[kind] : names[0];
+}
+
+/* Returns the upper half of an id: 32 members, 4,096 runners and 256 accounts
+ * collide with a probability below 0.2%, and a collision only blurs a load. */
+uint32_t
+fl_short(uint64_t id)
+{
+	return (uint32_t)(id >> 32);
+}
--- /dev/null
+++ b/lib/fleet/relay.c
@@ -0,0 +1,296 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+struct tail_out {
+	const struct fl_tail_get *get;
+	unsigned char *buffer;
+	size_t room;
+	struct fl_tail *tail;
+};
+
+static const struct fl_peer *best_peer(const struct fl_members *members,
+    uint64_t position, uint64_t avoided, int64_t now_ms);
+static bool is_needed(struct fl_relay *relay, const struct fl_peer *best,
+    const struct fl_relay_input *input, int64_t now_ms);
+static int start_parts(struct fl_relay *relay, size_t total);
+static int take_part(struct fl_relay *relay, size_t total, size_t start,
+    const void *data, size_t bytes);
+static int take_entry(struct fl_relay *relay, const struct fl_tail_entry *entry,
+    const struct fl_state_hooks *state);
+static int serve_entry(
+    void *ctx, uint64_t offset, const void *data, size_t bytes);
+
+/* Returns the member with the highest position above ours that was heard
+ * lately; the avoided one only where there is no other. */
+static const struct fl_peer *
+best_peer(const struct fl_members *members, uint64_t position, uint64_t avoided,
+    int64_t now_ms)
+{
+	const struct fl_peer *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++) {
+		const struct fl_peer *peer = &members->peers[i];
+
+		if (peer->ended || peer->row.position <= position ||
+		    now_ms - peer->row.heard_ms > FL_SUSPECT_MS)
+			continue;
+		if (best == NULL || best->row.id == avoided ||
+		    (peer->row.id != avoided &&
+			peer->row.position > best->row.position))
+			best = peer;
+	}
+	return best;
+}
+
+static bool
+is_needed(struct fl_relay *relay, const struct fl_peer *best,
+    const struct fl_relay_input *input, int64_t now_ms)
+{
+	if (best == NULL) {
+		relay->behind_since_ms = 0;
+		return false;
+	}
+	if (relay->behind_since_ms == 0 ||
+	    relay->behind_position != input->position) {
+		relay->behind_since_ms = now_ms;
+		relay->behind_position = input->position;
+	}
+	return (input->unreachable_since_ms >= 0 &&
+		   now_ms - input->unreachable_since_ms >= FL_RELAY_AFTER_MS) ||
+	    now_ms - relay->behind_since_ms >= FL_RELAY_BEHIND_MS;
+}
+
+/*
+ * Decides whether to ask a member for records: where the log has been out of
+ * reach for FL_RELAY_AFTER_MS, or this VM has been behind for
+ * FL_RELAY_BEHIND_MS. Returns true with *ask filled for relay->peer. Lowers
+ * *next_ms (ms) to the time to decide again.
+ */
+bool
+fl_relay_decide(struct fl_relay *relay, const struct fl_members *members,
+    const struct fl_relay_input *input, int64_t now_ms, struct fl_msg *ask,
+    int64_t *next_ms)
+{
+	const struct fl_peer *best;
+
+	if (relay->mode != FL_RELAY_IDLE) {
+		int64_t due = relay->asked_ms + FL_RELAY_TIMEOUT_MS;
+
+		if (due > now_ms) {
+			if (due < *next_ms)
+				*next_ms = due;
+			return false;
+		}
+		relay->mode = FL_RELAY_IDLE;
+		relay->avoided = relay->peer;
+	}
+	best = best_peer(members, input->position, relay->avoided, now_ms);
+	if (!is_needed(relay, best, input, now_ms)) {
+		relay->announced &= best != NULL;
+		if (best != NULL && now_ms + 100 < *next_ms)
+			*next_ms = now_ms + 100;
+		return false;
+	}
+	if (!relay->announced)
+		ev_emit(EV_RELAY_START, "peer=%016llx position=%llu",
+		    (unsigned long long)best->row.id,
+		    (unsigned long long)input->position);
+	relay->announced = true;
+	relay->peer = best->row.id;
+	relay->asked_ms = now_ms;
+	if (now_ms + FL_RELAY_TIMEOUT_MS < *next_ms)
+		*next_ms = now_ms + FL_RELAY_TIMEOUT_MS;
+	if (relay->wants_snap) {
+		relay->mode = FL_RELAY_SNAP;
+		ask->kind = FL_MSG_SNAP_GET;
+		ask->body.snap_get.position = relay->position;
+		ask->body.snap_get.start = relay->have;
+	} else {
+		relay->mode = FL_RELAY_TAIL;
+		ask->kind = FL_MSG_TAIL_GET;
+		ask->body.tail_get.from = input->next_offset;
+		ask->body.tail_get.start =
+		    relay->from == input->next_offset ? relay->have : 0;
+	}
+	return true;
+}
+
+static int
+start_parts(struct fl_relay *relay, size_t total)
+{
+	free(relay->parts);
+	relay->parts = malloc(total == 0 ? 1 : total);
+	relay->total = total;
+	relay->have = 0;
+	return relay->parts == NULL ? FL_ENOMEM : CW_OK;
+}
+
+/* Adds the next part; any other part is ignored with FL_EEXPIRED. */
+static int
+take_part(struct fl_relay *relay, size_t total, size_t start, const void *data,
+    size_t bytes)
+{
+	if (start == 0 && cw_is_error(start_parts(relay, total)))
+		return FL_ENOMEM;
+	if (relay->parts == NULL || start != relay->have ||
+	    total != relay->total || bytes > total - start)
+		return FL_EEXPIRED;
+	if (bytes != 0)
+		memcpy(relay->parts + start, data, bytes);
+	relay->have += bytes;
+	return CW_OK;
+}
+
+static int
+take_entry(struct fl_relay *relay, const struct fl_tail_entry *entry,
+    const struct fl_state_hooks *state)
+{
+	int code;
+
+	if (entry->start == 0 && entry->bytes == entry->total)
+		return state->entry(
+		    state->ctx, entry->offset, entry->data, entry->bytes);
+	if (entry->start != 0 && relay->from != entry->offset)
+		return FL_EEXPIRED;
+	relay->from = entry->offset;
+	code = take_part(
+	    relay, entry->total, entry->start, entry->data, entry->bytes);
+	if (code != CW_OK || relay->have < relay->total)
+		return code;
+	code =
+	    state->entry(state->ctx, entry->offset, relay->parts, relay->total);
+	fl_relay_free(relay);
+	return code;
+}
+
+/*
+ * Takes the answer to TAIL_GET and hands whole entries over in order. Returns
+ * FL_EEXPIRED for an answer that was not asked for, or the error of the state.
+ */
+int
+fl_relay_tail(struct fl_relay *relay, uint64_t sender,
+    const struct fl_tail *tail, const struct fl_state_hooks *state)
+{
+	uint32_t i;
+	int code = CW_OK;
+
+	if (relay->mode != FL_RELAY_TAIL || sender != relay->peer)
+		return FL_EEXPIRED;
+	relay->mode = FL_RELAY_IDLE;
+	relay->avoided = 0;
+	if (tail->expired != 0) {
+		relay->wants_snap = true;
+		relay->position = 0;
+		fl_relay_free(relay);
+		return CW_OK;
+	}
+	if (tail->count == 0)
+		relay->avoided = sender;
+	for (i = 0; i < tail->count && code == CW_OK; i++) {
+		uint64_t next = state->next_offset(state->ctx);
+
+		if (tail->entries[i].offset > next)
+			break;
+		if (tail->entries[i].offset == next)
+			code = take_entry(relay, &tail->entries[i], state);
+	}
+	return code;
+}
+
+/*
+ * Takes the answer to SNAP_GET and installs the image when its last part is
+ * there. An image with another position starts from its first part again.
+ */
+int
+fl_relay_snap(struct fl_relay *relay, uint64_t sender,
+    const struct fl_snap *snap, const struct fl_state_hooks *state)
+{
+	int code;
+
+	if (relay->mode != FL_RELAY_SNAP || sender != relay->peer)
+		return FL_EEXPIRED;
+	relay->mode = FL_RELAY_IDLE;
+	if (snap->total == 0) {
+		relay->avoided = sender;
+		return CW_OK;
+	}
+	if (snap->position != relay->position && snap->start != 0) {
+		relay->position = 0;
+		fl_relay_free(relay);
+		return CW_OK;
+	}
+	relay->position = snap->position;
+	code =
+	    take_part(relay, snap->total, snap->start, snap->data, snap->bytes);
+	if (code != CW_OK || relay->have < relay->total)
+		return code;
+	ev_emit(EV_RELAY_SNAPSHOT, "peer=%016llx position=%llu bytes=%zu",
+	    (unsigned long long)sender, (unsigned long long)snap->position,
+	    relay->total);
+	code = state->snap_install(
+	    state->ctx, snap->position, relay->parts, relay->total);
+	relay->wants_snap = false;
+	fl_relay_free(relay);
+	return code;
+}
+
+/* Adds one entry to an answer; a large one goes in parts, alone. */
+static int
+serve_entry(void *ctx, uint64_t offset, const void *data, size_t bytes)
+{
+	struct tail_out *out = ctx;
+	struct fl_tail_entry *entry = &out->tail->entries[out->tail->count];
+	size_t start = offset == out->get->from ? out->get->start : 0;
+	size_t part;
+
+	if (out->tail->count == FL_MSG_ENTRIES_MAX ||
+	    bytes > PF_LOG_ENTRY_BYTES_MAX || start > bytes)
+		return FL_EFULL;
+	part = bytes - start;
+	if (part > out->room) {
+		if (out->tail->count != 0)
+			return FL_EFULL;
+		part = out->room;
+	}
+	memcpy(out->buffer, (const unsigned char *)data + start, part);
+	entry->offset = offset;
+	entry->total = (uint32_t)bytes;
+	entry->start = (uint32_t)start;
+	entry->bytes = (uint32_t)part;
+	entry->data = out->buffer;
+	out->buffer += part;
+	out->room -= part;
+	out->tail->count++;
+	return start + part < bytes ? FL_EFULL : CW_OK;
+}
+
+/* Answers TAIL_GET from the entries that the state keeps. buffer holds
+ * FL_MSG_DATA_BYTES_MAX bytes and must outlive the answer. */
+void
+fl_relay_serve_tail(const struct fl_state_hooks *state,
+    const struct fl_tail_get *get, unsigned char *buffer, struct fl_tail *tail)
+{
+	struct tail_out out = {get, buffer, FL_MSG_DATA_BYTES_MAX, tail};
+	struct pf_log_sink sink = {serve_entry, &out};
+	int code;
+
+	tail->count = 0;
+	code = state->tail(state->ctx, get->from, &sink);
+	tail->expired = code == FL_EEXPIRED;
+	if (tail->expired != 0)
+		tail->count = 0;
+}
+
+/* Frees the parts that were collected. */
+void
+fl_relay_free(struct fl_relay *relay)
+{
+	free(relay->parts);
+	relay->parts = NULL;
+	relay->total = 0;
+	relay->have = 0;
+}
--- /dev/null
+++ b/lib/fleet/send.c
@@ -0,0 +1,182 @@
+#include <assert.h>
+#include <string.h>
+
+#include "fleet_internal.h"
+
+#define FL_TARGETS_MAX (FL_MEMBERS_MAX * 3)
+
+/* The addresses that heartbeats go to, each once. */
+struct targets {
+	uint32_t count;
+	struct {
+		const char *address;
+		bool knows_us;
+	} list[FL_TARGETS_MAX];
+};
+
+static void add_target(struct targets *targets, const struct fl_fleet *fleet,
+    const char *address, bool knows_us);
+static void collect_targets(struct fl_fleet *fleet, struct targets *targets);
+static void fill_heartbeat(struct fl_fleet *fleet, int64_t now_ms);
+
+/* Sends the first bytes of the frame and counts them. */
+int
+fl_send_frame(
+    struct fl_fleet *fleet, const char *address, uint32_t kind, size_t bytes)
+{
+	int code = fleet->options.transport.send(
+	    fleet->options.transport.ctx, address, fleet->frame, bytes);
+
+	if (cw_is_error(code)) {
+		fleet->traffic.unsent++;
+		return FL_EUNREACHABLE;
+	}
+	fleet->traffic.sent_messages[kind]++;
+	fleet->traffic.sent_bytes[kind] += bytes;
+	return CW_OK;
+}
+
+/* Encodes fleet->out with this VM as its sender and sends it. */
+int
+fl_send(struct fl_fleet *fleet, const char *address)
+{
+	size_t bytes = 0;
+	int code;
+
+	fleet->out.sender = fleet->members.self.id;
+	code = fl_msg_encode(
+	    &fleet->out, fleet->frame, sizeof(fleet->frame), &bytes);
+	if (cw_is_error(code))
+		return code;
+	return fl_send_frame(fleet, address, fleet->out.kind, bytes);
+}
+
+/* Sends fleet->out to a member. Returns FL_ENOTFOUND where it is unknown. */
+int
+fl_send_member(struct fl_fleet *fleet, uint64_t member)
+{
+	const struct fl_peer *peer = fl_members_find(&fleet->members, member);
+
+	if (peer == NULL || peer->ended)
+		return FL_ENOTFOUND;
+	return fl_send(fleet, peer->row.peer_address);
+}
+
+static void
+add_target(struct targets *targets, const struct fl_fleet *fleet,
+    const char *address, bool knows_us)
+{
+	uint32_t i;
+
+	if (address[0] == '\0' || targets->count == FL_TARGETS_MAX ||
+	    strcmp(address, fleet->members.self.peer_address) == 0)
+		return;
+	for (i = 0; i < targets->count; i++)
+		if (strcmp(targets->list[i].address, address) == 0)
+			return;
+	targets->list[targets->count].address = address;
+	targets->list[targets->count++].knows_us = knows_us;
+}
+
+/* Members first: an address that the settings or the platform's list name as
+ * well is that of somebody who may know us already. The caller holds the read
+ * side. */
+static void
+collect_targets(struct fl_fleet *fleet, struct targets *targets)
+{
+	uint32_t own = fl_short(fleet->members.self.id);
+	const struct bd_vm *vm;
+	uint32_t cursor = 0;
+	uint32_t i;
+	uint32_t j;
+
+	targets->count = 0;
+	for (i = 0; i < fleet->members.count; i++) {
+		const struct fl_peer *peer = &fleet->members.peers[i];
+		bool knows_us = false;
+
+		if (peer->ended)
+			continue;
+		for (j = 0; j < peer->heard_count && !knows_us; j++)
+			knows_us = peer->heard[j] == own;
+		add_target(targets, fleet, peer->row.peer_address, knows_us);
+	}
+	for (i = 0; i < fleet->options.seed_count; i++)
+		add_target(targets, fleet, fleet->options.seeds[i], false);
+	while ((vm = bd_vm_next(fleet->options.board, &cursor)) != NULL)
+		if (vm->kind == BD_VM_ENTRY && vm->state != BD_VM_GONE)
+			add_target(targets, fleet, vm->address, false);
+}
+
+static void
+fill_heartbeat(struct fl_fleet *fleet, int64_t now_ms)
+{
+	struct fl_heartbeat *heartbeat = &fleet->out.body.heartbeat;
+	struct bd_member *self = &fleet->members.self;
+	const struct fl_state_hooks *state = &fleet->options.state;
+	const struct bd_config *config;
+
+	state->mark(state->ctx, &self->position, &self->digest);
+	config = bd_config_lookup(fleet->options.board, BD_CONFIG_ID);
+	self->config_version = config == NULL ? 0 : config->version;
+	fleet->members.self_changed = true;
+	fleet->out.kind = FL_MSG_HEARTBEAT;
+	fleet->out.sender = self->id;
+	heartbeat->position = self->position;
+	heartbeat->digest = self->digest;
+	heartbeat->config_version = self->config_version;
+	heartbeat->leaving = fleet->leaving;
+	heartbeat->started_ms = fleet->options.started_ms;
+	heartbeat->zone = self->zone;
+	heartbeat->region = self->region;
+	memcpy(heartbeat->name, self->name, CW_NAME_BYTES);
+	memcpy(heartbeat->peer_address, self->peer_address, CW_NAME_BYTES);
+	memcpy(heartbeat->http_address, self->http_address, CW_NAME_BYTES);
+	heartbeat->heard_count =
+	    fl_members_heard(&fleet->members, now_ms, heartbeat->heard);
+	fl_loads_take(&fleet->loads, &fleet->options.route);
+	fl_loads_fill(&fleet->loads, heartbeat);
+}
+
+/* Sends one heartbeat to every known address: with this VM's identity to
+ * those that have not reported to have heard it, without to the others. Each
+ * of the two is encoded once. */
+void
+fl_send_heartbeats(struct fl_fleet *fleet, int64_t now_ms)
+{
+	struct targets targets;
+	int identified;
+
+	bd_read_begin();
+	collect_targets(fleet, &targets);
+	fill_heartbeat(fleet, now_ms);
+	for (identified = 0; identified < 2; identified++) {
+		size_t bytes = 0;
+		uint32_t i;
+
+		fleet->out.body.heartbeat.identified = (uint32_t)identified;
+		if (cw_is_error(fl_msg_encode(&fleet->out, fleet->frame,
+			sizeof(fleet->frame), &bytes)))
+			continue;
+		for (i = 0; i < targets.count; i++)
+			if (targets.list[i].knows_us != (identified != 0))
+				(void)fl_send_frame(fleet,
+				    targets.list[i].address, FL_MSG_HEARTBEAT,
+				    bytes);
+	}
+	bd_read_end();
+}
+
+/* Tells every member that this VM takes no new work, or that it ends. */
+void
+fl_send_leave(struct fl_fleet *fleet, bool gone)
+{
+	uint32_t i;
+
+	fleet->out.kind = FL_MSG_LEAVE;
+	fleet->out.body.leave.gone = gone;
+	for (i = 0; i < fleet->members.count; i++)
+		if (!fleet->members.peers[i].ended)
+			(void)fl_send(
+			    fleet, fleet->members.peers[i].row.peer_address);
+}
--- /dev/null
+++ b/lib/fleet/share_holder.c
@@ -0,0 +1,265 @@
+#include <assert.h>
+#include <string.h>
+
+#include "fleet.h"
+
+static struct fl_lease *find_lease(struct fl_holder *holder, uint64_t account);
+static void take_account(struct fl_holder *holder,
+    const struct bd_account *account, uint32_t entry_vms);
+static bool has_grant(const struct fl_lease *lease);
+static uint32_t share_of(const struct fl_lease *lease, enum fl_limit_kind kind);
+
+/* Returns the static part of a limit that every one of entry_vms VMs has. */
+uint32_t
+fl_share_floor(uint32_t limit, uint32_t entry_vms)
+{
+	return limit / 2 / (entry_vms == 0 ? 1 : entry_vms);
+}
+
+/* Returns what remains of a limit for leases when entry_vms VMs have their
+ * floors; half of the limit and what rounding leaves. */
+uint32_t
+fl_share_pool(uint32_t limit, uint32_t entry_vms)
+{
+	return limit - fl_share_floor(limit, entry_vms) * entry_vms;
+}
+
+static struct fl_lease *
+find_lease(struct fl_holder *holder, uint64_t account)
+{
+	uint32_t i;
+
+	for (i = 0; i < holder->count; i++)
+		if (holder->leases[i].account == account)
+			return &holder->leases[i];
+	return NULL;
+}
+
+static bool
+has_grant(const struct fl_lease *lease)
+{
+	return lease->granted.of[FL_RATE] != 0 ||
+	    lease->granted.of[FL_CONCURRENCY] != 0;
+}
+
+static void
+take_account(struct fl_holder *holder, const struct bd_account *account,
+    uint32_t entry_vms)
+{
+	struct fl_limit limit = {{account->rate_per_s, account->concurrency}};
+	struct fl_lease *lease = find_lease(holder, account->id);
+	int kind;
+
+	if (lease == NULL) {
+		if (holder->count == FL_ACCOUNTS_MAX)
+			return;
+		lease = &holder->leases[holder->count++];
+		memset(lease, 0, sizeof(*lease));
+		lease->account = account->id;
+		lease->changed = true;
+	}
+	lease->present = true;
+	if (memcmp(&lease->limit, &limit, sizeof(limit)) == 0 &&
+	    holder->entry_vms == entry_vms && !lease->changed)
+		return;
+	lease->limit = limit;
+	/* What was granted under another limit no longer holds. */
+	memset(&lease->granted, 0, sizeof(lease->granted));
+	for (kind = 0; kind < FL_LIMIT_KINDS; kind++)
+		lease->floor.of[kind] =
+		    fl_share_floor(limit.of[kind], entry_vms);
+	lease->changed = true;
+}
+
+/* Takes the limits of the accounts over from the configuration in force. */
+void
+fl_holder_limits(struct fl_holder *holder, const struct bd_board *board)
+{
+	const struct bd_config *config;
+	const struct bd_account *account;
+	uint32_t cursor = 0;
+	uint32_t entry_vms;
+	uint32_t i;
+
+	bd_read_begin();
+	config = bd_config_lookup(board, BD_CONFIG_ID);
+	entry_vms =
+	    config == NULL || config->entry_vms == 0 ? 1 : config->entry_vms;
+	for (i = 0; i < holder->count; i++)
+		holder->leases[i].present = false;
+	while ((account = bd_account_next(board, &cursor)) != NULL)
+		take_account(holder, account, entry_vms);
+	holder->entry_vms = entry_vms;
+	bd_read_end();
+}
+
+/*
+ * Fills an ask for what this VM wants above its floors and remembers when it
+ * was asked, which is when the lease starts. Returns false where nothing is
+ * wanted.
+ */
+bool
+fl_holder_ask(struct fl_holder *holder, const struct fl_route_hooks *route,
+    int64_t now_ms, struct fl_share_list *ask)
+{
+	uint32_t i;
+	int kind;
+
+	ask->count = 0;
+	for (i = 0; i < holder->count; i++) {
+		const struct fl_lease *lease = &holder->leases[i];
+		struct fl_limit demand = {{0, 0}};
+		bool wanted = false;
+
+		if (!lease->present || route->demand == NULL)
+			continue;
+		route->demand(route->ctx, lease->account, &demand.of[FL_RATE],
+		    &demand.of[FL_CONCURRENCY]);
+		for (kind = 0; kind < FL_LIMIT_KINDS; kind++) {
+			uint32_t pool = fl_share_pool(
+			    lease->limit.of[kind], holder->entry_vms);
+			uint32_t above = demand.of[kind] > lease->floor.of[kind]
+			    ? demand.of[kind] - lease->floor.of[kind]
+			    : 0;
+
+			demand.of[kind] = above < pool ? above : pool;
+			wanted |= demand.of[kind] != 0;
+		}
+		if (!wanted)
+			continue;
+		ask->entries[ask->count].account = fl_short(lease->account);
+		ask->entries[ask->count].rate_per_s = demand.of[FL_RATE];
+		ask->entries[ask->count].concurrency =
+		    demand.of[FL_CONCURRENCY];
+		ask->count++;
+	}
+	if (ask->count == 0)
+		return false;
+	ask->sequence = ++holder->sequence;
+	holder->asked_ms[ask->sequence % FL_ASKS_KEPT] = now_ms;
+	return true;
+}
+
+/*
+ * Takes a grant, whose lease counts from when its ask was sent. Returns
+ * FL_EEXPIRED for a grant that is late, repeated or out of order.
+ */
+int
+fl_holder_grant(
+    struct fl_holder *holder, const struct fl_share_list *grant, int64_t now_ms)
+{
+	int64_t until_ms;
+	uint32_t i;
+	uint32_t j;
+
+	if (grant->sequence <= holder->accepted ||
+	    grant->sequence > holder->sequence ||
+	    grant->sequence + FL_ASKS_KEPT <= holder->sequence)
+		return FL_EEXPIRED;
+	until_ms = holder->asked_ms[grant->sequence % FL_ASKS_KEPT] +
+	    FL_SHARE_LEASE_MS;
+	if (until_ms <= now_ms)
+		return FL_EEXPIRED;
+	holder->accepted = grant->sequence;
+	for (i = 0; i < holder->count; i++) {
+		struct fl_lease *lease = &holder->leases[i];
+		struct fl_limit granted = {{0, 0}};
+
+		for (j = 0; j < grant->count; j++)
+			if (grant->entries[j].account ==
+			    fl_short(lease->account)) {
+				granted.of[FL_RATE] =
+				    grant->entries[j].rate_per_s;
+				granted.of[FL_CONCURRENCY] =
+				    grant->entries[j].concurrency;
+			}
+		if (!lease->present ||
+		    (!has_grant(lease) && granted.of[FL_RATE] == 0 &&
+			granted.of[FL_CONCURRENCY] == 0))
+			continue;
+		lease->granted = granted;
+		lease->until_ms = until_ms;
+		lease->changed = true;
+	}
+	return CW_OK;
+}
+
+/* Takes back what has lapsed at the present time. */
+void
+fl_holder_lapse(struct fl_holder *holder, int64_t now_ms)
+{
+	uint32_t lapsed = 0;
+	uint32_t i;
+
+	for (i = 0; i < holder->count; i++) {
+		struct fl_lease *lease = &holder->leases[i];
+
+		if (!has_grant(lease) || lease->until_ms > now_ms)
+			continue;
+		memset(&lease->granted, 0, sizeof(lease->granted));
+		lease->changed = true;
+		lapsed++;
+	}
+	if (lapsed != 0)
+		ev_emit(EV_SHARES_LAPSED, "accounts=%u", lapsed);
+}
+
+/* After a pause nothing that was granted before counts until it is granted
+ * again, answers on their way included. */
+void
+fl_holder_pause(struct fl_holder *holder)
+{
+	uint32_t i;
+
+	holder->accepted = holder->sequence;
+	for (i = 0; i < holder->count; i++)
+		if (has_grant(&holder->leases[i])) {
+			memset(&holder->leases[i].granted, 0,
+			    sizeof(holder->leases[i].granted));
+			holder->leases[i].changed = true;
+		}
+}
+
+/* An unlimited account has UINT32_MAX, so that a floor of 0 stays a limit. */
+static uint32_t
+share_of(const struct fl_lease *lease, enum fl_limit_kind kind)
+{
+	return lease->limit.of[kind] == 0 ? UINT32_MAX : lease->floor.of[kind];
+}
+
+/*
+ * Writes the changed rows to table share: the floors, and beside them what is
+ * leased until lease_until_ms. Returns an error of the board.
+ */
+int
+fl_holder_apply(struct fl_holder *holder, struct bd_board *board)
+{
+	uint32_t i;
+
+	for (i = holder->count; i-- > 0;) {
+		struct fl_lease *lease = &holder->leases[i];
+		struct bd_share row = {0};
+		int code;
+
+		if (!lease->present) {
+			bd_remove(board, BD_TABLE_share, BD_WRITER_LIMITS,
+			    lease->account);
+			*lease = holder->leases[--holder->count];
+			continue;
+		}
+		if (!lease->changed)
+			continue;
+		row.id = lease->account;
+		row.rate_per_s = share_of(lease, FL_RATE);
+		row.concurrency = share_of(lease, FL_CONCURRENCY);
+		row.leased_rate_per_s = lease->granted.of[FL_RATE];
+		row.leased_concurrency = lease->granted.of[FL_CONCURRENCY];
+		row.lease_until_ms = lease->until_ms;
+		code = bd_put(board, BD_TABLE_share, BD_WRITER_LIMITS, row.id,
+		    &row, sizeof(row), NULL);
+		if (cw_is_error(code))
+			return code;
+		lease->changed = false;
+	}
+	return CW_OK;
+}
--- a/tests/test_fleet_duty.cc
+++ b/tests/test_fleet_duty.cc
@@ -2,7 +2,7 @@
 
 #include <vector>
 
-#include "fleet.h"
+#include "fleet_sim.h"
 
 namespace {
 
@@ -38,13 +38,15 @@
 		struct st_sink sink = {propose, this};
 		int64_t next = INT64_MAX;
 		EXPECT_EQ(
-		    fl_duty_decide(board, self, now_ms, &sink, &next), CW_OK);
+		    fl_duty_decide(board, self, now_ms, &sink, &claims, &next),
+		    CW_OK);
 		return next;
 	}
 	static int
-	propose(void *ctx, const struct rec *rec, const struct st_done *)
+	propose(void *ctx, const struct rec *rec, const struct st_done *done)
 	{
 		Vm *vm = static_cast<Vm *>(ctx);
+		vm->done = *done;
 		vm->proposed.push_back(*rec);
 		vm->proposed.back().writer = vm->self;
 		vm->proposed.back().sequence = ++vm->sequence;
@@ -55,6 +57,8 @@
 	struct bd_board *board = nullptr;
 	struct st_state *state = nullptr;
 	std::vector<struct rec> proposed;
+	struct fl_claims claims = {};
+	struct st_done done = {};
 };
 
 void
@@ -134,4 +138,164 @@
 	EXPECT_EQ(st_digest(a.state), digest);
 }
 
+// Guards against a claim that is proposed again and again while the log is
+// slow, and against one that is never repeated after a failure.
+TEST(FleetDuty, PendingClaimIsNotProposedAgain)
+{
+	const size_t each = BD_DUTY_LIMIT - 1;
+	const struct {
+		int status; // of the last duty's claim; 1: none yet
+		int64_t at_ms;
+		size_t proposed;
+	} steps[] = {
+	    {1, 60000, each},
+	    {1, 60000 + FL_CLAIM_PENDING_MS - 1, each},
+	    {ST_EUNAVAILABLE, 60000 + FL_CLAIM_PENDING_MS - 1, each + 1},
+	    {1, 60000 + FL_CLAIM_PENDING_MS, 2 * each},
+	};
+	Vm a(11);
+	a.see(11, BD_MEMBER_ALIVE, 0);
+	for (const auto &step : steps) {
+		if (step.status <= 0)
+			a.done.call(a.done.ctx, step.status, 0);
+		a.decide(step.at_ms);
+		EXPECT_EQ(a.proposed.size(), step.proposed);
+	}
+}
+
+// Guards against a VM that takes every duty at its start, before it can have
+// heard the holder, and against ranks that claim all at once after a death.
+TEST(FleetDuty, FreshVmListensFirstAndRanksWait)
+{
+	Vm a(11);
+	struct bd_member self = {};
+	self.id = 11;
+	self.since_ms = 50000;
+	bd_put(a.board, BD_TABLE_member, BD_WRITER_MEMBERSHIP, 11, &self,
+	    sizeof(self), nullptr);
+	EXPECT_EQ(a.decide(50000), 50000 + FL_SUSPECT_MS);
+	EXPECT_TRUE(a.proposed.empty());
+	for (uint64_t other = 100; other < 108; other++)
+		a.see(other, BD_MEMBER_ALIVE, 50000);
+	for (int64_t ms = 50000; ms < 60000; ms += 100) {
+		a.decide(ms);
+		for (const struct rec &rec : a.proposed) {
+			bd_read_begin();
+			int64_t wait = fl_rank(a.board, rec.body.duty.duty, 11);
+			bd_read_end();
+			EXPECT_GE(ms, 50000 + FL_SUSPECT_MS + wait * 1000);
+		}
+	}
+	EXPECT_GE(a.proposed.size(), (size_t)BD_DUTY_LIMIT - 1);
+}
+
+// Guards against duties that stay behind at a graceful shutdown, and against a
+// duty whose holder died that moves later than 5.2 s allow.
+TEST(FleetDuty, MovesInTimeAfterDeathAndShutdown)
+{
+	for (bool shutdown : {false, true}) {
+		struct sim *sim = sim_create(9, 4);
+		sim_run(sim, 20000);
+		uint64_t holder = sim_holder(sim, 0, BD_DUTY_PLACEMENT);
+		uint32_t at = 0;
+		while (at < 8 && sim->vms[at].incarnation != holder)
+			at++;
+		ASSERT_EQ(sim->vms[at].incarnation, holder);
+		if (shutdown)
+			fl_leave(sim->vms[at].fleet, false, sim->now_ms);
+		else
+			sim_kill(sim, at);
+		int64_t ms = 0;
+		uint32_t other = (at + 1) % 9;
+		for (; ms < 10000 &&
+		     (sim_holder(sim, other, BD_DUTY_PLACEMENT) == holder ||
+			 sim_holder(sim, other, BD_DUTY_PLACEMENT) == 0);
+		     ms += 20)
+			sim_run(sim, 20);
+		EXPECT_LT(ms, shutdown ? 1500 : 5000);
+		sim_destroy(sim);
+	}
+}
+
+// Guards against jobs that stay with a dead owner, that all go to one VM, or
+// that are taken from a live one.
+TEST(FleetDuty, JobsOfDeadOwnersAreSpread)
+{
+	std::vector<size_t> taken;
+	for (uint64_t self : {11, 22, 33}) {
+		Vm vm(self);
+		for (uint64_t id : {11, 22, 33})
+			vm.see(id, BD_MEMBER_ALIVE, 0);
+		vm.see(44, BD_MEMBER_DEAD, 0);
+		for (uint64_t i = 1; i <= 120; i++) {
+			struct bd_job job = {};
+			job.id = i;
+			job.owner = i % 2 ? 44 : 22;
+			job.state = i % 10 == 9 ? BD_JOB_DONE : BD_JOB_RUNNING;
+			bd_put(vm.board, BD_TABLE_job, BD_WRITER_STATE, i, &job,
+			    sizeof(job), nullptr);
+		}
+		struct st_sink sink = {Vm::propose, &vm};
+		int64_t next = INT64_MAX;
+		ASSERT_EQ(fl_jobs_decide(
+			      vm.board, self, 500, &sink, &vm.claims, &next),
+		    CW_OK);
+		for (const struct rec &rec : vm.proposed) {
+			EXPECT_EQ(rec.body.job_owner.job % 2, 1u);
+			EXPECT_NE(rec.body.job_owner.job % 10, 9u);
+		}
+		taken.push_back(vm.proposed.size());
+		EXPECT_EQ(next, 1000);
+		// A leaving VM hands its own jobs to the others.
+		vm.proposed.clear();
+		vm.claims = {};
+		EXPECT_EQ(
+		    fl_jobs_release(vm.board, 22, 500, &sink, &vm.claims), 60);
+		EXPECT_EQ(vm.proposed.size(), 60u);
+		for (const struct rec &rec : vm.proposed)
+			EXPECT_TRUE(rec.body.job_owner.owner == 11 ||
+			    rec.body.job_owner.owner == 33);
+	}
+	EXPECT_EQ(taken[0] + taken[1] + taken[2], 48u);
+	for (size_t count : taken)
+		EXPECT_GT(count, 5u);
+}
+
+// Guards against at-most-once entries that are kept for ever or dropped early.
+TEST(FleetDuty, ExpiryFollowsTheKeepTime)
+{
+	const struct {
+		int64_t age_ms;
+		uint64_t holder;
+		size_t proposed;
+	} rows[] = {{1001, 11, 2}, {999, 11, 0}, {1001, 22, 0}};
+	for (const auto &row : rows) {
+		Vm vm(11);
+		struct bd_config config = {};
+		struct bd_duty duty = {BD_DUTY_EXPIRY, row.holder, 1, 0};
+		struct bd_request request = {};
+		struct bd_job job = {};
+		config.request_keep_ms = 1000;
+		request.intent_ms = job.ended_ms = 500000 - row.age_ms;
+		job.state = BD_JOB_DONE;
+		bd_put(vm.board, BD_TABLE_config, BD_WRITER_STATE, BD_CONFIG_ID,
+		    &config, sizeof(config), nullptr);
+		bd_put(vm.board, BD_TABLE_duty, BD_WRITER_STATE, duty.id, &duty,
+		    sizeof(duty), nullptr);
+		bd_put(vm.board, BD_TABLE_request, BD_WRITER_STATE, 1, &request,
+		    sizeof(request), nullptr);
+		bd_put(vm.board, BD_TABLE_job, BD_WRITER_STATE, 1, &job,
+		    sizeof(job), nullptr);
+		struct st_sink sink = {Vm::propose, &vm};
+		EXPECT_EQ(fl_expiry_decide(
+			      vm.board, 11, 0, 500000, &sink, &vm.claims),
+		    CW_OK);
+		ASSERT_EQ(vm.proposed.size(), row.proposed);
+		if (row.proposed != 0) {
+			EXPECT_EQ(
+			    vm.proposed[0].body.req_expire.before_ms, 499000);
+		}
+	}
+}
+
 } // namespace
--- /dev/null
+++ b/tests/test_fleet_relay.cc
@@ -0,0 +1,217 @@
+#include <gtest/gtest.h>
+
+#include "fleet_sim.h"
+
+namespace {
+
+// Appends records that apply rejects alike everywhere, which moves positions.
+void
+append(struct sim *sim, uint32_t vm, uint32_t count)
+{
+	struct rec rec = {};
+
+	rec.kind = REC_DUTY;
+	rec.body.duty.duty = BD_DUTY_LIMIT;
+	while (count-- > 0)
+		ASSERT_EQ(sim_propose(&sim->vms[vm], &rec, nullptr), CW_OK);
+}
+
+// Guards against records that reach a VM without the log later than 4 s: the
+// log is known to be out of reach, or only silent; entries of 1 KB and of
+// 300 KB, which need several messages; 5% loss.
+TEST(FleetRelay, RecordsReachVmsWithoutTheLogWithin4s)
+{
+	const struct {
+		const char *what;
+		bool known;
+		size_t pad;
+		uint32_t count;
+	} cases[] = {{"known, small", true, 1000, 100},
+	    {"known, large", true, 300000, 2}, {"silent log", false, 1000, 10}};
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.what);
+		struct sim *sim = sim_create(5, 2);
+		sim->latency_ms = 30;
+		sim->loss_percent = 5;
+		sim->pad_bytes = c.pad;
+		sim_run(sim, 15000);
+		// The log is lost on VMs 0 and 1; where it is only silent the
+		// follower tells that it is within reach.
+		sim->vms[0].log_lost_ms = c.known ? sim->now_ms : INT64_MAX / 2;
+		sim->vms[1].log_lost_ms = sim->vms[0].log_lost_ms;
+		append(sim, 3, c.count);
+		sim_run(sim, 4000);
+		for (uint32_t i = 0; i < 5; i++)
+			EXPECT_EQ(sim->vms[i].next_offset, sim->log_count);
+		EXPECT_EQ(
+		    st_digest(sim->vms[0].state), st_digest(sim->vms[4].state));
+		sim_destroy(sim);
+	}
+}
+
+// Guards against a relay that waits for one silent peer for ever.
+TEST(FleetRelay, AnotherPeerIsAskedWhereOneIsSilent)
+{
+	struct sim *sim = sim_create(4, 5);
+	sim_run(sim, 15000);
+	sim->vms[0].log_lost_ms = sim->now_ms;
+	append(sim, 3, 10);
+	// VM 0 hears the others, but only VM 2 hears VM 0.
+	sim->cut[0][1] = sim->cut[0][3] = true;
+	sim_run(sim, 6000);
+	EXPECT_EQ(sim->vms[0].next_offset, sim->log_count);
+	sim_destroy(sim);
+}
+
+// Guards against tables that differ unnoticed, and against a fleet of which
+// everybody rebuilds as one VM is wrong.
+TEST(FleetRelay, OnlyTheVmWhoseDigestDiffersRebuilds)
+{
+	struct sim *sim = sim_create(5, 6);
+	sim_run(sim, 15000);
+	uint64_t events = ev_count(EV_DIGEST_MISMATCH);
+	sim->vms[2].flipped = 1;
+	sim_run(sim, 3000);
+	EXPECT_GT(ev_count(EV_DIGEST_MISMATCH), events);
+	for (uint32_t i = 0; i < 5; i++)
+		EXPECT_EQ(sim->vms[i].rebuilds, i == 2 ? 1u : 0u) << i;
+	sim_destroy(sim);
+}
+
+// A state that serves and takes a snapshot image in parts.
+struct Image {
+	std::string bytes;
+	std::string installed;
+	uint64_t position = 7;
+
+	static int
+	read(void *ctx, uint64_t start, void *buffer, size_t bytes_max,
+	    size_t *bytes, uint64_t *total, uint64_t *position)
+	{
+		Image *image = static_cast<Image *>(ctx);
+		*total = image->bytes.size();
+		*position = image->position;
+		*bytes = std::min<size_t>(bytes_max, *total - start);
+		memcpy(buffer, image->bytes.data() + start, *bytes);
+		return CW_OK;
+	}
+	static int
+	install(void *ctx, uint64_t, const void *data, size_t bytes)
+	{
+		static_cast<Image *>(ctx)->installed.assign(
+		    static_cast<const char *>(data), bytes);
+		return CW_OK;
+	}
+};
+
+// Guards against a snapshot that is joined from parts of two images, and
+// against one that is never asked for where the tail is no longer kept.
+TEST(FleetRelay, SnapshotInPartsIsOfOneImage)
+{
+	struct fl_members members = {};
+	struct fl_relay relay = {};
+	struct bd_member self = {};
+	struct fl_heartbeat heartbeat = {};
+	struct fl_state_hooks hooks = {};
+	struct fl_relay_input input = {0, 0, 0};
+	struct fl_msg ask = {};
+	Image image;
+	int64_t next = INT64_MAX;
+
+	image.bytes.assign(200000, 'a');
+	hooks.snap_install = Image::install;
+	hooks.ctx = &image;
+	self.id = 1;
+	fl_members_init(&members, &self, 1000);
+	heartbeat.identified = 1;
+	heartbeat.position = 99;
+	fl_members_heartbeat(&members, 2, &heartbeat, 1000);
+	ASSERT_TRUE(
+	    fl_relay_decide(&relay, &members, &input, 1000, &ask, &next));
+	EXPECT_EQ(ask.kind, (uint32_t)FL_MSG_TAIL_GET);
+	struct fl_tail tail = {};
+	tail.expired = 1;
+	ASSERT_EQ(fl_relay_tail(&relay, 2, &tail, &hooks), CW_OK);
+	for (int part = 0; part < 8 && image.installed.empty(); part++) {
+		static unsigned char buffer[FL_MSG_DATA_BYTES_MAX];
+		struct fl_snap snap = {};
+		size_t bytes;
+		ASSERT_TRUE(fl_relay_decide(
+		    &relay, &members, &input, 1000, &ask, &next));
+		ASSERT_EQ(ask.kind, (uint32_t)FL_MSG_SNAP_GET);
+		snap.start = ask.body.snap_get.start;
+		Image::read(&image, snap.start, buffer, sizeof(buffer), &bytes,
+		    &snap.total, &snap.position);
+		snap.bytes = (uint32_t)bytes;
+		snap.data = buffer;
+		ASSERT_EQ(fl_relay_snap(&relay, 2, &snap, &hooks), CW_OK);
+		if (part == 1) {
+			image.bytes.assign(200000, 'b');
+			image.position = 8;
+		}
+	}
+	EXPECT_EQ(image.installed, std::string(200000, 'b'));
+	fl_relay_free(&relay);
+}
+
+// What came back for a question about a request's answer.
+struct Answer {
+	int calls = 0;
+	int status = 0;
+	std::string data;
+	static void
+	take(void *ctx, int status, uint32_t, const void *data, size_t bytes)
+	{
+		Answer *answer = static_cast<Answer *>(ctx);
+		answer->calls++;
+		answer->status = status;
+		answer->data.assign(static_cast<const char *>(data), bytes);
+	}
+};
+
+int
+hold_result(void *, uint64_t request_id, uint32_t *status, void *buffer,
+    size_t bytes_max, size_t *bytes)
+{
+	*status = 200;
+	*bytes = request_id;
+	if (request_id == 0)
+		return FL_ENOTFOUND;
+	if (request_id > bytes_max)
+		return FL_ETOOLARGE;
+	memset(buffer, 'r', *bytes);
+	return CW_OK;
+}
+
+// Guards against an answer that is cut, mixed up, or never ends.
+TEST(FleetRelay, ResultsComeWholeOrWithAnError)
+{
+	const struct {
+		uint64_t request;
+		uint32_t loss;
+		int status;
+	} cases[] = {{64 * 1024, 0, CW_OK}, {0, 0, FL_ENOTFOUND},
+	    {64 * 1024 + 1, 0, FL_ETOOLARGE}, {5, 100, FL_ETIMEOUT}};
+	for (const auto &c : cases) {
+		struct sim *sim = sim_create(3, 7);
+		sim->result = hold_result;
+		sim_kill(sim, 1);
+		sim_start(sim, 1);
+		sim_run(sim, 5000);
+		sim->loss_percent = c.loss;
+		Answer answer;
+		struct fl_result_done done = {Answer::take, &answer};
+		ASSERT_EQ(
+		    fl_result_get(sim->vms[0].fleet, sim->vms[1].incarnation,
+			c.request, &done, sim->now_ms),
+		    CW_OK);
+		sim_run(sim, 4000);
+		EXPECT_EQ(answer.calls, 1);
+		EXPECT_EQ(answer.status, c.status);
+		EXPECT_EQ(answer.data,
+		    std::string(c.status == CW_OK ? c.request : 0, 'r'));
+		sim_destroy(sim);
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_fleet_share.cc
@@ -0,0 +1,159 @@
+#include <gtest/gtest.h>
+
+#include "fleet_sim.h"
+
+namespace {
+
+// What is in force on a VM at a time, as the request path reads it: the row
+// stays as it is while the VM is paused, so its lease time is compared.
+uint64_t
+in_force(const struct sim_vm *vm, uint64_t account, int64_t now_ms)
+{
+	uint64_t sum = 0;
+
+	bd_read_begin();
+	const struct bd_share *row = bd_share_lookup(vm->board, account);
+	if (row != nullptr)
+		sum = row->rate_per_s +
+		    (row->lease_until_ms > now_ms ? row->leased_rate_per_s : 0);
+	bd_read_end();
+	return sum;
+}
+
+struct Watch {
+	uint32_t limit;
+	uint64_t most;
+	uint64_t leased_ticks;
+	bool faults;
+};
+
+// Checks the sum on every tick and, with faults, brings about pauses, cut
+// links, a log out of reach and changed demands.
+void
+watch(struct sim *sim, void *ctx)
+{
+	Watch *w = static_cast<Watch *>(ctx);
+
+	for (uint32_t account = 0; account < 2; account++) {
+		uint64_t sum = 0;
+		for (uint32_t i = 0; i < sim->vm_count; i++)
+			if (sim->vms[i].up)
+				sum += in_force(&sim->vms[i],
+				    cw_id_from_pair(5, account), sim->now_ms);
+		w->most = sum > w->most ? sum : w->most;
+		w->leased_ticks += sum > w->limit / 2;
+	}
+	if (!w->faults)
+		return;
+	struct sim_vm *vm = &sim->vms[cw_rng_below(&sim->rng, sim->vm_count)];
+	uint32_t other = cw_rng_below(&sim->rng, sim->vm_count);
+	switch (cw_rng_below(&sim->rng, 120)) {
+	case 0:
+		vm->paused_until_ms =
+		    sim->now_ms + cw_rng_below(&sim->rng, 9000);
+		break;
+	case 1:
+		vm->log_lost_ms = vm->log_lost_ms < 0 ? sim->now_ms : -1;
+		break;
+	case 2:
+	case 3:
+		sim->cut[vm->index][other] ^= 1;
+		break;
+	case 4:
+		memset(sim->cut, 0, sizeof(sim->cut));
+		break;
+	case 5:
+	case 6:
+		vm->demand = cw_rng_below(&sim->rng, 2 * w->limit);
+		break;
+	default:
+		break;
+	}
+}
+
+// Guards against shares in force that exceed the limit together, under loss,
+// delays of up to 4 s, pauses, cut links, an unreachable log and changes of the
+// granter; and against a granter that never grants.
+TEST(FleetShare, SumNeverExceedsTheLimit)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		SCOPED_TRACE(seed);
+		Watch w = {seed % 2 ? 1000u : 23u, 0, 0, true};
+		struct sim *sim = sim_create(seed % 3 ? 5 : 9, seed);
+		sim->jitter_ms = seed % 4 == 0 ? 4000 : 100;
+		sim->loss_percent = 10;
+		sim->each_tick = watch;
+		sim->ctx = &w;
+		sim_accounts(sim, 2, w.limit);
+		for (uint32_t i = 0; i < sim->vm_count; i++)
+			sim->vms[i].demand = w.limit;
+		sim_run(sim, 300000);
+		EXPECT_LE(w.most, w.limit);
+		EXPECT_GT(w.leased_ticks, 100u);
+		sim_destroy(sim);
+	}
+}
+
+// Guards against two granters at once: the old one hears nothing of the new
+// duty record, and a holder that still asks it gets no more from it.
+TEST(FleetShare, GranterCutFromTheLogStopsBeforeTheNextOneStarts)
+{
+	Watch w = {1000, 0, 0, false};
+	struct sim *sim = sim_create(5, 3);
+	sim->each_tick = watch;
+	sim->ctx = &w;
+	sim_accounts(sim, 2, w.limit);
+	for (uint32_t i = 0; i < 5; i++)
+		sim->vms[i].demand = 1000;
+	sim_run(sim, 30000);
+	uint64_t granter = sim_holder(sim, 0, BD_DUTY_LIMITS);
+	uint32_t at = 0;
+	while (sim->vms[at].incarnation != granter)
+		at++;
+	uint32_t friend_of = (at + 1) % 5;
+	for (uint32_t a : {at, friend_of}) {
+		sim->vms[a].log_lost_ms = sim->now_ms;
+		for (uint32_t b = 0; b < 5; b++)
+			if (b != at && b != friend_of)
+				sim->cut[a][b] = sim->cut[b][a] = true;
+	}
+	w.leased_ticks = 0;
+	sim_run(sim, 60000);
+	EXPECT_NE(sim_holder(sim, (at + 2) % 5, BD_DUTY_LIMITS), granter);
+	EXPECT_LE(w.most, w.limit);
+	EXPECT_GT(w.leased_ticks, 1000u);
+	// Without the log the floor stays, and only the floor.
+	EXPECT_EQ(
+	    in_force(&sim->vms[friend_of], cw_id_from_pair(5, 0), sim->now_ms),
+	    100u);
+	sim_destroy(sim);
+}
+
+// Guards against leases that go to whoever asks first: a large demand gets
+// what the others leave, and equal demands get equal parts.
+TEST(FleetShare, LeasesFollowDemand)
+{
+	const struct {
+		uint32_t demands[3];
+		uint32_t expected[3]; // floor of 100 and lease, of 600
+	} cases[] = {
+	    {{5000, 0, 0}, {400, 100, 100}},
+	    {{5000, 5000, 5000}, {200, 200, 200}},
+	    {{130, 5000, 5000}, {130, 235, 235}},
+	};
+	for (const auto &c : cases) {
+		struct sim *sim = sim_create(3, 1);
+		sim_accounts(sim, 1, 600);
+		for (uint32_t i = 0; i < 3; i++)
+			sim->vms[i].demand = c.demands[i];
+		sim_run(sim, 25000);
+		for (uint32_t i = 0; i < 3; i++)
+			EXPECT_EQ(in_force(&sim->vms[i], cw_id_from_pair(5, 0),
+				      sim->now_ms),
+			    c.expected[i])
+			    << i;
+		sim_destroy(sim);
+	}
+}
+
+} // namespace
