--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -125,7 +125,10 @@
 	void *ctx;
 };
 
+#define EV_NUMBER_LIMIT 1200
+
 void ev_sink_set(const struct ev_sink *sink);
+const struct ev_sink *ev_sink_get(void);
 int ev_open_log4c(void);
 void ev_emit(enum ev_number number, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -43,3 +43,9 @@
     "answer of the platform cannot be read")
 /* 900: links */
 /* 1000: front */
+EV(1001, EV_FRONT_REPEATED, EV_LEVEL_WARN, "event repeated, lines left out")
+EV(1002, EV_FRONT_KEY_REFUSED, EV_LEVEL_WARN, "call with a wrong key refused")
+EV(1003, EV_FRONT_CONFIG, EV_LEVEL_INFO, "configuration accepted here")
+EV(1004, EV_FRONT_BOOTSTRAP, EV_LEVEL_WARN, "first configuration without a key")
+EV(1005, EV_FRONT_FAULT, EV_LEVEL_ERROR, "call failed inside the daemon")
+EV(1006, EV_FRONT_DRAIN, EV_LEVEL_INFO, "shutdown asked for by an operator")
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -5,7 +5,6 @@
 
 #include "base.h"
 
-#define EV_NUMBER_LIMIT 1200
 #define EV_LINE_BYTES 1024
 
 struct event_info {
@@ -30,6 +29,13 @@
 	atomic_store(&event_sink, sink);
 }
 
+/* Returns where events go now, for a sink that forwards to it. */
+const struct ev_sink *
+ev_sink_get(void)
+{
+	return atomic_load(&event_sink);
+}
+
 /* Logs one numbered event with key=value fields and counts it. */
 void
 ev_emit(enum ev_number number, const char *format, ...)
--- /dev/null
+++ b/lib/front/api_config.c
@@ -0,0 +1,156 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front_internal.h"
+
+static int refuse_text(const struct cfg_errors *errors, struct fr_error *error);
+static bool has_operator(const struct cfg_text *text);
+static int set_conflict(
+    uint64_t base, uint64_t version, struct fr_error *error);
+
+static int
+refuse_text(const struct cfg_errors *errors, struct fr_error *error)
+{
+	return fr_error_set(error, FR_EINVALID, NULL,
+	    "the text is refused with %zu error(s)", errors->count);
+}
+
+static bool
+has_operator(const struct cfg_text *text)
+{
+	size_t i;
+
+	for (i = 0; i < text->account_count; i++)
+		if (text->accounts[i].role == BD_ROLE_OPERATOR)
+			return true;
+	return false;
+}
+
+static int
+set_conflict(uint64_t base, uint64_t version, struct fr_error *error)
+{
+	fr_error_set(error, FR_ECONFLICT, "base",
+	    "the text was made from version %llu, version %llu is in force",
+	    (unsigned long long)base, (unsigned long long)version);
+	error->version = version;
+	return FR_ECONFLICT;
+}
+
+/* Returns the version in force on this VM, 0 before the first. */
+uint64_t
+fr_config_version(const struct bd_board *board)
+{
+	const struct bd_config *config;
+	uint64_t version;
+
+	bd_read_begin();
+	config = bd_config_lookup(board, BD_CONFIG_ID);
+	version = config == NULL ? 0 : config->version;
+	bd_read_end();
+	return version;
+}
+
+/*
+ * Checks syntax, ranges and the fit of the guaranteed shapes. Returns
+ * FR_EINVALID with every error of the text in errors.
+ */
+int
+fr_config_check(struct fr_front *front, const char *text, size_t bytes,
+    struct fr_text_sizes *sizes, struct cfg_errors *errors,
+    struct fr_error *error)
+{
+	const struct fr_hooks *hooks = &front->options.hooks;
+	struct cfg_text *parsed = NULL;
+	int code;
+
+	assert(sizes != NULL && errors != NULL);
+	memset(sizes, 0, sizeof(*sizes));
+	memset(errors, 0, sizeof(*errors));
+	if (bytes > REC_CONFIG_TEXT_BYTES_MAX)
+		return fr_error_set(error, FR_ETOOLARGE, NULL,
+		    "the text is longer than %d bytes",
+		    REC_CONFIG_TEXT_BYTES_MAX);
+	code = cfg_text_parse(text, bytes, &parsed, errors);
+	if (code == CFG_ENOMEM)
+		return fr_error_set(
+		    error, FR_ENOMEM, NULL, "no memory for the text");
+	if (code != CW_OK)
+		return refuse_text(errors, error);
+	if (!has_operator(parsed))
+		cfg_errors_add(errors, 0, 0,
+		    "no account has role = \"operator\"; nobody could change "
+		    "this text again");
+	if (hooks->fit != NULL)
+		code = hooks->fit(hooks->fit_ctx, parsed, errors);
+	sizes->accounts = (uint32_t)parsed->account_count;
+	sizes->shapes = (uint32_t)parsed->promise_count;
+	sizes->services = (uint32_t)parsed->service_count;
+	sizes->runners = (uint32_t)parsed->runner_count;
+	cfg_text_free(parsed);
+	if (errors->count > 0)
+		return refuse_text(errors, error);
+	if (code != CW_OK)
+		return fr_error_set(error, FR_EUNAVAILABLE, NULL,
+		    "the fit of the shapes cannot be checked now");
+	return CW_OK;
+}
+
+/*
+ * Checks a text that was made from version base, records it and waits until
+ * the record was applied. FR_ECONFLICT, with the version in force, where
+ * another text was accepted since; FR_EINVALID as fr_config_check.
+ */
+int
+fr_config_put(struct fr_front *front, const struct fr_caller *caller,
+    uint64_t base, const char *text, size_t bytes, uint64_t *version,
+    struct cfg_errors *errors, struct fr_error *error)
+{
+	const struct bd_board *board = front->options.board;
+	uint64_t in_force = fr_config_version(board);
+	struct fr_text_sizes sizes;
+	struct rec rec = {0};
+	uint64_t position;
+	int state_code;
+	int code;
+
+	memset(errors, 0, sizeof(*errors));
+	*version = in_force;
+	if (base != in_force)
+		return set_conflict(base, in_force, error);
+	code = fr_config_check(front, text, bytes, &sizes, errors, error);
+	if (code != CW_OK)
+		return code;
+	rec.version = REC_VERSION;
+	rec.kind = REC_CONFIG;
+	rec.body.config.base_version = base;
+	rec.body.config.text = text;
+	rec.body.config.text_bytes = (uint32_t)bytes;
+	cw_name_copy(rec.body.config.author, sizeof(rec.body.config.author),
+	    caller->name);
+	code = fr_propose(front, &rec, &position, error, &state_code);
+	in_force = fr_config_version(board);
+	if (state_code == ST_ECONFLICT || state_code == ST_ESTALE)
+		return set_conflict(base, in_force, error);
+	*version = code == CW_OK ? base + 1 : in_force;
+	return code;
+}
+
+/* Copies the row with its text; version 0 and no text before the first. The
+ * caller frees it. Returns FR_ENOMEM. */
+int
+fr_config_get(struct fr_front *front, struct bd_config **out)
+{
+	const struct bd_config *row;
+	size_t bytes = sizeof(*row);
+
+	bd_read_begin();
+	row = bd_config_lookup(front->options.board, BD_CONFIG_ID);
+	if (row != NULL)
+		bytes = bd_row_bytes(row);
+	*out = calloc(1, bytes);
+	if (*out != NULL && row != NULL)
+		memcpy(*out, row, bytes);
+	bd_read_end();
+	return *out == NULL ? FR_ENOMEM : CW_OK;
+}
--- /dev/null
+++ b/lib/front/api_job.c
@@ -0,0 +1,323 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front_internal.h"
+
+static bool may_see(const struct fr_caller *caller, const struct bd_job *row);
+static int set_not_found(uint64_t id, struct fr_error *error);
+static void copy_job(
+    const struct bd_board *board, const struct bd_job *row, struct fr_job *out);
+static void copy_tasks(const struct bd_board *board, struct fr_job_detail *out);
+static bool is_same_job(
+    const struct bd_job *row, const struct rec_job_submit *submit);
+static bool find_by_key(const struct bd_board *board,
+    const struct rec_job_submit *submit, uint64_t *id, bool *same);
+static int compare_ids(const void *a, const void *b);
+static int answer_repeat(uint64_t first, bool same, uint64_t *id,
+    bool *repeated, struct fr_error *error);
+
+static bool
+may_see(const struct fr_caller *caller, const struct bd_job *row)
+{
+	return caller->role == BD_ROLE_OPERATOR ||
+	    row->account == caller->account;
+}
+
+static int
+set_not_found(uint64_t id, struct fr_error *error)
+{
+	return fr_error_set(error, FR_ENOTFOUND, NULL,
+	    "no job %llu of this account", (unsigned long long)id);
+}
+
+static void
+copy_job(
+    const struct bd_board *board, const struct bd_job *row, struct fr_job *out)
+{
+	const struct bd_account *account;
+
+	out->row = *row;
+	account = bd_account_lookup(board, row->account);
+	memset(out->account, 0, sizeof(out->account));
+	if (account != NULL)
+		memcpy(out->account, account->name, sizeof(out->account));
+}
+
+static void
+copy_tasks(const struct bd_board *board, struct fr_job_detail *out)
+{
+	const struct bd_job *row = &out->job.row;
+	const struct bd_worker *worker;
+	struct fr_job_task *copy;
+	const struct bd_task *task;
+	uint32_t i;
+
+	out->task_count = 0;
+	for (i = 0; i < row->shape.members && i < BD_GANG_MAX; i++) {
+		task = bd_task_lookup(board, cw_id_from_pair(row->id, i));
+		if (task == NULL || task->job != row->id)
+			continue;
+		copy = &out->tasks[out->task_count++];
+		memset(copy, 0, sizeof(*copy));
+		copy->member = task->member;
+		copy->accel_mask = task->accel_mask;
+		worker = bd_worker_lookup(board, task->worker);
+		if (worker == NULL)
+			continue;
+		memcpy(copy->worker, worker->name, sizeof(copy->worker));
+		memcpy(copy->rack, worker->rack_name, sizeof(copy->rack));
+	}
+}
+
+static bool
+is_same_job(const struct bd_job *row, const struct rec_job_submit *submit)
+{
+	return memcmp(&row->shape, &submit->shape, sizeof(row->shape)) == 0 &&
+	    row->class_number == submit->class_number &&
+	    strcmp(row->name, submit->name) == 0 &&
+	    strcmp(row->input, submit->input) == 0;
+}
+
+/* Looks for the job that an account submitted with a key. The scan is linear
+ * in the jobs kept, which a few hundred submits a day can afford. */
+static bool
+find_by_key(const struct bd_board *board, const struct rec_job_submit *submit,
+    uint64_t *id, bool *same)
+{
+	const struct bd_job *row;
+	uint32_t cursor = 0;
+	bool found = false;
+
+	if (submit->submit_key[0] == '\0')
+		return false;
+	bd_read_begin();
+	while (!found && (row = bd_job_next(board, &cursor)) != NULL)
+		if (row->account == submit->account &&
+		    strcmp(row->submit_key, submit->submit_key) == 0) {
+			*id = row->id;
+			*same = is_same_job(row, submit);
+			found = true;
+		}
+	bd_read_end();
+	return found;
+}
+
+static int
+answer_repeat(uint64_t first, bool same, uint64_t *id, bool *repeated,
+    struct fr_error *error)
+{
+	if (!same)
+		return fr_error_set(error, FR_ECONFLICT, "Idempotency-Key",
+		    "the key was used for the different job %llu",
+		    (unsigned long long)first);
+	*id = first;
+	*repeated = true;
+	return CW_OK;
+}
+
+/*
+ * Submits a job for the caller's account and waits until its record was
+ * applied. *repeated tells that an earlier submit with the same key made the
+ * job. With FR_EUNKNOWN a repeat with the same key is safe.
+ */
+int
+fr_job_submit(struct fr_front *front, const struct fr_caller *caller,
+    const struct rec_job_submit *submit, uint64_t *id, bool *repeated,
+    struct fr_error *error)
+{
+	const struct bd_board *board = front->options.board;
+	struct rec rec = {0};
+	uint64_t first;
+	bool same;
+	int code;
+	int state_code;
+
+	assert(caller != NULL && submit != NULL);
+	*id = 0;
+	*repeated = false;
+	rec.version = REC_VERSION;
+	rec.kind = REC_JOB_SUBMIT;
+	rec.body.job_submit = *submit;
+	rec.body.job_submit.account = caller->account;
+	rec.body.job_submit.owner = front->options.self;
+	/* Answers a repeat even while the log is out of reach. */
+	if (find_by_key(board, &rec.body.job_submit, &first, &same))
+		return answer_repeat(first, same, id, repeated, error);
+	code = fr_propose(front, &rec, id, error, &state_code);
+	if ((state_code == ST_EREPEATED || state_code == ST_ECONFLICT) &&
+	    find_by_key(board, &rec.body.job_submit, &first, &same))
+		return answer_repeat(first, same, id, repeated, error);
+	return code;
+}
+
+/* Copies a job with its tasks. A job of another account is not found. */
+int
+fr_job_get(struct fr_front *front, const struct fr_caller *caller, uint64_t id,
+    struct fr_job_detail *out, struct fr_error *error)
+{
+	const struct bd_board *board = front->options.board;
+	const struct bd_job *row;
+	bool found;
+
+	bd_read_begin();
+	row = bd_job_lookup(board, id);
+	found = row != NULL && may_see(caller, row);
+	if (found) {
+		copy_job(board, row, &out->job);
+		copy_tasks(board, out);
+	}
+	bd_read_end();
+	return found ? CW_OK : set_not_found(id, error);
+}
+
+static int
+compare_ids(const void *a, const void *b)
+{
+	uint64_t left = *(const uint64_t *)a;
+	uint64_t right = *(const uint64_t *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+/* Lists jobs in the order of their ids; a caller sees its own only. */
+int
+fr_job_list(struct fr_front *front, const struct fr_caller *caller,
+    const struct fr_job_filter *filter, struct fr_jobs *out,
+    struct fr_error *error)
+{
+	const struct bd_board *board = front->options.board;
+	uint32_t room = bd_capacity(BD_TABLE_job);
+	uint64_t *ids = malloc(room * sizeof(*ids));
+	const struct bd_job *row;
+	uint32_t cursor = 0;
+	size_t found = 0;
+	size_t i;
+
+	assert(filter->limit >= 1 && filter->limit <= FR_JOB_LIST_MAX);
+	memset(out, 0, sizeof(*out));
+	out->jobs = calloc(filter->limit, sizeof(*out->jobs));
+	if (ids == NULL || out->jobs == NULL) {
+		free(ids);
+		free(out->jobs);
+		out->jobs = NULL;
+		return fr_error_set(
+		    error, FR_ENOMEM, NULL, "no memory for the list");
+	}
+	bd_read_begin();
+	while (found < room && (row = bd_job_next(board, &cursor)) != NULL)
+		if (may_see(caller, row) && row->id > filter->after &&
+		    (filter->account == 0 || row->account == filter->account) &&
+		    (filter->state == FR_ANY_STATE ||
+			row->state == filter->state))
+			ids[found++] = row->id;
+	qsort(ids, found, sizeof(*ids), compare_ids);
+	for (i = 0; i < found && out->count < filter->limit; i++) {
+		row = bd_job_lookup(board, ids[i]);
+		if (row != NULL)
+			copy_job(board, row, &out->jobs[out->count++]);
+	}
+	bd_read_end();
+	out->more = i < found;
+	free(ids);
+	return CW_OK;
+}
+
+/*
+ * Waits until the job's epoch differs from seen, at most timeout_ms, and
+ * copies it. seen 0 stands for the epoch at the time of the call. *busy tells
+ * that too many calls wait already, and that this one did not.
+ */
+int
+fr_job_wait(struct fr_front *front, const struct fr_caller *caller, uint64_t id,
+    uint64_t seen, uint32_t timeout_ms, bool *busy, struct fr_job_detail *out,
+    struct fr_error *error)
+{
+	const struct ctl_clock *clock = &front->options.mono;
+	struct bd_board *board = front->options.board;
+	int64_t until = clock->now_ms(clock->ctx) + timeout_ms;
+	uint64_t version = bd_version(board);
+	int64_t left;
+	int code;
+
+	*busy =
+	    atomic_fetch_add(&front->waiters, 1) >= front->options.waiters_max;
+	for (;;) {
+		code = fr_job_get(front, caller, id, out, error);
+		if (code != CW_OK || *busy)
+			break;
+		if (seen == 0)
+			seen = out->job.row.epoch;
+		left = until - clock->now_ms(clock->ctx);
+		if (out->job.row.epoch != seen || left <= 0 ||
+		    atomic_load(&front->draining))
+			break;
+		version = bd_wait(board, version,
+		    left < FR_WAIT_SLICE_MS ? left : FR_WAIT_SLICE_MS);
+	}
+	atomic_fetch_sub(&front->waiters, 1);
+	return code;
+}
+
+/* Cancels a job and waits until the record was applied. FR_ECONFLICT where the
+ * job has ended. A repeat of a cancellation succeeds. */
+int
+fr_job_cancel(struct fr_front *front, const struct fr_caller *caller,
+    uint64_t id, struct fr_error *error)
+{
+	const struct bd_board *board = front->options.board;
+	const struct bd_job *row;
+	struct rec rec = {0};
+	uint64_t position;
+	uint32_t state = 0;
+	int state_code;
+	bool found;
+	int code;
+
+	bd_read_begin();
+	row = bd_job_lookup(board, id);
+	found = row != NULL && may_see(caller, row);
+	if (found)
+		state = row->state;
+	bd_read_end();
+	if (!found)
+		return set_not_found(id, error);
+	if (state == BD_JOB_CANCELLED)
+		return CW_OK;
+	if (state >= BD_JOB_DONE)
+		return fr_error_set(error, FR_ECONFLICT, NULL,
+		    "job %llu has ended: %s", (unsigned long long)id,
+		    bd_job_state_name(state));
+	rec.version = REC_VERSION;
+	rec.kind = REC_JOB_CANCEL;
+	rec.body.job_cancel.job = id;
+	code = fr_propose(front, &rec, &position, error, &state_code);
+	if (code == FR_ECONFLICT)
+		return fr_error_set(error, FR_ECONFLICT, NULL,
+		    "job %llu has ended", (unsigned long long)id);
+	return code;
+}
+
+/* Explains why a job waits or what it does. */
+int
+fr_job_explain(struct fr_front *front, const struct fr_caller *caller,
+    uint64_t id, struct sch_explanation *out, struct fr_error *error)
+{
+	const struct fr_hooks *hooks = &front->options.hooks;
+	const struct ctl_clock *clock = &front->options.wall;
+	const struct bd_job *row;
+	bool found;
+
+	bd_read_begin();
+	row = bd_job_lookup(front->options.board, id);
+	found = row != NULL && may_see(caller, row);
+	bd_read_end();
+	if (!found)
+		return set_not_found(id, error);
+	if (hooks->explain == NULL ||
+	    cw_is_error(hooks->explain(
+		hooks->explain_ctx, id, clock->now_ms(clock->ctx), out)))
+		return fr_error_set(error, FR_EUNAVAILABLE, NULL,
+		    "the scheduler gives no explanation now");
+	return CW_OK;
+}
--- /dev/null
+++ b/lib/front/cells.c
@@ -0,0 +1,190 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front_internal.h"
+
+static int compare_ids(const void *a, const void *b);
+static int compare_places(const void *a, const void *b);
+static struct fr_cell_worker *find_worker(struct fr_cells *cells, uint64_t id);
+static size_t copy_workers(
+    const struct bd_board *board, struct fr_cell_worker *out, size_t room);
+static void mark_plans(const struct bd_board *board, struct fr_cells *cells);
+static void mark_tasks(const struct bd_board *board, struct fr_cells *cells);
+static bool is_usable(const struct bd_worker *worker);
+
+static int
+compare_ids(const void *a, const void *b)
+{
+	const struct fr_cell_worker *left = a;
+	const struct fr_cell_worker *right = b;
+
+	return left->row.id < right->row.id ? -1 : left->row.id > right->row.id;
+}
+
+static int
+compare_places(const void *a, const void *b)
+{
+	const struct bd_worker *left = &((const struct fr_cell_worker *)a)->row;
+	const struct bd_worker *right =
+	    &((const struct fr_cell_worker *)b)->row;
+	int order = strcmp(left->region_name, right->region_name);
+
+	if (order == 0)
+		order = strcmp(left->zone_name, right->zone_name);
+	if (order == 0)
+		order = strcmp(left->rack_name, right->rack_name);
+	return order != 0 ? order : strcmp(left->name, right->name);
+}
+
+static struct fr_cell_worker *
+find_worker(struct fr_cells *cells, uint64_t id)
+{
+	struct fr_cell_worker key;
+
+	key.row.id = id;
+	return bsearch(&key, cells->workers, cells->count,
+	    sizeof(*cells->workers), compare_ids);
+}
+
+static size_t
+copy_workers(
+    const struct bd_board *board, struct fr_cell_worker *out, size_t room)
+{
+	const struct bd_worker *row;
+	uint32_t cursor = 0;
+	size_t count = 0;
+
+	while (count < room && (row = bd_worker_next(board, &cursor)) != NULL)
+		out[count++].row = *row;
+	return count;
+}
+
+static void
+mark_plans(const struct bd_board *board, struct fr_cells *cells)
+{
+	const struct bd_promise *promise;
+	struct fr_cell_worker *worker;
+	uint32_t cursor = 0;
+	uint32_t accel;
+	uint16_t i;
+
+	while ((promise = bd_promise_next(board, &cursor)) != NULL)
+		for (i = 0; i < promise->slot_count && i < BD_GANG_MAX; i++) {
+			worker = find_worker(cells, promise->slots[i].worker);
+			if (worker == NULL)
+				continue;
+			for (accel = 0; accel < BD_WORKER_ACCELS_MAX; accel++)
+				if (promise->slots[i].accel_mask >> accel & 1)
+					worker->cells[accel].planned =
+					    promise->account;
+		}
+}
+
+static void
+mark_tasks(const struct bd_board *board, struct fr_cells *cells)
+{
+	struct fr_cell_worker *worker;
+	const struct bd_task *task;
+	const struct bd_job *job;
+	uint32_t cursor = 0;
+	uint32_t accel;
+
+	while ((task = bd_task_next(board, &cursor)) != NULL) {
+		job = bd_job_lookup(board, task->job);
+		worker = find_worker(cells, task->worker);
+		if (job == NULL || worker == NULL)
+			continue;
+		for (accel = 0; accel < BD_WORKER_ACCELS_MAX; accel++)
+			if (task->accel_mask >> accel & 1) {
+				worker->cells[accel].account = job->account;
+				worker->cells[accel].guaranteed =
+				    job->promise != 0;
+			}
+	}
+}
+
+/*
+ * Copies the workers, with what each accelerator holds and to whom it is
+ * promised. Returns FR_ENOMEM; free with fr_cells_free.
+ */
+int
+fr_cells_build(const struct bd_board *board, struct fr_cells *out)
+{
+	size_t room;
+
+	assert(board != NULL && out != NULL);
+	memset(out, 0, sizeof(*out));
+	bd_read_begin();
+	room = (size_t)bd_count(board, BD_TABLE_worker) + 1;
+	out->workers = calloc(room, sizeof(*out->workers));
+	if (out->workers != NULL) {
+		out->count = copy_workers(board, out->workers, room);
+		qsort(out->workers, out->count, sizeof(*out->workers),
+		    compare_ids);
+		mark_plans(board, out);
+		mark_tasks(board, out);
+		qsort(out->workers, out->count, sizeof(*out->workers),
+		    compare_places);
+	}
+	bd_read_end();
+	return out->workers == NULL ? FR_ENOMEM : CW_OK;
+}
+
+/* Frees the workers; an empty struct is allowed. */
+void
+fr_cells_free(struct fr_cells *cells)
+{
+	free(cells->workers);
+	memset(cells, 0, sizeof(*cells));
+}
+
+static bool
+is_usable(const struct bd_worker *worker)
+{
+	return worker->state == BD_WORKER_UP &&
+	    worker->quarantine_until_ms == 0;
+}
+
+/*
+ * Returns the share of the free accelerators that stand on partly used
+ * workers, where no gang of whole workers can have them: 0 where all free
+ * workers are whole or nothing is free, 1 where no worker is wholly free.
+ * Stores the free accelerators of the usable workers, and the most on wholly
+ * free workers of one rack, which is the largest gang that fits side by side.
+ * The cells must be in the order that fr_cells_build gives.
+ */
+double
+fr_fragmentation(const struct fr_cells *cells, uint32_t *free_accels,
+    uint32_t *largest_in_rack)
+{
+	uint64_t rack = 0;
+	uint32_t whole = 0;
+	uint32_t in_rack = 0;
+	uint32_t used;
+	uint32_t accel;
+	size_t i;
+
+	*free_accels = 0;
+	*largest_in_rack = 0;
+	for (i = 0; i < cells->count; i++) {
+		const struct fr_cell_worker *worker = &cells->workers[i];
+
+		if (i == 0 || worker->row.rack != rack)
+			in_rack = 0;
+		rack = worker->row.rack;
+		if (!is_usable(&worker->row))
+			continue;
+		used = 0;
+		for (accel = 0; accel < worker->row.accels; accel++)
+			used += worker->cells[accel].account != 0;
+		*free_accels += worker->row.accels - used;
+		if (used > 0)
+			continue;
+		whole += worker->row.accels;
+		in_rack += worker->row.accels;
+		if (in_rack > *largest_in_rack)
+			*largest_in_rack = in_rack;
+	}
+	return *free_accels == 0 ? 0.0 : 1.0 - (double)whole / *free_accels;
+}
--- /dev/null
+++ b/lib/front/http.c
@@ -0,0 +1,356 @@
+#include <assert.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front_internal.h"
+
+/* In place of a right: no key is asked for. */
+#define RIGHT_NONE (-1)
+
+struct route {
+	const char *method;
+	const char *path; /* "#" stands for an id */
+	size_t body_bytes_max;
+	int right; /* enum fr_right or RIGHT_NONE */
+	enum fr_call_kind kind;
+	int (*handle)(struct fr_exchange *exchange);
+};
+
+#define NO_BODY 1024
+#define TEXT_BYTES REC_CONFIG_TEXT_BYTES_MAX
+
+static const struct route routes[] = {
+    {"POST", "/v1/jobs", FR_JOB_BODY_BYTES_MAX, FR_RIGHT_CALLER, FR_CALL_JOBS,
+	fr_http_job_submit},
+    {"GET", "/v1/jobs", NO_BODY, FR_RIGHT_CALLER, FR_CALL_JOBS,
+	fr_http_job_list},
+    {"GET", "/v1/jobs/#", NO_BODY, FR_RIGHT_CALLER, FR_CALL_JOBS,
+	fr_http_job_get},
+    {"GET", "/v1/jobs/#/wait", NO_BODY, FR_RIGHT_CALLER, FR_CALL_JOBS,
+	fr_http_job_wait},
+    {"GET", "/v1/jobs/#/explain", NO_BODY, FR_RIGHT_CALLER, FR_CALL_JOBS,
+	fr_http_job_explain},
+    {"DELETE", "/v1/jobs/#", NO_BODY, FR_RIGHT_CALLER, FR_CALL_JOBS,
+	fr_http_job_cancel},
+    {"PUT", "/v1/config", TEXT_BYTES, FR_RIGHT_BOOTSTRAP, FR_CALL_CONFIG,
+	fr_http_config_put},
+    {"POST", "/v1/config/check", TEXT_BYTES, FR_RIGHT_BOOTSTRAP, FR_CALL_CONFIG,
+	fr_http_config_check},
+    {"GET", "/v1/config", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_CONFIG,
+	fr_http_config_get},
+    {"GET", "/v1/config/version", NO_BODY, FR_RIGHT_CALLER, FR_CALL_CONFIG,
+	fr_http_config_version},
+    {"GET", "/v1/config/history", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_CONFIG,
+	fr_http_config_history},
+    {"GET", "/v1/accounts", NO_BODY, FR_RIGHT_CALLER, FR_CALL_STATE,
+	fr_http_accounts},
+    {"GET", "/v1/workers", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_STATE,
+	fr_http_workers},
+    {"GET", "/v1/upstreams", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_STATE,
+	fr_http_runners},
+    {"GET", "/v1/members", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_STATE,
+	fr_http_members},
+    {"GET", "/v1/events", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_STATE,
+	fr_http_events},
+    {"GET", "/v1/report", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_STATE,
+	fr_http_report},
+    {"POST", "/v1/drain", NO_BODY, FR_RIGHT_OPERATOR, FR_CALL_STATE,
+	fr_http_drain},
+    {"GET", "/ready", NO_BODY, RIGHT_NONE, FR_CALL_MONITOR, fr_http_ready},
+    {"GET", "/metrics", NO_BODY, RIGHT_NONE, FR_CALL_MONITOR, fr_http_metrics},
+    {"GET", "/metrics.json", NO_BODY, RIGHT_NONE, FR_CALL_MONITOR,
+	fr_http_metrics_json},
+    {"GET", "/status", NO_BODY, RIGHT_NONE, FR_CALL_MONITOR, fr_http_status},
+};
+
+#define ROUTE_COUNT (sizeof(routes) / sizeof(*routes))
+
+static bool match_path(const char *pattern, const char *path, uint64_t *id);
+static const struct route *find_route(
+    const struct lk_http_request *request, uint64_t *id, bool *path_known);
+static int status_of(int code);
+static int check_caller(struct fr_exchange *exchange, int right);
+static int run_route(struct fr_exchange *exchange, const struct route *route);
+static void handle_request(void *ctx, const struct lk_http_request *request,
+    struct lk_http_response *response);
+
+static bool
+match_path(const char *pattern, const char *path, uint64_t *id)
+{
+	char *end;
+
+	while (*pattern != '\0') {
+		if (*pattern != '#') {
+			if (*pattern++ != *path++)
+				return false;
+			continue;
+		}
+		if (*path < '1' || *path > '9')
+			return false;
+		errno = 0;
+		*id = strtoull(path, &end, 10);
+		if (errno != 0 || *id > INT64_MAX)
+			return false;
+		path = end;
+		pattern++;
+	}
+	return *path == '\0';
+}
+
+static const struct route *
+find_route(
+    const struct lk_http_request *request, uint64_t *id, bool *path_known)
+{
+	size_t i;
+
+	*path_known = false;
+	for (i = 0; i < ROUTE_COUNT; i++) {
+		if (!match_path(routes[i].path, request->path, id))
+			continue;
+		*path_known = true;
+		if (strcmp(routes[i].method, request->method) == 0)
+			return &routes[i];
+	}
+	return NULL;
+}
+
+static int
+status_of(int code)
+{
+	switch (code) {
+	case FR_ESYNTAX:
+		return 400;
+	case FR_ENOKEY:
+		return 401;
+	case FR_EFORBIDDEN:
+		return 403;
+	case FR_ENOTFOUND:
+		return 404;
+	case FR_ECONFLICT:
+		return 409;
+	case FR_ETOOLARGE:
+		return 413;
+	case FR_EINVALID:
+		return 422;
+	case FR_EUNAVAILABLE:
+	case FR_ENOMEM:
+		return 503;
+	case FR_EUNKNOWN:
+		return 504;
+	default:
+		return 500;
+	}
+}
+
+/* Answers an error as docs/api.md says. */
+void
+fr_reply_error(struct lk_http_response *response, const struct fr_error *error)
+{
+	json_t *json = fr_json_error(error);
+	char *text = json == NULL ? NULL : json_dumps(json, JSON_COMPACT);
+	char seconds[16];
+
+	json_decref(json);
+	if (error->retry_after_ms > 0) {
+		snprintf(seconds, sizeof(seconds), "%u",
+		    (error->retry_after_ms + 999) / 1000);
+		lk_http_response_header(response, "Retry-After", seconds);
+	}
+	if (text == NULL)
+		lk_http_response_static(response, status_of(error->code), "");
+	else
+		lk_http_response_take(
+		    response, status_of(error->code), text, strlen(text), free);
+}
+
+/* Answers with a JSON value and drops it. A NULL value is an error. */
+int
+fr_reply_json(struct fr_exchange *exchange, int status, json_t *json)
+{
+	char *text = json == NULL ? NULL : json_dumps(json, JSON_COMPACT);
+
+	json_decref(json);
+	if (text == NULL)
+		return fr_error_set(exchange->error, FR_ENOMEM, NULL,
+		    "no memory for the answer");
+	lk_http_response_take(
+	    exchange->response, status, text, strlen(text), free);
+	return CW_OK;
+}
+
+/* Answers 200 with a text, which the server frees. A NULL text is an error. */
+int
+fr_reply_text(struct fr_exchange *exchange, const char *content_type,
+    char *text, size_t bytes)
+{
+	if (text == NULL)
+		return fr_error_set(exchange->error, FR_ENOMEM, NULL,
+		    "no memory for the answer");
+	exchange->response->content_type = content_type;
+	lk_http_response_take(exchange->response, 200, text, bytes, free);
+	return CW_OK;
+}
+
+/* Copies a query parameter, "" where it is missing. Returns FR_ESYNTAX where
+ * it does not fit. */
+int
+fr_query_text(const struct fr_exchange *exchange, const char *name, char *out,
+    size_t bytes)
+{
+	const struct lk_http_request *request = exchange->call->request;
+	size_t length = strlen(name);
+	const char *at = request->query;
+
+	*out = '\0';
+	if (lk_http_request_query(request, name, out, bytes))
+		return CW_OK;
+	*out = '\0';
+	/* Missing and too long look the same to the function above. */
+	while ((at = strstr(at, name)) != NULL) {
+		if ((at == request->query || at[-1] == '&') &&
+		    at[length] == '=')
+			return fr_error_set(exchange->error, FR_ESYNTAX, name,
+			    "parameter \"%s\" is too long", name);
+		at += length;
+	}
+	return CW_OK;
+}
+
+/* Reads a decimal query parameter up to max. */
+int
+fr_query_u64(const struct fr_exchange *exchange, const char *name,
+    uint64_t fallback, uint64_t max, uint64_t *out)
+{
+	char text[24];
+	char *end;
+	int code = fr_query_text(exchange, name, text, sizeof(text));
+
+	*out = fallback;
+	if (code != CW_OK || text[0] == '\0')
+		return code;
+	errno = 0;
+	*out = strtoull(text, &end, 10);
+	if (text[0] < '0' || text[0] > '9' || *end != '\0' || errno != 0 ||
+	    *out > max)
+		return fr_error_set(exchange->error, FR_ESYNTAX, name,
+		    "parameter \"%s\" must be a number up to %llu", name,
+		    (unsigned long long)max);
+	return CW_OK;
+}
+
+static int
+check_caller(struct fr_exchange *exchange, int right)
+{
+	const struct fr_call *call = exchange->call;
+	int code;
+
+	if (right == RIGHT_NONE)
+		return CW_OK;
+	code = fr_auth_check(exchange->front->options.board, call->account,
+	    call->key, (enum fr_right)right, &exchange->caller);
+	if (code == CW_OK)
+		return CW_OK;
+	if (code == FR_ENOKEY && call->key != NULL)
+		ev_emit(EV_FRONT_KEY_REFUSED, "remote=%s path=%s",
+		    call->request->remote == NULL ? "" : call->request->remote,
+		    call->request->path);
+	return fr_error_set(exchange->error, code, NULL, "%s", cw_error_last());
+}
+
+static int
+run_route(struct fr_exchange *exchange, const struct route *route)
+{
+	int code = check_caller(exchange, route->right);
+
+	if (code != CW_OK)
+		return code;
+	if (exchange->call->request->body_bytes > route->body_bytes_max)
+		return fr_error_set(exchange->error, FR_ETOOLARGE, NULL,
+		    "the body is longer than %zu bytes", route->body_bytes_max);
+	return route->handle(exchange);
+}
+
+/* Answers one call. The time it takes is bounded by that of the log and the
+ * wait that the caller asks for. */
+void
+fr_serve(struct fr_front *front, const struct fr_call *call,
+    struct lk_http_response *response)
+{
+	struct fr_error error = {0};
+	struct fr_exchange exchange = {
+	    .front = front,
+	    .call = call,
+	    .response = response,
+	    .error = &error,
+	};
+	int64_t started_us = cw_clock_mono_us();
+	const struct route *route;
+	bool path_known;
+	int code;
+
+	assert(front != NULL && call != NULL && response != NULL);
+	route = find_route(call->request, &exchange.id, &path_known);
+	if (route == NULL) {
+		fr_error_set(&error, FR_ENOTFOUND, NULL, "%s",
+		    path_known ? "method is not allowed here" : "no such path");
+		fr_reply_error(response, &error);
+		if (path_known)
+			response->status = 405;
+		return;
+	}
+	code = run_route(&exchange, route);
+	if (code != CW_OK)
+		fr_reply_error(response, &error);
+	if (code == FR_EINTERNAL)
+		ev_emit(EV_FRONT_FAULT, "path=%s error=\"%s\"",
+		    call->request->path, error.text);
+	atomic_fetch_add_explicit(
+	    &front->counters.answers[route->kind][response->status / 100 % 6],
+	    1, memory_order_relaxed);
+	hist_record(&front->counters.handle_us[route->kind],
+	    (uint64_t)(cw_clock_mono_us() - started_us));
+}
+
+static void
+handle_request(void *ctx, const struct lk_http_request *request,
+    struct lk_http_response *response)
+{
+	struct fr_call call = {
+	    .request = request,
+	    .account = lk_http_request_header(request, "X-Account"),
+	    .key = lk_http_request_header(request, "X-Account-Key"),
+	    .idempotency_key =
+		lk_http_request_header(request, "Idempotency-Key"),
+	};
+
+	fr_serve(ctx, &call, response);
+}
+
+/* Lists the prefixes that a server must send here, each with the longest body
+ * of its paths. Returns their number. */
+size_t
+fr_routes(struct fr_front *front, struct lk_http_route *out, size_t count_max)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < ROUTE_COUNT; i++) {
+		struct lk_http_route *route;
+
+		/* Paths with an id are reached by the prefix before it. */
+		if (strchr(routes[i].path, '#') != NULL &&
+		    strcmp(routes[i].method, "DELETE") != 0)
+			continue;
+		assert(count < count_max);
+		route = &out[count++];
+		route->method = routes[i].method;
+		route->prefix = strchr(routes[i].path, '#') == NULL
+		    ? routes[i].path
+		    : "/v1/jobs/";
+		route->body_bytes_max = routes[i].body_bytes_max;
+		route->handle = handle_request;
+		route->ctx = front;
+	}
+	return count;
+}
--- /dev/null
+++ b/lib/front/json_state.c
@@ -0,0 +1,259 @@
+#include <assert.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "front_internal.h"
+
+static const char *worker_state_name(uint32_t state);
+static const char *health_state_name(uint32_t state);
+static const char *member_state_name(uint32_t state);
+static const char *ran_name(int code);
+static json_t *make_worker(const struct bd_worker *row);
+static json_t *make_runner(
+    const struct bd_board *board, const struct bd_runner *row);
+static json_t *make_member(const struct bd_member *row);
+static json_t *make_account(const struct fr_account_use *use);
+
+static const char *
+worker_state_name(uint32_t state)
+{
+	static const char *const names[] = {
+	    [BD_WORKER_UP] = "up",
+	    [BD_WORKER_LEAVING] = "leaving",
+	    [BD_WORKER_LOST] = "lost",
+	};
+
+	return state <= BD_WORKER_LOST ? names[state] : "unknown";
+}
+
+static const char *
+health_state_name(uint32_t state)
+{
+	static const char *const names[] = {
+	    [BD_HEALTH_UP] = "up",
+	    [BD_HEALTH_EJECTED] = "ejected",
+	    [BD_HEALTH_PROBING] = "probing",
+	    [BD_HEALTH_SLOW_START] = "slow start",
+	    [BD_HEALTH_LEAVING] = "leaving",
+	};
+
+	return state <= BD_HEALTH_LEAVING ? names[state] : "unknown";
+}
+
+static const char *
+member_state_name(uint32_t state)
+{
+	static const char *const names[] = {
+	    [BD_MEMBER_ALIVE] = "alive",
+	    [BD_MEMBER_SUSPECT] = "suspect",
+	    [BD_MEMBER_DEAD] = "dead",
+	    [BD_MEMBER_LEAVING] = "leaving",
+	};
+
+	return state <= BD_MEMBER_LEAVING ? names[state] : "unknown";
+}
+
+/* What is known of the effect of a call that failed. */
+static const char *
+ran_name(int code)
+{
+	return code == FR_EUNKNOWN || code == FR_EINTERNAL ? "unknown"
+							   : "not run";
+}
+
+/* Encodes an error in the form that all calls share. */
+json_t *
+fr_json_error(const struct fr_error *error)
+{
+	const char *ran = ran_name(error->code);
+	json_t *object = json_pack(
+	    "{so ss}", "error", fr_json_text(error->text), "ran", ran);
+
+	if (object == NULL)
+		return NULL;
+	if (strcmp(ran, "not run") == 0)
+		json_object_set_new(object, "retry_after_ms",
+		    json_integer(error->retry_after_ms));
+	if (error->field[0] != '\0')
+		json_object_set_new(
+		    object, "field", fr_json_text(error->field));
+	if (error->version != 0)
+		json_object_set_new(
+		    object, "version", fr_json_u64(error->version));
+	return object;
+}
+
+/* Encodes the refusal of a text with all its errors. */
+json_t *
+fr_json_text_errors(
+    const struct fr_error *error, const struct cfg_errors *errors)
+{
+	json_t *object = fr_json_error(error);
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < errors->count; i++)
+		json_array_append_new(list,
+		    json_pack("{sI sI so}", "line",
+			(json_int_t)errors->errors[i].line, "column",
+			(json_int_t)errors->errors[i].column, "text",
+			fr_json_text(errors->errors[i].text)));
+	json_object_set_new(object, "errors", list);
+	return object;
+}
+
+/* Encodes the configuration in force. */
+json_t *
+fr_json_config(const struct bd_config *config)
+{
+	return json_pack("{sI ss sI ss#}", "version",
+	    (json_int_t)config->version, "author", config->author,
+	    "accepted_ms", (json_int_t)config->accepted_ms, "text",
+	    config->text_bytes == 0 ? "" : config->text,
+	    (int)config->text_bytes);
+}
+
+static json_t *
+make_account(const struct fr_account_use *use)
+{
+	return json_pack("{ss ss sI sf sI sI sI sI sI sI sI sI sI sI sI sI}",
+	    "name", use->name, "role",
+	    use->role == BD_ROLE_OPERATOR ? "operator" : "caller", "quota",
+	    (json_int_t)use->quota, "weight", use->weight_milli / 1000.0,
+	    "promised", (json_int_t)use->promised, "used_guaranteed",
+	    (json_int_t)use->used_guaranteed, "borrowed",
+	    (json_int_t)use->borrowed, "reclaimable",
+	    (json_int_t)use->reclaimable, "running_jobs",
+	    (json_int_t)use->running_jobs, "waiting_jobs",
+	    (json_int_t)use->waiting_jobs, "waiting_accelerators",
+	    (json_int_t)use->waiting_accels, "short_since_ms",
+	    (json_int_t)use->short_since_ms, "rate",
+	    (json_int_t)use->rate_per_s, "concurrency",
+	    (json_int_t)use->concurrency, "share_rate",
+	    (json_int_t)use->share_rate_per_s, "share_concurrency",
+	    (json_int_t)use->share_concurrency);
+}
+
+/* Encodes what the accounts are promised and use. */
+json_t *
+fr_json_accounts(const struct fr_account_use *uses, size_t count)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		json_array_append_new(list, make_account(&uses[i]));
+	return json_pack("{so}", "accounts", list);
+}
+
+static json_t *
+make_worker(const struct bd_worker *row)
+{
+	return json_pack("{ss ss ss ss ss sI sI sI sf sf sI sI sI sI}", "name",
+	    row->name, "region", row->region_name, "zone", row->zone_name,
+	    "rack", row->rack_name, "state", worker_state_name(row->state),
+	    "accelerators", (json_int_t)row->accels, "used_mask",
+	    (json_int_t)row->used_mask, "planned_mask",
+	    (json_int_t)row->planned_mask, "cores", row->cores_milli / 1000.0,
+	    "used_cores", row->used_cores_milli / 1000.0, "memory_mb",
+	    (json_int_t)row->memory_mb, "used_memory_mb",
+	    (json_int_t)row->used_memory_mb, "quarantine_until_ms",
+	    (json_int_t)row->quarantine_until_ms, "consecutive_failures",
+	    (json_int_t)row->consecutive_failures);
+}
+
+/* Encodes the workers. */
+json_t *
+fr_json_workers(const struct bd_board *board)
+{
+	json_t *list = json_array();
+	const struct bd_worker *row;
+	uint32_t cursor = 0;
+
+	bd_read_begin();
+	while ((row = bd_worker_next(board, &cursor)) != NULL)
+		json_array_append_new(list, make_worker(row));
+	bd_read_end();
+	return json_pack("{so}", "workers", list);
+}
+
+static json_t *
+make_runner(const struct bd_board *board, const struct bd_runner *row)
+{
+	const struct bd_service *service =
+	    bd_service_lookup(board, row->service);
+	const struct bd_health *health = bd_health_lookup(board, row->id);
+
+	return json_pack("{ss ss sI sI sb ss sI sI}", "service",
+	    service == NULL ? "" : service->name, "address", row->address,
+	    "slots", (json_int_t)row->slots, "connections",
+	    (json_int_t)row->connections, "leaving", (int)row->leaving,
+	    "health", health_state_name(health == NULL ? 0 : health->state),
+	    "ejections", (json_int_t)(health == NULL ? 0 : health->ejections),
+	    "until_ms", (json_int_t)(health == NULL ? 0 : health->until_ms));
+}
+
+/* Encodes the upstream runners with this VM's view of their health. */
+json_t *
+fr_json_runners(const struct bd_board *board)
+{
+	json_t *list = json_array();
+	const struct bd_runner *row;
+	uint32_t cursor = 0;
+
+	bd_read_begin();
+	while ((row = bd_runner_next(board, &cursor)) != NULL)
+		json_array_append_new(list, make_runner(board, row));
+	bd_read_end();
+	return json_pack("{so}", "upstreams", list);
+}
+
+static json_t *
+make_member(const struct bd_member *row)
+{
+	char digest[20];
+
+	snprintf(digest, sizeof(digest), "%016" PRIx64, row->digest);
+	return json_pack("{ss sb ss ss ss sI sI ss sI}", "name", row->name,
+	    "self", (int)row->self, "state", member_state_name(row->state),
+	    "peer", row->peer_address, "http", row->http_address, "heard_ms",
+	    (json_int_t)row->heard_ms, "position", (json_int_t)row->position,
+	    "digest", digest, "config_version",
+	    (json_int_t)row->config_version);
+}
+
+/* Encodes the entry VMs as this one sees them. */
+json_t *
+fr_json_members(const struct bd_board *board)
+{
+	json_t *list = json_array();
+	const struct bd_member *row;
+	uint32_t cursor = 0;
+
+	bd_read_begin();
+	while ((row = bd_member_next(board, &cursor)) != NULL)
+		json_array_append_new(list, make_member(row));
+	bd_read_end();
+	return json_pack("{so}", "members", list);
+}
+
+/* Encodes events of the ring. */
+json_t *
+fr_json_events(
+    const struct fr_event *events, size_t count, uint64_t lost, uint64_t next)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		json_array_append_new(list,
+		    json_pack("{sI sI sI ss ss so}", "sequence",
+			(json_int_t)events[i].sequence, "time_ms",
+			(json_int_t)events[i].time_ms, "number",
+			(json_int_t)events[i].number, "name",
+			fr_event_name(events[i].number), "level",
+			fr_event_level_name(events[i].level), "line",
+			fr_json_text(events[i].line)));
+	return json_pack("{sI sI so}", "next", (json_int_t)next, "lost",
+	    (json_int_t)lost, "events", list);
+}
--- a/lib/front/names.c
+++ b/lib/front/names.c
@@ -31,6 +31,8 @@
 		return "out of memory";
 	case FR_EINTERNAL:
 		return "internal fault";
+	case FR_ETOOLARGE:
+		return "too large";
 	default:
 		return "unknown status";
 	}
--- /dev/null
+++ b/lib/front/status_page.c
@@ -0,0 +1,303 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front_internal.h"
+
+/* What the parts of the page are made from. */
+struct page {
+	FILE *file;
+	struct fr_front *front;
+	struct fr_cells cells;
+	struct fr_account_use *uses;
+	size_t use_count;
+	struct fr_measures measures;
+};
+
+static void put_text(FILE *file, const char *text);
+static void put_time(FILE *file, int64_t ms);
+static void put_style(FILE *file, const struct page *page);
+static void put_summary(const struct page *page);
+static void put_accounts(const struct page *page);
+static int account_number(const struct page *page, uint64_t id);
+static void put_worker(
+    const struct page *page, const struct fr_cell_worker *worker);
+static void put_racks(const struct page *page);
+static void put_members(const struct page *page);
+static void put_runners(const struct page *page);
+
+static void
+put_text(FILE *file, const char *text)
+{
+	for (; *text != '\0'; text++)
+		switch (*text) {
+		case '<':
+			fputs("&lt;", file);
+			break;
+		case '>':
+			fputs("&gt;", file);
+			break;
+		case '&':
+			fputs("&amp;", file);
+			break;
+		case '"':
+			fputs("&quot;", file);
+			break;
+		default:
+			fputc(*text, file);
+		}
+}
+
+/* ms is a duration. */
+static void
+put_time(FILE *file, int64_t ms)
+{
+	if (ms < 60000)
+		fprintf(file, "%.1f s", (double)ms / 1000.0);
+	else if (ms < 3600000)
+		fprintf(file, "%.1f min", (double)ms / 60000.0);
+	else
+		fprintf(file, "%.1f h", (double)ms / 3600000.0);
+}
+
+/* One hue an account; the golden angle keeps neighbours apart. */
+static void
+put_style(FILE *file, const struct page *page)
+{
+	size_t i;
+
+	fputs("<style>body{font:14px sans-serif;margin:1em}"
+	      "table{border-collapse:collapse}td,th{padding:2px 8px;"
+	      "border-bottom:1px solid #ccc;text-align:right}"
+	      "td:first-child,th:first-child{text-align:left}"
+	      ".rack{display:inline-block;vertical-align:top;margin:4px;"
+	      "padding:4px;border:1px solid #999}"
+	      ".w{white-space:nowrap;line-height:12px}"
+	      ".w.off{opacity:.35}"
+	      "i{display:inline-block;width:10px;height:10px;margin:1px;"
+	      "background:#eee;border:1px solid #eee}"
+	      "i.p{border-color:#555}i.g{border-radius:5px}",
+	    file);
+	for (i = 0; i < page->use_count; i++)
+		fprintf(file, "i.a%zu{background:hsl(%d,65%%,50%%)}", i,
+		    (int)(i * 137 % 360));
+	fputs("</style>", file);
+}
+
+static void
+put_summary(const struct page *page)
+{
+	const struct fr_measures *m = &page->measures;
+	FILE *file = page->file;
+
+	fputs("<h1>", file);
+	put_text(file, page->front->options.vm);
+	fprintf(file,
+	    "</h1><p>%s, configuration version %llu</p><p>Completion time: "
+	    "mean ",
+	    fr_is_ready(page->front) ? "ready" : "not ready",
+	    (unsigned long long)fr_config_version(page->front->options.board));
+	put_time(file, m->completion_mean_ms);
+	fputs(", median ", file);
+	put_time(file, m->completion_p50_ms);
+	fputs(", 99% within ", file);
+	put_time(file, m->completion_p99_ms);
+	fprintf(file,
+	    " (%u jobs). Fragmentation: %.1f%% of %u free accelerators; the "
+	    "largest gang beside each other in one rack is %u.</p>",
+	    m->ended_jobs, m->fragmentation * 100.0, m->free_accels,
+	    m->largest_in_rack);
+}
+
+static void
+put_accounts(const struct page *page)
+{
+	FILE *file = page->file;
+	size_t i;
+
+	fputs("<h2>Accounts (accelerators)</h2><table><tr><th>account"
+	      "<th>promised<th>guaranteed<th>borrowed<th>reclaimable"
+	      "<th>quota<th>jobs running<th>jobs waiting<th>waiting<th>short",
+	    file);
+	for (i = 0; i < page->use_count; i++) {
+		const struct fr_account_use *use = &page->uses[i];
+
+		fprintf(file, "<tr><td><i class=a%zu></i> ", i);
+		put_text(file, use->name);
+		fprintf(file,
+		    "<td>%u<td>%u<td>%u<td>%u<td>%u<td>%u<td>%u<td>%u<td>%s",
+		    use->promised, use->used_guaranteed, use->borrowed,
+		    use->reclaimable, use->quota, use->running_jobs,
+		    use->waiting_jobs, use->waiting_accels,
+		    use->short_since_ms != 0 ? "yes" : "");
+	}
+	fputs("</table>", file);
+}
+
+static int
+account_number(const struct page *page, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < page->use_count; i++)
+		if (page->uses[i].id == id)
+			return (int)i;
+	return -1;
+}
+
+static void
+put_worker(const struct page *page, const struct fr_cell_worker *worker)
+{
+	FILE *file = page->file;
+	uint32_t accel;
+	bool is_off = worker->row.state != BD_WORKER_UP ||
+	    worker->row.quarantine_until_ms != 0;
+
+	fprintf(file, "<div class=\"w%s\" title=\"", is_off ? " off" : "");
+	put_text(file, worker->row.name);
+	fputs("\">", file);
+	for (accel = 0;
+	     accel < worker->row.accels && accel < BD_WORKER_ACCELS_MAX;
+	     accel++) {
+		const struct fr_cell *cell = &worker->cells[accel];
+		int number = account_number(page, cell->account);
+
+		fputs("<i class=\"", file);
+		if (number >= 0)
+			fprintf(file, "a%d", number);
+		fprintf(file, "%s%s\"></i>", cell->planned != 0 ? " p" : "",
+		    cell->guaranteed ? " g" : "");
+	}
+	fputs("</div>", file);
+}
+
+static void
+put_racks(const struct page *page)
+{
+	FILE *file = page->file;
+	uint64_t rack = 0;
+	size_t i;
+
+	fputs("<h2>Racks</h2><p>A cell is an accelerator, its colour the "
+	      "account; round: guaranteed; bordered: promised to an account; "
+	      "faint: not in service.</p>",
+	    file);
+	for (i = 0; i < page->cells.count; i++) {
+		const struct bd_worker *row = &page->cells.workers[i].row;
+
+		if (i == 0 || row->rack != rack) {
+			fputs(i == 0 ? "<div class=rack>"
+				     : "</div><div class=rack>",
+			    file);
+			put_text(file, row->zone_name);
+			fputs(" ", file);
+			put_text(file, row->rack_name);
+		}
+		rack = row->rack;
+		put_worker(page, &page->cells.workers[i]);
+	}
+	if (page->cells.count > 0)
+		fputs("</div>", file);
+}
+
+static void
+put_members(const struct page *page)
+{
+	static const char *const states[] = {
+	    "alive", "suspect", "dead", "leaving"};
+	const struct bd_member *row;
+	FILE *file = page->file;
+	uint32_t cursor = 0;
+
+	fputs("<h2>Members</h2><table><tr><th>name<th>state<th>position"
+	      "<th>configuration",
+	    file);
+	bd_read_begin();
+	while ((row = bd_member_next(page->front->options.board, &cursor)) !=
+	    NULL) {
+		fputs("<tr><td>", file);
+		put_text(file, row->name);
+		fprintf(file, "<td>%s<td>%llu<td>%llu",
+		    row->state <= BD_MEMBER_LEAVING ? states[row->state] : "",
+		    (unsigned long long)row->position,
+		    (unsigned long long)row->config_version);
+	}
+	bd_read_end();
+	fputs("</table>", file);
+}
+
+static void
+put_runners(const struct page *page)
+{
+	const struct bd_board *board = page->front->options.board;
+	const struct bd_service *service;
+	FILE *file = page->file;
+	uint32_t cursor = 0;
+
+	fputs("<h2>Upstreams</h2><table><tr><th>service<th>up<th>ejected"
+	      "<th>probing<th>slow start<th>leaving",
+	    file);
+	bd_read_begin();
+	while ((service = bd_service_next(board, &cursor)) != NULL) {
+		uint32_t counts[BD_HEALTH_LEAVING + 1] = {0};
+		const struct bd_health *health;
+		const struct bd_runner *row;
+		uint32_t runner_cursor = 0;
+		uint32_t state;
+
+		while ((row = bd_runner_next(board, &runner_cursor)) != NULL) {
+			if (row->service != service->id)
+				continue;
+			health = bd_health_lookup(board, row->id);
+			state = health == NULL ? BD_HEALTH_UP : health->state;
+			if (row->leaving)
+				state = BD_HEALTH_LEAVING;
+			if (state <= BD_HEALTH_LEAVING)
+				counts[state]++;
+		}
+		fputs("<tr><td>", file);
+		put_text(file, service->name);
+		for (state = 0; state <= BD_HEALTH_LEAVING; state++)
+			fprintf(file, "<td>%u", counts[state]);
+	}
+	bd_read_end();
+	fputs("</table>", file);
+}
+
+/* Writes the status page of this VM: one HTML document without scripts or
+ * other files. The caller frees it; NULL where memory is short. */
+char *
+fr_status_page(struct fr_front *front, size_t *bytes)
+{
+	const struct bd_board *board = front->options.board;
+	struct page page = {.front = front};
+	char *text = NULL;
+
+	assert(bytes != NULL);
+	page.file = open_memstream(&text, bytes);
+	if (page.file == NULL)
+		return NULL;
+	if (fr_cells_build(board, &page.cells) == CW_OK &&
+	    fr_account_uses(
+		board, &page.cells, 0, &page.uses, &page.use_count) == CW_OK &&
+	    fr_measure(board, &page.cells, &page.measures) == CW_OK) {
+		fputs("<!DOCTYPE html><html lang=en><meta charset=utf-8>"
+		      "<meta http-equiv=refresh content=5>"
+		      "<title>camphorworks</title>",
+		    page.file);
+		put_style(page.file, &page);
+		put_summary(&page);
+		put_accounts(&page);
+		put_racks(&page);
+		put_members(&page);
+		put_runners(&page);
+		fputs("</html>\n", page.file);
+	}
+	free(page.uses);
+	fr_cells_free(&page.cells);
+	if (fclose(page.file) != 0 || *bytes == 0) {
+		free(text);
+		return NULL;
+	}
+	return text;
+}
--- /dev/null
+++ b/tests/test_events.cc
@@ -0,0 +1,69 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "base.h"
+
+namespace {
+
+struct Entry {
+	std::string name, text;
+};
+
+const std::map<int, Entry> code = {
+#define EV(number, name, level, text) {number, {#name, text}},
+#include "ev_list.h"
+#undef EV
+};
+
+// Guards against an event without an explanation for the operators, and
+// against an explanation of an event that no longer exists.
+TEST(Events, CatalogueAndCodeAgree)
+{
+	std::ifstream file(TEST_SOURCE_DIR "/docs/events.md");
+	std::set<int> seen;
+	std::string line;
+
+	ASSERT_TRUE(file.good());
+	while (std::getline(file, line)) {
+		if (line.rfind("| ", 0) != 0 || !isdigit(line[2]))
+			continue;
+		std::vector<std::string> cells;
+		std::istringstream row(line.substr(2));
+		std::string cell;
+		while (std::getline(row, cell, '|'))
+			cells.push_back(cell.substr(0, cell.size() - 1));
+		ASSERT_EQ(cells.size(), 5u) << line;
+		int number = std::stoi(cells[0]);
+		EXPECT_TRUE(seen.insert(number).second) << line;
+		ASSERT_EQ(code.count(number), 1u) << "not in code: " << line;
+		EXPECT_EQ(" " + code.at(number).name, cells[1]);
+		for (const std::string &text : cells)
+			EXPECT_GT(text.size(), 2u) << line;
+	}
+	for (const auto &event : code)
+		EXPECT_EQ(seen.count(event.first), 1u)
+		    << "not in docs/events.md: " << event.first << " "
+		    << event.second.name;
+}
+
+// Guards against two events with one number.
+TEST(Events, NumbersAreUnique)
+{
+	std::vector<int> numbers = {
+#define EV(number, name, level, text) number,
+#include "ev_list.h"
+#undef EV
+	};
+	EXPECT_EQ(std::set<int>(numbers.begin(), numbers.end()).size(),
+	    numbers.size());
+	for (int number : numbers)
+		EXPECT_LT(number, EV_NUMBER_LIMIT);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_front_metrics.cc
@@ -0,0 +1,201 @@
+#include "front_fixture.h"
+
+namespace {
+
+struct FrontMetrics : public FrontFixture {
+	// Four workers in two racks; alpha's job 5 runs in its own plan, beta's
+	// job 6 borrows half of it and one accelerator elsewhere.
+	void
+	fill()
+	{
+		put_accounts();
+		for (const char *name : {"w1", "w2"})
+			put_worker(name, "r1", 4);
+		for (const char *name : {"w3", "w4"})
+			put_worker(name, "r2", 4);
+		struct bd_promise promise = {};
+		promise.id = 1;
+		promise.account = cw_id_from_name("alpha");
+		promise.shape = {1, 4, 1000, 1024};
+		promise.slot_count = 1;
+		promise.slots[0] = {cw_id_from_name("w1"), 15, 0};
+		put(BD_TABLE_promise, BD_WRITER_STATE, promise);
+		promise.id = 2;
+		promise.slot_count = 0;
+		promise.short_since_ms = 900;
+		put(BD_TABLE_promise, BD_WRITER_STATE, promise);
+		struct bd_job row = put_job(5, "alpha", BD_JOB_RUNNING);
+		row.token = 50;
+		row.promise = 1;
+		row.waiting_since_ms = 1000;
+		row.started_ms = 3000;
+		put(BD_TABLE_job, BD_WRITER_STATE, row);
+		put_task(5, "w1", 3);
+		row = put_job(6, "beta", BD_JOB_RUNNING);
+		row.token = 60;
+		put(BD_TABLE_job, BD_WRITER_STATE, row);
+		put_task(6, "w1", 12);
+		row = put_job(7, "beta", BD_JOB_RUNNING);
+		row.token = 70;
+		put(BD_TABLE_job, BD_WRITER_STATE, row);
+		put_task(7, "w2", 1);
+		put_job(8, "beta", BD_JOB_WAITING);
+		row = put_job(9, "alpha", BD_JOB_DONE);
+		row.submitted_ms = 1000;
+		row.ended_ms = 61000;
+		put(BD_TABLE_job, BD_WRITER_STATE, row);
+	}
+};
+
+// Guards against accelerators that count for the wrong account or twice.
+TEST_F(FrontMetrics, AccountsAndMeasures)
+{
+	fill();
+	EXPECT_EQ(serve("GET", "/v1/accounts", "ops"), 200);
+	EXPECT_TRUE(
+	    answers("\"name\":\"alpha\",\"role\":\"caller\",\"quota\":64,"
+		    "\"weight\":0.0,\"promised\":8,\"used_guaranteed\":2,"
+		    "\"borrowed\":0,\"reclaimable\":0,\"running_jobs\":1,"
+		    "\"waiting_jobs\":0,\"waiting_accelerators\":0,"
+		    "\"short_since_ms\":900"))
+	    << answer;
+	EXPECT_TRUE(answers("\"used_guaranteed\":0,\"borrowed\":3,"
+			    "\"reclaimable\":2,\"running_jobs\":2,"
+			    "\"waiting_jobs\":1,\"waiting_accelerators\":2"))
+	    << answer;
+	serve("GET", "/v1/accounts", "beta");
+	EXPECT_FALSE(answers("alpha"));
+
+	struct fr_cells cells;
+	struct fr_measures measures;
+	ASSERT_EQ(fr_cells_build(board, &cells), CW_OK);
+	ASSERT_EQ(fr_measure(board, &cells, &measures), CW_OK);
+	EXPECT_EQ(measures.free_accels, 11u);
+	EXPECT_EQ(measures.largest_in_rack, 8u);
+	EXPECT_DOUBLE_EQ(measures.fragmentation, 1.0 - 8.0 / 11.0);
+	EXPECT_EQ(measures.completion_mean_ms, 60000);
+	// A worker out of service has no free accelerators.
+	for (size_t i = 0; i < cells.count; i++)
+		if (std::string(cells.workers[i].row.rack_name) == "r2")
+			cells.workers[i].row.state = BD_WORKER_LEAVING;
+	uint32_t free_accels, largest;
+	EXPECT_DOUBLE_EQ(fr_fragmentation(&cells, &free_accels, &largest), 1.0);
+	EXPECT_EQ(free_accels, 3u);
+	EXPECT_EQ(largest, 0u);
+	fr_cells_free(&cells);
+	fr_cells_free(&cells);
+}
+
+void
+collect(void *ctx, struct fr_metric_out *out)
+{
+	struct fr_metric metric = {};
+
+	metric.name = "control_bytes_total";
+	metric.help = "Bytes.";
+	metric.label_count = 1;
+	metric.labels[0] = {"kind", static_cast<const char *>(ctx)};
+	metric.value = 42;
+	out->emit(out->ctx, &metric);
+}
+
+// Guards against text that a collector of metrics cannot read.
+TEST_F(FrontMetrics, PrometheusAndJson)
+{
+	char kind[] = "a\"b\\c\nd";
+
+	options.sources[0] = {collect, kind};
+	options.source_count = 1;
+	options.hooks.log_state = [](void *, struct fr_log_state *out) {
+		*out = {1234567890123, 1500, true};
+	};
+	start();
+	fill();
+	serve("GET", "/v1/jobs/5", "alpha");
+	EXPECT_EQ(serve("GET", "/metrics", nullptr), 200);
+	for (const char *part :
+	    {"camphor_config_version 3\n", "camphor_ready 1\n",
+		"camphor_log_position 1234567890123\n",
+		"camphor_log_lag_seconds 1.5\n",
+		"camphor_control_bytes_total{kind=\"a\\\"b\\\\c\\nd\"} 42\n",
+		"# TYPE camphor_job_wait_seconds summary\n",
+		"camphor_job_wait_seconds{account=\"alpha\",class=\"urgent\","
+		"quantile=\"0.5\"} 2\n",
+		"camphor_job_completion_seconds_count{account=\"alpha\","
+		"class=\"urgent\"} 1\n",
+		"camphor_table_rows{table=\"worker\"} 4\n",
+		"camphor_front_answers_total{kind=\"jobs\",status=\"2xx\"} 1\n",
+		"camphor_account_borrowed_accelerators{account=\"beta\"} 3\n"})
+		EXPECT_TRUE(answers(part)) << part << answer;
+	// The samples of one name stand together, below one heading.
+	std::string name = "# TYPE camphor_front_handle_seconds ";
+	EXPECT_EQ(answer.find(name), answer.rfind(name));
+	EXPECT_EQ(serve("GET", "/metrics.json", nullptr), 200);
+	EXPECT_TRUE(answers("\"log_lag_seconds\":{\"help\":")) << answer;
+	EXPECT_TRUE(answers("{\"labels\":{},\"value\":1.5}")) << answer;
+}
+
+// Guards against names on the page that are taken for markup.
+TEST_F(FrontMetrics, StatusPage)
+{
+	fill();
+	put_worker("<w&5>", "r2", 4);
+	EXPECT_EQ(serve("GET", "/status", nullptr), 200);
+	EXPECT_TRUE(answers("&lt;w&amp;5&gt;"));
+	EXPECT_FALSE(answers("<w&5>") || answers("src=") || answers("http:"));
+	EXPECT_TRUE(answers("Fragmentation: "));
+}
+
+struct Line {
+	uint32_t number;
+	std::string text;
+};
+
+void
+write_line(void *ctx, enum ev_number number, enum ev_level, const char *line)
+{
+	static_cast<std::vector<Line> *>(ctx)->push_back(
+	    {(uint32_t)number, line});
+}
+
+// Guards against a log flooded by one event, against silence about what was
+// left out, and against a ring that forgets without telling.
+TEST_F(FrontMetrics, EventsAreLimitedAndKept)
+{
+	std::vector<Line> lines;
+	struct ev_sink forward = {write_line, &lines};
+
+	ASSERT_EQ(
+	    fr_events_create(&options.events, &forward, &options.wall), CW_OK);
+	start();
+	put_accounts();
+	const struct ev_sink *sink = fr_events_sink(options.events);
+	for (int i = 0; i < 25; i++)
+		sink->write(
+		    sink->ctx, EV_DAEMON_START, EV_LEVEL_INFO, "one\xff");
+	EXPECT_EQ(lines.size(), 10u);
+	sink->write(sink->ctx, EV_DAEMON_STOP, EV_LEVEL_INFO, "two");
+	EXPECT_EQ(lines.back().text, "two");
+	fr_events_step(options.events, 0);
+	EXPECT_EQ(lines.size(), 11u);
+	now_ms += FR_EVENT_WINDOW_MS;
+	fr_events_step(options.events, 0);
+	ASSERT_EQ(lines.size(), 12u);
+	EXPECT_EQ(lines.back().number, (uint32_t)EV_FRONT_REPEATED);
+	EXPECT_NE(lines.back().text.find("number=101"), std::string::npos);
+	EXPECT_NE(lines.back().text.find("left_out=15"), std::string::npos);
+	EXPECT_EQ(fr_events_suppressed(options.events), 15u);
+
+	EXPECT_EQ(serve("GET", "/v1/events?after=9&limit=2", "ops"), 200);
+	EXPECT_TRUE(answers("{\"next\":11,\"lost\":0,\"events\":[")) << answer;
+	EXPECT_TRUE(answers("\"line\":\"one?\"")) << answer;
+	for (uint32_t i = 0; i < FR_EVENT_RING_MAX; i++) {
+		now_ms += FR_EVENT_WINDOW_MS;
+		sink->write(sink->ctx, EV_DAEMON_READY, EV_LEVEL_INFO, "x");
+	}
+	serve("GET", "/v1/events?after=2&limit=1", "ops");
+	EXPECT_TRUE(answers("\"lost\":10")) << answer;
+	fr_events_destroy(options.events);
+}
+
+} // namespace
