Add camphorctl with its library of decisions

Operators and callers had no tool but plain HTTP. lib/cli decides exit codes, repeats, differences, tables and keys; programs/camphorctl describes its subcommands as tables, from which parsing, help and completion follow. A call that may have taken effect is never reported as refused: exit code 5, and the repeat carries the same Idempotency-Key.

--- /dev/null
+++ b/lib/cli/call.c
@@ -0,0 +1,227 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+
+/* Time before the servers are asked again after a lost answer, in
+ * milliseconds; covers a connection that breaks while a VM is replaced. */
+#define REPEAT_PAUSE_MS 500
+
+static bool may_have_run(
+    const struct cli_call *call, const struct cli_answer *answer);
+static bool wants_next(const struct cli_call *call,
+    const struct cli_answer *answer, bool maybe_ran);
+static void read_json(struct cli_answer *answer);
+
+/*
+ * Adds one server, written as IP:PORT or [IP6]:PORT. Returns CW_EINVAL for
+ * another form and CW_ERANGE beyond CLI_SERVERS_MAX.
+ */
+int
+cli_servers_add(struct cli_servers *servers, const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char *end = NULL;
+	long port = colon == NULL ? 0 : strtol(colon + 1, &end, 10);
+
+	if (colon == NULL || colon == text || *end != '\0' || port < 1 ||
+	    port > 65535 || strlen(text) >= CW_NAME_BYTES ||
+	    strpbrk(text, "/@? \t") != NULL)
+		return cw_error_set(CW_EINVAL,
+		    "server \"%.80s\" is not of the form IP:PORT", text);
+	if (servers->count == CLI_SERVERS_MAX)
+		return cw_error_set(CW_ERANGE, "more than %d servers are given",
+		    CLI_SERVERS_MAX);
+	cw_name_copy(servers->address[servers->count++], CW_NAME_BYTES, text);
+	return CW_OK;
+}
+
+/* Adds a header. Returns CW_EINVAL for a value with control characters, which
+ * would end the header, and CW_ERANGE where it does not fit. */
+int
+cli_call_header(struct cli_call *call, const char *name, const char *value)
+{
+	const char *c;
+	int n;
+
+	assert(call != NULL && name != NULL && value != NULL);
+	for (c = value; *c != '\0'; c++)
+		if ((unsigned char)*c < ' ' || *c == 127)
+			return cw_error_set(CW_EINVAL,
+			    "the value of %s has control characters", name);
+	if (call->header_count == CLI_HEADERS_MAX)
+		return cw_error_set(CW_ERANGE, "too many headers");
+	n = snprintf(call->headers[call->header_count], CLI_HEADER_BYTES,
+	    "%s: %s", name, value);
+	if (n >= CLI_HEADER_BYTES)
+		return cw_error_set(
+		    CW_ERANGE, "the value of %s is too long", name);
+	call->header_count++;
+	return CW_OK;
+}
+
+/* Tells whether this exchange may have had an effect that its answer does not
+ * settle. */
+static bool
+may_have_run(const struct cli_call *call, const struct cli_answer *answer)
+{
+	if (strcmp(call->method, "GET") == 0)
+		return false;
+	if (answer->outcome == CLI_LOST)
+		return true;
+	return answer->outcome == CLI_ANSWERED && answer->status >= 500 &&
+	    answer->request_id[0] == '\0' &&
+	    (answer->ran == CLI_RAN_UNKNOWN || answer->ran == CLI_RAN_UNSAID);
+}
+
+/* Tells whether the next server should be asked after this exchange. */
+static bool
+wants_next(const struct cli_call *call, const struct cli_answer *answer,
+    bool maybe_ran)
+{
+	if (call->is_once)
+		return false;
+	if (answer->outcome == CLI_NOT_STARTED)
+		return true;
+	if (answer->outcome == CLI_LOST)
+		return call->is_safe;
+	if (answer->status == 503 && answer->ran == CLI_RAN_NOT)
+		return true;
+	return call->is_safe && answer->status >= 500 &&
+	    answer->request_id[0] == '\0' &&
+	    (maybe_ran || strcmp(call->method, "GET") == 0) &&
+	    answer->ran != CLI_RAN_YES;
+}
+
+/* Reads the fields that every error answer has. */
+static void
+read_json(struct cli_answer *answer)
+{
+	json_t *retry;
+
+	if (answer->outcome != CLI_ANSWERED || answer->body == NULL)
+		return;
+	answer->json = json_loadb(answer->body, answer->body_bytes, 0, NULL);
+	if (!json_is_object(answer->json))
+		return;
+	answer->ran = cli_ran_parse(
+	    json_string_value(json_object_get(answer->json, "ran")));
+	retry = json_object_get(answer->json, "retry_after_ms");
+	if (json_is_integer(retry))
+		answer->retry_after_ms = json_integer_value(retry);
+}
+
+/*
+ * Makes a call. Servers are asked in turn until one answers; after an answer
+ * that was lost, a call that is safe to repeat goes round once more with the
+ * same headers, so that a repeated Idempotency-Key finds the first outcome.
+ * The caller frees the answer.
+ */
+void
+cli_call_run(const struct cli_transport *transport,
+    const struct cli_servers *servers, const struct cli_call *call,
+    struct cli_answer *answer)
+{
+	char text[400];
+	bool maybe_ran = false;
+	size_t tries;
+
+	assert(transport != NULL && servers->count > 0 && call != NULL);
+	for (tries = 0;; tries++) {
+		memset(answer, 0, sizeof(*answer));
+		answer->retry_after_ms = -1;
+		cw_name_copy(answer->server, CW_NAME_BYTES,
+		    servers->address[tries % servers->count]);
+		transport->exchange(
+		    transport->ctx, answer->server, call, answer);
+		read_json(answer);
+		maybe_ran = maybe_ran || may_have_run(call, answer);
+		answer->maybe_ran = maybe_ran;
+		if (!wants_next(call, answer, maybe_ran) ||
+		    tries + 1 == 2 * servers->count ||
+		    (tries + 1 >= servers->count && !maybe_ran))
+			return;
+		if (answer->outcome == CLI_ANSWERED)
+			snprintf(text, sizeof(text),
+			    "%s answered %d, asking again", answer->server,
+			    answer->status);
+		else
+			snprintf(text, sizeof(text), "%s: %s, asking again",
+			    answer->server, answer->detail);
+		transport->note(transport->ctx, text);
+		if ((tries + 1) % servers->count == 0)
+			transport->pause(transport->ctx, REPEAT_PAUSE_MS);
+		cli_answer_free(answer);
+	}
+}
+
+/* Frees what an answer holds. */
+void
+cli_answer_free(struct cli_answer *answer)
+{
+	json_decref(answer->json);
+	free(answer->body);
+	answer->json = NULL;
+	answer->body = NULL;
+}
+
+/*
+ * Prints the errors of a refused text as FILE:LINE:COLUMN: text. line_offset
+ * is added to the lines; errors of the whole text stand at the first line.
+ */
+void
+cli_errors_print(
+    const json_t *answer, const char *file, int64_t line_offset, FILE *out)
+{
+	const json_t *errors = json_object_get(answer, "errors");
+	const json_t *error;
+	size_t i;
+
+	json_array_foreach(errors, i, error)
+	{
+		const char *text =
+		    json_string_value(json_object_get(error, "text"));
+		int64_t line =
+		    json_integer_value(json_object_get(error, "line"));
+		int64_t column =
+		    json_integer_value(json_object_get(error, "column"));
+
+		fprintf(out, "%s:%lld:%lld: ", file,
+		    line <= 0 ? 1LL : (long long)(line + line_offset),
+		    column <= 0 ? 1LL : (long long)column);
+		cli_text_print(out, text == NULL ? "no reason given" : text);
+		fputc('\n', out);
+	}
+}
+
+/* Says in plain words why a call did not succeed and what may be done. */
+void
+cli_answer_explain(const struct cli_answer *answer, FILE *out)
+{
+	const char *error =
+	    json_string_value(json_object_get(answer->json, "error"));
+	enum cli_exit code = cli_exit_from_answer(answer);
+
+	if (answer->outcome != CLI_ANSWERED) {
+		fprintf(out, "%s: %s\n", answer->server, answer->detail);
+	} else {
+		fprintf(
+		    out, "%s answered %d: ", answer->server, answer->status);
+		cli_text_print(out, error == NULL ? "no reason given" : error);
+		fputc('\n', out);
+	}
+	if (code == CLI_EXIT_UNKNOWN && answer->ran == CLI_RAN_YES)
+		fprintf(out, "It took effect; only its answer is missing.\n");
+	else if (code == CLI_EXIT_UNKNOWN)
+		fprintf(out, "It may have taken effect.\n");
+	else if (code == CLI_EXIT_UNREACHABLE)
+		fprintf(out, "Nothing was done.\n");
+	else if (code == CLI_EXIT_UNAUTHORISED)
+		fprintf(out,
+		    "Check --account and --key-file (or "
+		    "CAMPHOR_ACCOUNT and CAMPHOR_KEY).\n");
+	if (answer->retry_after_ms > 0 && !answer->maybe_ran)
+		fprintf(out, "Try again after %lld ms.\n",
+		    (long long)answer->retry_after_ms);
+}
--- /dev/null
+++ b/lib/cli/cli.h
@@ -0,0 +1,179 @@
+#ifndef CAMPHOR_CLI_H
+#define CAMPHOR_CLI_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <jansson.h>
+
+#include "base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * 1. Exit codes. They are documented in camphorctl(1) and stay as they are.
+ */
+enum cli_exit {
+	CLI_EXIT_OK = 0,
+	CLI_EXIT_REFUSED = 1,      /* refused, failed job, or texts differ */
+	CLI_EXIT_USAGE = 2,        /* arguments, or a file cannot be read */
+	CLI_EXIT_UNREACHABLE = 3,  /* no server can serve the call; not run */
+	CLI_EXIT_CONFLICT = 4,     /* another change was accepted before */
+	CLI_EXIT_UNKNOWN = 5,      /* the outcome is not known (yet) */
+	CLI_EXIT_UNAUTHORISED = 6, /* no key, wrong key or wrong role */
+};
+
+/* What an answer says about the effect of its request. */
+enum cli_ran {
+	CLI_RAN_UNSAID,
+	CLI_RAN_NOT,
+	CLI_RAN_UNKNOWN,
+	CLI_RAN_YES,
+};
+
+enum cli_ran cli_ran_parse(const char *text);
+enum cli_exit cli_exit_from_job(const char *state);
+
+/*
+ * 2. Calls. A transport makes one exchange with one server; cli_call_run()
+ * goes on to the next server where that cannot do harm.
+ */
+#define CLI_SERVERS_MAX 16
+#define CLI_HEADERS_MAX 8
+#define CLI_HEADER_BYTES 192
+
+struct cli_call {
+	const char *method;
+	char path[512]; /* with the query */
+	char headers[CLI_HEADERS_MAX][CLI_HEADER_BYTES];
+	size_t header_count;
+	const void *body;
+	size_t body_bytes;
+	uint32_t timeout_ms;
+	bool is_safe; /* a repeat has no second effect */
+	bool is_once; /* may reach one server only; never repeated */
+};
+
+enum cli_outcome {
+	CLI_ANSWERED,
+	CLI_NOT_STARTED, /* no byte of the request left */
+	CLI_LOST,        /* the request left, no whole answer came */
+};
+
+struct cli_answer {
+	enum cli_outcome outcome;
+	int status;
+	enum cli_ran ran;
+	bool is_busy;           /* X-Wait: busy */
+	bool maybe_ran;         /* an earlier try may have taken effect */
+	int64_t retry_after_ms; /* -1: not said */
+	char request_id[48];    /* X-Request-Id, "" where there is none */
+	char server[CW_NAME_BYTES];
+	char detail[256]; /* why no answer came */
+	char *body;       /* terminated; cli_answer_free() */
+	size_t body_bytes;
+	json_t *json; /* NULL where the body is not JSON */
+};
+
+struct cli_transport {
+	void (*exchange)(void *ctx, const char *server,
+	    const struct cli_call *call, struct cli_answer *answer);
+	void (*pause)(void *ctx, int64_t ms);
+	void (*note)(void *ctx, const char *text); /* for the user */
+	void *ctx;
+};
+
+struct cli_servers {
+	size_t count;
+	char address[CLI_SERVERS_MAX][CW_NAME_BYTES];
+};
+
+int cli_servers_add(struct cli_servers *servers, const char *text);
+int cli_call_header(struct cli_call *call, const char *name, const char *value);
+void cli_call_run(const struct cli_transport *transport,
+    const struct cli_servers *servers, const struct cli_call *call,
+    struct cli_answer *answer);
+void cli_answer_free(struct cli_answer *answer);
+enum cli_exit cli_exit_from_answer(const struct cli_answer *answer);
+void cli_answer_explain(const struct cli_answer *answer, FILE *out);
+void cli_errors_print(
+    const json_t *answer, const char *file, int64_t line_offset, FILE *out);
+
+/*
+ * 3. Texts: which kind a file is, the version it was made from, line diff.
+ */
+enum cli_text_kind {
+	CLI_TEXT_UNKNOWN,
+	CLI_TEXT_SETTINGS,  /* of one camphord */
+	CLI_TEXT_OPERATORS, /* accounts, services, guarantees */
+};
+
+enum cli_text_kind cli_text_kind(const char *text);
+
+struct cli_diff {
+	size_t added;
+	size_t removed;
+};
+
+int cli_diff_print(const char *old_text, const char *new_text, FILE *out,
+    struct cli_diff *diff);
+void cli_base_print(
+    FILE *out, int64_t version, const char *author, int64_t accepted_ms);
+const char *cli_base_parse(const char *text, int64_t *version);
+
+/*
+ * 4. Tables for people.
+ */
+enum cli_cell {
+	CLI_CELL_TEXT,
+	CLI_CELL_NUMBER,
+	CLI_CELL_TIME, /* milliseconds since 1970; 0 prints as "-" */
+	CLI_CELL_BITS, /* number of bits set in a mask */
+	CLI_CELL_FLAG,
+};
+
+struct cli_column {
+	const char *title;
+	const char *key; /* of the JSON object */
+	enum cli_cell cell;
+};
+
+#define CLI_COLUMNS_MAX 16
+
+int cli_table_print(const json_t *rows, const struct cli_column *columns,
+    size_t column_count, FILE *out);
+void cli_fields_print(const json_t *row, const struct cli_column *columns,
+    size_t column_count, FILE *out);
+void cli_text_print(FILE *out, const char *text);
+
+#define CLI_TIME_BYTES 32
+
+void cli_time_format(int64_t ms, char text[CLI_TIME_BYTES]);
+int cli_time_parse(const char *text, int64_t now_ms, int64_t *ms);
+
+/*
+ * 5. Keys, from the kernel's entropy.
+ */
+#define CLI_KEY_BYTES 44 /* 43 characters carry 256 bits */
+#define CLI_TOKEN_BYTES 37
+
+struct cli_key {
+	char key[CLI_KEY_BYTES];
+	char salt_hex[33];
+	char hash_hex[65];
+};
+
+int cli_key_make(struct cli_key *key);
+void cli_key_from_entropy(
+    struct cli_key *key, const uint8_t secret[32], const uint8_t salt[16]);
+int cli_token_make(char token[CLI_TOKEN_BYTES]);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/cli/exit.c
@@ -0,0 +1,66 @@
+#include <assert.h>
+#include <string.h>
+
+#include "cli.h"
+
+/* Reads the field "ran" of an answer; NULL and unknown words are "unsaid". */
+enum cli_ran
+cli_ran_parse(const char *text)
+{
+	if (text == NULL)
+		return CLI_RAN_UNSAID;
+	if (strcmp(text, "not run") == 0)
+		return CLI_RAN_NOT;
+	if (strcmp(text, "unknown") == 0)
+		return CLI_RAN_UNKNOWN;
+	if (strcmp(text, "ran") == 0)
+		return CLI_RAN_YES;
+	return CLI_RAN_UNSAID;
+}
+
+/* Returns the exit code of a job's state; a job that has not ended is
+ * unknown. */
+enum cli_exit
+cli_exit_from_job(const char *state)
+{
+	if (state != NULL && strcmp(state, "done") == 0)
+		return CLI_EXIT_OK;
+	if (state != NULL &&
+	    (strcmp(state, "failed") == 0 || strcmp(state, "cancelled") == 0))
+		return CLI_EXIT_REFUSED;
+	return CLI_EXIT_UNKNOWN;
+}
+
+/*
+ * Returns the exit code of a whole call. A call that may have taken effect is
+ * never reported as refused or unreachable, because a caller would then repeat
+ * it under another key.
+ */
+enum cli_exit
+cli_exit_from_answer(const struct cli_answer *answer)
+{
+	assert(answer != NULL);
+	if (answer->outcome == CLI_LOST)
+		return CLI_EXIT_UNKNOWN;
+	if (answer->outcome == CLI_NOT_STARTED)
+		return answer->maybe_ran ? CLI_EXIT_UNKNOWN
+					 : CLI_EXIT_UNREACHABLE;
+	if (answer->ran == CLI_RAN_UNKNOWN || answer->ran == CLI_RAN_YES)
+		return CLI_EXIT_UNKNOWN;
+	if (answer->status >= 200 && answer->status < 300)
+		return CLI_EXIT_OK;
+	/* An answer without "ran" is the upstream's own. */
+	if (answer->ran == CLI_RAN_UNSAID && answer->request_id[0] != '\0')
+		return CLI_EXIT_REFUSED;
+	if (answer->status == 409)
+		return CLI_EXIT_CONFLICT;
+	if (answer->maybe_ran)
+		return CLI_EXIT_UNKNOWN;
+	if (answer->status == 401 || answer->status == 403)
+		return CLI_EXIT_UNAUTHORISED;
+	if (answer->status == 503 && answer->ran == CLI_RAN_NOT)
+		return CLI_EXIT_UNREACHABLE;
+	if (answer->status >= 500 && answer->ran == CLI_RAN_UNSAID)
+		return CLI_EXIT_UNKNOWN;
+	return CLI_EXIT_REFUSED;
+}
--- /dev/null
+++ b/lib/cli/key.c
@@ -0,0 +1,102 @@
+#include <sys/random.h>
+
+#include <assert.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cli.h"
+#include "config.h"
+
+static int fill_random(void *bytes, size_t count);
+static void to_hex(char *text, const uint8_t *bytes, size_t count);
+
+/* Fills from the kernel's entropy. Returns CW_EIO where there is none. */
+static int
+fill_random(void *bytes, size_t count)
+{
+	uint8_t *at = bytes;
+	ssize_t n;
+
+	while (count > 0) {
+		n = getrandom(at, count, 0);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return cw_error_set(CW_EIO,
+			    "the kernel gives no random bytes: %s",
+			    strerror(errno));
+		at += n;
+		count -= (size_t)n;
+	}
+	return CW_OK;
+}
+
+/* Writes 2 * count characters and a terminator. */
+static void
+to_hex(char *text, const uint8_t *bytes, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		snprintf(text + 2 * i, 3, "%02x", bytes[i]);
+}
+
+/*
+ * Turns 32 secret bytes into a key of 43 characters that need no quoting in a
+ * shell, a header or TOML, and fills in salt and hash as the operators' text
+ * has them.
+ */
+void
+cli_key_from_entropy(
+    struct cli_key *key, const uint8_t secret[32], const uint8_t salt[16])
+{
+	static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				     "abcdefghijklmnopqrstuvwxyz0123456789-_";
+	uint8_t hash[32];
+	uint32_t bits = 0;
+	uint32_t bit_count = 0;
+	size_t at = 0;
+	size_t i;
+
+	assert(key != NULL && secret != NULL && salt != NULL);
+	for (i = 0; i < 32; i++) {
+		bits = bits << 8 | secret[i];
+		for (bit_count += 8; bit_count >= 6; bit_count -= 6)
+			key->key[at++] = digits[bits >> (bit_count - 6) & 63];
+	}
+	key->key[at++] = digits[bits << (6 - bit_count) & 63];
+	assert(at == CLI_KEY_BYTES - 1);
+	key->key[at] = '\0';
+	cfg_key_hash(salt, key->key, hash);
+	to_hex(key->salt_hex, salt, 16);
+	to_hex(key->hash_hex, hash, sizeof(hash));
+}
+
+/* Makes a new key. Returns CW_EIO without entropy. */
+int
+cli_key_make(struct cli_key *key)
+{
+	uint8_t random[48];
+	int code = fill_random(random, sizeof(random));
+
+	if (cw_is_error(code))
+		return code;
+	cli_key_from_entropy(key, random, random + 32);
+	explicit_bzero(random, sizeof(random));
+	return CW_OK;
+}
+
+/* Makes an Idempotency-Key: "ctl-" and 128 random bits. Returns CW_EIO. */
+int
+cli_token_make(char token[CLI_TOKEN_BYTES])
+{
+	uint8_t random[16];
+	int code = fill_random(random, sizeof(random));
+
+	if (cw_is_error(code))
+		return code;
+	memcpy(token, "ctl-", 4);
+	to_hex(token + 4, random, sizeof(random));
+	return CW_OK;
+}
--- /dev/null
+++ b/programs/camphorctl/bench.h
@@ -0,0 +1,25 @@
+#ifndef CAMPHORCTL_BENCH_H
+#define CAMPHORCTL_BENCH_H
+
+#include "cli.h"
+
+#define BENCH_COUNT_MAX 1000000
+#define BENCH_THREADS_MAX 64
+
+struct bench {
+	struct cli_call call;
+	const char *server;
+	const char *ca_file;
+	int64_t count;
+	int64_t concurrency;
+	int64_t took_us;
+	struct hist latency_us; /* of the requests that were answered 2xx */
+	CW_ATOMIC(int64_t) next;
+	CW_ATOMIC(uint64_t) exits[CLI_EXIT_UNAUTHORISED + 1];
+};
+
+/* Sends the requests; ends early where a thread's first one gets no answer. */
+enum cli_exit bench_run(struct bench *bench);
+void bench_print(const struct bench *bench, bool is_json, FILE *out);
+
+#endif
--- /dev/null
+++ b/programs/camphorctl/cmd_key.c
@@ -0,0 +1,112 @@
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <zmq.h>
+
+#include "ctl.h"
+
+static bool write_key(const char *path, const char *key);
+static enum cli_exit run_key(const void *ctx, struct ctl *ctl);
+static enum cli_exit run_curve_key(const void *ctx, struct ctl *ctl);
+
+/* Writes a key into a new file that only its owner can read. Returns false
+ * after a message. */
+static bool
+write_key(const char *path, const char *key)
+{
+	int fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
+	bool is_good = fd >= 0 && dprintf(fd, "%s\n", key) > 0;
+
+	if (fd >= 0 && close(fd) != 0)
+		is_good = false;
+	if (!is_good)
+		ctl_note("%s: %s", path, strerror(errno));
+	return is_good;
+}
+
+/*
+ * camphorctl key [NAME]: the lines for the text go to standard output, the key
+ * itself to a file or standard error, so that it does not get into the text.
+ */
+static enum cli_exit
+run_key(const void *ctx, struct ctl *ctl)
+{
+	const char *name = ctl_args_text(ctl->args, "name");
+	const char *path = ctl_args_text(ctl->args, "out");
+	bool is_operator = ctl_args_flag(ctl->args, "operator");
+	struct cli_key key;
+
+	(void)ctx;
+	if (name == NULL)
+		name = "NAME";
+	if (strlen(name) >= CW_NAME_BYTES || strpbrk(name, "\"\\\n") != NULL) {
+		ctl_note("\"%s\" cannot be the name of an account", name);
+		return CLI_EXIT_USAGE;
+	}
+	if (cli_key_make(&key) != CW_OK) {
+		ctl_note("%s", cw_error_last());
+		return CLI_EXIT_REFUSED;
+	}
+	if (path != NULL && !write_key(path, key.key))
+		return CLI_EXIT_USAGE;
+	if (ctl->is_json) {
+		json_t *row =
+		    json_pack("{s:s,s:s,s:s,s:s}", "name", name, "key", key.key,
+			"key_salt", key.salt_hex, "key_sha256", key.hash_hex);
+
+		json_dumpf(row, stdout, JSON_COMPACT);
+		fputc('\n', stdout);
+		json_decref(row);
+		return CLI_EXIT_OK;
+	}
+	if (path == NULL)
+		fprintf(stderr, "key of \"%s\", shown only now: %s\n", name,
+		    key.key);
+	printf("[[account]]\nname = \"%s\"\nkey_salt = \"%s\"\n"
+	       "key_sha256 = \"%s\"\n%s",
+	    name, key.salt_hex, key.hash_hex,
+	    is_operator ? "role = \"operator\"\n" : "");
+	return CLI_EXIT_OK;
+}
+
+/* camphorctl curve-key */
+static enum cli_exit
+run_curve_key(const void *ctx, struct ctl *ctl)
+{
+	char public_key[41];
+	char secret_key[41];
+
+	(void)ctx;
+	if (zmq_curve_keypair(public_key, secret_key) != 0) {
+		ctl_note("no CURVE key can be made: %s", zmq_strerror(errno));
+		return CLI_EXIT_REFUSED;
+	}
+	if (ctl->is_json)
+		printf("{\"curve_public\":\"%s\",\"curve_secret\":\"%s\"}\n",
+		    public_key, secret_key);
+	else
+		printf("curve_public = '%s'\ncurve_secret = '%s'\n", public_key,
+		    secret_key);
+	return CLI_EXIT_OK;
+}
+
+static const struct ctl_option key_options[] = {
+    {"name", CTL_OPERAND_OPTIONAL, "NAME", "name of the account"},
+    {"operator", CTL_FLAG, NULL, "for an account of operators"},
+    {"out", CTL_TEXT, "FILE",
+	"write the key to this new file (mode 600), for --key-file"},
+};
+
+static const struct ctl_command commands[] = {
+    {"key", "make an account's key and its lines for the operators' text",
+	"  camphorctl key hotels --out hotels.key >>text.toml\n"
+	"  camphorctl key operators --operator\n",
+	CTL_OPTIONS(key_options), run_key, NULL, true},
+    {"curve-key", "make a CURVE key pair for the settings of one camphord",
+	"  camphorctl curve-key >>camphord.toml\n", NULL, 0, run_curve_key,
+	NULL, true},
+};
+const struct ctl_group ctl_key_group = {CTL_OPTIONS(commands)};
--- /dev/null
+++ b/programs/camphorctl/link.c
@@ -0,0 +1,217 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <curl/curl.h>
+
+#include "ctl.h"
+
+#define ANSWER_BYTES_MAX CTL_FILE_BYTES_MAX
+#define CONNECT_TIMEOUT_MS 3000
+
+struct ctl_link {
+	CURL *curl;
+	char ca_file[256];
+};
+
+struct sink {
+	struct cli_answer *answer;
+	size_t room;
+};
+
+static size_t take_body(char *data, size_t size, size_t count, void *ctx);
+static size_t take_header(char *data, size_t size, size_t count, void *ctx);
+static void copy_value(char *dst, size_t bytes, const char *value, size_t n);
+static void set_options(CURL *curl, const struct ctl_link *link,
+    const struct cli_call *call, struct sink *sink);
+static void classify(
+    CURL *curl, CURLcode code, const char *reason, struct cli_answer *answer);
+
+/* Opens a link. ca_file is the certificate authority for TLS; "" or NULL
+ * means HTTP in the clear. Returns CW_ENOMEM. */
+int
+ctl_link_create(struct ctl_link **out, const char *ca_file)
+{
+	struct ctl_link *link = calloc(1, sizeof(*link));
+
+	if (link != NULL)
+		link->curl = curl_easy_init();
+	if (link == NULL || link->curl == NULL) {
+		free(link);
+		return cw_error_set(CW_ENOMEM, "out of memory");
+	}
+	snprintf(link->ca_file, sizeof(link->ca_file), "%s",
+	    ca_file == NULL ? "" : ca_file);
+	*out = link;
+	return CW_OK;
+}
+
+/* Closes the connections and frees the link. */
+void
+ctl_link_destroy(struct ctl_link *link)
+{
+	if (link == NULL)
+		return;
+	curl_easy_cleanup(link->curl);
+	free(link);
+}
+
+/* Collects the body, at most ANSWER_BYTES_MAX. */
+static size_t
+take_body(char *data, size_t size, size_t count, void *ctx)
+{
+	struct sink *sink = ctx;
+	struct cli_answer *answer = sink->answer;
+	size_t bytes = size * count;
+	size_t room = sink->room;
+	char *body;
+
+	if (bytes > ANSWER_BYTES_MAX - answer->body_bytes)
+		return 0;
+	while (room < answer->body_bytes + bytes + 1)
+		room = room == 0 ? 4096 : room * 2;
+	if (room != sink->room) {
+		body = realloc(answer->body, room);
+		if (body == NULL)
+			return 0;
+		answer->body = body;
+		sink->room = room;
+	}
+	memcpy(answer->body + answer->body_bytes, data, bytes);
+	answer->body_bytes += bytes;
+	answer->body[answer->body_bytes] = '\0';
+	return bytes;
+}
+
+/* Copies a header's value without white space around it. */
+static void
+copy_value(char *dst, size_t bytes, const char *value, size_t n)
+{
+	while (n > 0 && (*value == ' ' || *value == '\t')) {
+		value++;
+		n--;
+	}
+	while (n > 0 && strchr("\r\n \t", value[n - 1]) != NULL)
+		n--;
+	snprintf(dst, bytes, "%.*s", (int)n, value);
+}
+
+/* Keeps the headers that calls look at. */
+static size_t
+take_header(char *data, size_t size, size_t count, void *ctx)
+{
+	static const char id[] = "X-Request-Id:";
+	static const char wait[] = "X-Wait:";
+	struct cli_answer *answer = ((struct sink *)ctx)->answer;
+	size_t bytes = size * count;
+	char value[16];
+
+	if (bytes >= sizeof(id) && strncasecmp(data, id, sizeof(id) - 1) == 0)
+		copy_value(answer->request_id, sizeof(answer->request_id),
+		    data + sizeof(id) - 1, bytes - (sizeof(id) - 1));
+	if (bytes >= sizeof(wait) &&
+	    strncasecmp(data, wait, sizeof(wait) - 1) == 0) {
+		copy_value(value, sizeof(value), data + sizeof(wait) - 1,
+		    bytes - (sizeof(wait) - 1));
+		answer->is_busy = strcmp(value, "busy") == 0;
+	}
+	return bytes;
+}
+
+/* Sets what is the same for every method. */
+static void
+set_options(CURL *curl, const struct ctl_link *link,
+    const struct cli_call *call, struct sink *sink)
+{
+	long connect_ms = call->timeout_ms < CONNECT_TIMEOUT_MS
+	    ? (long)call->timeout_ms
+	    : CONNECT_TIMEOUT_MS;
+
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(
+	    curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, sink);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, sink);
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, call->method);
+	if (call->body != NULL) {
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)call->body_bytes);
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, call->body);
+	}
+	if (link->ca_file[0] != '\0')
+		curl_easy_setopt(curl, CURLOPT_CAINFO, link->ca_file);
+	/* libcurl repeats a request by itself where a kept connection turns out
+	 * closed; only calls that are safe to repeat may use one. */
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, call->is_safe ? 0L : 1L);
+}
+
+/* Tells how far the exchange came. */
+static void
+classify(
+    CURL *curl, CURLcode code, const char *reason, struct cli_answer *answer)
+{
+	long request_bytes = 0;
+	long status = 0;
+
+	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &request_bytes);
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	answer->status = (int)status;
+	if (code == CURLE_OK && status > 0) {
+		answer->outcome = CLI_ANSWERED;
+		return;
+	}
+	answer->outcome = request_bytes > 0 ? CLI_LOST : CLI_NOT_STARTED;
+	snprintf(answer->detail, sizeof(answer->detail), "%s",
+	    reason[0] != '\0' ? reason : curl_easy_strerror(code));
+	free(answer->body);
+	answer->body = NULL;
+	answer->body_bytes = 0;
+}
+
+/* Makes one exchange; ctx is the link. */
+void
+ctl_link_exchange(void *ctx, const char *server, const struct cli_call *call,
+    struct cli_answer *answer)
+{
+	struct ctl_link *link = ctx;
+	struct sink sink = {answer, 0};
+	struct curl_slist *headers = NULL;
+	struct curl_slist *more = NULL;
+	char reason[CURL_ERROR_SIZE] = "";
+	char url[640];
+	CURLcode code = CURLE_OUT_OF_MEMORY;
+	size_t i;
+
+	assert(call->path[0] == '/' && call->timeout_ms > 0);
+	snprintf(url, sizeof(url), "%s://%s%s",
+	    link->ca_file[0] != '\0' ? "https" : "http", server, call->path);
+	curl_easy_reset(link->curl);
+	set_options(link->curl, link, call, &sink);
+	curl_easy_setopt(link->curl, CURLOPT_ERRORBUFFER, reason);
+	curl_easy_setopt(link->curl, CURLOPT_URL, url);
+	/* Without this libcurl waits for 100-continue on long bodies. */
+	headers = curl_slist_append(NULL, "Expect:");
+	for (i = 0; headers != NULL && i < call->header_count; i++) {
+		more = curl_slist_append(headers, call->headers[i]);
+		if (more == NULL) {
+			curl_slist_free_all(headers);
+			headers = NULL;
+		} else {
+			headers = more;
+		}
+	}
+	if (headers != NULL) {
+		curl_easy_setopt(link->curl, CURLOPT_HTTPHEADER, headers);
+		code = curl_easy_perform(link->curl);
+	}
+	classify(link->curl, code, reason, answer);
+	curl_slist_free_all(headers);
+	curl_easy_setopt(link->curl, CURLOPT_ERRORBUFFER, NULL);
+}
