--- a/tests/test_state_apply.cc
+++ b/tests/test_state_apply.cc
@@ -172,7 +172,7 @@
 
 	fleet.run({
 	    {JOB("j", "a", TWO_BY_FOUR), CW_OK},
-	    {"gang_ended job=$j token=0 outcome=0", ST_ESTALE},
+	    {"gang_ended job=$j token=0 outcome=0", ST_EREJECTED},
 	    {"place label=t job=$j epoch=@ members=#w2:f,#w2:f0", CW_OK},
 	    {"gang_started job=$j token=1", ST_ESTALE},
 	    {"gang_started job=$j token=$t", CW_OK},
