--- a/lib/state/snapshot.c
+++ b/lib/state/snapshot.c
@@ -6,7 +6,8 @@
 
 /*
  * An image is a header [format, basis, digest, bytes, hash] and after it that
- * many bytes of rows, each [table, [fields]].
+ * many bytes of rows, each [table, [fields]]. The hash covers the rows, basis
+ * and digest.
  */
 #define IMAGE_FORMAT 1
 #define IMAGE_HEADER_ELEMENTS 5
@@ -94,7 +95,9 @@
 	msgpack_pack_uint64(&packer, st_position(state));
 	msgpack_pack_uint64(&packer, st_digest(state));
 	msgpack_pack_uint64(&packer, rows.size);
-	msgpack_pack_uint64(&packer, cw_hash(rows.data, rows.size, 0));
+	msgpack_pack_uint64(&packer,
+	    cw_hash(rows.data, rows.size,
+		cw_id_from_pair(st_position(state), st_digest(state))));
 	if (rows.size > 0)
 		msgpack_sbuffer_write(&image, rows.data, rows.size);
 	msgpack_sbuffer_destroy(&rows);
@@ -129,7 +132,8 @@
 		!wire_get_uint(&element[3], UINT64_MAX, &size) ||
 		!wire_get_uint(&element[4], UINT64_MAX, &hash) ||
 		size != bytes - offset ||
-		cw_hash((const char *)data + offset, size, 0) != hash))
+		cw_hash((const char *)data + offset, size,
+		    cw_id_from_pair(image->basis, image->digest)) != hash))
 		code = ST_EMALFORMED;
 	msgpack_unpacked_destroy(&unpacked);
 	image->rows_at = offset;
