--- /dev/null
+++ b/lib/sched/plan.c
@@ -0,0 +1,402 @@
+#include <assert.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+/* Racks that one decision may try to vacate, and plans that it may move for
+ * one promise. */
+#define PLAN_TRIES_MAX 64
+#define PLAN_MOVES_MAX 8
+
+static bool larger_first(const void *ctx, uint32_t a, uint32_t b);
+static void unlink_cell(struct sch *sch, uint32_t number);
+static void release_plan(struct sch *sch, uint32_t number);
+static void add_cell(struct sch *sch, uint32_t number,
+    const struct sch_spot *spot, const struct bd_shape *shape);
+static void hold_plan(struct sch *sch, uint32_t number,
+    const struct sch_spot *spots, uint32_t count);
+static uint32_t spots_of(
+    const struct sch *sch, uint32_t number, struct sch_spot *spots);
+static int propose_short(struct sch *sch, uint32_t number, int64_t since_ms);
+static uint32_t idle_plan_in(const struct sch *sch, uint32_t r);
+static uint32_t unplanned_rooms(struct sch *sch, uint32_t r,
+    const struct sch_need *need, bool free_only, uint32_t *free);
+static bool vacate_rack(
+    struct sch *sch, uint32_t number, uint32_t r, int *code);
+static int plan_by_moves(
+    struct sch *sch, uint32_t number, uint32_t *tries, bool *done);
+static int plan_one(struct sch *sch, uint32_t number, uint32_t *tries);
+
+static bool
+larger_first(const void *ctx, uint32_t a, uint32_t b)
+{
+	const struct sch *sch = ctx;
+	const struct bd_promise *x = sch->promises[a].row;
+	const struct bd_promise *y = sch->promises[b].row;
+	uint32_t size_x = (uint32_t)x->shape.members * x->shape.accels;
+	uint32_t size_y = (uint32_t)y->shape.members * y->shape.accels;
+
+	if (size_x != size_y)
+		return size_x > size_y;
+	if (x->shape.accels != y->shape.accels)
+		return x->shape.accels > y->shape.accels;
+	return x->id < y->id;
+}
+
+static void
+unlink_cell(struct sch *sch, uint32_t number)
+{
+	struct sch_worker *worker = &sch->workers[sch->cells[number].worker];
+	uint32_t *link = &worker->first_cell;
+
+	while (*link != number)
+		link = &sch->cells[*link].next_of_worker;
+	*link = sch->cells[number].next_of_worker;
+}
+
+/* Takes a plan out of the view; its cells stay in the array, unlinked. */
+static void
+release_plan(struct sch *sch, uint32_t number)
+{
+	struct sch_promise *promise = &sch->promises[number];
+	const struct bd_shape *shape = &promise->row->shape;
+	uint32_t i;
+
+	for (i = 0; i < promise->cell_count; i++) {
+		uint32_t c = promise->first_cell + i;
+		struct sch_worker *worker = &sch->workers[sch->cells[c].worker];
+
+		unlink_cell(sch, c);
+		worker->planned &= ~sch->cells[c].mask;
+		worker->plans.cores -=
+		    (int64_t)sch->cells[c].members * shape->cores_milli;
+		worker->plans.memory -=
+		    (int64_t)sch->cells[c].members * shape->memory_mb;
+	}
+	if (promise->first_cell + promise->cell_count == sch->cell_count)
+		sch->cell_count = promise->first_cell;
+	promise->cell_count = 0;
+}
+
+static void
+add_cell(struct sch *sch, uint32_t number, const struct sch_spot *spot,
+    const struct bd_shape *shape)
+{
+	struct sch_promise *promise = &sch->promises[number];
+	struct sch_worker *worker = &sch->workers[spot->worker];
+	struct sch_cell *cell = NULL;
+	uint32_t i;
+
+	for (i = 0; i < promise->cell_count; i++)
+		if (sch->cells[promise->first_cell + i].worker == spot->worker)
+			cell = &sch->cells[promise->first_cell + i];
+	if (cell == NULL) {
+		cell = &sch->cells[sch->cell_count];
+		memset(cell, 0, sizeof(*cell));
+		cell->promise = number;
+		cell->worker = spot->worker;
+		cell->next_of_worker = worker->first_cell;
+		worker->first_cell = sch->cell_count++;
+		promise->cell_count++;
+	}
+	cell->members++;
+	cell->mask |= spot->mask;
+	cell->free.mask |= spot->mask;
+	cell->free.cores += shape->cores_milli;
+	cell->free.memory += shape->memory_mb;
+	worker->planned |= spot->mask;
+	worker->plans.cores += shape->cores_milli;
+	worker->plans.memory += shape->memory_mb;
+}
+
+/* Puts a plan for a promise that has none into the view. */
+static void
+hold_plan(struct sch *sch, uint32_t number, const struct sch_spot *spots,
+    uint32_t count)
+{
+	struct sch_promise *promise = &sch->promises[number];
+	uint32_t i;
+
+	assert(promise->cell_count == 0);
+	promise->first_cell = sch->cell_count;
+	for (i = 0; i < count; i++)
+		add_cell(sch, number, &spots[i], &promise->row->shape);
+}
+
+/* Stores the present plan, one spot a member, and returns their number.
+ * Members on workers that are no longer known are left out. */
+static uint32_t
+spots_of(const struct sch *sch, uint32_t number, struct sch_spot *spots)
+{
+	const struct bd_promise *row = sch->promises[number].row;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < row->slot_count; i++) {
+		spots[count].worker =
+		    sch_index_get(&sch->worker_index, row->slots[i].worker);
+		spots[count].mask = row->slots[i].accel_mask;
+		if (spots[count].worker != SCH_NONE)
+			count++;
+	}
+	return count;
+}
+
+/*
+ * Finds a place for a shape in one rack other than avoid, outside all plans;
+ * with free_only on hardware that no job holds or claims. The rack with the
+ * least unplanned hardware that suffices is taken, so that whole racks stay
+ * unplanned.
+ */
+bool
+sch_plan_find(struct sch *sch, const struct sch_need *need, bool free_only,
+    uint32_t avoid, struct sch_spot *spots)
+{
+	uint32_t best = SCH_NONE;
+	uint32_t best_free = UINT32_MAX;
+	uint32_t free;
+	uint32_t r;
+
+	for (r = 0; r < sch->rack_count; r++) {
+		if (r == avoid ||
+		    unplanned_rooms(sch, r, need, free_only, &free) <
+			need->members ||
+		    free >= best_free)
+			continue;
+		best = r;
+		best_free = free;
+	}
+	return best != SCH_NONE &&
+	    sch_rack_take(sch->rooms, &sch->racks[best], need, spots);
+}
+
+/* Proposes a plan for a promise and changes the view accordingly. */
+int
+sch_plan_propose(struct sch *sch, uint32_t promise,
+    const struct sch_spot *spots, uint32_t count)
+{
+	struct sch_promise *entry = &sch->promises[promise];
+	struct rec rec = {.kind = REC_PLAN};
+	struct rec_plan *body = &rec.body.plan;
+	uint32_t i;
+
+	if (sch->cell_count + count > sch->limits.cells)
+		return CW_OK;
+	release_plan(sch, promise);
+	hold_plan(sch, promise, spots, count);
+	entry->valid = true;
+	entry->moved = true;
+	entry->jobs = 0;
+	body->promise = entry->row->id;
+	body->epoch = entry->row->epoch;
+	body->slot_count = count;
+	for (i = 0; i < count; i++) {
+		body->slots[i].worker = sch->workers[spots[i].worker].row->id;
+		body->slots[i].accel_mask = spots[i].mask;
+	}
+	return sch_propose(sch, &rec);
+}
+
+static int
+propose_short(struct sch *sch, uint32_t number, int64_t since_ms)
+{
+	struct rec rec = {.kind = REC_SHORT};
+
+	rec.body.short_since.promise = sch->promises[number].row->id;
+	rec.body.short_since.epoch = sch->promises[number].row->epoch;
+	rec.body.short_since.since_ms = since_ms;
+	return sch_propose(sch, &rec);
+}
+
+/* Returns the smallest idle plan in a rack, or SCH_NONE. */
+static uint32_t
+idle_plan_in(const struct sch *sch, uint32_t r)
+{
+	uint32_t best = SCH_NONE;
+	uint32_t best_size = UINT32_MAX;
+	uint32_t p;
+
+	for (p = 0; p < sch->promise_count; p++) {
+		const struct sch_promise *entry = &sch->promises[p];
+		const struct bd_shape *shape = &entry->row->shape;
+		uint32_t size = (uint32_t)shape->members * shape->accels;
+
+		if (!entry->valid || entry->jobs > 0 || entry->moved ||
+		    entry->cell_count == 0 || size >= best_size ||
+		    sch->workers[sch->cells[entry->first_cell].worker].rack !=
+			r)
+			continue;
+		best = p;
+		best_size = size;
+	}
+	return best;
+}
+
+/* Fills the rooms of a rack with what is outside all plans. Returns how many
+ * members it holds. */
+static uint32_t
+unplanned_rooms(struct sch *sch, uint32_t r, const struct sch_need *need,
+    bool free_only, uint32_t *free)
+{
+	const struct sch_rack *rack = &sch->racks[r];
+	uint32_t members = 0;
+	uint32_t w;
+
+	*free = 0;
+	for (w = rack->first; w < rack->first + rack->count; w++) {
+		const struct sch_worker *worker = &sch->workers[w];
+		struct sch_room *room = &sch->rooms[w];
+
+		memset(room, 0, sizeof(*room));
+		if (!worker->usable || worker->probation)
+			continue;
+		room->mask = worker->all.mask & ~worker->planned;
+		room->cores = worker->all.cores - worker->plans.cores;
+		room->memory = worker->all.memory - worker->plans.memory;
+		if (free_only) {
+			room->mask &= worker->free.mask & ~worker->blocked;
+			if (room->cores > worker->free.cores)
+				room->cores = worker->free.cores;
+			if (room->memory > worker->free.memory)
+				room->memory = worker->free.memory;
+		}
+		members += sch_room_members(room, need);
+		*free += (uint32_t)__builtin_popcount(room->mask);
+	}
+	return members;
+}
+
+/* Makes room in one rack by moving idle plans out of it. Their records go
+ * first, so apply finds the plans disjoint at each step; for the same reason
+ * they go to other racks. */
+static bool
+vacate_rack(struct sch *sch, uint32_t number, uint32_t r, int *code)
+{
+	struct sch_need need = sch_need_of(&sch->promises[number].row->shape);
+	struct sch_spot old[PLAN_MOVES_MAX][BD_GANG_MAX];
+	struct sch_spot new[PLAN_MOVES_MAX][BD_GANG_MAX];
+	struct sch_spot mine[BD_GANG_MAX];
+	uint32_t moved[PLAN_MOVES_MAX];
+	uint32_t count = 0;
+	uint32_t placed = 0;
+	uint32_t free;
+	uint32_t i;
+
+	while (unplanned_rooms(sch, r, &need, false, &free) < need.members) {
+		uint32_t q =
+		    count < PLAN_MOVES_MAX ? idle_plan_in(sch, r) : SCH_NONE;
+
+		if (q == SCH_NONE)
+			break;
+		spots_of(sch, q, old[count]);
+		release_plan(sch, q);
+		moved[count++] = q;
+	}
+	if (count > 0 &&
+	    sch_rack_take(sch->rooms, &sch->racks[r], &need, mine)) {
+		for (; placed < count; placed++) {
+			struct sch_need other = sch_need_of(
+			    &sch->promises[moved[placed]].row->shape);
+
+			if (!sch_plan_find(sch, &other, false, r, new[placed]))
+				break;
+			hold_plan(
+			    sch, moved[placed], new[placed], other.members);
+		}
+	}
+	for (i = 0; i < count; i++) {
+		release_plan(sch, moved[i]);
+		hold_plan(sch, moved[i], old[i],
+		    sch->promises[moved[i]].row->shape.members);
+	}
+	if (count == 0 || placed < count)
+		return false;
+	*code = CW_OK;
+	for (i = 0; i < count && *code == CW_OK; i++)
+		*code = sch_plan_propose(sch, moved[i], new[i],
+		    sch->promises[moved[i]].row->shape.members);
+	if (*code == CW_OK)
+		*code = sch_plan_propose(sch, number, mine, need.members);
+	return true;
+}
+
+static int
+plan_by_moves(struct sch *sch, uint32_t number, uint32_t *tries, bool *done)
+{
+	uint32_t i;
+	int code = CW_OK;
+
+	for (i = 0; i < sch->rack_count && *tries < PLAN_TRIES_MAX; i++) {
+		uint32_t r = sch->swap_next++ % sch->rack_count;
+
+		if (sch->cell_count + 4 * PLAN_MOVES_MAX * BD_GANG_MAX >
+		    sch->limits.cells)
+			break;
+		(*tries)++;
+		if (vacate_rack(sch, number, r, &code)) {
+			*done = true;
+			break;
+		}
+	}
+	return code;
+}
+
+/* Plans one promise: on free hardware, on hardware that borrowers hold, or by
+ * moving idle plans. What is left of a broken plan is given up first, in a
+ * decision of its own, for apply would refuse plans that overlap it. */
+static int
+plan_one(struct sch *sch, uint32_t number, uint32_t *tries)
+{
+	const struct bd_promise *row = sch->promises[number].row;
+	struct sch_need need = sch_need_of(&row->shape);
+	struct sch_spot spots[BD_GANG_MAX];
+	struct sch_spot old[BD_GANG_MAX];
+	uint32_t old_count = spots_of(sch, number, old);
+	bool done = false;
+	int code;
+
+	release_plan(sch, number);
+	if (sch_plan_find(sch, &need, true, SCH_NONE, spots) ||
+	    sch_plan_find(sch, &need, false, SCH_NONE, spots))
+		return sch_plan_propose(sch, number, spots, need.members);
+	if (row->slot_count > 0) {
+		code = sch_plan_propose(sch, number, spots, 0);
+		sch->promises[number].valid = false;
+		hold_plan(sch, number, old, old_count);
+		return code;
+	}
+	code = plan_by_moves(sch, number, tries, &done);
+	if (code == CW_OK && !done && row->short_since_ms == 0)
+		code = propose_short(sch, number, sch->now_ms);
+	return code;
+}
+
+/* Plans every promise without a usable plan, largest first; marks those that
+ * no hardware is left for, and those that have theirs back. Plans in use stay
+ * where they are. */
+int
+sch_plan_run(struct sch *sch)
+{
+	uint32_t tries = 0;
+	uint32_t i;
+	int code = CW_OK;
+
+	for (i = 0; i < sch->promise_count; i++)
+		sch->order[i] = i;
+	sch_sort(sch->order, sch->promise_count, larger_first, sch);
+	for (i = 0; i < sch->promise_count && code == CW_OK; i++) {
+		const struct sch_promise *entry = &sch->promises[sch->order[i]];
+
+		if (!sch_has_budget(sch))
+			break;
+		/* Apply refuses to leave a guaranteed gang outside. The plan
+		 * of one on lost hardware moves when the gang has ended. */
+		if (entry->moved || (!entry->valid && entry->jobs > 0))
+			continue;
+		if (!entry->valid)
+			code = plan_one(sch, sch->order[i], &tries);
+		else if (entry->row->short_since_ms != 0)
+			code = propose_short(sch, sch->order[i], 0);
+	}
+	return code;
+}
