Measure the scheduler against first fit and best fit

bench_sched runs one seeded workload in simulated time under three policies: this scheduler and two baselines.

--- /dev/null
+++ b/tests/bench/sched_sim.h
@@ -0,0 +1,670 @@
+#ifndef CAMPHOR_BENCH_SCHED_SIM_H
+#define CAMPHOR_BENCH_SCHED_SIM_H
+
+/* The event loop of bench_sched: one workload under one policy. */
+#include "sched_load.h"
+
+#define SIM_START_MS 300 /* reserve, commit and start */
+#define SIM_CHECKPOINT_MS 600000
+#define SIM_TIMER_MS 5000
+#define SIM_SAMPLE_MS 60000
+#define SIM_FAIL_MS 5000 /* until a task on a bad worker fails */
+#define SIM_EPOCH_MS 1000000
+#define SIM_DRAIN_MS ((int64_t)200 * 3600 * 1000)
+
+enum policy {
+	POLICY_SCHEDULER,
+	POLICY_FIRST_FIT,
+	POLICY_BEST_FIT,
+	POLICY_COUNT,
+};
+
+enum event_kind {
+	EVENT_SUBMIT,
+	EVENT_STARTED,
+	EVENT_DONE,
+	EVENT_STOPPED,
+	EVENT_CHECKPOINT,
+	EVENT_CANCEL,
+	EVENT_FAULT,
+	EVENT_FAILED,
+	EVENT_TIMER,
+	EVENT_SAMPLE,
+};
+
+struct event {
+	int64_t at_ms;
+	uint64_t order; /* of equal times */
+	uint64_t token;
+	uint32_t kind;
+	uint32_t index; /* of a job or fault */
+};
+
+struct sim_job {
+	uint64_t id;
+	int64_t end_ms;
+	int64_t started_ms;
+	int64_t progress_ms;
+	bool within; /* urgent and within its guarantee */
+	bool waiting;
+	bool ended;
+	bool first_started;
+};
+
+struct sim {
+	const struct load *load;
+	enum policy policy;
+	struct world w;
+	struct cw_rng rng;
+	struct sim_job *jobs;
+	struct event *heap;
+	uint32_t heap_count, heap_max;
+	uint64_t event_order;
+	uint32_t *waiting; /* in the order of submits, for the baselines */
+	uint32_t waiting_count;
+	uint32_t live;
+	uint32_t active_urgent[LOAD_ACCOUNTS_MAX];
+	/* When others were first stopped for the account, 0: all answered. */
+	int64_t reclaim_ms[LOAD_ACCOUNTS_MAX];
+	bool bad[LOAD_WORKERS_MAX];
+	uint64_t worker_ids[LOAD_WORKERS_MAX];
+	uint32_t free_mask[LOAD_WORKERS_MAX];
+	bool timer_set;
+	struct sim_result {
+		double completion_all, completion_small;
+		double fragmentation; /* summed with the free accelerators */
+		double free;
+		uint32_t done, broken, unfinished, preempted;
+		double busy_ms, capacity_ms, lost_ms, last_ms;
+		uint32_t busy;
+		struct hist urgent, reclaim, place;
+	} result;
+};
+
+static bool
+event_before(const struct event *a, const struct event *b)
+{
+	return a->at_ms < b->at_ms ||
+	    (a->at_ms == b->at_ms && a->order < b->order);
+}
+
+static void
+event_push(struct sim *sim, int64_t at_ms, uint32_t kind, uint32_t index,
+    uint64_t token)
+{
+	struct event event = {at_ms, sim->event_order++, token, kind, index};
+	uint32_t i;
+
+	if (sim->heap_count == sim->heap_max) {
+		sim->heap_max = sim->heap_max * 2 + 1024;
+		sim->heap =
+		    realloc(sim->heap, sim->heap_max * sizeof(*sim->heap));
+	}
+	for (i = sim->heap_count++; i > 0; i = (i - 1) / 2) {
+		if (!event_before(&event, &sim->heap[(i - 1) / 2]))
+			break;
+		sim->heap[i] = sim->heap[(i - 1) / 2];
+	}
+	sim->heap[i] = event;
+}
+
+static struct event
+event_pop(struct sim *sim)
+{
+	struct event top = sim->heap[0];
+	struct event last = sim->heap[--sim->heap_count];
+	uint32_t i = 0;
+	uint32_t child;
+
+	while ((child = i * 2 + 1) < sim->heap_count) {
+		if (child + 1 < sim->heap_count &&
+		    event_before(&sim->heap[child + 1], &sim->heap[child]))
+			child++;
+		if (!event_before(&sim->heap[child], &last))
+			break;
+		sim->heap[i] = sim->heap[child];
+		i = child;
+	}
+	sim->heap[i] = last;
+	return top;
+}
+
+static uint32_t
+job_index(const struct sim *sim, uint64_t id)
+{
+	uint32_t low = 0;
+	uint32_t high = sim->load->job_count;
+
+	/* Ids are positions of submits, which come in the order of jobs. */
+	while (low < high) {
+		uint32_t middle = (low + high) / 2;
+
+		if (sim->jobs[middle].id != 0 && sim->jobs[middle].id < id)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static uint32_t
+worker_index(const struct sim *sim, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < sim->load->worker_count; i++)
+		if (sim->worker_ids[i] == id)
+			return i;
+	abort();
+}
+
+/* Takes or gives back a gang's accelerators in the benchmark's own books. */
+static void
+book(struct sim *sim, uint64_t job, const struct bd_slot *slots, uint32_t count,
+    bool take)
+{
+	uint32_t i;
+
+	(void)job;
+	for (i = 0; i < count; i++) {
+		uint32_t w = worker_index(sim, slots[i].worker);
+		uint32_t mask = slots[i].accel_mask;
+
+		sim->free_mask[w] =
+		    take ? sim->free_mask[w] & ~mask : sim->free_mask[w] | mask;
+		sim->result.busy = take
+		    ? sim->result.busy + (uint32_t)__builtin_popcount(mask)
+		    : sim->result.busy - (uint32_t)__builtin_popcount(mask);
+	}
+}
+
+static void
+on_place(struct sim *sim, const struct rec_place *body, uint64_t token)
+{
+	uint32_t j = job_index(sim, body->job);
+	struct sim_job *job = &sim->jobs[j];
+	const struct load_job *load = &sim->load->jobs[j];
+	int64_t now_ms = sim->w.now_ms;
+	bool fails = false;
+	uint32_t i;
+
+	job->waiting = false;
+	book(sim, body->job, body->members, body->member_count, true);
+	for (i = 0; i < body->member_count; i++)
+		fails = fails ||
+		    sim->bad[worker_index(sim, body->members[i].worker)];
+	event_push(sim, now_ms + SIM_START_MS, EVENT_STARTED, j, token);
+	if (fails)
+		event_push(sim, now_ms + SIM_START_MS + SIM_FAIL_MS,
+		    EVENT_FAILED, j, token);
+	else
+		event_push(sim,
+		    now_ms + SIM_START_MS + load->true_ms - job->progress_ms,
+		    EVENT_DONE, j, token);
+	if (!job->first_started && load->job.class_number == BD_CLASS_URGENT &&
+	    job->within)
+		hist_record(&sim->result.urgent,
+		    (uint64_t)(now_ms + SIM_START_MS - SIM_EPOCH_MS -
+			load->submit_ms));
+	job->first_started = true;
+	if (body->promise == 0 || sim->reclaim_ms[load->account] == 0)
+		return;
+	hist_record(&sim->result.reclaim,
+	    (uint64_t)(now_ms - sim->reclaim_ms[load->account]));
+	sim->reclaim_ms[load->account] = 0;
+}
+
+static void
+on_preempt(struct sim *sim, const struct rec_preempt *body)
+{
+	uint32_t j = job_index(sim, body->job);
+	struct bd_job row = world_job_row(&sim->w, body->job);
+	int64_t wait_ms = body->deadline_ms - sim->w.now_ms;
+	int64_t stop_ms = row.started_ms == 0
+	    ? 100
+	    : 300 + (int64_t)cw_rng_below(&sim->rng, 2700);
+
+	sim->result.preempted++;
+	event_push(sim, sim->w.now_ms + (stop_ms < wait_ms ? stop_ms : wait_ms),
+	    EVENT_STOPPED, j, row.token);
+	if (body->reason == BD_REASON_RECLAIMED && body->for_job != 0) {
+		uint32_t account =
+		    sim->load->jobs[job_index(sim, body->for_job)].account;
+
+		if (sim->reclaim_ms[account] == 0)
+			sim->reclaim_ms[account] = sim->w.now_ms;
+	}
+}
+
+static void
+applied(void *ctx, const struct rec *rec, uint64_t position)
+{
+	struct sim *sim = ctx;
+
+	if (rec->kind == REC_PLACE)
+		on_place(sim, &rec->body.place, position);
+	else if (rec->kind == REC_PREEMPT)
+		on_preempt(sim, &rec->body.preempt);
+	else if (rec->kind == REC_GANG_ENDED && rec->body.gang_ended.token == 0)
+		sim->live--; /* fits nowhere */
+}
+
+/* Ends an attempt; progress_ms is what a checkpoint holds. */
+static void
+end_gang(struct sim *sim, uint32_t j, enum rec_outcome outcome,
+    enum bd_reason reason, uint64_t worker, int64_t progress_ms)
+{
+	struct sim_job *job = &sim->jobs[j];
+	struct bd_slot slots[BD_GANG_MAX];
+	uint32_t members = sim->load->jobs[j].job.members;
+	int64_t lost = 0;
+	uint32_t i;
+
+	bd_read_begin();
+	for (i = 0; i < members; i++) {
+		const struct bd_task *task =
+		    bd_task_lookup(sim->w.board, cw_id_from_pair(job->id, i));
+
+		slots[i].worker = task->worker;
+		slots[i].accel_mask = task->accel_mask;
+	}
+	bd_read_end();
+	if (job->started_ms != 0 && outcome == REC_OUTCOME_RETRY)
+		lost = sim->w.now_ms - job->started_ms -
+		    (progress_ms - job->progress_ms);
+	sim->result.lost_ms +=
+	    (double)lost * members * sim->load->jobs[j].job.accels;
+	job->progress_ms = progress_ms;
+	job->started_ms = 0;
+	if (world_ended(
+		&sim->w, job->id, outcome, reason, worker, progress_ms) != 0)
+		abort();
+	book(sim, job->id, slots, members, false);
+	if (outcome == REC_OUTCOME_RETRY &&
+	    world_job_row(&sim->w, job->id).state == BD_JOB_WAITING) {
+		job->waiting = true;
+		sim->waiting[sim->waiting_count++] = j;
+	}
+}
+
+static int64_t
+progress_now(const struct sim *sim, uint32_t j)
+{
+	const struct sim_job *job = &sim->jobs[j];
+
+	if (job->started_ms == 0)
+		return job->progress_ms;
+	return job->progress_ms + sim->w.now_ms - job->started_ms;
+}
+
+/* Progress at the last periodic checkpoint. */
+static int64_t
+progress_kept(const struct sim *sim, uint32_t j)
+{
+	int64_t ran = progress_now(sim, j) - sim->jobs[j].progress_ms;
+
+	return sim->jobs[j].progress_ms +
+	    ran / SIM_CHECKPOINT_MS * SIM_CHECKPOINT_MS;
+}
+
+/* A member on a bad worker has failed. */
+static void
+fail_gang(struct sim *sim, uint32_t j)
+{
+	const struct sim_job *job = &sim->jobs[j];
+	uint64_t worker = 0;
+	uint32_t i;
+
+	bd_read_begin();
+	for (i = 0; i < sim->load->jobs[j].job.members; i++) {
+		const struct bd_task *task =
+		    bd_task_lookup(sim->w.board, cw_id_from_pair(job->id, i));
+
+		if (worker == 0 || sim->bad[worker_index(sim, task->worker)])
+			worker = task->worker;
+	}
+	bd_read_end();
+	end_gang(sim, j, REC_OUTCOME_RETRY, BD_REASON_MEMBER_FAILED, worker,
+	    progress_kept(sim, j));
+}
+
+static void
+finish(struct sim *sim, uint32_t j)
+{
+	struct sim_job *job = &sim->jobs[j];
+	const struct load_job *load = &sim->load->jobs[j];
+
+	if (job->ended)
+		return;
+	job->ended = true;
+	job->end_ms = sim->w.now_ms - SIM_EPOCH_MS;
+	sim->live--;
+	if (load->job.class_number == BD_CLASS_URGENT)
+		sim->active_urgent[load->account]--;
+}
+
+static void
+on_fault(struct sim *sim, const struct load_fault *fault)
+{
+	uint64_t id = sim->worker_ids[fault->worker];
+	uint32_t count = 0;
+	uint32_t cursor = 0;
+	uint32_t hit[64];
+	uint32_t i;
+
+	if (fault->kind == LOAD_FAULT_BAD || fault->kind == LOAD_FAULT_GOOD) {
+		sim->bad[fault->worker] = fault->kind == LOAD_FAULT_BAD;
+		return;
+	}
+	world_worker_state(&sim->w, id,
+	    fault->kind == LOAD_FAULT_LOST ? BD_WORKER_LOST : BD_WORKER_UP);
+	if (fault->kind != LOAD_FAULT_LOST)
+		return;
+	bd_read_begin();
+	for (;;) {
+		const struct bd_task *task =
+		    bd_task_next(sim->w.board, &cursor);
+		uint32_t j;
+
+		if (task == NULL)
+			break;
+		if (task->worker != id)
+			continue;
+		j = job_index(sim, task->job);
+		for (i = 0; i < count && hit[i] != j; i++)
+			;
+		if (i == count && count < 64)
+			hit[count++] = j;
+	}
+	bd_read_end();
+	for (i = 0; i < count; i++)
+		end_gang(sim, hit[i], REC_OUTCOME_RETRY, BD_REASON_WORKER_LOST,
+		    0, progress_kept(sim, hit[i]));
+}
+
+static void
+on_submit(struct sim *sim, uint32_t j)
+{
+	const struct load_job *load = &sim->load->jobs[j];
+	struct sim_job *job = &sim->jobs[j];
+
+	job->id = world_submit(&sim->w, &load->job);
+	job->waiting = true;
+	sim->waiting[sim->waiting_count++] = j;
+	if (load->job.class_number == BD_CLASS_URGENT)
+		job->within = ++sim->active_urgent[load->account] <=
+		    (uint32_t)sim->load->accounts[load->account].urgent_copies;
+	if (load->impossible && sim->policy != POLICY_SCHEDULER)
+		sim->live--;
+}
+
+static void
+on_checkpoint(struct sim *sim, uint32_t j, uint64_t token)
+{
+	struct rec rec = world_rec(REC_CHECKPOINT);
+
+	rec.body.checkpoint.job = sim->jobs[j].id;
+	rec.body.checkpoint.token = token;
+	rec.body.checkpoint.progress_ms = progress_kept(sim, j);
+	world_apply(&sim->w, &rec);
+	event_push(
+	    sim, sim->w.now_ms + SIM_CHECKPOINT_MS, EVENT_CHECKPOINT, j, token);
+}
+
+static void
+on_cancel(struct sim *sim, uint32_t j)
+{
+	struct bd_job row = world_job_row(&sim->w, sim->jobs[j].id);
+
+	if (sim->jobs[j].ended || row.state >= BD_JOB_DONE)
+		return;
+	world_cancel(&sim->w, sim->jobs[j].id);
+	if (row.token != 0)
+		end_gang(sim, j, REC_OUTCOME_RETRY, BD_REASON_CANCELLED, 0,
+		    progress_now(sim, j));
+	sim->jobs[j].waiting = false;
+	finish(sim, j);
+}
+
+/* Part of the free accelerator time that no gang of a size can use, as the mean
+ * over members of 2, 4 and 8 on a worker and 16 and 32 accelerators of whole
+ * free workers in a rack. */
+static void
+sample(struct sim *sim)
+{
+	static const uint32_t sizes[] = {2, 4, 8, 16, 32};
+	double sum = 0;
+	uint32_t free = 0;
+	uint32_t used_sizes = 0;
+	uint32_t s;
+	uint32_t w;
+
+	for (w = 0; w < sim->load->worker_count; w++)
+		free += (uint32_t)__builtin_popcount(sim->free_mask[w]);
+	if (free == 0)
+		return;
+	for (s = 0; s < 5; s++) {
+		uint32_t usable = 0;
+		uint32_t rack = 0;
+
+		for (w = 0; w < sim->load->worker_count; w++) {
+			uint32_t here =
+			    (uint32_t)__builtin_popcount(sim->free_mask[w]);
+
+			if (sizes[s] <= 8) {
+				usable += here / sizes[s] * sizes[s];
+				continue;
+			}
+			if (here == sim->load->accels[w])
+				rack += here;
+			if ((w + 1) % sim->load->rack_size == 0 ||
+			    w + 1 == sim->load->worker_count) {
+				usable += rack / sizes[s] * sizes[s];
+				rack = 0;
+			}
+		}
+		sum += 1 - (double)usable / free;
+		used_sizes++;
+	}
+	sim->result.fragmentation += sum / used_sizes * free;
+	sim->result.free += free;
+}
+
+static void
+on_event(struct sim *sim, const struct event *event)
+{
+	uint32_t j = event->index;
+	struct sim_job *job = &sim->jobs[j];
+	bool holds = event->token != 0 &&
+	    world_job_row(&sim->w, job->id).token == event->token;
+
+	switch (event->kind) {
+	case EVENT_SUBMIT:
+		on_submit(sim, j);
+		break;
+	case EVENT_STARTED:
+		if (!holds)
+			break;
+		world_started(&sim->w, job->id);
+		job->started_ms = sim->w.now_ms;
+		event_push(sim, sim->w.now_ms + SIM_CHECKPOINT_MS,
+		    EVENT_CHECKPOINT, j, event->token);
+		break;
+	case EVENT_DONE:
+		if (!holds)
+			break;
+		end_gang(sim, j, REC_OUTCOME_DONE, BD_REASON_NONE, 0,
+		    sim->load->jobs[j].true_ms);
+		sim->result.done++;
+		finish(sim, j);
+		break;
+	case EVENT_STOPPED:
+		if (holds)
+			end_gang(sim, j, REC_OUTCOME_RETRY,
+			    (enum bd_reason)world_job_row(&sim->w, job->id)
+				.reason,
+			    0, progress_now(sim, j));
+		break;
+	case EVENT_FAILED:
+		if (holds)
+			fail_gang(sim, j);
+		break;
+	case EVENT_CHECKPOINT:
+		if (holds)
+			on_checkpoint(sim, j, event->token);
+		break;
+	case EVENT_CANCEL:
+		on_cancel(sim, j);
+		break;
+	case EVENT_FAULT:
+		on_fault(sim, &sim->load->fault[j]);
+		break;
+	case EVENT_SAMPLE:
+		sample(sim);
+		if (sim->w.now_ms - SIM_EPOCH_MS < sim->load->arrivals_ms)
+			event_push(sim, sim->w.now_ms + SIM_SAMPLE_MS,
+			    EVENT_SAMPLE, 0, 0);
+		break;
+	default:
+		sim->timer_set = false;
+		break;
+	}
+}
+
+static void
+step_scheduler(struct sim *sim)
+{
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		int64_t before = cw_clock_mono_us();
+		uint32_t proposals;
+
+		sch_step(sim->w.sch, sim->w.now_ms);
+		hist_record(&sim->result.place,
+		    (uint64_t)(cw_clock_mono_us() - before));
+		proposals = world_flush(&sim->w);
+		if (proposals == 0)
+			break;
+	}
+	if (cw_rng_below(&sim->rng, 100) == 0 &&
+	    sch_guarantee_check(sim->w.board) != CW_OK)
+		sim->result.broken++;
+}
+
+/* Forgets ended jobs after an hour, as the state controller does. */
+static void
+expire(struct sim *sim)
+{
+	struct rec rec = world_rec(REC_JOB_EXPIRE);
+
+	rec.body.job_expire.before_ms = sim->w.now_ms - 3600000;
+	world_apply(&sim->w, &rec);
+}
+
+static void
+sim_start(struct sim *sim, const struct load *load, enum policy policy)
+{
+	char text[16384];
+	uint32_t i;
+
+	memset(sim, 0, sizeof(*sim));
+	sim->load = load;
+	sim->policy = policy;
+	sim->jobs = calloc(load->job_count + 1, sizeof(*sim->jobs));
+	sim->waiting = calloc(load->job_count * 64 + 64, sizeof(uint32_t));
+	sim->live = load->job_count;
+	cw_rng_seed(&sim->rng, 7);
+	load_text(load, text, sizeof(text));
+	world_init(&sim->w, text);
+	sim->w.now_ms = SIM_EPOCH_MS;
+	sim->w.applied = applied;
+	sim->w.ctx = sim;
+	for (i = 0; i < load->worker_count; i++) {
+		char name[24], rack[24], zone[24], region[24];
+		uint32_t z = i / (load->rack_size * load->zone_racks);
+
+		snprintf(name, sizeof(name), "w%u", i);
+		snprintf(rack, sizeof(rack), "rack%u", i / load->rack_size);
+		snprintf(zone, sizeof(zone), "z%u", z);
+		snprintf(region, sizeof(region), "r%u", z / 2);
+		sim->worker_ids[i] = world_worker(&sim->w, name, region, zone,
+		    rack, load->accels[i], load->cores_milli, load->memory_mb,
+		    BD_WORKER_UP);
+		sim->free_mask[i] = (uint32_t)((1ULL << load->accels[i]) - 1);
+		sim->result.capacity_ms += load->accels[i];
+	}
+	for (i = 0; i < load->job_count; i++) {
+		event_push(sim, SIM_EPOCH_MS + load->jobs[i].submit_ms,
+		    EVENT_SUBMIT, i, 0);
+		if (load->jobs[i].cancel_ms != 0 && !load->jobs[i].impossible)
+			event_push(sim, SIM_EPOCH_MS + load->jobs[i].cancel_ms,
+			    EVENT_CANCEL, i, 0);
+	}
+	for (i = 0; i < load->fault_count; i++)
+		event_push(sim, SIM_EPOCH_MS + load->fault[i].at_ms,
+		    EVENT_FAULT, i, 0);
+	event_push(sim, SIM_EPOCH_MS, EVENT_SAMPLE, 0, 0);
+}
+
+static void
+sim_free(struct sim *sim)
+{
+	world_free(&sim->w);
+	free(sim->jobs);
+	free(sim->waiting);
+	free(sim->heap);
+}
+
+static void step_baseline(struct sim *sim);
+
+/* Runs until every job has ended. */
+static void
+sim_run(struct sim *sim)
+{
+	int64_t expired_ms = SIM_EPOCH_MS;
+	uint32_t i;
+
+	while (sim->live > 0 && sim->heap_count > 0) {
+		int64_t at_ms = sim->heap[0].at_ms;
+		int64_t last_ms = sim->w.now_ms;
+		bool idle = true;
+
+		if (at_ms - SIM_EPOCH_MS > SIM_DRAIN_MS)
+			break;
+		if (at_ms - SIM_EPOCH_MS <= sim->load->arrivals_ms) {
+			sim->result.busy_ms +=
+			    (double)(at_ms - last_ms) * sim->result.busy;
+			sim->result.last_ms = (double)(at_ms - SIM_EPOCH_MS);
+		}
+		sim->w.now_ms = at_ms;
+		while (sim->heap_count > 0 && sim->heap[0].at_ms == at_ms) {
+			struct event event = event_pop(sim);
+
+			on_event(sim, &event);
+			idle = idle &&
+			    (event.kind == EVENT_SAMPLE ||
+				event.kind == EVENT_CHECKPOINT);
+		}
+		if (at_ms - expired_ms > 600000) {
+			expire(sim);
+			expired_ms = at_ms;
+		}
+		if (idle)
+			continue;
+		if (sim->policy == POLICY_SCHEDULER)
+			step_scheduler(sim);
+		else
+			step_baseline(sim);
+		if (!sim->timer_set) {
+			sim->timer_set = true;
+			event_push(
+			    sim, at_ms + SIM_TIMER_MS, EVENT_TIMER, 0, 0);
+		}
+	}
+	for (i = 0; i < sim->load->job_count; i++)
+		if (!sim->jobs[i].ended && !sim->load->jobs[i].impossible)
+			sim->result.unfinished++;
+}
+
+#endif
