Wire camphord: the whole path over real sockets

Cause: the packages stood side by side; nothing ran as one process. Change: programs/camphord with one wiring file for each part, graceful shutdown, kept answers between entry VMs, loads of runners for heartbeats, and two additions to the follower that the fleet needs (confirmed_ms, rebuild on request).

--- a/lib/front/proxy.h
+++ b/lib/front/proxy.h
@@ -67,6 +67,13 @@
 void fr_proxy_fetch(struct fr_proxy *proxy, uint64_t account, const char *id,
     struct fr_proxy_answer *answer);
 
+/* Kept answers, from one entry VM to another. */
+int fr_proxy_result_encode(struct rt_route *route, uint64_t request,
+    uint32_t *http_status, void *buffer, size_t bytes_max, size_t *bytes);
+int fr_proxy_result_decode(uint64_t owner, uint64_t request,
+    uint32_t http_status, const void *data, size_t bytes,
+    struct rt_answer *out);
+
 /*
  * 2. HTTP. Handlers for struct lk_http_route, with the proxy as context.
  */
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -281,6 +281,8 @@
 size_t rt_demand_read(
     struct rt_route *route, struct rt_demand *out, size_t max);
 size_t rt_load_changed(struct rt_route *route, struct rt_load *out, size_t max);
+void rt_load_each(struct rt_route *route,
+    void (*each)(void *ctx, uint64_t runner, uint32_t in_flight), void *ctx);
 void rt_load_set(struct rt_route *route, uint64_t peer,
     const struct rt_load *loads, size_t count);
 void rt_load_forget(struct rt_route *route, uint64_t peer);
--- a/lib/state/follower.c
+++ b/lib/state/follower.c
@@ -15,6 +15,8 @@
 struct read_context {
 	struct st_follower *follower;
 	uint32_t entries;
+	size_t bytes;
+	int64_t sent_ms;
 };
 
 static void tell_observers(void *ctx, const struct rec *rec, int status,
@@ -22,8 +24,8 @@
 static int take_entry(
     void *ctx, uint64_t offset, const void *data, size_t bytes);
 static int load_snapshot(struct st_follower *follower);
-static int64_t take_result(
-    struct st_follower *follower, int code, uint32_t entries, uint32_t wait_ms);
+static int64_t take_result(struct st_follower *follower, int code,
+    const struct read_context *context, uint32_t wait_ms);
 static void wait_for(struct st_follower *follower, int64_t wait_ms);
 static void *run_follower(void *arg);
 
@@ -147,6 +149,7 @@
 	struct read_context *context = ctx;
 
 	context->entries++;
+	context->bytes += bytes;
 	return st_follower_feed(context->follower, offset, data, bytes);
 }
 
@@ -256,10 +259,20 @@
 	pthread_mutex_unlock(&follower->lock);
 }
 
+/* Makes the follower rebuild its tables from a snapshot before its next read:
+ * most peers have another digest at the same position. */
+void
+st_follower_rebuild_want(struct st_follower *follower)
+{
+	pthread_mutex_lock(&follower->lock);
+	follower->rebuild_wanted = true;
+	pthread_mutex_unlock(&follower->lock);
+}
+
 /* Deals with the status of a read; returns how long (ms) to wait. */
 static int64_t
-take_result(
-    struct st_follower *follower, int code, uint32_t entries, uint32_t wait_ms)
+take_result(struct st_follower *follower, int code,
+    const struct read_context *context, uint32_t wait_ms)
 {
 	int64_t now_ms = st_follower_now(follower);
 	int64_t delay = 0;
@@ -271,7 +284,11 @@
 			    (long long)(now_ms - follower->contact_ms));
 		follower->log_lost = false;
 		follower->backoff_ms = BACKOFF_FIRST_MS;
-		if (entries == 0) {
+		/* An answer is cut only where one more entry would pass its
+		 * limit of at least two entries of the largest size. */
+		if (context->bytes < PF_LOG_ENTRY_BYTES_MAX)
+			follower->confirmed_ms = context->sent_ms;
+		if (context->entries == 0) {
 			follower->ready = true;
 			if (wait_ms > EMPTY_READ_MS &&
 			    now_ms - follower->contact_ms < EMPTY_READ_MS)
@@ -300,7 +317,7 @@
 int64_t
 st_follower_step(struct st_follower *follower, uint32_t wait_ms)
 {
-	struct read_context context = {follower, 0};
+	struct read_context context = {follower, 0, 0, 0};
 	struct pf_log_sink sink = {take_entry, &context};
 	bool rebuild;
 	uint64_t from;
@@ -316,6 +333,7 @@
 	pthread_mutex_unlock(&follower->lock);
 	if (rebuild)
 		st_follower_rebuild(follower);
+	context.sent_ms = st_follower_now(follower);
 	code = follower->log.read(
 	    follower->log.ctx, ST_STREAM, from, wait_ms, &sink);
 	if (code == PF_EEXPIRED) {
@@ -324,7 +342,7 @@
 		if (load_snapshot(follower) == CW_OK)
 			return 0;
 	}
-	return take_result(follower, code, context.entries, wait_ms);
+	return take_result(follower, code, &context, wait_ms);
 }
 
 /*
@@ -420,6 +438,7 @@
 	status->position = st_position(follower->state);
 	status->digest = st_digest(follower->state);
 	status->contact_ms = follower->contact_ms;
+	status->confirmed_ms = follower->confirmed_ms;
 	status->log_lost = follower->log_lost;
 	status->ready = follower->ready;
 	status->malformed = st_malformed(follower->state);
--- a/lib/state/follower_internal.h
+++ b/lib/state/follower_internal.h
@@ -43,6 +43,7 @@
 	} digests[ST_DIGESTS_MAX];
 	uint32_t digest_next;
 	int64_t contact_ms;
+	int64_t confirmed_ms;
 	int64_t backoff_ms;
 	bool log_lost;
 	bool ready;
--- a/lib/state/state.h
+++ b/lib/state/state.h
@@ -371,9 +371,10 @@
 struct st_follower_status {
 	uint64_t position;
 	uint64_t digest;
-	int64_t contact_ms; /* last contact with the log */
-	bool log_lost;      /* the latest read failed */
-	bool ready;         /* has been level with the log or a peer */
+	int64_t contact_ms;   /* last contact with the log */
+	int64_t confirmed_ms; /* sending of the last read that saw its end */
+	bool log_lost;        /* the latest read failed */
+	bool ready;           /* has been level with the log or a peer */
 	uint64_t malformed;
 	uint64_t unknown_kinds;
 	uint64_t rebuilds;
@@ -402,6 +403,7 @@
 int st_follower_image(struct st_follower *follower, void **data, size_t *bytes);
 int st_follower_image_load(
     struct st_follower *follower, const void *data, size_t bytes);
+void st_follower_rebuild_want(struct st_follower *follower);
 void st_follower_compare(
     struct st_follower *follower, uint64_t position, uint64_t digest);
 
--- /dev/null
+++ b/programs/camphord/daemon.c
@@ -0,0 +1,167 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon.h"
+
+/* A drain waits for the controllers to hand over duties this long. */
+#define RELEASE_MS 1500
+
+static int64_t wall_now(void *ctx);
+static int64_t mono_now(void *ctx);
+static int start_parts(struct daemon *daemon);
+static void stop_front(struct daemon *daemon);
+static void stop_parts(struct daemon *daemon);
+
+static int64_t
+wall_now(void *ctx)
+{
+	(void)ctx;
+	return cw_clock_wall_ms();
+}
+
+static int64_t
+mono_now(void *ctx)
+{
+	(void)ctx;
+	return cw_clock_mono_ms();
+}
+
+static int
+start_parts(struct daemon *daemon)
+{
+	char url[CW_NAME_BYTES + 8];
+	struct pf_http_settings http = {.address = url};
+	int code;
+
+	snprintf(url, sizeof(url), "http://%s",
+	    daemon->settings.platform_address);
+	code = pf_http_create(&daemon->http, &http);
+	if (code != CW_OK)
+		return code;
+	pf_http_platform(daemon->http, &daemon->platform);
+	code = wire_state(daemon);
+	if (code == CW_OK)
+		code = wire_requests(daemon);
+	if (code == CW_OK)
+		code = wire_fleet(daemon);
+	if (code == CW_OK)
+		code = wire_sched(daemon);
+	if (code == CW_OK)
+		code = wire_front(daemon);
+	if (code == CW_OK)
+		code = wire_controllers(daemon);
+	return code;
+}
+
+/*
+ * Starts every part from daemon->settings, which the caller has filled in; all
+ * other fields are zero. On failure the parts that were started are stopped,
+ * and cw_error_last() tells what failed.
+ */
+int
+daemon_start(struct daemon *daemon)
+{
+	int code;
+
+	daemon->self = cw_rng_entropy() >> 1;
+	daemon->wall.now_ms = wall_now;
+	daemon->mono.now_ms = mono_now;
+	pthread_mutex_init(&daemon->image.lock, NULL);
+	pthread_mutex_init(&daemon->sch_lock, NULL);
+	rt_seed(daemon->self);
+	code = fr_events_create(&daemon->events, ev_sink_get(), &daemon->wall);
+	if (code == CW_OK) {
+		ev_sink_set(fr_events_sink(daemon->events));
+		code = start_parts(daemon);
+	}
+	if (code != CW_OK)
+		daemon_stop(daemon);
+	return code;
+}
+
+/*
+ * Graceful shutdown: refuses new work, tells balancer and members, hands over
+ * duties, and waits for the requests in flight, at most settings.drain_ms.
+ */
+void
+daemon_drain(struct daemon *daemon)
+{
+	int64_t until_ms = cw_clock_mono_ms() + daemon->settings.drain_ms;
+	uint64_t version = bd_version(daemon->board);
+
+	atomic_store(&daemon->stopping, true);
+	fr_drain(daemon->front);
+	rt_drain(daemon->route);
+	fl_leave(daemon->fleet, false, cw_clock_mono_ms());
+	ev_emit(EV_DAEMON_DRAIN, "in_flight=%u", rt_in_flight(daemon->route));
+	/* The fleet's controller proposes the release of duties and jobs. */
+	bd_publish(daemon->board);
+	until_ms -= RELEASE_MS;
+	rt_drain_wait(daemon->route, until_ms - cw_clock_mono_ms());
+	until_ms = cw_clock_mono_ms() + RELEASE_MS;
+	while (cw_clock_mono_ms() < until_ms)
+		version = bd_wait(
+		    daemon->board, version, until_ms - cw_clock_mono_ms());
+	lk_http_server_drain(daemon->server);
+	fl_leave(daemon->fleet, true, cw_clock_mono_ms());
+}
+
+static void
+stop_front(struct daemon *daemon)
+{
+	if (daemon->server != NULL)
+		lk_http_server_stop(daemon->server);
+	if (daemon->front != NULL)
+		fr_destroy(daemon->front);
+	while (daemon->controller_count > 0)
+		ctl_stop(daemon->controllers[--daemon->controller_count]);
+}
+
+static void
+stop_parts(struct daemon *daemon)
+{
+	if (daemon->gang != NULL)
+		gang_runner_destroy(daemon->gang);
+	if (daemon->sch != NULL)
+		sch_destroy(daemon->sch);
+	if (daemon->peer != NULL)
+		lk_peer_stop(daemon->peer);
+	if (daemon->proxy != NULL)
+		fr_proxy_destroy(daemon->proxy);
+	if (daemon->fleet != NULL)
+		fl_destroy(daemon->fleet);
+	if (daemon->writer != NULL)
+		st_writer_stop(daemon->writer);
+	if (daemon->follower != NULL)
+		st_follower_stop(daemon->follower);
+	if (daemon->client != NULL)
+		lk_http_client_destroy(daemon->client);
+	if (daemon->route != NULL)
+		rt_destroy(daemon->route);
+	if (daemon->follower != NULL)
+		st_follower_destroy(daemon->follower);
+	if (daemon->writer != NULL)
+		st_writer_destroy(daemon->writer);
+	if (daemon->state != NULL)
+		st_destroy(daemon->state);
+	if (daemon->board != NULL)
+		bd_board_destroy(daemon->board);
+	if (daemon->http != NULL)
+		pf_http_destroy(daemon->http);
+}
+
+/* Stops every part that was started, in the opposite order. */
+void
+daemon_stop(struct daemon *daemon)
+{
+	atomic_store(&daemon->stopping, true);
+	stop_front(daemon);
+	stop_parts(daemon);
+	free(daemon->image.data);
+	ev_sink_set(NULL);
+	if (daemon->events != NULL)
+		fr_events_destroy(daemon->events);
+	pthread_mutex_destroy(&daemon->sch_lock);
+	pthread_mutex_destroy(&daemon->image.lock);
+}
--- /dev/null
+++ b/programs/camphord/daemon.h
@@ -0,0 +1,76 @@
+#ifndef CAMPHORD_DAEMON_H
+#define CAMPHORD_DAEMON_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+
+#include "board.h"
+#include "config.h"
+#include "fleet.h"
+#include "front.h"
+#include "gang.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "peer.h"
+#include "platform.h"
+#include "proxy.h"
+#include "route.h"
+#include "scheduler.h"
+#include "state.h"
+
+#define DAEMON_CONTROLLERS_MAX 16
+
+/* The image that a peer is reading in parts. */
+struct daemon_image {
+	pthread_mutex_t lock;
+	void *data;
+	size_t bytes;
+	uint64_t position;
+};
+
+/* Everything that one process holds. Parts are made in the order of the fields
+ * and unmade in the opposite one. */
+struct daemon {
+	struct cfg_settings settings;
+	uint64_t self; /* incarnation */
+	struct ctl_clock wall;
+	struct ctl_clock mono;
+	struct fr_events *events;
+	struct bd_board *board;
+	struct pf_http *http;
+	struct pf_platform platform;
+	struct st_state *state;
+	struct st_follower *follower;
+	struct st_writer *writer;
+	struct st_sink sink;
+	struct st_snapshotter snapshotter;
+	struct daemon_image image;
+	struct rt_route *route;
+	struct lk_http_client *client;
+	struct lk_peer *peer;
+	struct fl_fleet *fleet;
+	struct sch *sch;
+	pthread_mutex_t sch_lock; /* sch_step against sch_explain */
+	struct gang_runner *gang;
+	struct fr_proxy *proxy;
+	struct fr_front *front;
+	struct lk_http_server *server;
+	struct ctl *controllers[DAEMON_CONTROLLERS_MAX];
+	size_t controller_count;
+	atomic_bool stopping;
+};
+
+int daemon_start(struct daemon *daemon);
+void daemon_drain(struct daemon *daemon);
+void daemon_stop(struct daemon *daemon);
+
+/* wire_*.c: one part each; the codes are those of the part. */
+int wire_state(struct daemon *daemon);
+int wire_fleet(struct daemon *daemon);
+int wire_sched(struct daemon *daemon);
+int wire_requests(struct daemon *daemon);
+int wire_front(struct daemon *daemon);
+int wire_controllers(struct daemon *daemon);
+
+#endif
--- /dev/null
+++ b/programs/camphord/main.c
@@ -0,0 +1,162 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "camphor_version.h"
+#include "daemon.h"
+
+/* Exit codes, see docs/man/camphord.8. */
+#define EXIT_USAGE 2
+
+struct options {
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_lit *check;
+	struct arg_file *file;
+	struct arg_end *end;
+};
+
+static void print_errors(const char *path, const struct cfg_errors *errors);
+static void *wait_for_second(void *arg);
+static void block_signals(sigset_t *set);
+static int run(struct daemon *daemon, const sigset_t *set);
+static int serve(const char *path, bool check_only);
+
+static void
+print_errors(const char *path, const struct cfg_errors *errors)
+{
+	size_t i;
+
+	for (i = 0; i < errors->count; i++) {
+		const struct cfg_error *error = &errors->errors[i];
+
+		if (error->line != 0)
+			fprintf(stderr, "%s:%u:%u: %s\n", path, error->line,
+			    error->column, error->text);
+		else
+			fprintf(stderr, "%s: %s\n", path, error->text);
+	}
+}
+
+/* A second signal during the graceful shutdown ends the process at once and
+ * states what it cuts. */
+static void *
+wait_for_second(void *arg)
+{
+	struct daemon *daemon = arg;
+	sigset_t set;
+	int number;
+
+	block_signals(&set);
+	sigwait(&set, &number);
+	ev_emit(EV_DAEMON_CUT, "signal=%d in_flight=%u", number,
+	    rt_in_flight(daemon->route));
+	_exit(EXIT_FAILURE);
+}
+
+/* All threads inherit the mask, so that only sigwait sees these signals. */
+static void
+block_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, set, NULL);
+}
+
+static int
+run(struct daemon *daemon, const sigset_t *set)
+{
+	pthread_t second;
+	int number;
+
+	if (daemon_start(daemon) != CW_OK) {
+		fprintf(stderr, "camphord: %s\n", cw_error_last());
+		return EXIT_FAILURE;
+	}
+	ev_emit(EV_DAEMON_START, "name=%s version=%s http=%s peer=%s",
+	    daemon->settings.name, CAMPHOR_VERSION,
+	    daemon->settings.http_address, daemon->settings.peer_address);
+	sigwait(set, &number);
+	if (pthread_create(&second, NULL, wait_for_second, daemon) == 0)
+		pthread_detach(second);
+	daemon_drain(daemon);
+	ev_emit(EV_DAEMON_STOP, "in_flight=%u", rt_in_flight(daemon->route));
+	daemon_stop(daemon);
+	return EXIT_SUCCESS;
+}
+
+static int
+serve(const char *path, bool check_only)
+{
+	static struct cfg_errors errors;
+	struct daemon *daemon;
+	sigset_t set;
+	int result;
+
+	daemon = calloc(1, sizeof(*daemon));
+	if (daemon == NULL)
+		return EXIT_FAILURE;
+	if (cfg_settings_load(path, &daemon->settings, &errors) != CW_OK) {
+		print_errors(path, &errors);
+		free(daemon);
+		return EXIT_USAGE;
+	}
+	if (check_only) {
+		printf("%s: valid settings of VM %s\n", path,
+		    daemon->settings.name);
+		free(daemon);
+		return EXIT_SUCCESS;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	block_signals(&set);
+	if (ev_open_log4c() != CW_OK) {
+		fprintf(stderr, "camphord: %s\n", cw_error_last());
+		free(daemon);
+		return EXIT_FAILURE;
+	}
+	result = run(daemon, &set);
+	free(daemon);
+	return result;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct options options = {
+	    .help = arg_lit0("h", "help", "show this help"),
+	    .version = arg_lit0("V", "version", "show the version"),
+	    .check = arg_lit0(NULL, "check", "check FILE without starting"),
+	    .file = arg_file0(NULL, NULL, "FILE", "settings (TOML)"),
+	    .end = arg_end(8),
+	};
+	void *table[] = {options.help, options.version, options.check,
+	    options.file, options.end};
+	int errors = arg_parse(argc, argv, table);
+	int result = EXIT_USAGE;
+
+	if (options.help->count > 0) {
+		printf("usage: camphord");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		printf("example: camphord /etc/camphorworks/camphord.toml\n");
+		result = EXIT_SUCCESS;
+	} else if (options.version->count > 0) {
+		printf("camphord %s\n", CAMPHOR_VERSION);
+		result = EXIT_SUCCESS;
+	} else if (errors > 0) {
+		arg_print_errors(stderr, options.end, "camphord");
+	} else if (options.file->count == 0) {
+		fprintf(stderr,
+		    "camphord: name the settings file; see "
+		    "camphord --help\n");
+	} else {
+		result =
+		    serve(options.file->filename[0], options.check->count > 0);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(*table));
+	return result;
+}
--- /dev/null
+++ b/programs/camphord/wire_controllers.c
@@ -0,0 +1,116 @@
+#include <assert.h>
+
+#include "daemon.h"
+
+/* Connections to upstreams that were unused for this long are closed. */
+#define CLIENT_IDLE_MS 60000
+#define CLIENT_SWEEP_MS 10000
+
+static int64_t step_sched(void *ctx, int64_t now_ms);
+static int64_t step_index(void *ctx, int64_t now_ms);
+static int64_t step_health(void *ctx, int64_t now_ms);
+static int64_t step_answers(void *ctx, int64_t now_ms);
+static int64_t step_once(void *ctx, int64_t now_ms);
+static int64_t step_client(void *ctx, int64_t now_ms);
+static int add(struct daemon *daemon, const struct ctl_clock *clock,
+    const char *name, int64_t (*step)(void *ctx, int64_t now_ms), void *ctx);
+
+static int64_t
+step_sched(void *ctx, int64_t now_ms)
+{
+	struct daemon *daemon = ctx;
+	int64_t next_ms;
+
+	pthread_mutex_lock(&daemon->sch_lock);
+	next_ms = sch_step(daemon->sch, now_ms);
+	pthread_mutex_unlock(&daemon->sch_lock);
+	return next_ms;
+}
+
+static int64_t
+step_index(void *ctx, int64_t now_ms)
+{
+	struct daemon *daemon = ctx;
+
+	return rt_index_step(daemon->route, now_ms);
+}
+
+static int64_t
+step_health(void *ctx, int64_t now_ms)
+{
+	struct daemon *daemon = ctx;
+
+	return rt_health_step(daemon->route, now_ms);
+}
+
+static int64_t
+step_answers(void *ctx, int64_t now_ms)
+{
+	struct daemon *daemon = ctx;
+
+	return rt_answer_step(daemon->route, now_ms);
+}
+
+static int64_t
+step_once(void *ctx, int64_t now_ms)
+{
+	struct daemon *daemon = ctx;
+
+	return rt_once_step(daemon->route, &daemon->sink, now_ms);
+}
+
+static int64_t
+step_client(void *ctx, int64_t now_ms)
+{
+	struct daemon *daemon = ctx;
+
+	lk_http_client_sweep(daemon->client, now_ms, CLIENT_IDLE_MS);
+	return now_ms + CLIENT_SWEEP_MS;
+}
+
+static int
+add(struct daemon *daemon, const struct ctl_clock *clock, const char *name,
+    int64_t (*step)(void *ctx, int64_t now_ms), void *ctx)
+{
+	struct ctl_spec spec = {name, step, ctx};
+	int code;
+
+	assert(daemon->controller_count < DAEMON_CONTROLLERS_MAX);
+	code = ctl_start(&daemon->controllers[daemon->controller_count],
+	    daemon->board, &spec, clock);
+	if (code == CW_OK)
+		daemon->controller_count++;
+	return code;
+}
+
+/* Starts the thread of every controller. Scheduler and gangs use the time of
+ * day, because records carry it; all others the monotonic clock. */
+int
+wire_controllers(struct daemon *daemon)
+{
+	const struct {
+		const struct ctl_clock *clock;
+		const char *name;
+		int64_t (*step)(void *ctx, int64_t now_ms);
+		void *ctx;
+	} list[] = {
+	    {&daemon->mono, "fleet", fl_step, daemon->fleet},
+	    {&daemon->mono, "vms", fl_vms_step, daemon->fleet},
+	    {&daemon->mono, "snapshot", st_snapshot_step, &daemon->snapshotter},
+	    {&daemon->wall, "sched", step_sched, daemon},
+	    {&daemon->wall, "gang", gang_runner_step, daemon->gang},
+	    {&daemon->mono, "index", step_index, daemon},
+	    {&daemon->mono, "health", step_health, daemon},
+	    {&daemon->mono, "answers", step_answers, daemon},
+	    {&daemon->mono, "once", step_once, daemon},
+	    {&daemon->mono, "client", step_client, daemon},
+	    {&daemon->mono, "events", fr_events_step, daemon->events},
+	};
+	size_t i;
+	int code = CW_OK;
+
+	for (i = 0; i < sizeof(list) / sizeof(*list) && code == CW_OK; i++)
+		code = add(daemon, list[i].clock, list[i].name, list[i].step,
+		    list[i].ctx);
+	return code;
+}
--- /dev/null
+++ b/programs/camphord/wire_fleet.c
@@ -0,0 +1,279 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon.h"
+
+static void mark(void *ctx, uint64_t *position, uint64_t *digest);
+static uint64_t next_offset(void *ctx);
+static int64_t unreachable_since_ms(void *ctx);
+static int64_t confirmed_ms(void *ctx);
+static int tail(void *ctx, uint64_t from, const struct pf_log_sink *sink);
+static int entry(void *ctx, uint64_t offset, const void *data, size_t bytes);
+static int snap_read(void *ctx, uint64_t start, void *buffer, size_t bytes_max,
+    size_t *bytes, uint64_t *total, uint64_t *position);
+static int snap_install(
+    void *ctx, uint64_t position, const void *data, size_t bytes);
+static void rebuild(void *ctx, uint64_t position);
+static void loads(void *ctx,
+    void (*each)(void *each_ctx, uint64_t runner, uint32_t in_flight),
+    void *each_ctx);
+static void load_heard(
+    void *ctx, uint64_t member, uint32_t runner_short, uint32_t load);
+static void loads_dropped(void *ctx, uint64_t member);
+static void demand(
+    void *ctx, uint64_t account, uint32_t *rate_per_s, uint32_t *concurrency);
+static int result(void *ctx, uint64_t request_id, uint32_t *http_status,
+    void *buffer, size_t bytes_max, size_t *bytes);
+static int send_message(
+    void *ctx, const char *address, const void *data, size_t bytes);
+static void receive(void *ctx, const void *data, size_t bytes);
+
+static void
+mark(void *ctx, uint64_t *position, uint64_t *digest)
+{
+	struct daemon *daemon = ctx;
+	struct st_follower_status status;
+
+	st_follower_status_get(daemon->follower, &status);
+	*position = status.position;
+	*digest = status.digest;
+}
+
+static uint64_t
+next_offset(void *ctx)
+{
+	struct daemon *daemon = ctx;
+
+	return st_next_offset(daemon->state);
+}
+
+static int64_t
+unreachable_since_ms(void *ctx)
+{
+	struct daemon *daemon = ctx;
+	struct st_follower_status status;
+
+	st_follower_status_get(daemon->follower, &status);
+	return status.log_lost ? status.contact_ms : -1;
+}
+
+static int64_t
+confirmed_ms(void *ctx)
+{
+	struct daemon *daemon = ctx;
+	struct st_follower_status status;
+
+	st_follower_status_get(daemon->follower, &status);
+	return status.confirmed_ms;
+}
+
+static int
+tail(void *ctx, uint64_t from, const struct pf_log_sink *sink)
+{
+	struct daemon *daemon = ctx;
+
+	if (cw_is_error(
+		st_follower_tail(daemon->follower, from, ST_TAIL_BYTES, sink)))
+		return FL_EEXPIRED;
+	return CW_OK;
+}
+
+static int
+entry(void *ctx, uint64_t offset, const void *data, size_t bytes)
+{
+	struct daemon *daemon = ctx;
+
+	return st_follower_feed(daemon->follower, offset, data, bytes);
+}
+
+/* A peer that begins at 0 gets a new image; the parts that follow are of the
+ * same image, which its position tells. */
+static int
+snap_read(void *ctx, uint64_t start, void *buffer, size_t bytes_max,
+    size_t *bytes, uint64_t *total, uint64_t *position)
+{
+	struct daemon *daemon = ctx;
+	struct daemon_image *image = &daemon->image;
+	struct st_image header;
+	int code = CW_OK;
+
+	pthread_mutex_lock(&image->lock);
+	if (start == 0 || image->data == NULL) {
+		free(image->data);
+		image->data = NULL;
+		code = st_follower_image(
+		    daemon->follower, &image->data, &image->bytes);
+		if (code == CW_OK)
+			code =
+			    st_image_header(image->data, image->bytes, &header);
+		if (code == CW_OK)
+			image->position = header.basis;
+	}
+	if (code == CW_OK && start > image->bytes)
+		code = FL_EEXPIRED;
+	if (code == CW_OK) {
+		*bytes = image->bytes - start;
+		if (*bytes > bytes_max)
+			*bytes = bytes_max;
+		memcpy(buffer, (char *)image->data + start, *bytes);
+		*total = image->bytes;
+		*position = image->position;
+	}
+	pthread_mutex_unlock(&image->lock);
+	return code;
+}
+
+static int
+snap_install(void *ctx, uint64_t position, const void *data, size_t bytes)
+{
+	struct daemon *daemon = ctx;
+
+	(void)position;
+	return st_follower_image_load(daemon->follower, data, bytes);
+}
+
+static void
+rebuild(void *ctx, uint64_t position)
+{
+	struct daemon *daemon = ctx;
+
+	(void)position;
+	st_follower_rebuild_want(daemon->follower);
+}
+
+static void
+loads(void *ctx,
+    void (*each)(void *each_ctx, uint64_t runner, uint32_t in_flight),
+    void *each_ctx)
+{
+	struct daemon *daemon = ctx;
+
+	rt_load_each(daemon->route, each, each_ctx);
+}
+
+static void
+load_heard(void *ctx, uint64_t member, uint32_t runner_short, uint32_t load)
+{
+	struct daemon *daemon = ctx;
+	const struct bd_runner *runner;
+	struct rt_load heard = {.in_flight = load};
+	uint32_t cursor = 0;
+
+	bd_read_begin();
+	while ((runner = bd_runner_next(daemon->board, &cursor)) != NULL)
+		if (fl_short(runner->id) == runner_short) {
+			heard.runner = runner->id;
+			break;
+		}
+	bd_read_end();
+	if (heard.runner != 0)
+		rt_load_set(daemon->route, member, &heard, 1);
+}
+
+static void
+loads_dropped(void *ctx, uint64_t member)
+{
+	struct daemon *daemon = ctx;
+
+	rt_load_forget(daemon->route, member);
+}
+
+/* The fleet asks for all accounts in turn; the router's figures of one second
+ * are read once for all of them. */
+static void
+demand(void *ctx, uint64_t account, uint32_t *rate_per_s, uint32_t *concurrency)
+{
+	struct daemon *daemon = ctx;
+	static _Thread_local struct rt_demand demands[FL_ACCOUNTS_MAX];
+	static _Thread_local size_t count;
+	static _Thread_local int64_t read_ms;
+	int64_t now_ms = cw_clock_mono_ms();
+	size_t i;
+
+	if (now_ms - read_ms >= FL_SHARE_ASK_MS / 2) {
+		count = rt_demand_read(daemon->route, demands, FL_ACCOUNTS_MAX);
+		read_ms = now_ms;
+	}
+	*rate_per_s = 0;
+	*concurrency = 0;
+	for (i = 0; i < count; i++)
+		if (demands[i].account == account) {
+			*rate_per_s = demands[i].rate_per_s;
+			*concurrency = demands[i].concurrency;
+		}
+}
+
+static int
+result(void *ctx, uint64_t request_id, uint32_t *http_status, void *buffer,
+    size_t bytes_max, size_t *bytes)
+{
+	struct daemon *daemon = ctx;
+
+	return fr_proxy_result_encode(
+	    daemon->route, request_id, http_status, buffer, bytes_max, bytes);
+}
+
+static int
+send_message(void *ctx, const char *address, const void *data, size_t bytes)
+{
+	struct daemon *daemon = ctx;
+
+	return lk_peer_send(daemon->peer, address, data, bytes);
+}
+
+static void
+receive(void *ctx, const void *data, size_t bytes)
+{
+	struct daemon *daemon = ctx;
+
+	fl_receive(daemon->fleet, data, bytes, cw_clock_mono_ms());
+}
+
+/* Makes the fleet and opens the links to the other daemons. */
+int
+wire_fleet(struct daemon *daemon)
+{
+	const struct cfg_settings *settings = &daemon->settings;
+	struct fl_options *options = calloc(1, sizeof(*options));
+	struct lk_peer_options links = {
+	    .bind = settings->peer_address,
+	    .receive = receive,
+	    .ctx = daemon,
+	};
+	int code;
+
+	if (options == NULL)
+		return CW_ENOMEM;
+	options->board = daemon->board;
+	options->self.id = daemon->self;
+	options->self.zone = cw_id_from_name(settings->zone);
+	options->self.region = cw_id_from_name(settings->region);
+	memcpy(options->self.name, settings->name, CW_NAME_BYTES);
+	memcpy(
+	    options->self.peer_address, settings->peer_address, CW_NAME_BYTES);
+	memcpy(
+	    options->self.http_address, settings->http_address, CW_NAME_BYTES);
+	options->started_ms = cw_clock_wall_ms();
+	options->seed_count = settings->peer_count;
+	memcpy(options->seeds, settings->peers, sizeof(settings->peers));
+	options->sink = daemon->sink;
+	options->transport.send = send_message;
+	options->transport.ctx = daemon;
+	options->state = (struct fl_state_hooks){mark, next_offset,
+	    unreachable_since_ms, confirmed_ms, tail, entry, snap_read,
+	    snap_install, rebuild, daemon};
+	options->route = (struct fl_route_hooks){
+	    loads, load_heard, loads_dropped, demand, result, NULL, daemon};
+	options->vms = daemon->platform.vms;
+	options->wall = daemon->wall;
+	code = fl_create(&daemon->fleet, options, cw_clock_mono_ms());
+	free(options);
+	if (code != CW_OK)
+		return code;
+	memcpy(links.public_key, settings->curve_public, LK_PEER_KEY_BYTES);
+	memcpy(links.secret_key, settings->curve_secret, LK_PEER_KEY_BYTES);
+	links.allowed_count = settings->curve_peer_count;
+	memcpy(links.allowed, settings->curve_peers,
+	    sizeof(settings->curve_peers));
+	return lk_peer_start(&daemon->peer, &links);
+}
--- /dev/null
+++ b/programs/camphord/wire_front.c
@@ -0,0 +1,181 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "daemon.h"
+
+/* Connections that wait for a thread of the server. */
+#define SERVER_QUEUE 256
+
+struct request_metrics {
+	const struct bd_board *board;
+	struct fr_metric_out *out;
+};
+
+static bool is_ready(void *ctx);
+static void start_drain(void *ctx);
+static void log_state(void *ctx, struct fr_log_state *out);
+static int explain(
+    void *ctx, uint64_t job, int64_t now_ms, struct sch_explanation *out);
+static void emit_hist(void *ctx, uint64_t account, uint32_t class_number,
+    enum rt_hist_kind kind, const struct hist *hist);
+static void collect_requests(void *ctx, struct fr_metric_out *out);
+static void collect_traffic(void *ctx, struct fr_metric_out *out);
+
+static bool
+is_ready(void *ctx)
+{
+	struct daemon *daemon = ctx;
+	struct st_follower_status status;
+
+	st_follower_status_get(daemon->follower, &status);
+	return status.ready && !atomic_load(&daemon->stopping);
+}
+
+/* The main thread waits for this signal. */
+static void
+start_drain(void *ctx)
+{
+	(void)ctx;
+	kill(getpid(), SIGTERM);
+}
+
+static void
+log_state(void *ctx, struct fr_log_state *out)
+{
+	struct daemon *daemon = ctx;
+	struct st_follower_status status;
+
+	st_follower_status_get(daemon->follower, &status);
+	out->position = status.position;
+	out->lag_ms = cw_clock_mono_ms() - status.contact_ms;
+	out->reachable = !status.log_lost;
+}
+
+static int
+explain(void *ctx, uint64_t job, int64_t now_ms, struct sch_explanation *out)
+{
+	struct daemon *daemon = ctx;
+	int code;
+
+	pthread_mutex_lock(&daemon->sch_lock);
+	code = sch_explain(daemon->sch, job, now_ms, out);
+	pthread_mutex_unlock(&daemon->sch_lock);
+	return code;
+}
+
+static void
+emit_hist(void *ctx, uint64_t account, uint32_t class_number,
+    enum rt_hist_kind kind, const struct hist *hist)
+{
+	struct request_metrics *metrics = ctx;
+	const struct bd_account *row;
+	char name[CW_NAME_BYTES] = "removed";
+	struct fr_metric metric = {
+	    .name = "request_seconds",
+	    .help = "Time of requests in queue, at the upstream and in all.",
+	    .kind = FR_METRIC_SUMMARY,
+	    .label_count = 3,
+	    .labels = {{"account", name},
+		{"class", bd_class_name(class_number)},
+		{"part", rt_hist_name(kind)}},
+	    .hist = hist,
+	    .scale = 1e-6,
+	};
+
+	bd_read_begin();
+	row = bd_account_lookup(metrics->board, account);
+	if (row != NULL)
+		memcpy(name, row->name, sizeof(name));
+	bd_read_end();
+	metrics->out->emit(metrics->out->ctx, &metric);
+}
+
+static void
+collect_requests(void *ctx, struct fr_metric_out *out)
+{
+	struct daemon *daemon = ctx;
+	struct request_metrics metrics = {daemon->board, out};
+	struct rt_hist_reader reader = {emit_hist, &metrics};
+	uint32_t i;
+
+	for (i = 0; i < RT_COUNTERS; i++)
+		fr_metric_value(out, rt_counter_name(i),
+		    "Counter of the request path.", FR_METRIC_COUNTER,
+		    (double)rt_counter_read(daemon->route, i));
+	rt_hist_read(daemon->route, &reader);
+}
+
+static void
+collect_traffic(void *ctx, struct fr_metric_out *out)
+{
+	struct daemon *daemon = ctx;
+	struct fl_counters counters;
+	uint32_t kind;
+
+	fl_traffic(daemon->fleet, &counters);
+	for (kind = 1; kind < FL_MSG_KIND_LIMIT; kind++) {
+		struct fr_metric metric = {
+		    .name = "peer_sent_bytes_total",
+		    .help = "Bytes of messages to other daemons, by kind.",
+		    .kind = FR_METRIC_COUNTER,
+		    .label_count = 1,
+		    .labels = {{"kind", fl_msg_kind_name(kind)}},
+		    .value = (double)counters.sent_bytes[kind],
+		};
+
+		out->emit(out->ctx, &metric);
+	}
+}
+
+/* Makes the HTTP interface and opens its port. */
+int
+wire_front(struct daemon *daemon)
+{
+	struct lk_http_server_config server;
+	struct lk_http_route routes[LK_HTTP_ROUTES_MAX];
+	struct fr_options options;
+	size_t count;
+	int code;
+
+	fr_options_default(&options);
+	options.board = daemon->board;
+	options.sink = daemon->sink;
+	options.wall = daemon->wall;
+	options.mono = daemon->mono;
+	options.self = daemon->self;
+	memcpy(options.vm, daemon->settings.name, CW_NAME_BYTES);
+	options.hooks.fit = fr_fit_check;
+	options.hooks.fit_ctx = daemon->board;
+	options.hooks.explain = explain;
+	options.hooks.explain_ctx = daemon;
+	options.hooks.ready = is_ready;
+	options.hooks.ready_ctx = daemon;
+	options.hooks.drain = start_drain;
+	options.hooks.drain_ctx = daemon;
+	options.hooks.log_state = log_state;
+	options.hooks.log_state_ctx = daemon;
+	options.log = &daemon->platform.log;
+	options.events = daemon->events;
+	options.sources[options.source_count++] =
+	    (struct fr_metric_source){collect_requests, daemon};
+	options.sources[options.source_count++] =
+	    (struct fr_metric_source){collect_traffic, daemon};
+	code = fr_create(&daemon->front, &options);
+	if (code != CW_OK)
+		return code;
+	count = fr_routes(daemon->front, routes, LK_HTTP_ROUTES_MAX - 2);
+	routes[count++] = (struct lk_http_route){"POST", FR_PROXY_SERVICES,
+	    FR_PROXY_BODY_BYTES_MAX, fr_proxy_handle_post, daemon->proxy};
+	routes[count++] = (struct lk_http_route){
+	    "GET", FR_PROXY_REQUESTS, 0, fr_proxy_handle_get, daemon->proxy};
+	lk_http_server_config_default(&server);
+	server.address = daemon->settings.http_address;
+	server.tls_certificate = daemon->settings.tls_certificate;
+	server.threads = daemon->settings.http_threads;
+	server.queue = SERVER_QUEUE;
+	server.routes = routes;
+	server.route_count = count;
+	return lk_http_server_start(&daemon->server, &server);
+}
--- /dev/null
+++ b/programs/camphord/wire_sched.c
@@ -0,0 +1,34 @@
+#include "daemon.h"
+
+static bool may_act(void *ctx, int64_t now_ms);
+
+/* Placement is a duty: the others' proposals would only be rejected. */
+static bool
+may_act(void *ctx, int64_t now_ms)
+{
+	struct daemon *daemon = ctx;
+
+	(void)now_ms;
+	return !atomic_load(&daemon->stopping) &&
+	    fl_duty_is_held(daemon->board, BD_DUTY_PLACEMENT, daemon->self);
+}
+
+/* Makes the scheduler and the runner of gangs. */
+int
+wire_sched(struct daemon *daemon)
+{
+	struct sch_spec spec = {
+	    .board = daemon->board,
+	    .sink = daemon->sink,
+	    .may_act = may_act,
+	    .may_act_ctx = daemon,
+	};
+	int code;
+
+	code = sch_create(&daemon->sch, &spec);
+	if (code != CW_OK)
+		return code;
+	return gang_runner_create(&daemon->gang, daemon->board,
+	    &daemon->platform.tasks, &daemon->sink, daemon->self,
+	    &gang_settings_default, &daemon->wall);
+}
--- /dev/null
+++ b/programs/camphord/wire_state.c
@@ -0,0 +1,55 @@
+#include <assert.h>
+
+#include "daemon.h"
+
+/* Half of the shortest retention that is expected of the log. */
+#define SNAPSHOT_AGE_MS (30 * 60 * 1000)
+#define SNAPSHOT_TAIL_BYTES (4 * 1024 * 1024)
+/* One long poll: an idle daemon asks the log every 2 s. */
+#define LOG_POLL_MS 2000
+/* A record whose outcome is not known by then is reported as unknown. */
+#define WRITER_PATIENCE_MS 4000
+
+/*
+ * Makes the tables, the follower and the writer, and recovers the tables from
+ * the log. A log out of reach is no error: a peer's image may serve.
+ */
+int
+wire_state(struct daemon *daemon)
+{
+	struct st_follower_options follower = {
+	    .poll_ms = LOG_POLL_MS,
+	    .snapshot_age_ms = SNAPSHOT_AGE_MS,
+	    .snapshot_bytes = SNAPSHOT_TAIL_BYTES,
+	};
+	struct st_writer_options writer = {
+	    .incarnation = daemon->self,
+	    .patience_ms = WRITER_PATIENCE_MS,
+	};
+	struct st_observer observer;
+	int code;
+
+	code = bd_board_create(&daemon->board);
+	if (code == CW_OK)
+		code = st_create(&daemon->state, daemon->board);
+	if (code == CW_OK)
+		code = st_follower_create(&daemon->follower, daemon->state,
+		    &daemon->platform.log, &daemon->mono, &follower);
+	if (code == CW_OK)
+		code = st_writer_create(&daemon->writer, &daemon->platform.log,
+		    &daemon->wall, &writer);
+	if (code != CW_OK)
+		return code;
+	observer = st_writer_observer(daemon->writer);
+	st_follower_observe(daemon->follower, &observer);
+	daemon->sink = st_writer_sink(daemon->writer);
+	daemon->snapshotter.follower = daemon->follower;
+	daemon->snapshotter.self = daemon->self;
+	code = st_follower_recover(daemon->follower);
+	if (code != CW_OK && code != ST_EUNAVAILABLE)
+		return code;
+	code = st_follower_start(daemon->follower);
+	if (code == CW_OK)
+		code = st_writer_start(daemon->writer);
+	return code;
+}
