--- a/programs/camphord/daemon.c
+++ b/programs/camphord/daemon.c
@@ -34,8 +34,8 @@
 	struct pf_http_settings http = {.address = url};
 	int code;
 
-	snprintf(url, sizeof(url), "http://%s",
-	    daemon->settings.platform_address);
+	snprintf(
+	    url, sizeof(url), "http://%s", daemon->settings.platform_address);
 	code = pf_http_create(&daemon->http, &http);
 	if (code != CW_OK)
 		return code;
