--- a/lib/link/http_message.c
+++ b/lib/link/http_message.c
@@ -23,16 +23,19 @@
 	response->header_count++;
 }
 
-/* Sets the type of the body; longer ones and those with line ends are left at
+/* Copies the type of the body; longer ones and those with line ends are left at
  * the default. */
 void
 lk_http_response_type(
     struct lk_http_response *response, const char *content_type)
 {
-	if (strlen(content_type) < sizeof(response->content_type) &&
-	    strpbrk(content_type, "\r\n") == NULL)
-		memcpy(response->content_type, content_type,
-		    strlen(content_type) + 1);
+	size_t bytes = strlen(content_type) + 1;
+
+	if (bytes > sizeof(response->own_type) ||
+	    strpbrk(content_type, "\r\n") != NULL)
+		return;
+	memcpy(response->own_type, content_type, bytes);
+	response->content_type = response->own_type;
 }
 
 /* Sets the status and a copy of the body. Returns CW_ENOMEM, and the response
--- a/lib/link/http_server.c
+++ b/lib/link/http_server.c
@@ -136,8 +136,8 @@
 	    "Connection: %s\r\n",
 	    response->status,
 	    mg_get_response_code_text(connection, response->status),
-	    response->content_type[0] != '\0' ? response->content_type
-					      : "application/json",
+	    response->content_type != NULL ? response->content_type
+					   : "application/json",
 	    response->body_bytes, response->close ? "close" : "keep-alive");
 	for (i = 0; i < response->header_count; i++)
 		used += (size_t)snprintf(head + used, HEAD_BYTES - used,
--- a/lib/link/http_server.h
+++ b/lib/link/http_server.h
@@ -36,8 +36,9 @@
 
 struct lk_http_response {
 	int status;
-	char content_type[64]; /* application/json unless set */
-	bool close;            /* end the connection after the answer */
+	const char *content_type; /* application/json unless set */
+	char own_type[64];        /* of lk_http_response_type */
+	bool close;               /* end the connection after the answer */
 	uint32_t header_count;
 	struct {
 		char name[LK_HTTP_HEADER_NAME_BYTES];
