--- a/tests/bench/bench_proxy.c
+++ b/tests/bench/bench_proxy.c
@@ -25,7 +25,7 @@
 
 static const char ANSWER[] =
     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-    "Content-Length: 32\r\n\r\n{\"price\":42,\"currency\":\"NPR\",   }";
+    "Content-Length: 32\r\n\r\n{\"price\":42,\"currency\":\"NPR\",  }";
 static const char BODY[] = "{\"fabric\":\"linen\",\"metres\":12.5}";
 
 struct load {
