Share less between threads when an attempt ends

Cause: every end of an attempt stored to the average of its service's queue, which stands beside the count that every admission reads, and stored fields whose value had not changed.

--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -22,6 +22,7 @@
  * latency, so that callers with short deadlines do not eject runners. */
 #define TIMEOUT_LATENCIES 4
 #define CHOOSE_TRIES 3
+#define QUEUE_SAMPLE_ONE_IN 8
 
 static bool was_tried(
     const struct rt_pick_query *query, const struct rt_candidate *candidate);
@@ -322,8 +323,11 @@
 		value = UINT32_MAX / 2;
 	if (old != 0)
 		value = old + (value - (int64_t)old) / 8;
-	atomic_store_explicit(
-	    gauge, value < 1 ? 1 : (uint32_t)value, memory_order_relaxed);
+	if (value < 1)
+		value = 1;
+	if (value != (int64_t)old)
+		atomic_store_explicit(
+		    gauge, (uint32_t)value, memory_order_relaxed);
 }
 
 /* 429 and silent kept connections say nothing against the runner. */
--- a/lib/route/route_internal.h
+++ b/lib/route/route_internal.h
@@ -89,7 +89,8 @@
 struct rt_queue {
 	_Alignas(64) atomic_uint_least64_t service;
 	atomic_uint waiting;
-	atomic_uint latency_us; /* moving average of one attempt */
+	/* Written by every thread, unlike what stands above. */
+	_Alignas(64) atomic_uint latency_us; /* average of one attempt */
 	pthread_mutex_t lock;
 	struct rt_waiter *head;
 	uint64_t virtual_time;
