--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -11,6 +11,7 @@
     struct fl_fleet *fleet, int64_t now_ms, int64_t *next_ms);
 static void run_records(struct fl_fleet *fleet, int64_t now_ms);
 static void end_late_questions(struct fl_fleet *fleet, int64_t now_ms);
+static void announce(struct fl_fleet *fleet);
 
 static int64_t
 earlier(int64_t a, int64_t b)
@@ -170,7 +171,7 @@
 	const struct fl_options *options = &fleet->options;
 	uint64_t self = fleet->members.self.id;
 
-	if (!fleet->leaving) {
+	if (fleet->leaving == 0) {
 		(void)fl_duty_decide(options->board, self, now_ms,
 		    &options->sink, &fleet->duty_claims, next_ms);
 		if (now_ms >= fleet->due.jobs) {
@@ -274,6 +275,28 @@
 	return next_ms;
 }
 
+/* Registers this VM with the platform, and again when it leaves. The address
+ * in the platform's list is the one that peers connect to. */
+static void
+announce(struct fl_fleet *fleet)
+{
+	const struct pf_vm_list *list = &fleet->options.vms;
+	const struct bd_member *self = &fleet->options.self;
+	struct pf_vm vm = {0};
+
+	vm.state = fleet->leaving != 0 ? PF_VM_LEAVING : PF_VM_LIVE;
+	if (list->announce == NULL || fleet->announced == vm.state + 1)
+		return;
+	vm.id = cw_id_from_name(self->name);
+	vm.kind = PF_VM_ENTRY;
+	memcpy(vm.name, self->name, sizeof(vm.name));
+	memcpy(vm.address, self->peer_address, sizeof(vm.address));
+	memcpy(vm.region, fleet->options.region, sizeof(vm.region));
+	memcpy(vm.zone, fleet->options.zone, sizeof(vm.zone));
+	if (list->announce(list->ctx, &vm) == CW_OK)
+		fleet->announced = vm.state + 1;
+}
+
 /* One step of the VM list's controller, which waits for the platform. Returns
  * when (ms) it wants to run again. */
 int64_t
@@ -285,6 +308,7 @@
 	int64_t poll_ms = holds ? FL_VMS_POLL_HOLDER_MS : FL_VMS_POLL_MS;
 	int64_t next_ms;
 
+	announce(fleet);
 	/* A change of the board wakes every controller; the platform is asked
 	 * no more often for it. */
 	if (now_ms < fleet->vms_due_ms &&
@@ -303,10 +327,10 @@
 fl_leave(struct fl_fleet *fleet, bool gone, int64_t now_ms)
 {
 	pthread_mutex_lock(&fleet->lock);
-	if (!fleet->leaving)
+	if (fleet->leaving == 0)
 		ev_emit(EV_DUTIES_RELEASED, "member=%016llx",
 		    (unsigned long long)fleet->members.self.id);
-	fleet->leaving = true;
+	fleet->leaving = 1;
 	fleet->members.self.state = BD_MEMBER_LEAVING;
 	fleet->members.self.since_ms = now_ms;
 	fleet->members.self_changed = true;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -99,7 +99,9 @@
 struct fl_options {
 	struct bd_board *board;
 	struct bd_member self; /* id, zone, region, name and addresses */
-	int64_t started_ms;    /* wall clock */
+	char region[24];       /* names, for the platform's list */
+	char zone[24];
+	int64_t started_ms; /* wall clock */
 	uint32_t seed_count;
 	char seeds[FL_MEMBERS_MAX][CW_NAME_BYTES]; /* peer addresses */
 	struct st_sink sink;
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -48,7 +48,8 @@
 	int64_t planned_ms;
 	int64_t vms_due_ms; /* of the VM list thread */
 	CW_ATOMIC(uint32_t) listed;
-	bool leaving;
+	CW_ATOMIC(uint32_t) leaving;
+	uint32_t announced; /* state told to the platform, plus 1 */
 	struct fl_msg in;
 	struct fl_msg out;
 	unsigned char data[FL_MSG_DATA_BYTES_MAX];
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -14,6 +14,8 @@
 
 #define SIM_VMS_MAX 9
 #define SIM_LOG_MAX 4096
+/* Appends of about two years, so that positions have their usual size. */
+#define SIM_LOG_BASE ((uint64_t)5000000)
 #define SIM_TICK_MS 50
 #define SIM_RUNNERS 100
 #define SIM_WALL_MS 1700000000000ll
@@ -175,8 +177,8 @@
 	if (offset != vm->next_offset || named != offset ||
 	    bytes != sizeof(named) + vm->sim->pad_bytes)
 		abort();
-	code = st_apply(
-	    vm->state, &entry->rec, (offset + 1) << REC_POSITION_INDEX_BITS);
+	code = st_apply(vm->state, &entry->rec,
+	    (SIM_LOG_BASE + offset) << REC_POSITION_INDEX_BITS);
 	vm->next_offset++;
 	if (entry->done.call != NULL && entry->by == vm->index &&
 	    entry->rec.writer == vm->incarnation)
@@ -471,7 +473,7 @@
 		struct bd_config config;
 
 		memset(&config, 0, sizeof(config));
-		config.version = 1;
+		config.version = 200000; /* 290 a day for two years */
 		config.entry_vms = sim->vm_count;
 		config.request_keep_ms = 86400000;
 		bd_put(sim->vms[i].board, BD_TABLE_config, BD_WRITER_STATE,
--- a/tests/test_fleet_membership.cc
+++ b/tests/test_fleet_membership.cc
@@ -233,7 +233,9 @@
 		if (worker.row >= 0)
 			bd_put(board, BD_TABLE_worker, BD_WRITER_STATE, 77,
 			    &row, sizeof(row), nullptr);
-		struct pf_vm_list pf = {List::list, &list};
+		struct pf_vm_list pf = {};
+		pf.list = List::list;
+		pf.ctx = &list;
 		struct fl_vms vms;
 		ASSERT_EQ(fl_vms_init(&vms, board, &pf), CW_OK);
 		EXPECT_EQ(fl_vms_poll(&vms, 5000, 1000), 6000);
