--- a/lib/fleet/msg_decode.c
+++ b/lib/fleet/msg_decode.c
@@ -175,7 +175,7 @@
 static void
 take_heartbeat(struct in *in, struct fl_heartbeat *body)
 {
-	const unsigned char *loads;
+	const unsigned char *packed;
 	struct in part;
 	uint32_t bytes;
 	uint32_t i;
@@ -196,15 +196,16 @@
 		take_text(&part, body->http_address);
 	}
 	in->bad |= part.bad;
-	part = take_array(in);
-	in->bad |= part.bad || part.count > FL_MEMBERS_MAX;
-	if (in->bad)
+	packed = take_bin(in, FL_MEMBERS_MAX * FL_SHORT_BYTES, &bytes);
+	if (in->bad || bytes % FL_SHORT_BYTES != 0) {
+		in->bad = true;
 		return;
-	body->heard_count = part.count;
+	}
+	body->heard_count = bytes / FL_SHORT_BYTES;
 	for (i = 0; i < body->heard_count; i++)
-		body->heard[i] = (uint32_t)take_uint(&part, UINT32_MAX);
-	in->bad |= part.bad;
-	loads = take_bin(in, FL_MSG_LOADS_MAX * (FL_SHORT_BYTES + 1), &bytes);
+		body->heard[i] = (uint32_t)big_endian(
+		    packed + (size_t)i * FL_SHORT_BYTES, FL_SHORT_BYTES);
+	packed = take_bin(in, FL_MSG_LOADS_MAX * (FL_SHORT_BYTES + 1), &bytes);
 	if (in->bad || bytes % (FL_SHORT_BYTES + 1) != 0) {
 		in->bad = true;
 		return;
@@ -212,9 +213,9 @@
 	body->load_count = bytes / (FL_SHORT_BYTES + 1);
 	for (i = 0; i < body->load_count; i++) {
 		body->loads[i].runner =
-		    (uint32_t)big_endian(loads, FL_SHORT_BYTES);
-		body->loads[i].in_flight = loads[FL_SHORT_BYTES];
-		loads += FL_SHORT_BYTES + 1;
+		    (uint32_t)big_endian(packed, FL_SHORT_BYTES);
+		body->loads[i].in_flight = packed[FL_SHORT_BYTES];
+		packed += FL_SHORT_BYTES + 1;
 	}
 }
 
--- a/lib/fleet/msg_encode.c
+++ b/lib/fleet/msg_encode.c
@@ -65,6 +65,7 @@
 static void
 pack_heartbeat(msgpack_packer *pk, const struct fl_heartbeat *body)
 {
+	unsigned char heard[FL_MEMBERS_MAX * FL_SHORT_BYTES];
 	unsigned char loads[FL_MSG_LOADS_MAX * (FL_SHORT_BYTES + 1)];
 	unsigned char *at = loads;
 	uint32_t i;
@@ -85,9 +86,9 @@
 		pack_text(pk, body->peer_address);
 		pack_text(pk, body->http_address);
 	}
-	msgpack_pack_array(pk, body->heard_count);
 	for (i = 0; i < body->heard_count; i++)
-		msgpack_pack_uint32(pk, body->heard[i]);
+		put_short(heard + (size_t)i * FL_SHORT_BYTES, body->heard[i]);
+	pack_bin(pk, heard, (size_t)body->heard_count * FL_SHORT_BYTES);
 	for (i = 0; i < body->load_count; i++) {
 		uint32_t load = body->loads[i].in_flight;
 
