Send shares as differences from the previous list

Cause: each ask and each grant named all 29 accounts, once a second; the daemon that grants sent eight of them a second, 1.8 KB/s with their headers.

Change: an ask tells what differs from the ask that was last answered, a grant what differs from the grant to it; both name the list that they build on, and whoever does not have it answers nothing or asks again in full. A demand that changes by less than an eighth counts as unchanged.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -240,9 +240,12 @@
 	uint32_t concurrency;
 };
 
-/* SHARE_ASK carries what is wanted above the floor, SHARE what is granted. */
+/* SHARE_ASK carries what is wanted above the floor, SHARE what is granted.
+ * Either tells only what differs from the list with the sequence base, which
+ * both ends have; base 0 is an empty list. */
 struct fl_share_list {
 	uint64_t sequence;
+	uint64_t base;
 	uint32_t count;
 	struct fl_share_entry entries[FL_ACCOUNTS_MAX];
 };
@@ -443,6 +446,7 @@
 	uint64_t account;
 	struct fl_limit limit;
 	struct fl_limit floor;
+	struct fl_limit wanted; /* by the latest ask */
 	struct fl_limit granted;
 	int64_t until_ms;
 	bool present;   /* in the configuration */
@@ -453,8 +457,9 @@
 struct fl_holder {
 	uint32_t entry_vms;
 	uint32_t count;
-	uint64_t sequence;              /* of the latest ask */
-	uint64_t accepted;              /* highest sequence that was answered */
+	uint64_t sequence; /* of the latest ask */
+	uint64_t accepted; /* highest sequence that was answered */
+	uint64_t base;     /* the same while what was granted holds, or 0 */
 	int64_t asked_ms[FL_ASKS_KEPT]; /* by sequence modulo this */
 	struct fl_lease leases[FL_ACCOUNTS_MAX];
 };
@@ -481,6 +486,7 @@
 	uint64_t sequence;
 	int64_t asked_ms;
 	struct fl_limit wanted[FL_ACCOUNTS_MAX];
+	struct fl_limit told[FL_ACCOUNTS_MAX]; /* by the latest SHARE */
 	struct fl_grant grants[FL_ACCOUNTS_MAX][FL_GRANTS_KEPT];
 };
 
--- a/lib/fleet/msg_decode.c
+++ b/lib/fleet/msg_decode.c
@@ -263,6 +263,7 @@
 	uint32_t i;
 
 	body->sequence = take_uint(in, UINT64_MAX);
+	body->base = take_uint(in, UINT64_MAX);
 	body->count = (in->count - in->next) / 3;
 	if (in->bad || body->count > FL_ACCOUNTS_MAX) {
 		in->bad = true;
--- a/lib/fleet/msg_encode.c
+++ b/lib/fleet/msg_encode.c
@@ -132,8 +132,9 @@
 	uint32_t i;
 
 	assert(body->count <= FL_ACCOUNTS_MAX);
-	msgpack_pack_array(pk, 1 + (size_t)body->count * 3);
+	msgpack_pack_array(pk, 2 + (size_t)body->count * 3);
 	msgpack_pack_uint64(pk, body->sequence);
+	msgpack_pack_uint64(pk, body->base);
 	for (i = 0; i < body->count; i++) {
 		msgpack_pack_uint32(pk, body->entries[i].account);
 		msgpack_pack_uint32(pk, body->entries[i].rate_per_s);
--- a/lib/fleet/share_granter.c
+++ b/lib/fleet/share_granter.c
@@ -4,6 +4,8 @@
 #include "fleet.h"
 
 static int64_t with_margin(int64_t ms);
+static void take_wanted(struct fl_granter *granter, struct fl_asker *asker,
+    const struct fl_share_list *ask);
 static int slot_of(struct fl_granter *granter, uint64_t account);
 static void take_pools(
     struct fl_granter *granter, const struct bd_board *board);
@@ -217,11 +219,35 @@
 	keep_grant(asker, slot, granted, now_ms);
 }
 
+/* Takes what the asker wants; an account that is unknown here is passed over,
+ * and gets nothing. */
+static void
+take_wanted(struct fl_granter *granter, struct fl_asker *asker,
+    const struct fl_share_list *ask)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < ask->count; i++) {
+		const struct fl_share_entry *entry = &ask->entries[i];
+
+		for (j = 0; j < granter->account_count; j++)
+			if (fl_account_short(granter->accounts[j]) ==
+			    entry->account)
+				break;
+		if (j == granter->account_count)
+			continue;
+		asker->wanted[j].of[FL_RATE] = entry->rate_per_s;
+		asker->wanted[j].of[FL_CONCURRENCY] = entry->concurrency;
+	}
+}
+
 /*
  * Answers an ask. confirmed_ms is when the log read was sent that showed the
  * duty to be held; read it before fl_granter_duty is called. Returns false
  * where this VM may not grant: no duty, too soon after it was got, no contact
- * with the log, an ask that is repeated or out of order.
+ * with the log, an ask that is repeated, out of order, or relative to one that
+ * this granter has not answered.
  */
 bool
 fl_granter_ask(struct fl_granter *granter, uint64_t asker_id,
@@ -230,36 +256,35 @@
 {
 	struct fl_asker *asker;
 	uint32_t i;
-	uint32_t j;
 
 	if (granter->epoch == 0 || now_ms < granter->ready_ms ||
 	    now_ms - confirmed_ms > FL_SHARE_CONTACT_MS)
 		return false;
 	asker = asker_of(granter, asker_id, now_ms);
-	if (asker == NULL || ask->sequence <= asker->sequence)
+	if (asker == NULL || ask->sequence <= asker->sequence ||
+	    (ask->base != 0 && ask->base != asker->sequence))
 		return false;
 	asker->sequence = ask->sequence;
 	asker->asked_ms = now_ms;
-	memset(asker->wanted, 0, sizeof(asker->wanted));
+	if (ask->base == 0) {
+		memset(asker->wanted, 0, sizeof(asker->wanted));
+		memset(asker->told, 0, sizeof(asker->told));
+	}
+	take_wanted(granter, asker, ask);
 	grant->sequence = ask->sequence;
+	grant->base = ask->base;
 	grant->count = 0;
-	for (i = 0; i < ask->count; i++) {
-		const struct fl_share_entry *entry = &ask->entries[i];
+	for (i = 0; i < granter->account_count; i++) {
+		struct fl_share_entry *entry = &grant->entries[grant->count];
 		struct fl_limit granted;
 
-		for (j = 0; j < granter->account_count; j++)
-			if (fl_account_short(granter->accounts[j]) ==
-			    entry->account)
-				break;
-		if (j == granter->account_count)
+		grant_one(granter, asker, (int)i, now_ms, &granted);
+		if (memcmp(&granted, &asker->told[i], sizeof(granted)) == 0)
 			continue;
-		asker->wanted[j].of[FL_RATE] = entry->rate_per_s;
-		asker->wanted[j].of[FL_CONCURRENCY] = entry->concurrency;
-		grant_one(granter, asker, (int)j, now_ms, &granted);
-		grant->entries[grant->count].account = entry->account;
-		grant->entries[grant->count].rate_per_s = granted.of[FL_RATE];
-		grant->entries[grant->count].concurrency =
-		    granted.of[FL_CONCURRENCY];
+		asker->told[i] = granted;
+		entry->account = fl_account_short(granter->accounts[i]);
+		entry->rate_per_s = granted.of[FL_RATE];
+		entry->concurrency = granted.of[FL_CONCURRENCY];
 		grant->count++;
 	}
 	return true;
--- a/lib/fleet/share_holder.c
+++ b/lib/fleet/share_holder.c
@@ -7,6 +7,10 @@
 static void take_account(struct fl_holder *holder,
     const struct bd_account *account, uint32_t entry_vms);
 static bool has_grant(const struct fl_lease *lease);
+static uint32_t wanted_above(const struct fl_lease *lease,
+    enum fl_limit_kind kind, uint32_t demand, uint32_t entry_vms);
+static bool update_wanted(const struct fl_holder *holder,
+    struct fl_lease *lease, const struct fl_route_hooks *route, bool relative);
 static uint32_t share_of(const struct fl_lease *lease, enum fl_limit_kind kind);
 
 /* Returns the static part of a limit that every one of entry_vms VMs has. */
@@ -65,6 +69,8 @@
 	lease->limit = limit;
 	/* What was granted under another limit no longer holds. */
 	memset(&lease->granted, 0, sizeof(lease->granted));
+	memset(&lease->wanted, 0, sizeof(lease->wanted));
+	holder->base = 0;
 	for (kind = 0; kind < FL_LIMIT_KINDS; kind++)
 		lease->floor.of[kind] =
 		    fl_share_floor(limit.of[kind], entry_vms);
@@ -102,6 +108,46 @@
 	}
 }
 
+/* Returns what is wanted above the floor. A change of less than an eighth is
+ * none, so that it costs no bytes. */
+static uint32_t
+wanted_above(const struct fl_lease *lease, enum fl_limit_kind kind,
+    uint32_t demand, uint32_t entry_vms)
+{
+	uint32_t pool = fl_share_pool(lease->limit.of[kind], entry_vms);
+	uint32_t old = lease->wanted.of[kind];
+	uint32_t above =
+	    demand > lease->floor.of[kind] ? demand - lease->floor.of[kind] : 0;
+
+	if (above > pool)
+		above = pool;
+	if (above != 0 && old <= pool &&
+	    (above > old ? above - old : old - above) <= old / 8)
+		return old;
+	return above;
+}
+
+/* Returns whether the account has something to tell relative to the previous
+ * ask (or to an empty one), and stores what is wanted now. */
+static bool
+update_wanted(const struct fl_holder *holder, struct fl_lease *lease,
+    const struct fl_route_hooks *route, bool relative)
+{
+	struct fl_limit demand = {{0, 0}};
+	struct fl_limit before = {{0, 0}};
+	int kind;
+
+	if (relative)
+		before = lease->wanted;
+	if (lease->present && !lease->ambiguous && route->demand != NULL)
+		route->demand(route->ctx, lease->account, &demand.of[FL_RATE],
+		    &demand.of[FL_CONCURRENCY]);
+	for (kind = 0; kind < FL_LIMIT_KINDS; kind++)
+		lease->wanted.of[kind] = wanted_above(
+		    lease, kind, demand.of[kind], holder->entry_vms);
+	return memcmp(&before, &lease->wanted, sizeof(before)) != 0;
+}
+
 /*
  * Fills an ask for what this VM wants above its floors and remembers when it
  * was asked, which is when the lease starts. Returns false where nothing is
@@ -111,40 +157,27 @@
 fl_holder_ask(struct fl_holder *holder, const struct fl_route_hooks *route,
     int64_t now_ms, struct fl_share_list *ask)
 {
+	bool relative = holder->base != 0 && holder->base == holder->sequence;
+	bool wanted = false;
 	uint32_t i;
-	int kind;
 
+	ask->base = relative ? holder->base : 0;
 	ask->count = 0;
 	for (i = 0; i < holder->count; i++) {
-		const struct fl_lease *lease = &holder->leases[i];
-		struct fl_limit demand = {{0, 0}};
-		bool wanted = false;
-
-		if (!lease->present || lease->ambiguous ||
-		    route->demand == NULL)
-			continue;
-		route->demand(route->ctx, lease->account, &demand.of[FL_RATE],
-		    &demand.of[FL_CONCURRENCY]);
-		for (kind = 0; kind < FL_LIMIT_KINDS; kind++) {
-			uint32_t pool = fl_share_pool(
-			    lease->limit.of[kind], holder->entry_vms);
-			uint32_t above = demand.of[kind] > lease->floor.of[kind]
-			    ? demand.of[kind] - lease->floor.of[kind]
-			    : 0;
+		struct fl_lease *lease = &holder->leases[i];
+		struct fl_share_entry *entry = &ask->entries[ask->count];
+		bool changed = update_wanted(holder, lease, route, relative);
 
-			demand.of[kind] = above < pool ? above : pool;
-			wanted |= demand.of[kind] != 0;
-		}
-		if (!wanted)
+		wanted |= lease->wanted.of[FL_RATE] != 0 ||
+		    lease->wanted.of[FL_CONCURRENCY] != 0;
+		if (!changed)
 			continue;
-		ask->entries[ask->count].account =
-		    fl_account_short(lease->account);
-		ask->entries[ask->count].rate_per_s = demand.of[FL_RATE];
-		ask->entries[ask->count].concurrency =
-		    demand.of[FL_CONCURRENCY];
+		entry->account = fl_account_short(lease->account);
+		entry->rate_per_s = lease->wanted.of[FL_RATE];
+		entry->concurrency = lease->wanted.of[FL_CONCURRENCY];
 		ask->count++;
 	}
-	if (ask->count == 0)
+	if (!wanted && ask->count == 0)
 		return false;
 	ask->sequence = ++holder->sequence;
 	holder->asked_ms[ask->sequence % FL_ASKS_KEPT] = now_ms;
@@ -153,7 +186,8 @@
 
 /*
  * Takes a grant, whose lease counts from when its ask was sent. Returns
- * FL_EEXPIRED for a grant that is late, repeated or out of order.
+ * FL_EEXPIRED for a grant that is late, repeated, out of order, or relative to
+ * one that no longer holds.
  */
 int
 fl_holder_grant(
@@ -165,17 +199,21 @@
 
 	if (grant->sequence <= holder->accepted ||
 	    grant->sequence > holder->sequence ||
-	    grant->sequence + FL_ASKS_KEPT <= holder->sequence)
+	    grant->sequence + FL_ASKS_KEPT <= holder->sequence ||
+	    (grant->base != 0 && grant->base != holder->base))
 		return FL_EEXPIRED;
 	until_ms = holder->asked_ms[grant->sequence % FL_ASKS_KEPT] +
 	    FL_SHARE_LEASE_MS;
 	if (until_ms <= now_ms)
 		return FL_EEXPIRED;
 	holder->accepted = grant->sequence;
+	holder->base = grant->sequence;
 	for (i = 0; i < holder->count; i++) {
 		struct fl_lease *lease = &holder->leases[i];
 		struct fl_limit granted = {{0, 0}};
 
+		if (grant->base != 0)
+			granted = lease->granted;
 		for (j = 0; j < grant->count; j++)
 			if (grant->entries[j].account ==
 			    fl_account_short(lease->account)) {
@@ -211,6 +249,8 @@
 		lease->changed = true;
 		lapsed++;
 	}
+	if (lapsed != 0)
+		holder->base = 0;
 	if (lapsed != 0)
 		ev_emit(EV_SHARES_LAPSED, "accounts=%u", lapsed);
 }
@@ -223,6 +263,7 @@
 	uint32_t i;
 
 	holder->accepted = holder->sequence;
+	holder->base = 0;
 	for (i = 0; i < holder->count; i++)
 		if (has_grant(&holder->leases[i])) {
 			memset(&holder->leases[i].granted, 0,
--- a/tests/bench/bench_fleet.c
+++ b/tests/bench/bench_fleet.c
@@ -44,8 +44,10 @@
 	uint32_t i;
 
 	sim_accounts(sim, ACCOUNTS, ACCOUNT_LIMIT);
-	for (i = 0; i < sim->vm_count; i++)
+	for (i = 0; i < sim->vm_count; i++) {
 		sim->vms[i].demand = ACCOUNT_LIMIT / 2;
+		sim->vms[i].demand_swing = 25;
+	}
 }
 
 /* Control traffic and processor time of the daemons, with what receiving
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -54,7 +54,8 @@
 	uint32_t rebuilds;
 	uint32_t loads[SIM_RUNNERS];
 	uint32_t heard[SIM_VMS_MAX][SIM_RUNNERS]; /* others' loads */
-	uint32_t demand; /* of every account, above no limit */
+	uint32_t demand;                          /* of every account */
+	uint32_t demand_swing; /* percent, another one every 2 s */
 };
 
 struct sim {
@@ -254,14 +255,17 @@
 sim_load_heard(void *ctx, uint64_t member, uint32_t runner, uint32_t load)
 {
 	struct sim_vm *vm = (struct sim_vm *)ctx;
+	static uint32_t names[SIM_RUNNERS];
 	uint32_t from = 0;
 	uint32_t i;
 
+	for (i = 0; names[SIM_RUNNERS - 1] == 0 && i < SIM_RUNNERS; i++)
+		names[i] = fl_short(cw_id_from_pair(7, i));
 	while (vm->sim->vms[from].incarnation != member)
 		if (++from == vm->sim->vm_count)
 			return;
 	for (i = 0; i < SIM_RUNNERS; i++)
-		if (fl_short(cw_id_from_pair(7, i)) == runner)
+		if (names[i] == runner)
 			vm->heard[from][i] = load;
 }
 
@@ -288,9 +292,13 @@
 static inline void
 sim_demand(void *ctx, uint64_t account, uint32_t *rate, uint32_t *concurrency)
 {
-	(void)account;
-	*rate = ((struct sim_vm *)ctx)->demand;
-	*concurrency = ((struct sim_vm *)ctx)->demand;
+	const struct sim_vm *vm = (const struct sim_vm *)ctx;
+	uint64_t roll = cw_id_from_pair(
+	    account, vm->incarnation + (uint64_t)vm->sim->now_ms / 2000);
+
+	*rate = vm->demand -
+	    (uint32_t)(roll % (1 + vm->demand * vm->demand_swing / 100));
+	*concurrency = *rate;
 }
 
 static inline int64_t
--- a/tests/test_fleet_message.cc
+++ b/tests/test_fleet_message.cc
@@ -60,6 +60,7 @@
 	case FL_MSG_SHARE_ASK:
 	case FL_MSG_SHARE:
 		msg.body.share.sequence = UINT64_MAX;
+		msg.body.share.base = 1;
 		msg.body.share.count = FL_ACCOUNTS_MAX;
 		for (uint32_t i = 0; i < FL_ACCOUNTS_MAX; i++)
 			msg.body.share.entries[i] = {
