--- a/lib/fleet/msg_decode.c
+++ b/lib/fleet/msg_decode.c
@@ -175,7 +175,9 @@
 static void
 take_heartbeat(struct in *in, struct fl_heartbeat *body)
 {
+	const unsigned char *packed;
 	struct in part;
+	uint32_t bytes;
 	uint32_t i;
 
 	memset(body, 0, sizeof(*body));
@@ -194,26 +196,27 @@
 		take_text(&part, body->http_address);
 	}
 	in->bad |= part.bad;
-	part = take_array(in);
-	in->bad |= part.bad || part.count > FL_MEMBERS_MAX;
-	if (in->bad)
+	packed = take_bin(in, FL_MEMBERS_MAX * FL_SHORT_BYTES, &bytes);
+	if (in->bad || bytes % FL_SHORT_BYTES != 0) {
+		in->bad = true;
 		return;
-	body->heard_count = part.count;
+	}
+	body->heard_count = bytes / FL_SHORT_BYTES;
 	for (i = 0; i < body->heard_count; i++)
-		body->heard[i] = (uint32_t)take_uint(&part, UINT32_MAX);
-	in->bad |= part.bad;
-	part = take_array(in);
-	in->bad |= part.bad || part.count > 2 * FL_MSG_LOADS_MAX ||
-	    part.count % 2 != 0;
-	if (in->bad)
+		body->heard[i] = (uint32_t)big_endian(
+		    packed + (size_t)i * FL_SHORT_BYTES, FL_SHORT_BYTES);
+	packed = take_bin(in, FL_MSG_LOADS_MAX * (FL_SHORT_BYTES + 1), &bytes);
+	if (in->bad || bytes % (FL_SHORT_BYTES + 1) != 0) {
+		in->bad = true;
 		return;
-	body->load_count = part.count / 2;
+	}
+	body->load_count = bytes / (FL_SHORT_BYTES + 1);
 	for (i = 0; i < body->load_count; i++) {
-		body->loads[i].runner = (uint32_t)take_uint(&part, UINT32_MAX);
-		body->loads[i].in_flight =
-		    (uint32_t)take_uint(&part, UINT32_MAX);
+		body->loads[i].runner =
+		    (uint32_t)big_endian(packed, FL_SHORT_BYTES);
+		body->loads[i].in_flight = packed[FL_SHORT_BYTES];
+		packed += FL_SHORT_BYTES + 1;
 	}
-	in->bad |= part.bad;
 }
 
 static void
@@ -260,6 +263,7 @@
 	uint32_t i;
 
 	body->sequence = take_uint(in, UINT64_MAX);
+	body->base = take_uint(in, UINT64_MAX);
 	body->count = (in->count - in->next) / 3;
 	if (in->bad || body->count > FL_ACCOUNTS_MAX) {
 		in->bad = true;
