--- /dev/null
+++ b/tests/test_report.cc
@@ -0,0 +1,269 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "config.h"
+#include "report.h"
+
+namespace {
+
+const int64_t HOUR = 3600000;
+const int64_t T = 1800000000000; // 2027-01-15T08:00:00Z
+
+const char TEXT[] =
+    "[fleet]\nentry_vms = 8\n"
+    "[[account]]\nname = \"alpha\"\nquota = 8\n"
+    "key_salt = \"00000000000000000000000000000000\"\n"
+    "key_sha256 = \"00000000000000000000000000000000000000000000000000000000"
+    "00000000\"\n"
+    "[[account.guarantee]]\nmembers = 1\naccelerators = 4\ncores = 1\n"
+    "memory = \"1GiB\"\ncopies = 1\n"
+    "[[account]]\nname = \"beta\"\nquota = 8\n"
+    "key_salt = \"00000000000000000000000000000000\"\n"
+    "key_sha256 = \"00000000000000000000000000000000000000000000000000000000"
+    "00000000\"\n";
+
+struct Script {
+	Script(int64_t from_ms, int64_t to_ms)
+	{
+		EXPECT_EQ(rp_builder_create(&builder, from_ms, to_ms), CW_OK);
+		struct cfg_errors errors = {};
+		struct cfg_text *text = nullptr;
+		EXPECT_EQ(
+		    cfg_text_parse(TEXT, strlen(TEXT), &text, &errors), CW_OK)
+		    << errors.errors[0].text;
+		promise = text->promises[0].id;
+		cfg_text_free(text);
+	}
+	~Script()
+	{
+		rp_builder_destroy(builder);
+	}
+	Script(const Script &) = delete;
+	Script &operator=(const Script &) = delete;
+
+	// Feeds one record; returns its position.
+	template <typename Fill>
+	uint64_t
+	add(uint32_t kind, int64_t time_ms, Fill fill)
+	{
+		struct rec rec = {};
+		rec.version = REC_VERSION;
+		rec.kind = kind;
+		rec.writer = 7;
+		rec.sequence = ++position;
+		rec.time_ms = time_ms;
+		fill(rec);
+		EXPECT_EQ(rp_builder_apply(builder, &rec, position), CW_OK);
+		return position;
+	}
+	uint64_t
+	config(uint64_t base, int64_t time_ms)
+	{
+		return add(REC_CONFIG, time_ms, [&](struct rec &rec) {
+			rec.body.config.base_version = base;
+			rec.body.config.text = TEXT;
+			rec.body.config.text_bytes = strlen(TEXT);
+			strcpy(rec.body.config.author, "ops");
+		});
+	}
+	void
+	worker(const char *name, int64_t time_ms)
+	{
+		add(REC_WORKER, time_ms, [&](struct rec &rec) {
+			struct bd_worker &facts = rec.body.worker.facts;
+			facts.id = cw_id_from_name(name);
+			facts.accels = 8;
+			facts.cores_milli = 32000;
+			facts.memory_mb = 65536;
+			strcpy(facts.name, name);
+		});
+	}
+	uint64_t
+	submit(const char *account, const char *name, uint16_t accels,
+	    int64_t declared_ms, int64_t time_ms)
+	{
+		return add(REC_JOB_SUBMIT, time_ms, [&](struct rec &rec) {
+			auto &body = rec.body.job_submit;
+			body.account = cw_id_from_name(account);
+			body.shape = {1, accels, 1000, 1024};
+			body.declared_ms = declared_ms;
+			strcpy(body.name, name);
+		});
+	}
+	// Places and starts; epoch is that of the waiting job.
+	uint64_t
+	place(uint64_t job, uint64_t epoch, uint64_t in_promise,
+	    const char *name, uint32_t mask, int64_t time_ms)
+	{
+		uint64_t token = add(REC_PLACE, time_ms, [&](struct rec &rec) {
+			rec.body.place.job = job;
+			rec.body.place.epoch = epoch;
+			rec.body.place.promise = in_promise;
+			rec.body.place.member_count = 1;
+			rec.body.place.members[0] = {
+			    cw_id_from_name(name), mask, 0};
+		});
+		add(REC_GANG_STARTED, time_ms, [&](struct rec &rec) {
+			rec.body.gang_started = {job, token};
+		});
+		return token;
+	}
+	uint64_t
+	ended(uint64_t job, uint64_t token, uint32_t outcome, uint32_t reason,
+	    int64_t progress_ms, int64_t time_ms)
+	{
+		return add(REC_GANG_ENDED, time_ms, [&](struct rec &rec) {
+			rec.body.gang_ended = {job, token,
+			    cw_id_from_name("w2"), outcome, reason,
+			    progress_ms};
+		});
+	}
+	void
+	plan(uint64_t epoch, uint32_t count, int64_t time_ms)
+	{
+		add(REC_PLAN, time_ms, [&](struct rec &rec) {
+			rec.body.plan.promise = promise;
+			rec.body.plan.epoch = epoch;
+			rec.body.plan.slot_count = count;
+			rec.body.plan.slots[0] = {cw_id_from_name("w1"), 15, 0};
+		});
+	}
+	// Half a day of two accounts: a reclaim, a restart, a failure, a stale
+	// configuration, a shortage, and a request without an outcome.
+	const struct rp_report *
+	day()
+	{
+		uint64_t first = config(0, T - HOUR);
+		worker("w1", T - HOUR);
+		worker("w2", T - HOUR);
+		plan(first, 1, T - HOUR);
+		uint64_t big = submit("beta", "=layout", 8, 4 * HOUR, T - HOUR);
+		uint64_t token = place(big, big, 0, "w1", 255, T - HOUR / 2);
+		uint64_t small =
+		    submit("alpha", "match \"a\"", 4, 2 * HOUR, T + HOUR);
+		add(REC_PREEMPT, T + HOUR + 500, [&](struct rec &rec) {
+			rec.body.preempt = {big, token, small,
+			    BD_REASON_RECLAIMED, 0, T + HOUR + 4500};
+		});
+		uint64_t epoch = ended(big, token, REC_OUTCOME_RETRY,
+		    BD_REASON_RECLAIMED, HOUR, T + HOUR + 3500);
+		uint64_t small_token =
+		    place(small, small, promise, "w1", 15, T + HOUR + 4000);
+		token = place(big, epoch, 0, "w2", 255, T + HOUR + 4000);
+		ended(big, token, REC_OUTCOME_FAILED, BD_REASON_MEMBER_FAILED,
+		    HOUR, T + 2 * HOUR + 4000);
+		config(1, T + 2 * HOUR + HOUR / 2);
+		config(1, T + 2 * HOUR + HOUR / 2);
+		ended(small, small_token, REC_OUTCOME_DONE, 0, 0,
+		    T + 3 * HOUR + 4000);
+		submit("beta", "queued", 2, HOUR, T + 3 * HOUR + HOUR / 2);
+		for (uint64_t id : {1, 2, 3})
+			add(REC_REQ_INTENT, T + 3 * HOUR + HOUR / 2,
+			    [&](struct rec &rec) {
+				    rec.body.req_intent = {id, 100 + id,
+					cw_id_from_name("alpha"), 0, 7, 0};
+			    });
+		for (uint64_t id : {1, 2})
+			add(REC_REQ_OUTCOME, T + 3 * HOUR + HOUR / 2,
+			    [&](struct rec &rec) {
+				    // 0: did not run, the entry goes.
+				    rec.body.req_outcome = {id, 100 + id,
+					id == 1 ? 200u : 0u, 0, ""};
+			    });
+		uint64_t gone = position + 1;
+		plan(4, 0, T + 3 * HOUR + HOUR / 2);
+		add(REC_SHORT, T + 3 * HOUR + HOUR / 2, [&](struct rec &rec) {
+			rec.body.short_since = {
+			    promise, gone, T + 3 * HOUR + HOUR / 2};
+		});
+		// After the period.
+		submit("alpha", "later", 4, HOUR, T + 5 * HOUR);
+		return rp_builder_finish(builder);
+	}
+	struct rp_builder *builder = nullptr;
+	uint64_t promise = 0;
+	uint64_t position = 0;
+};
+
+// The kept text is in tests/golden/report; GOLDEN_WRITE=1 writes it anew.
+void
+compare(const char *name, char *text, size_t bytes)
+{
+	std::string path =
+	    std::string(TEST_SOURCE_DIR "/tests/golden/report/") + name;
+	std::string got(text == nullptr ? "" : std::string(text, bytes));
+
+	free(text);
+	if (getenv("GOLDEN_WRITE") != nullptr)
+		std::ofstream(path) << got;
+	std::ifstream file(path);
+	std::stringstream kept;
+	kept << file.rdbuf();
+	EXPECT_FALSE(got.empty());
+	EXPECT_EQ(got, kept.str());
+}
+
+// Guards against changed figures or forms: the regulator compares reports of
+// different times.
+TEST(Report, Golden)
+{
+	Script script(T, T + 4 * HOUR);
+	const struct rp_report *report = script.day();
+	size_t bytes = 0;
+
+	char *text = rp_format_text(report, &bytes);
+	compare("day.txt", text, bytes);
+	text = rp_format_csv(report, &bytes);
+	compare("day.csv", text, bytes);
+	text = rp_format_plot(report, &bytes);
+	compare("day.plot", text, bytes);
+}
+
+// Guards against figures that depend on how a span is cut into periods.
+TEST(Report, PeriodsAddUp)
+{
+	const int64_t cuts[] = {T - 2 * HOUR, T + 1234567, T + HOUR + 3600,
+	    T + 3 * HOUR, T + 4 * HOUR};
+	Script whole(cuts[0], cuts[4]);
+	const struct rp_report *all = whole.day();
+	struct rp_account sum = {};
+
+	for (int i = 0; i < 4; i++) {
+		Script part(cuts[i], cuts[i + 1]);
+		const struct rp_report *report = part.day();
+		for (size_t a = 0; a < report->account_count; a++) {
+			const struct rp_account &account = report->accounts[a];
+			sum.promised_ms += account.promised_ms;
+			sum.short_ms += account.short_ms;
+			sum.asked_ms += account.asked_ms;
+			sum.guaranteed_ms += account.guaranteed_ms;
+			sum.borrowed_ms += account.borrowed_ms;
+			sum.lost_ms += account.lost_ms;
+			sum.waited_ms += account.waited_ms;
+			sum.submitted += account.submitted;
+			sum.failed += account.failed;
+		}
+	}
+	for (size_t a = 0; a < all->account_count; a++) {
+		const struct rp_account &account = all->accounts[a];
+		sum.promised_ms -= account.promised_ms;
+		sum.short_ms -= account.short_ms;
+		sum.asked_ms -= account.asked_ms;
+		sum.guaranteed_ms -= account.guaranteed_ms;
+		sum.borrowed_ms -= account.borrowed_ms;
+		sum.lost_ms -= account.lost_ms;
+		sum.waited_ms -= account.waited_ms;
+		sum.submitted -= account.submitted;
+		sum.failed -= account.failed;
+	}
+	struct rp_account zero = {};
+	EXPECT_EQ(memcmp(&sum, &zero, sizeof(sum)), 0);
+	EXPECT_EQ(rp_builder_create(&whole.builder, T, T), RP_EINVALID);
+}
+
+} // namespace
