--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -47,6 +47,7 @@
 	if (front == NULL)
 		return cw_error_set(FR_ENOMEM, "no memory for the front");
 	front->options = *options;
+	atomic_flag_clear(&front->reporting);
 	*out = front;
 	return CW_OK;
 }
--- a/lib/front/front_internal.h
+++ b/lib/front/front_internal.h
@@ -32,6 +32,7 @@
 	struct fr_options options;
 	atomic_uint waiters;
 	atomic_bool draining;
+	atomic_flag reporting; /* a report is being made */
 	struct fr_counters counters;
 };
 
@@ -80,6 +81,8 @@
 json_t *fr_json_workers(const struct bd_board *board);
 json_t *fr_json_runners(const struct bd_board *board);
 json_t *fr_json_members(const struct bd_board *board);
+struct rp_report;
+json_t *fr_json_history(const struct rp_report *report);
 json_t *fr_json_events(
     const struct fr_event *events, size_t count, uint64_t lost, uint64_t next);
 json_t *fr_json_explanation(const struct sch_explanation *explanation,
--- a/lib/front/json_job.c
+++ b/lib/front/json_job.c
@@ -122,7 +122,8 @@
 	if (code == CW_OK)
 		code =
 		    decode_input(object, out->input, sizeof(out->input), error);
-	out->declared_ms = declared_s * 1000;
+	if (code == CW_OK)
+		out->declared_ms = declared_s * 1000;
 	return code;
 }
 
--- a/lib/front/json_state.c
+++ b/lib/front/json_state.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "front_internal.h"
+#include "report.h"
 
 static const char *worker_state_name(uint32_t state);
 static const char *health_state_name(uint32_t state);
@@ -257,3 +258,25 @@
 	return json_pack("{sI sI so}", "next", (json_int_t)next, "lost",
 	    (json_int_t)lost, "events", list);
 }
+
+/* Encodes the changes of the configuration that the log still keeps. */
+json_t *
+fr_json_history(const struct rp_report *report)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < report->change_count; i++) {
+		const struct rp_change *change = &report->changes[i];
+
+		json_array_append_new(list,
+		    json_pack("{sI so sI sI}", "version",
+			(json_int_t)change->version, "author",
+			fr_json_text(change->author), "time_ms",
+			(json_int_t)change->time_ms, "bytes",
+			(json_int_t)change->bytes));
+	}
+	return json_pack("{sb so}", "complete",
+	    report->covered_from_ms == report->from_ms && report->left_out == 0,
+	    "changes", list);
+}
--- a/lib/front/propose.c
+++ b/lib/front/propose.c
@@ -110,8 +110,8 @@
 		    "this VM has not yet read the log");
 	case ST_EFULL:
 	case ST_ENOMEM:
-		return fr_error_set(
-		    error, FR_EUNAVAILABLE, NULL, "a table is full");
+		return fr_error_set(error, FR_EUNAVAILABLE, NULL,
+		    "a table or the queue for the log is full");
 	case ST_ETOOLARGE:
 		return fr_error_set(
 		    error, FR_ETOOLARGE, NULL, "too large for the log");
--- a/lib/report/report.h
+++ b/lib/report/report.h
@@ -119,6 +119,11 @@
 /* Ends the report; it belongs to the builder. */
 const struct rp_report *rp_builder_finish(struct rp_builder *builder);
 
+/* Reads the records that the log still keeps, from a snapshot on where the
+ * first ones are gone, into a new builder. It only reads the log. */
+int rp_read(const struct pf_log *log, int64_t from_ms, int64_t to_ms,
+    struct rp_builder **out);
+
 /*
  * 4. Forms. Each returns text that the caller frees, NULL where memory is
  * short.
--- a/tests/test_front_api.cc
+++ b/tests/test_front_api.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "fake_log.h"
 #include "front_fixture.h"
 
 namespace {
@@ -288,6 +289,33 @@
 	EXPECT_TRUE(proposed.empty());
 }
 
+// Guards against a report without a log, or in a form that nobody asked for.
+TEST_F(FrontApi, Reports)
+{
+	FakeLog fake;
+	struct pf_log log = fake.log();
+
+	put_accounts();
+	EXPECT_EQ(serve("GET", "/v1/report", "ops"), 503);
+	options.log = &log;
+	start();
+	EXPECT_EQ(serve("GET", "/v1/report", "alpha"), 403);
+	EXPECT_EQ(serve("GET", "/v1/report?to_ms=2000000", "ops"), 200);
+	EXPECT_TRUE(answers("Report from 1970-01-01T00:00:00Z to "
+			    "1970-01-01T00:16:40Z"))
+	    << answer;
+	EXPECT_EQ(serve("GET", "/v1/report?format=csv", "ops"), 200);
+	EXPECT_TRUE(answers("period,from_ms"));
+	EXPECT_EQ(serve("GET", "/v1/report?format=odd", "ops"), 422);
+	EXPECT_EQ(serve("GET", "/v1/report?format=muchtoolong", "ops"), 400);
+	EXPECT_EQ(serve("GET", "/v1/report?from_ms=5&to_ms=5", "ops"), 422);
+	EXPECT_EQ(serve("GET", "/v1/config/history", "ops"), 200);
+	EXPECT_TRUE(answers("{\"complete\":true,\"changes\":[]}"));
+	fake.outage = true;
+	EXPECT_EQ(serve("GET", "/v1/report", "ops"), 503);
+	EXPECT_TRUE(answers("\"ran\":\"not run\""));
+}
+
 // Guards against bodies beyond the limit that reach a decoder.
 TEST_F(FrontApi, BodyTooLarge)
 {
--- a/tests/test_front_json.cc
+++ b/tests/test_front_json.cc
@@ -55,6 +55,10 @@
 		422, "asks for nothing"},
 	    {"{\"name\":\"j\",\"accelerators\":1,\"declared_s\":0}", 422,
 		"declared_s"},
+	    // Overflowed when it was turned into milliseconds.
+	    {"{\"name\":\"j\",\"accelerators\":2,"
+	     "\"declared_s\":65555555555555555}",
+		422, "declared_s"},
 	    // The error cuts this field's name inside a character.
 	    {"{" + base +
 		    ",\"123456789012345678901234567890123456789\u00e9\":1}",
--- a/tests/test_report.cc
+++ b/tests/test_report.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "config.h"
+#include "fake_log.h"
 #include "report.h"
 
 namespace {
@@ -46,19 +47,34 @@
 	Script(const Script &) = delete;
 	Script &operator=(const Script &) = delete;
 
-	// Feeds one record; returns its position.
+	// Feeds one record, which is also an entry of the log; returns its
+	// position.
 	template <typename Fill>
 	uint64_t
 	add(uint32_t kind, int64_t time_ms, Fill fill)
 	{
 		struct rec rec = {};
+		struct rec_bytes bytes = {};
+		void *data = nullptr, *batch = nullptr;
+		uint64_t offset;
+
+		position = st_position_make(count, 1);
 		rec.version = REC_VERSION;
 		rec.kind = kind;
 		rec.writer = 7;
-		rec.sequence = ++position;
+		rec.sequence = ++count;
 		rec.time_ms = time_ms;
 		fill(rec);
 		EXPECT_EQ(rp_builder_apply(builder, &rec, position), CW_OK);
+		EXPECT_EQ(rec_encode(&rec, &data, &bytes.bytes), CW_OK);
+		bytes.data = data;
+		size_t size = 0;
+		EXPECT_EQ(rec_batch_encode(&bytes, 1, &batch, &size), CW_OK);
+		EXPECT_EQ(
+		    FakeLog::append(&log, ST_STREAM, batch, size, &offset),
+		    CW_OK);
+		free(data);
+		free(batch);
 		return position;
 	}
 	uint64_t
@@ -124,12 +140,12 @@
 		});
 	}
 	void
-	plan(uint64_t epoch, uint32_t count, int64_t time_ms)
+	plan(uint64_t epoch, uint32_t slots, int64_t time_ms)
 	{
 		add(REC_PLAN, time_ms, [&](struct rec &rec) {
 			rec.body.plan.promise = promise;
 			rec.body.plan.epoch = epoch;
-			rec.body.plan.slot_count = count;
+			rec.body.plan.slot_count = slots;
 			rec.body.plan.slots[0] = {cw_id_from_name("w1"), 15, 0};
 		});
 	}
@@ -142,6 +158,7 @@
 		worker("w1", T - HOUR);
 		worker("w2", T - HOUR);
 		plan(first, 1, T - HOUR);
+		uint64_t planned = position;
 		uint64_t big = submit("beta", "=layout", 8, 4 * HOUR, T - HOUR);
 		uint64_t token = place(big, big, 0, "w1", 255, T - HOUR / 2);
 		uint64_t small =
@@ -175,8 +192,8 @@
 				    rec.body.req_outcome = {id, 100 + id,
 					id == 1 ? 200u : 0u, 0, ""};
 			    });
-		uint64_t gone = position + 1;
-		plan(4, 0, T + 3 * HOUR + HOUR / 2);
+		plan(planned, 0, T + 3 * HOUR + HOUR / 2);
+		uint64_t gone = position;
 		add(REC_SHORT, T + 3 * HOUR + HOUR / 2, [&](struct rec &rec) {
 			rec.body.short_since = {
 			    promise, gone, T + 3 * HOUR + HOUR / 2};
@@ -188,6 +205,8 @@
 	struct rp_builder *builder = nullptr;
 	uint64_t promise = 0;
 	uint64_t position = 0;
+	uint64_t count = 0;
+	FakeLog log;
 };
 
 // The kept text is in tests/golden/report; GOLDEN_WRITE=1 writes it anew.
@@ -224,6 +243,76 @@
 	compare("day.plot", text, bytes);
 }
 
+std::string
+read_text(Script &script, int64_t from_ms, int *code)
+{
+	struct pf_log log = script.log.log();
+	struct rp_builder *builder = nullptr;
+	std::string got;
+	size_t bytes;
+
+	*code = rp_read(&log, from_ms, T + 4 * HOUR, &builder);
+	if (*code != CW_OK)
+		return got;
+	char *text = rp_format_text(rp_builder_finish(builder), &bytes);
+	got.assign(text, bytes);
+	free(text);
+	rp_builder_destroy(builder);
+	return got;
+}
+
+// Guards against a report that differs when it is read from the log, with or
+// without its first records, and against silence about a gap.
+TEST(Report, ReadFromLogAndSnapshot)
+{
+	Script script(T, T + 4 * HOUR);
+	struct pf_log log = script.log.log();
+	void *image = nullptr;
+	size_t bytes = 0;
+	int code;
+
+	const struct rp_report *report = script.day();
+	char *text = rp_format_text(report, &bytes);
+	std::string direct(text, bytes);
+	free(text);
+	EXPECT_EQ(read_text(script, T, &code), direct);
+
+	// An image after the 7th record, as a VM would write it.
+	struct bd_board *board;
+	struct st_state *state;
+	ASSERT_EQ(bd_board_create(&board), CW_OK);
+	ASSERT_EQ(st_create(&state, board), CW_OK);
+	const auto &entries = script.log.streams[ST_STREAM].entries;
+	for (uint64_t i = 0; i < 7; i++)
+		st_apply_entry(
+		    state, i, entries[i].data(), entries[i].size(), nullptr);
+	ASSERT_EQ(st_image_encode(state, &image, &bytes), CW_OK);
+	script.log.expire(ST_STREAM, 5);
+	EXPECT_EQ(read_text(script, T, &code), "");
+	EXPECT_EQ(code, RP_EUNAVAILABLE);
+	ASSERT_EQ(st_snapshot_write(&log, 1, image, bytes), CW_OK);
+	free(image);
+	// Only the number of records read differs.
+	std::string part = read_text(script, T, &code);
+	EXPECT_EQ(code, CW_OK);
+	EXPECT_EQ(part.substr(part.find("\nAccel")),
+	    direct.substr(direct.find("\nAccel")));
+	EXPECT_EQ(part.find("INCOMPLETE"), std::string::npos);
+	part = read_text(script, T - HOUR, &code);
+	EXPECT_NE(part.find("INCOMPLETE: records before 2027-01-15T07:30"),
+	    std::string::npos)
+	    << part;
+	// An image from which records are missing is of no use.
+	script.log.expire(ST_STREAM, 9);
+	read_text(script, T, &code);
+	EXPECT_EQ(code, RP_EUNAVAILABLE);
+	script.log.outage = true;
+	read_text(script, T, &code);
+	EXPECT_EQ(code, RP_EUNAVAILABLE);
+	st_destroy(state);
+	bd_board_destroy(board);
+}
+
 // Guards against figures that depend on how a span is cut into periods.
 TEST(Report, PeriodsAddUp)
 {
@@ -263,7 +352,8 @@
 	}
 	struct rp_account zero = {};
 	EXPECT_EQ(memcmp(&sum, &zero, sizeof(sum)), 0);
-	EXPECT_EQ(rp_builder_create(&whole.builder, T, T), RP_EINVALID);
+	struct rp_builder *none = nullptr;
+	EXPECT_EQ(rp_builder_create(&none, T, T), RP_EINVALID);
 }
 
 } // namespace
