--- a/lib/cli/call.c
+++ b/lib/cli/call.c
@@ -71,7 +71,7 @@
 	if (answer->outcome == CLI_LOST)
 		return true;
 	return answer->outcome == CLI_ANSWERED && answer->status >= 500 &&
-	    answer->request_id[0] == '\0' &&
+	    !cli_answer_is_upstream(answer) &&
 	    (answer->ran == CLI_RAN_UNKNOWN || answer->ran == CLI_RAN_UNSAID);
 }
 
@@ -88,10 +88,8 @@
 		return call->is_safe;
 	if (answer->status == 503 && answer->ran == CLI_RAN_NOT)
 		return true;
-	return call->is_safe && answer->status >= 500 &&
-	    answer->request_id[0] == '\0' &&
-	    (maybe_ran || strcmp(call->method, "GET") == 0) &&
-	    answer->ran != CLI_RAN_YES;
+	return call->is_safe && answer->status >= 500 && maybe_ran &&
+	    !cli_answer_is_upstream(answer) && answer->ran != CLI_RAN_YES;
 }
 
 /* Reads the fields that every error answer has. */
@@ -205,13 +203,17 @@
 
 	if (answer->outcome != CLI_ANSWERED) {
 		fprintf(out, "%s: %s\n", answer->server, answer->detail);
+	} else if (cli_answer_is_upstream(answer)) {
+		fprintf(out, "the upstream answered %d\n", answer->status);
+	} else if (answer->status == 202) {
+		fprintf(out, "%s: still in progress\n", answer->server);
 	} else {
 		fprintf(
 		    out, "%s answered %d: ", answer->server, answer->status);
 		cli_text_print(out, error == NULL ? "no reason given" : error);
 		fputc('\n', out);
 	}
-	if (code == CLI_EXIT_UNKNOWN && answer->ran == CLI_RAN_YES)
+	if (answer->ran == CLI_RAN_YES)
 		fprintf(out, "It took effect; only its answer is missing.\n");
 	else if (code == CLI_EXIT_UNKNOWN)
 		fprintf(out, "It may have taken effect.\n");
--- a/lib/cli/cli.h
+++ b/lib/cli/cli.h
@@ -98,6 +98,7 @@
     const struct cli_servers *servers, const struct cli_call *call,
     struct cli_answer *answer);
 void cli_answer_free(struct cli_answer *answer);
+bool cli_answer_is_upstream(const struct cli_answer *answer);
 enum cli_exit cli_exit_from_answer(const struct cli_answer *answer);
 void cli_answer_explain(const struct cli_answer *answer, FILE *out);
 void cli_errors_print(
--- a/lib/cli/exit.c
+++ b/lib/cli/exit.c
@@ -31,6 +31,15 @@
 	return CLI_EXIT_UNKNOWN;
 }
 
+/* Tells whether an answer is the upstream's own: it has a request id, and no
+ * "ran", which only camphord's errors have. */
+bool
+cli_answer_is_upstream(const struct cli_answer *answer)
+{
+	return answer->outcome == CLI_ANSWERED &&
+	    answer->ran == CLI_RAN_UNSAID && answer->request_id[0] != '\0';
+}
+
 /*
  * Returns the exit code of a whole call. A call that may have taken effect is
  * never reported as refused or unreachable, because a caller would then repeat
@@ -40,17 +49,14 @@
 cli_exit_from_answer(const struct cli_answer *answer)
 {
 	assert(answer != NULL);
-	if (answer->outcome == CLI_LOST)
-		return CLI_EXIT_UNKNOWN;
-	if (answer->outcome == CLI_NOT_STARTED)
+	if (answer->outcome != CLI_ANSWERED)
 		return answer->maybe_ran ? CLI_EXIT_UNKNOWN
 					 : CLI_EXIT_UNREACHABLE;
 	if (answer->ran == CLI_RAN_UNKNOWN || answer->ran == CLI_RAN_YES)
 		return CLI_EXIT_UNKNOWN;
 	if (answer->status >= 200 && answer->status < 300)
 		return CLI_EXIT_OK;
-	/* An answer without "ran" is the upstream's own. */
-	if (answer->ran == CLI_RAN_UNSAID && answer->request_id[0] != '\0')
+	if (cli_answer_is_upstream(answer))
 		return CLI_EXIT_REFUSED;
 	if (answer->status == 409)
 		return CLI_EXIT_CONFLICT;
@@ -58,9 +64,7 @@
 		return CLI_EXIT_UNKNOWN;
 	if (answer->status == 401 || answer->status == 403)
 		return CLI_EXIT_UNAUTHORISED;
-	if (answer->status == 503 && answer->ran == CLI_RAN_NOT)
+	if (answer->status >= 500)
 		return CLI_EXIT_UNREACHABLE;
-	if (answer->status >= 500 && answer->ran == CLI_RAN_UNSAID)
-		return CLI_EXIT_UNKNOWN;
 	return CLI_EXIT_REFUSED;
 }
--- a/programs/camphorctl/cmd_request.c
+++ b/programs/camphorctl/cmd_request.c
@@ -85,9 +85,8 @@
 	code = ctl_call_run(ctl, &call, &answer);
 	free(body);
 	if (code == CLI_EXIT_OK ||
-	    (answer.request_id[0] != '\0' && answer.ran == CLI_RAN_UNSAID &&
-		!ctl->is_json))
-		ctl_print_body(&answer);
+	    (cli_answer_is_upstream(&answer) && !ctl->is_json))
+		ctl_write_body(&answer);
 	if (code == CLI_EXIT_UNKNOWN && !is_idempotent)
 		fprintf(stderr,
 		    "Ask again with --key %s; the request will not run "
@@ -114,8 +113,9 @@
 	ctl_call_init(ctl, &call, "GET", "/v1/requests/");
 	ctl_call_query(&call, "", ctl_args_text(ctl->args, "id"));
 	code = ctl_call_run(ctl, &call, &answer);
-	if (code == CLI_EXIT_OK)
-		ctl_print_body(&answer);
+	if (code == CLI_EXIT_OK ||
+	    (cli_answer_is_upstream(&answer) && !ctl->is_json))
+		ctl_write_body(&answer);
 	cli_answer_free(&answer);
 	return code;
 }
--- a/programs/camphorctl/cmd_view.c
+++ b/programs/camphorctl/cmd_view.c
@@ -208,7 +208,7 @@
 		call.timeout_ms = 60000;
 	code = ctl_call_run(ctl, &call, &answer);
 	if (code == CLI_EXIT_OK)
-		ctl_print_body(&answer);
+		ctl_write_body(&answer);
 	cli_answer_free(&answer);
 	return code;
 }
--- a/programs/camphorctl/completion.c
+++ b/programs/camphorctl/completion.c
@@ -2,20 +2,18 @@
 
 #include "ctl.h"
 
-static void print_options(
-    const struct ctl_option *options, size_t count, bool with_values);
+static void print_options(const struct ctl_option *options, size_t count);
 static enum cli_exit run_completion(const void *ctx, struct ctl *ctl);
 
-/* Prints the names of options, separated by spaces. */
+/* Prints the names of options, separated by spaces; operands have none. */
 static void
-print_options(const struct ctl_option *options, size_t count, bool with_values)
+print_options(const struct ctl_option *options, size_t count)
 {
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		if (options[i].kind == CTL_FLAG ? !with_values
-						: options[i].kind == CTL_TEXT ||
-			    options[i].kind == CTL_TEXTS)
+		if (options[i].kind != CTL_OPERAND &&
+		    options[i].kind != CTL_OPERAND_OPTIONAL)
 			printf("--%s ", options[i].name);
 }
 
@@ -35,8 +33,7 @@
 	printf("_camphorctl()\n{\n"
 	       "\tlocal cur=${COMP_WORDS[COMP_CWORD]} command= word\n"
 	       "\tlocal globals='");
-	print_options(ctl_global_options, ctl_global_option_count, false);
-	print_options(ctl_global_options, ctl_global_option_count, true);
+	print_options(ctl_global_options, ctl_global_option_count);
 	printf("' commands='");
 	for (g = 0; g < ctl_group_count; g++)
 		for (i = 0; i < ctl_groups[g]->count; i++)
@@ -51,10 +48,7 @@
 			    &ctl_groups[g]->commands[i];
 
 			printf("\t%s) options='", command->name);
-			print_options(
-			    command->options, command->option_count, false);
-			print_options(
-			    command->options, command->option_count, true);
+			print_options(command->options, command->option_count);
 			printf("';;\n");
 		}
 	printf("\t'') options=$commands;;\n\tesac\n"
--- a/programs/camphorctl/ctl.h
+++ b/programs/camphorctl/ctl.h
@@ -60,6 +60,7 @@
 enum cli_exit ctl_call_print(const struct ctl *ctl, const struct cli_call *call,
     void (*print)(const void *ctx, const json_t *answer), const void *ctx);
 void ctl_print_body(const struct cli_answer *answer);
+void ctl_write_body(const struct cli_answer *answer);
 void ctl_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
 /* Reads a whole file, "-" for standard input, with a terminator. The caller
  * frees *text. Returns false after a message. */
--- a/programs/camphorctl/session.c
+++ b/programs/camphorctl/session.c
@@ -131,17 +131,24 @@
 	return code;
 }
 
-/* Prints the body as it came, with a line end after it. */
+/* Prints a body of JSON with a line end after it. */
 void
 ctl_print_body(const struct cli_answer *answer)
 {
-	if (answer->body == NULL || answer->body_bytes == 0)
-		return;
-	fwrite(answer->body, 1, answer->body_bytes, stdout);
-	if (answer->body[answer->body_bytes - 1] != '\n')
+	ctl_write_body(answer);
+	if (answer->body_bytes > 0 &&
+	    answer->body[answer->body_bytes - 1] != '\n')
 		fputc('\n', stdout);
 }
 
+/* Writes the body byte by byte as it came. */
+void
+ctl_write_body(const struct cli_answer *answer)
+{
+	if (answer->body_bytes > 0)
+		fwrite(answer->body, 1, answer->body_bytes, stdout);
+}
+
 /* Runs a call and prints its answer; see ctl.h. */
 enum cli_exit
 ctl_call_print(const struct ctl *ctl, const struct cli_call *call,
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -111,6 +111,7 @@
 	const Step busy = {CLI_ANSWERED, 503, kNotRun};
 	const Step late = {CLI_ANSWERED, 504, kUnknown};
 	const Step key = {CLI_ANSWERED, 401, kNotRun};
+	const Step html = {CLI_ANSWERED, 502, "<html>balancer</html>"};
 	const struct {
 		const char *name;
 		const char *method;
@@ -131,7 +132,9 @@
 	    {"lost then 503", "POST", true, {lost, busy, busy, busy},
 		CLI_EXIT_UNKNOWN},
 	    {"lost then 401", "POST", true, {lost, key}, CLI_EXIT_UNKNOWN},
+	    {"balancer", "POST", false, {html}, CLI_EXIT_UNKNOWN},
 	    {"lost read", "GET", true, {lost, good}, CLI_EXIT_OK},
+	    {"lost reads", "GET", true, {lost, lost}, CLI_EXIT_UNREACHABLE},
 	};
 
 	for (const auto &c : cases) {
@@ -161,7 +164,7 @@
 	    {429, kNotRun, "", CLI_EXIT_REFUSED},
 	    {500, kUnknown, "", CLI_EXIT_UNKNOWN},
 	    {502, kRan, "7", CLI_EXIT_UNKNOWN},
-	    {502, "<html>balancer</html>", "", CLI_EXIT_UNKNOWN},
+	    {502, kNotRun, "7", CLI_EXIT_UNREACHABLE},
 	    {500, "upstream's own error", "7", CLI_EXIT_REFUSED},
 	    {200, "upstream's text", "7", CLI_EXIT_OK},
 	};
