Let small jobs borrow before they break a plan, and keep long borrowers off busy plans

Cause: a small job took a guaranteed place inside a whole-worker plan although a tight place was free, and long gangs were broken again and again on the plans of urgent jobs. Change: while its account holds less than it is promised, a job that fills less than half of a plan borrows first; plans have a learned claim interval, and jobs that run longer keep off.

--- a/lib/sched/embed.c
+++ b/lib/sched/embed.c
@@ -72,6 +72,8 @@
 	room->mask &= ~worker->blocked;
 	if (embed->unplanned || row->hold_until_ms > sch->now_ms)
 		room->mask &= ~worker->planned;
+	else if (sch->now_ms - row->waiting_since_ms < SCH_STARVE_MS)
+		room->mask &= ~sch_heat_mask(sch, w, embed->job->run_ms);
 }
 
 /* Counts the members that each worker and rack has room for. Returns false
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -7,6 +7,7 @@
     const struct sch_spot *spots);
 static bool is_known_failure(const struct sch *sch, uint32_t job);
 static void remember_failure(struct sch *sch, uint32_t job);
+static int claim_one(struct sch *sch, uint32_t job);
 static int claim_all(struct sch *sch, bool urgent);
 static int borrow_one(struct sch *sch, uint32_t job);
 static int borrow_all(struct sch *sch, uint32_t *starving);
@@ -93,6 +94,8 @@
 		body->members[i].accel_mask = spots[i].mask;
 	}
 	hold_room(sch, job, promise, spots);
+	if (promise != SCH_NONE)
+		sch_heat_note(sch, promise);
 	return sch_propose(sch, &rec);
 }
 
@@ -128,6 +131,35 @@
 	sch->failed_count++;
 }
 
+/*
+ * A job that fills little of its account's plans is better off as a borrower,
+ * for inside a plan it would break a larger place. While the account holds
+ * less than it is promised, such a job borrows at once and claims only where
+ * there is nothing to borrow.
+ */
+static int
+claim_one(struct sch *sch, uint32_t job)
+{
+	const struct sch_job *entry = &sch->jobs[job];
+	const struct sch_account *account = &sch->accounts[entry->account];
+	struct sch_spot spots[BD_GANG_MAX];
+	bool done = false;
+	int code = sch_claim(sch, job, true, &done);
+
+	if (code != CW_OK || done)
+		return code;
+	if (!entry->claims && !is_known_failure(sch, job) &&
+	    account->accels +
+		    (uint64_t)entry->row->shape.members *
+			entry->row->shape.accels <=
+		account->promised) {
+		if (sch_embed(sch, job, spots))
+			return sch_place_propose(sch, job, SCH_NONE, spots);
+		remember_failure(sch, job);
+	}
+	return sch_claim(sch, job, false, &done);
+}
+
 /* Guarantees come before all borrowing; plans of different accounts are
  * disjoint, so only the order within an account matters here. Jobs declared
  * urgent come before those that age has raised, which they may displace. */
@@ -141,13 +173,12 @@
 	while (code == CW_OK && sch_has_budget(sch) &&
 	    (job = sch_order_pick(sch)) != SCH_NONE) {
 		const struct sch_job *entry = &sch->jobs[job];
-		bool done = false;
 
 		if (entry->settled ||
 		    (entry->row->class_number == BD_CLASS_URGENT) != urgent ||
 		    sch->accounts[entry->account].first_promise == SCH_NONE)
 			continue;
-		code = sch_claim(sch, job, &done);
+		code = claim_one(sch, job);
 	}
 	return code;
 }
--- a/lib/sched/reclaim.c
+++ b/lib/sched/reclaim.c
@@ -10,6 +10,11 @@
 #define RECLAIM_NEAR_END_MS (60 * 1000)
 #define RECLAIM_NEAR_END_LOSS ((int64_t)1 << 40)
 
+enum find_flags {
+	FIND_MATCHING = 1,   /* plans that the job uses half of at least */
+	FIND_DISPLACING = 2, /* other guaranteed jobs of the account give way */
+};
+
 /* One way to put a job into a plan. */
 struct claim {
 	int64_t loss;
@@ -44,8 +49,9 @@
     struct sch *sch, uint32_t job, const struct claim *claim);
 static bool move_plan(struct sch *sch, uint32_t job, struct claim *claim,
     const struct sch_need *need, int *code);
+static bool is_match(const struct sch_need *need, const struct bd_shape *shape);
 static bool find_best(struct sch *sch, uint32_t job,
-    const struct sch_need *need, bool urgent, struct claim *best);
+    const struct sch_need *need, uint32_t flags, struct claim *best);
 
 /* Returns the work lost by stopping a job, in accelerator milliseconds. */
 int64_t
@@ -133,8 +139,9 @@
 		uint32_t job = holder_of(sch, worker, bit);
 		int64_t loss;
 
-		if (job == SCH_NONE)
-			continue; /* claimed by another waiting job */
+		/* Claimed by another waiting job, or placed just now. */
+		if (job == SCH_NONE || sch->jobs[job].row->token == 0)
+			continue;
 		loss = is_victim(sch, job) ? -1 : sch_loss(sch, job);
 		if (loss < best_loss) {
 			best = bit;
@@ -188,6 +195,7 @@
 			int64_t loss;
 
 			if (sch->jobs[job].promise != SCH_NONE ||
+			    sch->jobs[job].row->token == 0 ||
 			    sch->jobs[job].mark == sch->mark)
 				continue;
 			loss = sch->jobs[job].victim ? -1 : sch_loss(sch, job);
@@ -256,6 +264,7 @@
 			int64_t loss;
 
 			if (job->promise != promise || job->mark == sch->mark ||
+			    job->row->token == 0 ||
 			    job->row->class_number == BD_CLASS_URGENT)
 				continue;
 			loss = job->victim ? -1 : sch_loss(sch, j);
@@ -427,32 +436,48 @@
 	return true;
 }
 
+/* Tells whether a gang uses at least half of a plan. */
+static bool
+is_match(const struct sch_need *need, const struct bd_shape *shape)
+{
+	if (shape->accels > 0)
+		return 2 * need->members * need->accels >=
+		    (uint32_t)shape->members * shape->accels;
+	return 2 * need->members * need->cores >=
+	    (int64_t)shape->members * shape->cores_milli;
+}
+
 /* Finds the plan of the account that can be had at once, else the one that
- * loses least. */
+ * loses least; among equals the smallest one. */
 static bool
 find_best(struct sch *sch, uint32_t job, const struct sch_need *need,
-    bool urgent, struct claim *best)
+    uint32_t flags, struct claim *best)
 {
 	const struct sch_account *account =
 	    &sch->accounts[sch->jobs[job].account];
 	struct claim claim;
+	uint32_t best_size = 0;
 	bool found = false;
 	uint32_t p;
 
 	for (p = account->first_promise; p != SCH_NONE;
 	     p = sch->promises[p].next_of_account) {
+		const struct bd_shape *shape = &sch->promises[p].row->shape;
+		uint32_t size = (uint32_t)shape->members * shape->accels;
+
 		if (!sch->promises[p].valid ||
-		    !try_plan(sch, p, need, urgent, &claim))
+		    ((flags & FIND_MATCHING) != 0 && !is_match(need, shape)) ||
+		    !try_plan(
+			sch, p, need, (flags & FIND_DISPLACING) != 0, &claim))
 			continue;
 		if (found &&
-		    (claim.waits > best->waits ||
-			(claim.waits == best->waits &&
-			    claim.loss >= best->loss)))
+		    (claim.waits != best->waits        ? claim.waits
+			    : claim.loss != best->loss ? claim.loss > best->loss
+						       : size >= best_size))
 			continue;
 		*best = claim;
+		best_size = size;
 		found = true;
-		if (!claim.waits)
-			break;
 	}
 	return found;
 }
@@ -462,11 +487,12 @@
  * plan that is free, moves an idle plan to free hardware, or stops the
  * borrowers inside a plan and keeps that plan for the job until they are gone.
  * A job that was itself reclaimed stops no others before its hold time ends,
- * so that one reclaim never leads to the next. *done tells whether the job is
- * settled for this decision.
+ * so that one reclaim never leads to the next. With matching only plans that
+ * the job mostly fills count. *done tells whether the job is settled for this
+ * decision.
  */
 int
-sch_claim(struct sch *sch, uint32_t job, bool *done)
+sch_claim(struct sch *sch, uint32_t job, bool matching, bool *done)
 {
 	struct sch_job *entry = &sch->jobs[job];
 	struct sch_account *account = &sch->accounts[entry->account];
@@ -474,19 +500,25 @@
 	struct sch_spot spots[BD_GANG_MAX];
 	struct claim claim;
 	bool urgent;
+	uint32_t flags;
 	uint32_t i;
 	int code = CW_OK;
 
 	*done = false;
 	/* Urgent jobs come first, so a memo of one holds for all later. */
-	for (i = 0; i < account->failed_count; i++)
-		if (sch_need_covers(&need, &account->failed[i]))
+	for (i = 0; i < account->failed_count[matching]; i++)
+		if (sch_need_covers(&need, &account->failed[matching][i]))
 			return CW_OK;
 	urgent = entry->row->class_number == BD_CLASS_URGENT;
-	if (!find_best(sch, job, &need, false, &claim) &&
-	    !(urgent && find_best(sch, job, &need, true, &claim))) {
-		if (account->failed_count < SCH_FAILED_CLAIMS_MAX)
-			account->failed[account->failed_count++] = need;
+	flags = matching ? FIND_MATCHING : 0;
+	if (!find_best(sch, job, &need, flags, &claim) &&
+	    !(urgent &&
+		find_best(sch, job, &need, flags | FIND_DISPLACING, &claim))) {
+		i = account->failed_count[matching];
+		if (i < SCH_FAILED_CLAIMS_MAX) {
+			account->failed[matching][i] = need;
+			account->failed_count[matching]++;
+		}
 		return CW_OK;
 	}
 	*done = true;
--- a/lib/sched/scheduler_internal.h
+++ b/lib/sched/scheduler_internal.h
@@ -90,6 +90,7 @@
 	uint32_t victim;  /* preempted, by a record or by this decision */
 	uint32_t level;   /* of the order: class less aging */
 	uint32_t settled; /* placed, claimed or ended by this decision */
+	uint32_t claims;  /* others are being stopped for it */
 	uint32_t mark;    /* of one trial of a claim */
 	int64_t run_ms;   /* expected, whole */
 	int64_t end_ms;   /* expected, of a placed job */
@@ -113,7 +114,8 @@
 	uint32_t cell_count;
 	uint32_t jobs; /* guaranteed jobs inside */
 	uint32_t valid;
-	uint32_t moved; /* by this decision */
+	uint32_t moved;      /* by this decision */
+	int64_t interval_ms; /* expected until it is claimed */
 	uint32_t next_of_account;
 };
 
@@ -122,13 +124,14 @@
 	const struct bd_account *row; /* NULL: not in the text */
 	uint64_t accels;
 	uint64_t cores;
-	uint32_t waiting;
-	uint32_t cursor; /* of the order: its jobs of the present level */
+	uint64_t promised; /* accelerators of its valid plans */
+	uint32_t cursor;   /* of the order: its jobs of the present level */
 	uint32_t limit;
 	int64_t share; /* above quota, weighted, in millionths */
 	uint32_t first_promise;
-	uint32_t failed_count;
-	struct sch_need failed[SCH_FAILED_CLAIMS_MAX]; /* in its plans */
+	/* Claims that failed in this decision, of matching plans and all. */
+	uint32_t failed_count[2];
+	struct sch_need failed[2][SCH_FAILED_CLAIMS_MAX];
 	struct sch_learned learned[BD_CLASS_COUNT];
 };
 
@@ -174,6 +177,14 @@
 };
 
 #define SCH_LEARN_SLOTS 2048
+#define SCH_HEAT_SLOTS 2048
+
+/* How often a promise is claimed: long borrowers keep off busy plans. */
+struct sch_heat {
+	uint64_t promise;
+	int64_t last_ms;
+	int64_t interval_ms; /* average, 0: claimed once */
+};
 
 /* Worker that is back from quarantine and not proved yet. */
 struct sch_probation {
@@ -229,6 +240,7 @@
 	struct sch_throttle throttles[SCH_THROTTLES_MAX];
 	struct sch_probation probations[SCH_PROBATIONS_MAX];
 	int64_t moves_ms[SCH_MOVES_MAX];
+	struct sch_heat *heats;
 	struct sch_ewma *learned;
 	uint64_t learned_epoch;
 	int64_t learned_usage_ms;
@@ -294,7 +306,7 @@
     const struct sch_spot *spots);
 bool sch_embed(struct sch *sch, uint32_t job, struct sch_spot *spots);
 bool sch_embed_unplanned(struct sch *sch, uint32_t job, struct sch_spot *spots);
-int sch_claim(struct sch *sch, uint32_t job, bool *done);
+int sch_claim(struct sch *sch, uint32_t job, bool matching, bool *done);
 int64_t sch_loss(const struct sch *sch, uint32_t job);
 int sch_preempt(
     struct sch *sch, uint32_t victim, uint32_t for_job, enum bd_reason reason);
@@ -307,6 +319,11 @@
 int64_t sch_start_estimate(struct sch *sch, const struct bd_job *row,
     struct sch_spot *spots, uint32_t *spot_count);
 
+/* heat.c */
+void sch_heat_note(struct sch *sch, uint32_t promise);
+int64_t sch_heat_interval_ms(const struct sch *sch, uint64_t promise);
+uint32_t sch_heat_mask(const struct sch *sch, uint32_t worker, int64_t run_ms);
+
 /* The others. */
 int sch_guarantee_run(struct sch *sch);
 int sch_defrag_run(struct sch *sch);
--- a/lib/sched/step.c
+++ b/lib/sched/step.c
@@ -100,9 +100,10 @@
 	sch->order = calloc(
 	    sch->limits.workers + sch->limits.promises, sizeof(*sch->order));
 	sch->learned = calloc(SCH_LEARN_SLOTS, sizeof(*sch->learned));
+	sch->heats = calloc(SCH_HEAT_SLOTS, sizeof(*sch->heats));
 	if (sch->waiting == NULL || sch->rooms == NULL || sch->counts == NULL ||
 	    sch->rack_counts == NULL || sch->order == NULL ||
-	    sch->learned == NULL)
+	    sch->learned == NULL || sch->heats == NULL)
 		return SCH_ENOMEM;
 	if (sch_index_init(&sch->worker_index, sch->limits.workers) != CW_OK ||
 	    sch_index_init(&sch->job_index, sch->limits.jobs) != CW_OK ||
@@ -170,6 +171,7 @@
 	free(sch->rack_counts);
 	free(sch->order);
 	free(sch->learned);
+	free(sch->heats);
 	free(sch->worker_index.entries);
 	free(sch->job_index.entries);
 	free(sch->promise_index.entries);
--- a/lib/sched/view.c
+++ b/lib/sched/view.c
@@ -246,7 +246,11 @@
 		account = &sch->accounts[promise->account];
 		promise->next_of_account = account->first_promise;
 		account->first_promise = number;
+		promise->interval_ms = sch_heat_interval_ms(sch, row->id);
 		load_cells(sch, number);
+		if (promise->valid)
+			account->promised +=
+			    (uint64_t)row->shape.members * row->shape.accels;
 		sch_index_put(&sch->promise_index, row->id, number);
 	}
 }
@@ -394,6 +398,14 @@
 		if (job->row->promise != 0)
 			hold_cells(sch, j);
 		job->end_ms = expected_end(sch, job);
+		if (job->row->state == BD_JOB_PREEMPTING &&
+		    job->row->reason == BD_REASON_RECLAIMED) {
+			uint32_t other = sch_index_get(
+			    &sch->job_index, job->row->preempted_for);
+
+			if (other != SCH_NONE)
+				sch->jobs[other].claims = true;
+		}
 		for (t = job->first_task; t != SCH_NONE;
 		     t = sch->tasks[t].next_of_job) {
 			struct sch_worker *worker;
--- a/tests/bench/bench_sched.c
+++ b/tests/bench/bench_sched.c
@@ -184,6 +184,7 @@
 {
 	uint32_t all = 0;
 	uint32_t small = 0;
+	uint32_t gangs = 0;
 	uint32_t i;
 	int p;
 
@@ -192,8 +193,11 @@
 			continue;
 		all++;
 		small += load->jobs[i].small;
+		gangs += load->jobs[i].job.members > 1;
 		for (p = 0; p < POLICY_COUNT; p++) {
 			results[p].completion_all += ends[p][i];
+			if (load->jobs[i].job.members > 1)
+				results[p].completion_gang += ends[p][i];
 			if (load->jobs[i].small)
 				results[p].completion_small += ends[p][i];
 		}
@@ -201,6 +205,7 @@
 	for (p = 0; p < POLICY_COUNT; p++) {
 		results[p].completion_all /= all;
 		results[p].completion_small /= small;
+		results[p].completion_gang /= gangs;
 		results[p].fragmentation /= results[p].free;
 	}
 }
@@ -215,6 +220,8 @@
 	    ours->completion_all / other->completion_all);
 	printf("%s_completion_small_vs_%s=%.3f\n", prefix, name,
 	    ours->completion_small / other->completion_small);
+	printf("%s_completion_gang_vs_%s=%.3f\n", prefix, name,
+	    ours->completion_gang / other->completion_gang);
 	printf("%s_fragmentation_vs_%s=%.3f\n", prefix, name,
 	    ours->fragmentation / other->fragmentation);
 }
--- a/tests/bench/sched_sim.h
+++ b/tests/bench/sched_sim.h
@@ -71,7 +71,7 @@
 	uint32_t free_mask[LOAD_WORKERS_MAX];
 	bool timer_set;
 	struct sim_result {
-		double completion_all, completion_small;
+		double completion_all, completion_small, completion_gang;
 		double fragmentation; /* summed with the free accelerators */
 		double free;
 		uint32_t done, broken, unfinished, preempted;
