--- a/lib/gang/pool.c
+++ b/lib/gang/pool.c
@@ -180,7 +180,7 @@
 {
 	struct pool *pool = batch->pool;
 	struct pf_task tasks[PF_TASKS_MAX];
-	int results[PF_TASKS_MAX], status;
+	int results[PF_TASKS_MAX] = {0}, status;
 	uint32_t verb = batch->items[0].verb;
 	int64_t sent_ms = pool->clock.now_ms(pool->clock.ctx);
 	size_t i;
--- a/lib/gang/pool.h
+++ b/lib/gang/pool.h
@@ -3,6 +3,10 @@
 
 #include "gang_internal.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /* One call to one member, with copies of the strings that the task points
  * to when it is sent. */
 struct pool_item {
@@ -26,4 +30,8 @@
 void pool_take(struct pool *pool,
     void (*take)(void *ctx, const struct gang_answer *answer), void *ctx);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/lib/gang/run.c
+++ b/lib/gang/run.c
@@ -29,8 +29,9 @@
 	for (i = 0; i < gang->member_count; i++) {
 		struct gang_member *member = &gang->members[i];
 		bool is_proved = member->leased_ms >= gang->proving_ms;
-		int64_t lapse_ms = is_proved ? member->leased_ms + set->lease_ms
-					     : gang->proving_ms + set->renew_ms;
+		int64_t lapse_ms = is_proved
+		    ? member->leased_ms + set->lease_ms
+		    : gang->proving_ms + set->lease_ms - set->renew_ms;
 
 		if (is_done(member))
 			continue;
