--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -29,6 +29,20 @@
 EV(313, EV_STATE_BATCH_UNKNOWN, EV_LEVEL_WARN,
     "append without an answer, repeating it")
 /* 400: fleet */
+EV(401, EV_MEMBER_JOINED, EV_LEVEL_INFO, "member joined")
+EV(402, EV_MEMBER_SUSPECT, EV_LEVEL_WARN, "member suspect")
+EV(403, EV_MEMBER_DEAD, EV_LEVEL_WARN, "member dead")
+EV(404, EV_MEMBER_LEAVING, EV_LEVEL_INFO, "member leaving")
+EV(405, EV_MEMBER_BACK, EV_LEVEL_INFO, "member alive again")
+EV(406, EV_MEMBER_REPLACED, EV_LEVEL_INFO, "member replaced at its address")
+EV(407, EV_FLEET_PAUSED, EV_LEVEL_WARN, "this VM was paused")
+EV(408, EV_DIGEST_MISMATCH, EV_LEVEL_ERROR, "tables differ at one position")
+EV(409, EV_RELAY_START, EV_LEVEL_WARN, "log out of reach, asking a peer")
+EV(410, EV_RELAY_SNAPSHOT, EV_LEVEL_WARN, "snapshot taken from a peer")
+EV(411, EV_PEER_MALFORMED, EV_LEVEL_WARN, "peer message cannot be read")
+EV(412, EV_VM_LIST_FAILED, EV_LEVEL_WARN, "platform's VM list failed")
+EV(413, EV_DUTIES_RELEASED, EV_LEVEL_INFO, "duties handed over")
+EV(414, EV_SHARES_LAPSED, EV_LEVEL_WARN, "leased shares lapsed")
 /* 500: scheduling */
 /* 600: gangs and leases */
 EV(601, EV_GANG_RUNNING, EV_LEVEL_INFO, "all members of a gang run")
@@ -42,4 +56,11 @@
 EV(801, EV_PLATFORM_BAD_ANSWER, EV_LEVEL_WARN,
     "answer of the platform cannot be read")
 /* 900: links */
+EV(951, EV_PEER_STRANGER, EV_LEVEL_WARN, "peer with an unknown key refused")
 /* 1000: front */
+EV(1001, EV_FRONT_REPEATED, EV_LEVEL_WARN, "event repeated, lines left out")
+EV(1002, EV_FRONT_KEY_REFUSED, EV_LEVEL_WARN, "call with a wrong key refused")
+EV(1003, EV_FRONT_CONFIG, EV_LEVEL_INFO, "configuration accepted here")
+EV(1004, EV_FRONT_BOOTSTRAP, EV_LEVEL_WARN, "first configuration without a key")
+EV(1005, EV_FRONT_FAULT, EV_LEVEL_ERROR, "call failed inside the daemon")
+EV(1006, EV_FRONT_DRAIN, EV_LEVEL_INFO, "shutdown asked for by an operator")
