Bound the hash tables of the blackboard and mix ids

Cause: the benchmark of the state spent two thirds of its time in destroying hash tables. They went by the low bits of ids, which are equal for positions, and doubled whenever three rows met in a bucket. Change: ids are mixed, and the buckets are bounded by half of the capacity. One test fills a table with positions. The new test is red with the code of before. Conclusion: the memory of a table is that of its rows.

--- a/lib/board/board.c
+++ b/lib/board/board.c
@@ -5,6 +5,8 @@
 
 #include "board_internal.h"
 
+#define BUCKETS_MIN 64
+
 struct table_spec {
 	const char *name;
 	enum bd_writer writer;
@@ -25,6 +27,7 @@
 static int
 table_init(struct bd_table *table, const struct table_spec *spec)
 {
+	unsigned long buckets = BUCKETS_MIN;
 	uint32_t i;
 
 	table->name = spec->name;
@@ -33,8 +36,12 @@
 	table->row_bytes = spec->row_bytes;
 	table->entries = calloc(spec->capacity, sizeof(*table->entries));
 	table->free_list = calloc(spec->capacity, sizeof(*table->free_list));
-	table->by_id = cds_lfht_new_flavor(
-	    64, 64, 0, CDS_LFHT_AUTO_RESIZE, &urcu_bp_flavor, NULL);
+	/* Without a bound the hash table doubles whenever three rows meet in a
+	 * bucket: to 20 million buckets for a full table of requests. */
+	while (buckets < spec->capacity / 2)
+		buckets *= 2;
+	table->by_id = cds_lfht_new_flavor(BUCKETS_MIN, BUCKETS_MIN, buckets,
+	    CDS_LFHT_AUTO_RESIZE, &urcu_bp_flavor, NULL);
 	if (table->entries == NULL || table->free_list == NULL ||
 	    table->by_id == NULL)
 		return BD_ENOMEM;
--- a/lib/board/table.c
+++ b/lib/board/table.c
@@ -5,6 +5,7 @@
 #include "board_internal.h"
 
 static struct bd_box *box_of_row(const void *row);
+static unsigned long hash_of(uint64_t id);
 static int match_id(struct cds_lfht_node *node, const void *key);
 static struct bd_box *find_box(const struct bd_table *table, uint64_t id);
 static void free_box(struct rcu_head *head);
@@ -20,6 +21,16 @@
 	return caa_container_of(row, struct bd_box, row);
 }
 
+/* Ids of jobs are positions, whose low bits hardly differ; the hash table goes
+ * by the low bits. */
+static unsigned long
+hash_of(uint64_t id)
+{
+	id = (id ^ (id >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	id = (id ^ (id >> 27)) * 0x94d049bb133111ebULL;
+	return (unsigned long)(id ^ (id >> 31));
+}
+
 static int
 match_id(struct cds_lfht_node *node, const void *key)
 {
@@ -35,7 +46,7 @@
 	struct cds_lfht_iter iter;
 	struct cds_lfht_node *node;
 
-	cds_lfht_lookup(table->by_id, (unsigned long)id, match_id, &id, &iter);
+	cds_lfht_lookup(table->by_id, hash_of(id), match_id, &id, &iter);
 	node = cds_lfht_iter_get_node(&iter);
 	if (node == NULL)
 		return NULL;
@@ -69,9 +80,9 @@
 
 	box->handle = old->handle;
 	cds_lfht_lookup(
-	    table->by_id, (unsigned long)box->id, match_id, &box->id, &iter);
+	    table->by_id, hash_of(box->id), match_id, &box->id, &iter);
 	rcu_set_pointer(&table->entries[box->handle.index].box, box);
-	cds_lfht_replace(table->by_id, &iter, (unsigned long)box->id, match_id,
+	cds_lfht_replace(table->by_id, &iter, hash_of(box->id), match_id,
 	    &box->id, &box->node);
 	urcu_bp_call_rcu(&old->rcu, free_box);
 }
@@ -90,7 +101,7 @@
 	box->handle.index = index;
 	box->handle.generation = atomic_load(&entry->generation);
 	rcu_set_pointer(&entry->box, box);
-	cds_lfht_add(table->by_id, (unsigned long)box->id, &box->node);
+	cds_lfht_add(table->by_id, hash_of(box->id), &box->node);
 	atomic_fetch_add(&table->used, 1);
 	if (index >= atomic_load(&table->high))
 		atomic_store(&table->high, index + 1);
--- a/tests/test_board.cc
+++ b/tests/test_board.cc
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <thread>
 
+#include <unistd.h>
+
 #include "board.h"
 
 namespace {
@@ -126,6 +128,41 @@
 	EXPECT_EQ(torn, 0u);
 }
 
+long
+resident_bytes()
+{
+	long pages = 0;
+	FILE *file = fopen("/proc/self/statm", "r");
+
+	EXPECT_EQ(fscanf(file, "%*s %ld", &pages), 1);
+	fclose(file);
+	return pages * sysconf(_SC_PAGESIZE);
+}
+
+// Guards against a hash table that grows without bound on ids whose low bits
+// are equal, as those of positions are: a full table takes its rows, with 128
+// bytes each for bookkeeping, and 2 MB.
+TEST_F(BoardTest, FullTableOfPositionsStaysSmall)
+{
+	uint32_t capacity = bd_capacity(BD_TABLE_task);
+	long before = resident_bytes();
+
+	for (uint64_t i = 1; i <= capacity; i++) {
+		struct bd_task task = {};
+		task.id = i << 12 | 1;
+		ASSERT_EQ(bd_put(board, BD_TABLE_task, BD_WRITER_STATE, task.id,
+			      &task, sizeof(task), nullptr),
+		    CW_OK);
+	}
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+	EXPECT_LT(resident_bytes() - before,
+	    (long)(capacity * (sizeof(struct bd_task) + 128) + (2 << 20)));
+#endif
+	bd_read_begin();
+	EXPECT_NE(bd_task_lookup(board, 5 << 12 | 1), nullptr);
+	bd_read_end();
+}
+
 struct StepCount {
 	std::atomic<int> steps{0};
 };
