Print the slopes of the state's benchmark with one function

Cause: two loops of the benchmark had the same shape. Change: forget_entry and print_slope. Conclusion: no duplicate is left in the change.

--- a/tests/bench/bench_state.c
+++ b/tests/bench/bench_state.c
@@ -61,6 +61,8 @@
 static int64_t clock_ms(void *ctx);
 static double recover(void);
 static double median_recovery(void);
+static void forget_entry(void);
+static size_t print_slope(const char *name, size_t before, uint32_t rows);
 static void print_slopes(void);
 
 /* Applies one record as an entry of its own, as decoded from bytes, and notes
@@ -371,6 +373,24 @@
 	return times[2];
 }
 
+/* The entry is no part of the state. */
+static void
+forget_entry(void)
+{
+	free(bench.entries[bench.offset - 1]);
+	bench.entries[bench.offset - 1] = NULL;
+}
+
+/* Prints the bytes a row since before and returns the present ones. */
+static size_t
+print_slope(const char *name, size_t before, uint32_t rows)
+{
+	size_t after = heap_bytes();
+
+	printf("state_bytes_per_%s=%zu\n", name, (after - before) / rows);
+	return after;
+}
+
 /* What one more row of each kind costs. Workers, jobs and tasks are added to
  * the tables of the target size. */
 static void
@@ -379,7 +399,6 @@
 	const uint32_t count = 400;
 	struct rec rec = {.kind = REC_WORKER};
 	size_t before = heap_bytes();
-	size_t after;
 	uint64_t added[400];
 	uint32_t i;
 
@@ -387,29 +406,20 @@
 		rec.body.worker.facts.id = 100000 + i;
 		rec.body.worker.facts.cores_milli = 128000;
 		rec.body.worker.facts.memory_mb = 524288;
-		free(bench.entries[bench.offset]);
 		apply(&rec);
-		free(bench.entries[bench.offset - 1]);
-		bench.entries[bench.offset - 1] = NULL;
+		forget_entry();
 	}
-	after = heap_bytes();
-	printf("state_bytes_per_worker=%zu\n", (after - before) / count);
-	before = after;
+	before = print_slope("worker", before, count);
 	for (i = 0; i < count; i++) {
 		added[i] = submit(16, 0);
-		free(bench.entries[bench.offset - 1]);
-		bench.entries[bench.offset - 1] = NULL;
+		forget_entry();
 	}
-	after = heap_bytes();
-	printf("state_bytes_per_job=%zu\n", (after - before) / count);
-	before = after;
+	before = print_slope("job", before, count);
 	for (i = 0; i < count; i++) {
 		place(added[i]);
-		free(bench.entries[bench.offset - 1]);
-		bench.entries[bench.offset - 1] = NULL;
+		forget_entry();
 	}
-	after = heap_bytes();
-	printf("state_bytes_per_task=%zu\n", (after - before) / count / 16);
+	print_slope("task", before, count * 16);
 }
 
 int
