Answer every proposal in the tests' fake log

Cause: the address sanitizer found the wait of an intent that a mute log never answered; the contract of the sink is that done is called once. Change: the fake answers such proposals at its end. Conclusion: no leak; the thread sanitizer reports only frees after a grace period, which it cannot see in liburcu.

--- a/tests/route_fixture.h
+++ b/tests/route_fixture.h
@@ -167,12 +167,20 @@
 		UP,
 		DOWN, // proposals are refused
 		LOST, // applied, but the answer is lost
-		MUTE, // neither applied nor answered, until the next mode
+		MUTE, // neither applied nor answered, before the test ends
 	};
 
 	explicit FakeLog(std::vector<Router *> routers) : vms(routers)
 	{
 	}
+	~FakeLog()
+	{
+		for (const struct st_done &done : unanswered)
+			done.call(done.ctx, ST_EUNAVAILABLE, 0);
+	}
+	FakeLog(const FakeLog &) = delete;
+	FakeLog &operator=(const FakeLog &) = delete;
+
 	struct st_sink
 	sink(Router &vm)
 	{
@@ -195,8 +203,11 @@
 		log->proposed[rec->kind]++;
 		if (log->mode == DOWN)
 			return ST_EUNAVAILABLE;
-		if (log->mode == MUTE)
+		if (log->mode == MUTE) {
+			if (done != nullptr)
+				log->unanswered.push_back(*done);
 			return CW_OK;
+		}
 		struct rec copy = *rec;
 		copy.writer = c->vm->self;
 		copy.sequence = ++log->sequence;
@@ -220,6 +231,7 @@
 	std::function<void()> before; // runs ahead of each proposal
 	std::mutex lock;
 	std::list<Context> contexts;
+	std::vector<struct st_done> unanswered;
 	uint64_t sequence = 0;
 	uint64_t position = 0;
 	std::map<uint32_t, int> proposed;
