--- a/lib/route/once.c
+++ b/lib/route/once.c
@@ -47,6 +47,8 @@
     uint64_t request, const struct rt_answer *answer);
 static void propose_outcome(
     struct rt_pending *pending, const struct st_sink *sink, int64_t now_ms);
+static bool is_own_intent(
+    struct rt_route *route, const struct rt_once *once, uint64_t request);
 static bool is_settled(
     struct rt_route *route, struct rt_pending *pending, int64_t now_ms);
 
@@ -219,17 +221,10 @@
 static int
 wait_for(struct wait *wait, int64_t timeout_ms)
 {
-	struct timespec until;
+	struct timespec until = rt_time_after(timeout_ms * 1000);
 	bool done;
 	int status;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += timeout_ms / 1000;
-	until.tv_nsec += timeout_ms % 1000 * 1000000;
-	if (until.tv_nsec >= 1000000000) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000000000;
-	}
 	pthread_mutex_lock(&wait->lock);
 	while (!wait->done &&
 	    pthread_cond_timedwait(&wait->ended, &wait->lock, &until) !=
@@ -293,6 +288,21 @@
 	sink->propose(sink->ctx, &rec, NULL);
 }
 
+static bool
+is_own_intent(
+    struct rt_route *route, const struct rt_once *once, uint64_t request)
+{
+	const struct bd_request *row;
+	bool own;
+
+	bd_read_begin();
+	row = bd_request_lookup(route->board, once->id);
+	own = row != NULL && row->owner == route->settings.self &&
+	    row->request_id == request && row->state == BD_REQUEST_INTENT;
+	bd_read_end();
+	return own;
+}
+
 /*
  * Proposes the intent to run a key and waits until it is applied. Only CW_OK
  * allows a byte to leave. Returns RT_EINPROGRESS where another intent was
@@ -335,6 +345,9 @@
 	if (code == ST_EUNAVAILABLE || code == ST_ENOTREADY ||
 	    code == ST_EFULL || code == ST_ENOMEM)
 		return RT_ELOG;
+	/* A repeated append after a lost answer: the first one may be this. */
+	if (code == ST_EREPEATED && is_own_intent(route, once, request))
+		return CW_OK;
 	rt_count(route, RT_COUNT_ONCE_CONFLICTS, 1);
 	return RT_EINPROGRESS;
 }
--- a/lib/route/queue.c
+++ b/lib/route/queue.c
@@ -250,15 +250,8 @@
 static void
 sleep_until(struct rt_queue *queue, struct rt_waiter *waiter, int64_t wait_us)
 {
-	struct timespec until;
-
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += wait_us / 1000000;
-	until.tv_nsec += wait_us % 1000000 * 1000;
-	if (until.tv_nsec >= 1000000000) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000000000;
-	}
+	struct timespec until = rt_time_after(wait_us);
+
 	while (waiter->status == RT_EBUSY &&
 	    pthread_cond_timedwait(&waiter->wake, &queue->lock, &until) !=
 		ETIMEDOUT)
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -157,6 +157,22 @@
 	thread_seeded = true;
 }
 
+/* Returns the time of CLOCK_MONOTONIC after wait_us, for timed waits. */
+struct timespec
+rt_time_after(int64_t wait_us)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_MONOTONIC, &time);
+	time.tv_sec += wait_us / 1000000;
+	time.tv_nsec += wait_us % 1000000 * 1000;
+	if (time.tv_nsec >= 1000000000) {
+		time.tv_sec++;
+		time.tv_nsec -= 1000000000;
+	}
+	return time;
+}
+
 /* Takes no new work from now on; what runs goes on. */
 void
 rt_drain(struct rt_route *route)
@@ -183,17 +199,10 @@
 bool
 rt_drain_wait(struct rt_route *route, int64_t timeout_ms)
 {
-	struct timespec until;
+	struct timespec until = rt_time_after(timeout_ms * 1000);
 	bool empty;
 
 	assert(rt_is_draining(route));
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += timeout_ms / 1000;
-	until.tv_nsec += timeout_ms % 1000 * 1000000;
-	if (until.tv_nsec >= 1000000000) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000000000;
-	}
 	pthread_mutex_lock(&route->drain_lock);
 	while (!(empty = rt_in_flight(route) == 0))
 		if (pthread_cond_timedwait(&route->drained, &route->drain_lock,
--- a/lib/route/route_internal.h
+++ b/lib/route/route_internal.h
@@ -3,6 +3,7 @@
 
 #include <pthread.h>
 #include <stdatomic.h>
+#include <time.h>
 
 #include <urcu/urcu-bp.h>
 
@@ -181,6 +182,7 @@
 const struct rt_service *rt_service_find(
     const struct rt_index *index, uint64_t service);
 struct cw_rng *rt_rng(void);
+struct timespec rt_time_after(int64_t wait_us);
 void rt_outcome_count(struct rt_route *route, enum rt_outcome_kind kind);
 void rt_gauge_init(struct rt_route *route, uint32_t index, uint32_t generation);
 int rt_pick_take(struct rt_route *route, const struct rt_pick_query *query,
