--- a/lib/gang/gang.h
+++ b/lib/gang/gang.h
@@ -67,7 +67,7 @@
 };
 
 /* lease 120 s, renewal 40 s, retry 2 s, checkpoint 10 min, reports 0.5 s to
- * 20 s, pause 1 s, patience 4 s, 8 threads. */
+ * 40 s, pause 1 s, patience 4 s, 8 threads. */
 extern const struct gang_settings gang_settings_default;
 
 struct gang_runner;
--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -56,8 +56,11 @@
 	http->answer_bytes_max = settings->answer_bytes_max != 0
 	    ? settings->answer_bytes_max
 	    : ANSWER_BYTES_DEFAULT;
-	/* Without this libcurl asks for leave before it sends a large body. */
+	/* Without the first, libcurl asks for leave before it sends a large
+	 * body; the others would be a third of the bytes of a renewal. */
 	http->headers = curl_slist_append(NULL, "Expect:");
+	http->headers = curl_slist_append(http->headers, "Accept:");
+	http->headers = curl_slist_append(http->headers, "Content-Type:");
 	pthread_mutex_init(&http->mutex, NULL);
 	*out = http;
 	return CW_OK;
--- a/lib/platform/http_tasks.c
+++ b/lib/platform/http_tasks.c
@@ -5,7 +5,7 @@
 
 #include "platform_internal.h"
 
-static json_t *encode_task(const struct pf_task *task, bool is_whole);
+static json_t *encode_task(const struct pf_task *task, const char *verb);
 static int post(struct pf_http *http, const char *verb,
     const struct pf_task *tasks, size_t count, bool is_change, json_t **answer);
 static int results_read(json_t *list, size_t count, int *results);
@@ -31,29 +31,29 @@
 VERB(stop)
 #undef VERB
 
-/* Only reserve and start need the whole task; the rest stay short, because
- * renewals are sent for every task all the time. */
+/* Renewals and reports are sent for every task all the time, so they name the
+ * task only; stop adds the accelerators, reserve and start the whole task. */
 static json_t *
-encode_task(const struct pf_task *task, bool is_whole)
+encode_task(const struct pf_task *task, const char *verb)
 {
-	if (is_whole)
-		return json_pack("[s I I i i I i i I s]", task->worker_name,
-		    (json_int_t)task->job, (json_int_t)task->token,
-		    (int)task->member, (int)task->accel_mask,
-		    (json_int_t)task->lease_ms, (int)task->cores_milli,
+	json_int_t job = (json_int_t)task->job, token = (json_int_t)task->token;
+	int member = (int)task->member, mask = (int)task->accel_mask;
+
+	if (strcmp(verb, "reserve") == 0 || strcmp(verb, "start") == 0)
+		return json_pack("[s I I i i i i I s]", task->worker_name, job,
+		    token, member, mask, (int)task->cores_milli,
 		    (int)task->memory_mb, (json_int_t)task->resume_ms,
 		    task->input == NULL ? "" : task->input);
-	return json_pack("[s I I i i I]", task->worker_name,
-	    (json_int_t)task->job, (json_int_t)task->token, (int)task->member,
-	    (int)task->accel_mask, (json_int_t)task->lease_ms);
+	if (strcmp(verb, "stop") == 0)
+		return json_pack(
+		    "[s I I i i]", task->worker_name, job, token, member, mask);
+	return json_pack("[s I I i]", task->worker_name, job, token, member);
 }
 
 static int
 post(struct pf_http *http, const char *verb, const struct pf_task *tasks,
     size_t count, bool is_change, json_t **answer)
 {
-	bool is_whole =
-	    strcmp(verb, "reserve") == 0 || strcmp(verb, "start") == 0;
 	char path[64], *text;
 	struct pf_http_call call = {
 	    .method = "POST", .path = path, .is_change = is_change};
@@ -62,10 +62,11 @@
 	int code = CW_OK;
 
 	for (i = 0; i < count; i++)
-		if (json_array_append_new(
-			list, encode_task(&tasks[i], is_whole)) != 0)
+		if (json_array_append_new(list, encode_task(&tasks[i], verb)) !=
+		    0)
 			code = PF_EUNREACHABLE;
-	body = json_pack("{s:o}", "tasks", list);
+	body = json_pack("{s:I s:o}", "lease_ms",
+	    (json_int_t)(count == 0 ? 0 : tasks[0].lease_ms), "tasks", list);
 	text = json_dumps(body, JSON_COMPACT);
 	json_decref(body);
 	if (text == NULL || code != CW_OK) {
--- a/tests/standin/tasks.c
+++ b/tests/standin/tasks.c
@@ -68,7 +68,7 @@
 static int start(struct task *task, const struct call *call, int64_t now_ms);
 static int stop(const struct call *call, int64_t now_ms);
 static int act(const char *verb, const struct call *call, int64_t now_ms);
-static bool decode(json_t *item, struct call *call);
+static bool decode(json_t *item, json_int_t lease_ms, struct call *call);
 static void report(
     json_t *reports, size_t index, const struct call *call, int64_t now_ms);
 
@@ -278,23 +278,26 @@
 	return RESULT_OK;
 }
 
-/* [worker, job, token, member, mask, lease_ms, cores_milli, memory_mb,
- * resume_ms, input]; the last four are optional. */
+/* [worker, job, token, member], and for some verbs mask, and cores_milli,
+ * memory_mb, resume_ms, input. */
 static bool
-decode(json_t *item, struct call *call)
+decode(json_t *item, json_int_t lease_ms, struct call *call)
 {
+	size_t size = json_array_size(item);
 	unsigned index;
 
 	memset(call, 0, sizeof(*call));
 	call->input = "";
-	return json_unpack(item, "[s I I i i I]", &call->name, &call->job,
-		   &call->token, &call->member, &call->mask,
-		   &call->lease_ms) == 0 &&
-	    (json_array_size(item) == 6 ||
-		json_unpack(item, "[s I I i i I i i I s]", &call->name,
+	call->lease_ms = lease_ms;
+	return json_unpack(item, "[s I I i]", &call->name, &call->job,
+		   &call->token, &call->member) == 0 &&
+	    (size == 4 ||
+		json_unpack(json_array_get(item, 4), "i", &call->mask) == 0) &&
+	    (size <= 5 ||
+		json_unpack(item, "[s I I i i i i I s]", &call->name,
 		    &call->job, &call->token, &call->member, &call->mask,
-		    &call->lease_ms, &call->cores_milli, &call->memory_mb,
-		    &call->resume_ms, &call->input) == 0) &&
+		    &call->cores_milli, &call->memory_mb, &call->resume_ms,
+		    &call->input) == 0) &&
 	    sscanf(call->name, "w%u", &index) == 1 &&
 	    (call->worker = index) < si_settings.workers;
 }
@@ -322,7 +325,8 @@
 		task->state == FAILED ? "task failed" : ""));
 }
 
-/* POST /tasks/{verb} and POST /tasks/reports with {"tasks":[...]}. */
+/* POST /tasks/{verb} and POST /tasks/reports with {"lease_ms", "tasks":[...]}.
+ */
 int
 si_tasks_handle(const struct si_request *request)
 {
@@ -341,7 +345,9 @@
 			advance(&tasks[i], now_ms);
 	json_array_foreach(list, i, item)
 	{
-		bool valid = decode(item, &call);
+		bool valid = decode(item,
+		    json_integer_value(json_object_get(json, "lease_ms")),
+		    &call);
 
 		if (wants_reports && valid)
 			report(out, i, &call, now_ms);
--- a/tests/test_gang.cc
+++ b/tests/test_gang.cc
@@ -545,7 +545,7 @@
 	world.run(601000 + 5000);
 	EXPECT_GE(world.row().progress_ms, 595000);
 	world.workers.failing = {2};
-	ASSERT_TRUE(world.run_until(BD_JOB_WAITING, 30000));
+	ASSERT_TRUE(world.run_until(BD_JOB_WAITING, LEASE_MS));
 	EXPECT_EQ(world.last(REC_GANG_ENDED)->body.gang_ended.worker, 2u);
 	EXPECT_EQ(world.row().reason, (uint32_t)BD_REASON_MEMBER_FAILED);
 	EXPECT_EQ(world.workers.count(PF_TASK_RUNNING), 0);
