--- /dev/null
+++ b/tests/gang_world.h
@@ -0,0 +1,464 @@
+#ifndef CAMPHOR_TESTS_GANG_WORLD_H
+#define CAMPHOR_TESTS_GANG_WORLD_H
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "gang.h"
+
+namespace {
+
+constexpr int64_t TICK_MS = 100;
+constexpr int64_t LEASE_MS = 120000;
+constexpr uint64_t ACCOUNT = 77;
+constexpr uint32_t MEMBERS = 4;
+
+// Workers in memory that follow the token rule. Two members on each.
+struct Workers {
+	struct Task {
+		uint32_t state;
+		uint64_t worker;
+		uint32_t mask;
+		int64_t lease_until, started, resume, checkpoint;
+	};
+	using Key = std::tuple<uint64_t, uint64_t, uint32_t>;
+	enum Fault {
+		REFUSE = 1,
+		SILENT,
+		LOSE_ANSWER
+	};
+
+	std::map<Key, Task> tasks;
+	std::map<std::pair<uint64_t, uint32_t>, uint64_t> floor;
+	std::map<uint64_t, int> faults;    // by worker
+	std::map<int, int> verb_faults;    // of member 1, by verb
+	std::set<uint64_t> failing;        // tasks on these workers fail
+	std::map<Key, int64_t> part_since; // token 0 for member: whole gang
+	int64_t run_ms = 3000;
+	int64_t worst_part_ms = 0;
+	int clashes = 0; // reservations that had to end a running task
+
+	void
+	end(const Key &key, Task &task, uint32_t state)
+	{
+		task.state = state;
+		for (uint32_t bit = 0; bit < 32; bit++)
+			if (task.mask >> bit & 1) {
+				uint64_t &low = floor[{task.worker, bit}];
+				low = std::max(low, std::get<1>(key) + 1);
+			}
+	}
+	// Brings all tasks up to now and measures how long part of a gang has
+	// run without the rest.
+	void
+	advance(int64_t now)
+	{
+		std::map<std::pair<uint64_t, uint64_t>, std::pair<int, int>>
+		    use;
+
+		for (auto it = tasks.begin(); it != tasks.end();) {
+			Task &task = it->second;
+			if (task.state == PF_TASK_RESERVED &&
+			    now >= task.lease_until) {
+				it = tasks.erase(it);
+				continue;
+			}
+			if (task.state == PF_TASK_RUNNING &&
+			    failing.count(task.worker))
+				end(it->first, task, PF_TASK_FAILED);
+			else if (task.state == PF_TASK_RUNNING &&
+			    task.resume + now - task.started >= run_ms)
+				end(it->first, task, PF_TASK_DONE);
+			else if ((task.state == PF_TASK_RUNNING ||
+				     task.state == PF_TASK_COMMITTED) &&
+			    now >= task.lease_until)
+				end(it->first, task, PF_TASK_LAPSED);
+			auto &count = use[{
+			    std::get<0>(it->first), std::get<1>(it->first)}];
+			count.first += task.state == PF_TASK_RUNNING;
+			count.second += task.state == PF_TASK_DONE;
+			++it;
+		}
+		for (auto &[gang, count] : use) {
+			Key key{gang.first, gang.second, 0};
+			if (count.first == 0 ||
+			    count.first + count.second == (int)MEMBERS) {
+				part_since.erase(key);
+				continue;
+			}
+			part_since.emplace(key, now);
+			worst_part_ms =
+			    std::max(worst_part_ms, now - part_since[key]);
+		}
+	}
+	int
+	act(uint32_t verb, const Key &key, uint64_t worker, uint32_t mask,
+	    int64_t resume, int64_t now)
+	{
+		auto found = tasks.find(key);
+		uint32_t state = found == tasks.end() ? 0 : found->second.state;
+		uint64_t token = std::get<1>(key);
+
+		if (verb == GANG_STOP) {
+			Task none = {PF_TASK_STOPPED, worker, mask, 0, 0, 0, 0};
+			if (state == 0)
+				end(key, none, PF_TASK_STOPPED);
+			else if (state <= PF_TASK_RUNNING)
+				end(key, found->second, PF_TASK_STOPPED);
+			return CW_OK;
+		}
+		if (verb == GANG_RESERVE) {
+			if (state != 0)
+				return state <= PF_TASK_RUNNING
+				    ? 0
+				    : (int)PF_EREFUSED;
+			for (uint32_t bit = 0; bit < 32; bit++)
+				if ((mask >> bit & 1) &&
+				    floor[{worker, bit}] > token)
+					return PF_EREFUSED;
+			for (auto &[other, task] : tasks)
+				if (task.worker == worker &&
+				    (task.mask & mask) &&
+				    task.state <= PF_TASK_RUNNING) {
+					clashes +=
+					    task.state == PF_TASK_RUNNING;
+					end(other, task, PF_TASK_STOPPED);
+				}
+			for (uint32_t bit = 0; bit < 32; bit++)
+				if (mask >> bit & 1)
+					floor[{worker, bit}] = token;
+			tasks[key] = {PF_TASK_RESERVED, worker, mask,
+			    now + 10000, 0, 0, 0};
+			return CW_OK;
+		}
+		if (state == PF_TASK_DONE)
+			return CW_OK;
+		if (state < PF_TASK_RESERVED || state > PF_TASK_RUNNING ||
+		    (verb != GANG_COMMIT && state == PF_TASK_RESERVED))
+			return PF_EREFUSED;
+		Task &task = found->second;
+		if (verb == GANG_COMMIT && state == PF_TASK_RESERVED)
+			task.state = PF_TASK_COMMITTED;
+		if (verb == GANG_START && state == PF_TASK_COMMITTED) {
+			task.state = PF_TASK_RUNNING;
+			task.started = now;
+			task.resume = task.checkpoint = resume;
+		}
+		if (verb == GANG_CHECKPOINT)
+			task.checkpoint = task.resume + now - task.started;
+		else
+			task.lease_until = now + LEASE_MS;
+		return CW_OK;
+	}
+	// Carries out one call and fills in the answer.
+	void
+	call(struct gang_answer *answer, const struct gang_member &member,
+	    int64_t resume, int64_t now)
+	{
+		Key key{answer->job, answer->token, answer->member};
+		int fault =
+		    faults.count(member.worker) ? faults[member.worker] : 0;
+
+		if (answer->member == 1 && verb_faults.count(answer->verb))
+			fault = verb_faults[answer->verb];
+		advance(now);
+		answer->sent_ms = now;
+		answer->status = fault == REFUSE ? PF_EREFUSED : PF_EUNKNOWN;
+		if (fault == REFUSE || fault == SILENT)
+			return;
+		if (answer->verb != GANG_REPORTS) {
+			int code = act(answer->verb, key, member.worker,
+			    member.accel_mask, resume, now);
+			if (fault == 0)
+				answer->status = code;
+			return;
+		}
+		answer->status = CW_OK;
+		auto found = tasks.find(key);
+		answer->has_report = found != tasks.end();
+		if (!answer->has_report)
+			return;
+		answer->report.state = found->second.state;
+		answer->report.checkpoint_ms = found->second.checkpoint;
+		answer->report.run_ms =
+		    found->second.resume + now - found->second.started;
+	}
+	int
+	count(uint32_t state) const
+	{
+		int total = 0;
+		for (auto &entry : tasks)
+			total += entry.second.state == state;
+		return total;
+	}
+};
+
+struct World;
+
+// One entry VM: board, state, gangs.
+struct Vm {
+	Vm(World *world_in, uint64_t self_in) : world(world_in), self(self_in)
+	{
+		EXPECT_EQ(bd_board_create(&board), CW_OK);
+		EXPECT_EQ(st_create(&state, board), CW_OK);
+		EXPECT_EQ(
+		    gang_set_create(&set, board, self, &gang_settings_default),
+		    CW_OK);
+		struct bd_account account = {};
+		account.id = ACCOUNT;
+		bd_put(board, BD_TABLE_account, BD_WRITER_STATE, ACCOUNT,
+		    &account, sizeof(account), nullptr);
+	}
+	~Vm()
+	{
+		gang_set_destroy(set);
+		st_destroy(state);
+		bd_board_destroy(board);
+	}
+	Vm(const Vm &) = delete;
+	Vm &operator=(const Vm &) = delete;
+
+	void
+	see(uint64_t member, enum bd_member_state member_state)
+	{
+		struct bd_member row = {};
+		row.id = member;
+		row.state = member_state;
+		bd_put(board, BD_TABLE_member, BD_WRITER_MEMBERSHIP, member,
+		    &row, sizeof(row), nullptr);
+	}
+	void follow();
+	void step();
+	static void take_call(void *ctx, const struct gang_call *call);
+	static int propose(
+	    void *ctx, const struct rec *rec, const struct st_done *done);
+
+	World *world;
+	uint64_t self;
+	struct bd_board *board = nullptr;
+	struct st_state *state = nullptr;
+	struct gang_set *set = nullptr;
+	size_t applied = 0;
+	bool running = true;
+	int calls_left = -1; // the VM dies after so many calls, -1: never
+	std::vector<uint32_t> verbs;
+	std::vector<std::pair<struct gang_answer, struct gang_member>> calls;
+	std::vector<int64_t> resumes;
+};
+
+struct World {
+	explicit World(uint32_t vm_count = 2)
+	{
+		for (uint32_t i = 0; i < vm_count; i++)
+			vms.push_back(std::make_unique<Vm>(this, i + 1));
+		for (auto &vm : vms)
+			for (auto &other : vms)
+				vm->see(other->self, BD_MEMBER_ALIVE);
+		for (uint64_t w = 1; w <= 8; w++)
+			add_worker(w, BD_WORKER_UP, 0);
+		struct rec rec = {};
+		rec.kind = REC_JOB_SUBMIT;
+		rec.body.job_submit.account = ACCOUNT;
+		rec.body.job_submit.owner = 1;
+		rec.body.job_submit.shape = {MEMBERS, 2, 1000, 1000};
+		append(rec);
+		follow_all();
+		job = log.size();
+	}
+	void
+	add_worker(uint64_t id, uint32_t worker_state, uint64_t epoch)
+	{
+		struct rec rec = {};
+		rec.kind = REC_WORKER;
+		rec.body.worker.epoch = epoch;
+		rec.body.worker.facts.id = id;
+		rec.body.worker.facts.rack = (id - 1) / 4 + 1;
+		rec.body.worker.facts.cores_milli = 64000;
+		rec.body.worker.facts.memory_mb = 64000;
+		rec.body.worker.facts.accels = 4;
+		rec.body.worker.facts.state = worker_state;
+		append(rec);
+	}
+	void
+	append(struct rec rec)
+	{
+		rec.version = REC_VERSION;
+		rec.writer = 99;
+		rec.sequence = log.size() + 1;
+		rec.time_ms = now;
+		log.push_back(rec);
+	}
+	void
+	follow_all()
+	{
+		for (auto &vm : vms)
+			vm->follow();
+	}
+	// Places the job with two members on each of two workers.
+	void
+	place(uint64_t first_worker)
+	{
+		struct rec rec = {};
+		rec.kind = REC_PLACE;
+		rec.body.place.job = job;
+		rec.body.place.epoch = row().epoch;
+		rec.body.place.member_count = MEMBERS;
+		for (uint32_t i = 0; i < MEMBERS; i++)
+			rec.body.place.members[i] = {
+			    first_worker + i / 2, i % 2 ? 0xcu : 0x3u, 0};
+		append(rec);
+		follow_all();
+		EXPECT_EQ(row().state, (uint32_t)BD_JOB_PLACED);
+	}
+	void
+	own(uint64_t owner)
+	{
+		struct rec rec = {};
+		rec.kind = REC_JOB_OWNER;
+		rec.body.job_owner = {job, row().epoch, owner};
+		append(rec);
+		follow_all();
+	}
+	void
+	simple(uint32_t kind, int64_t deadline = 0)
+	{
+		struct rec rec = {};
+		rec.kind = kind;
+		if (kind == REC_JOB_CANCEL)
+			rec.body.job_cancel.job = job;
+		else
+			rec.body.preempt = {job, row().token, 0,
+			    BD_REASON_RECLAIMED, 0, deadline};
+		append(rec);
+		follow_all();
+	}
+	// The row as the last VM sees it, which never dies in these tests.
+	struct bd_job
+	row()
+	{
+		struct bd_job copy = {};
+		bd_read_begin();
+		const struct bd_job *found =
+		    bd_job_lookup(vms.back()->board, job);
+		if (found != nullptr)
+			copy = *found;
+		bd_read_end();
+		return copy;
+	}
+	void
+	run(int64_t ms)
+	{
+		for (int64_t end = now + ms; now < end; now += TICK_MS) {
+			workers.advance(now);
+			for (auto &vm : vms) {
+				vm->follow();
+				if (vm->running)
+					vm->step();
+			}
+		}
+		follow_all();
+	}
+	bool
+	run_until(uint32_t wanted, int64_t limit_ms)
+	{
+		for (int64_t end = now + limit_ms;
+		     now < end && row().state != wanted;)
+			run(TICK_MS);
+		return row().state == wanted;
+	}
+	// The last record of the kind.
+	const struct rec *
+	last(uint32_t kind) const
+	{
+		for (size_t i = log.size(); i > 0; i--)
+			if (log[i - 1].kind == kind)
+				return &log[i - 1];
+		return nullptr;
+	}
+	int64_t now = 1000000;
+	bool log_up = true;
+	uint64_t job = 0;
+	std::vector<struct rec> log;
+	std::vector<std::unique_ptr<Vm>> vms;
+	Workers workers;
+};
+
+void
+Vm::follow()
+{
+	if (!running || !world->log_up)
+		return;
+	for (; applied < world->log.size(); applied++)
+		st_apply(state, &world->log[applied], applied + 1);
+}
+
+void
+Vm::take_call(void *ctx, const struct gang_call *call)
+{
+	Vm *vm = static_cast<Vm *>(ctx);
+	struct gang_answer answer = {};
+	answer.job = call->gang->job;
+	answer.token = call->gang->token;
+	answer.member = call->member;
+	answer.verb = call->verb;
+	answer.sequence = call->gang->members[call->member].sequence;
+	vm->calls.emplace_back(answer, call->gang->members[call->member]);
+	vm->resumes.push_back(call->job ? call->job->progress_ms : 0);
+}
+
+int
+Vm::propose(void *ctx, const struct rec *rec, const struct st_done *)
+{
+	Vm *vm = static_cast<Vm *>(ctx);
+	// Guards against an end that is recorded while members still run on
+	// workers that answer.
+	if (rec->kind == REC_GANG_ENDED)
+		for (auto &entry : vm->world->workers.tasks)
+			if (std::get<1>(entry.first) ==
+				rec->body.gang_ended.token &&
+			    !vm->world->workers.faults.count(
+				entry.second.worker)) {
+				EXPECT_GT(entry.second.state,
+				    (uint32_t)PF_TASK_RUNNING);
+			}
+	if (!vm->world->log_up)
+		return ST_EUNAVAILABLE;
+	vm->world->append(*rec);
+	return CW_OK;
+}
+
+// Steps until nothing more is called at this time.
+void
+Vm::step()
+{
+	struct gang_out out = {take_call, this, {propose, this}};
+	do {
+		calls.clear();
+		resumes.clear();
+		gang_set_step(set, world->now, &out);
+		for (size_t i = 0; i < calls.size(); i++) {
+			if (calls_left == 0) {
+				running = false;
+				return;
+			}
+			calls_left -= calls_left > 0;
+			verbs.push_back(calls[i].first.verb);
+			world->workers.call(&calls[i].first, calls[i].second,
+			    resumes[i], world->now);
+		}
+		for (auto &call : calls)
+			gang_set_answer(set, &call.first, world->now);
+		follow();
+	} while (!calls.empty());
+}
+
+} // namespace
+
+#endif
