--- a/lib/front/front.h
+++ b/lib/front/front.h
@@ -338,11 +338,19 @@
 struct fr_metric_out {
 	void (*emit)(void *ctx, const struct fr_metric *metric);
 	void *ctx;
+	const struct bd_board *board; /* for names, set by the front */
 };
 
 void fr_metric_value(struct fr_metric_out *out, const char *name,
     const char *help, enum fr_metric_kind kind, double value);
 void fr_metrics_collect(struct fr_front *front, struct fr_metric_out *out);
+/* Sources over the other packages; each object must outlive the front. */
+struct rt_route;
+struct fl_fleet;
+struct fr_metric_source fr_source_route(struct rt_route *route);
+struct fr_metric_source fr_source_fleet(struct fl_fleet *fleet);
+struct fr_metric_source fr_source_writer(struct st_writer *writer);
+struct fr_metric_source fr_source_follower(struct st_follower *follower);
 /* Both return text that the caller frees, NULL where memory is short. */
 char *fr_metrics_text(struct fr_front *front, size_t *bytes);
 char *fr_metrics_json(struct fr_front *front, size_t *bytes);
--- a/lib/front/http.c
+++ b/lib/front/http.c
@@ -187,7 +187,7 @@
 	if (text == NULL)
 		return fr_error_set(exchange->error, FR_ENOMEM, NULL,
 		    "no memory for the answer");
-	exchange->response->content_type = content_type;
+	lk_http_response_type(exchange->response, content_type);
 	lk_http_response_take(exchange->response, 200, text, bytes, free);
 	return CW_OK;
 }
--- a/lib/front/metrics.c
+++ b/lib/front/metrics.c
@@ -288,6 +288,7 @@
 	size_t i;
 
 	assert(front != NULL && out != NULL && out->emit != NULL);
+	out->board = front->options.board;
 	emit_versions(front, out);
 	emit_calls(front, out);
 	emit_tables(front, out);
--- a/lib/front/metrics_text.c
+++ b/lib/front/metrics_text.c
@@ -109,7 +109,7 @@
 fr_metrics_text(struct fr_front *front, size_t *bytes)
 {
 	struct text_out out = {0};
-	struct fr_metric_out metrics = {emit_text, &out};
+	struct fr_metric_out metrics = {emit_text, &out, NULL};
 	char *text = NULL;
 
 	assert(bytes != NULL);
@@ -171,7 +171,7 @@
 fr_metrics_json(struct fr_front *front, size_t *bytes)
 {
 	json_t *root = json_object();
-	struct fr_metric_out metrics = {emit_json, root};
+	struct fr_metric_out metrics = {emit_json, root, NULL};
 	char *text;
 
 	assert(bytes != NULL);
--- a/tests/test_front_metrics.cc
+++ b/tests/test_front_metrics.cc
@@ -1,4 +1,9 @@
+#include "fake_log.h"
 #include "front_fixture.h"
+#include "route.h"
+
+#include <map>
+#include <sstream>
 
 namespace {
 
@@ -135,6 +140,50 @@
 	EXPECT_TRUE(answers("{\"labels\":{},\"value\":1.5}")) << answer;
 }
 
+// Guards against samples of one name that are torn apart by another, and
+// against accounts without their names.
+TEST_F(FrontMetrics, SourcesOfOtherPackages)
+{
+	struct rt_settings settings;
+	struct rt_route *route = nullptr;
+	struct st_writer *writer = nullptr;
+	struct st_writer_options writer_options = {77, 1000};
+	FakeLog fake;
+	struct pf_log log = fake.log();
+
+	rt_settings_default(&settings);
+	settings.self = 77;
+	ASSERT_EQ(rt_create(&route, board, &settings), CW_OK);
+	ASSERT_EQ(
+	    st_writer_create(&writer, &log, &options.wall, &writer_options),
+	    CW_OK);
+	options.sources[0] = fr_source_route(route);
+	options.sources[1] = fr_source_writer(writer);
+	options.source_count = 2;
+	start();
+	put_accounts();
+	rt_index_step(route, 0);
+	for (const char *name : {"alpha", "beta"})
+		for (enum rt_hist_kind kind : {RT_HIST_QUEUE, RT_HIST_TOTAL})
+			rt_time(route, cw_id_from_name(name), BD_CLASS_NORMAL,
+			    kind, 2000000);
+	EXPECT_EQ(serve("GET", "/metrics", nullptr), 200);
+	for (const char *part :
+	    {"camphor_request_total_seconds{account="
+	     "\"beta\",class=\"normal\",quantile=\"0.5\"} 2\n",
+		"camphor_log_pending 0\n",
+		"camphor_route_total{kind=\"requests\"} 0\n"})
+		EXPECT_TRUE(answers(part)) << part << answer;
+	std::map<std::string, int> headings;
+	std::istringstream lines(answer);
+	for (std::string line; std::getline(lines, line);)
+		if (line.rfind("# TYPE ", 0) == 0) {
+			EXPECT_EQ(++headings[line], 1) << line;
+		}
+	st_writer_destroy(writer);
+	rt_destroy(route);
+}
+
 // Guards against names on the page that are taken for markup.
 TEST_F(FrontMetrics, StatusPage)
 {
