--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -99,7 +99,9 @@
 struct fl_options {
 	struct bd_board *board;
 	struct bd_member self; /* id, zone, region, name and addresses */
-	int64_t started_ms;    /* wall clock */
+	char region[24];       /* names, for the platform's list */
+	char zone[24];
+	int64_t started_ms; /* wall clock */
 	uint32_t seed_count;
 	char seeds[FL_MEMBERS_MAX][CW_NAME_BYTES]; /* peer addresses */
 	struct st_sink sink;
@@ -167,12 +169,14 @@
 
 const char *fl_msg_kind_name(uint32_t kind);
 
-/* First half of an id: names members, runners and accounts in messages. */
+/* Parts of an id that name members and runners, and accounts, in messages. */
+#define FL_SHORT_BYTES 3
 uint32_t fl_short(uint64_t id);
+uint32_t fl_account_short(uint64_t id);
 
 struct fl_load {
-	uint32_t runner; /* fl_short */
-	uint32_t in_flight;
+	uint32_t runner;    /* fl_short */
+	uint32_t in_flight; /* 255 at most */
 };
 
 struct fl_heartbeat {
@@ -231,14 +235,17 @@
 };
 
 struct fl_share_entry {
-	uint32_t account; /* fl_short */
+	uint32_t account; /* fl_account_short */
 	uint32_t rate_per_s;
 	uint32_t concurrency;
 };
 
-/* SHARE_ASK carries what is wanted above the floor, SHARE what is granted. */
+/* SHARE_ASK carries what is wanted above the floor, SHARE what is granted.
+ * Either tells only what differs from the list with the sequence base, which
+ * both ends have; base 0 is an empty list. */
 struct fl_share_list {
 	uint64_t sequence;
+	uint64_t base;
 	uint32_t count;
 	struct fl_share_entry entries[FL_ACCOUNTS_MAX];
 };
@@ -410,7 +417,8 @@
  * and the pool together never exceed the limit.
  */
 #define FL_SHARE_LEASE_MS 3000
-#define FL_SHARE_ASK_MS 1000
+/* Two asks fall into a lease, so one may get lost. */
+#define FL_SHARE_ASK_MS 1200
 /* The granter counts a lease longer by this, against clocks that run at
  * different speeds. */
 #define FL_SHARE_MARGIN_PERCENT 10
@@ -439,17 +447,20 @@
 	uint64_t account;
 	struct fl_limit limit;
 	struct fl_limit floor;
+	struct fl_limit wanted; /* by the latest ask */
 	struct fl_limit granted;
 	int64_t until_ms;
-	bool present; /* in the configuration */
+	bool present;   /* in the configuration */
+	bool ambiguous; /* its short id is that of another account */
 	bool changed;
 };
 
 struct fl_holder {
 	uint32_t entry_vms;
 	uint32_t count;
-	uint64_t sequence;              /* of the latest ask */
-	uint64_t accepted;              /* highest sequence that was answered */
+	uint64_t sequence; /* of the latest ask */
+	uint64_t accepted; /* highest sequence that was answered */
+	uint64_t base;     /* the same while what was granted holds, or 0 */
 	int64_t asked_ms[FL_ASKS_KEPT]; /* by sequence modulo this */
 	struct fl_lease leases[FL_ACCOUNTS_MAX];
 };
@@ -476,6 +487,7 @@
 	uint64_t sequence;
 	int64_t asked_ms;
 	struct fl_limit wanted[FL_ACCOUNTS_MAX];
+	struct fl_limit told[FL_ACCOUNTS_MAX]; /* by the latest SHARE */
 	struct fl_grant grants[FL_ACCOUNTS_MAX][FL_GRANTS_KEPT];
 };
 
@@ -549,6 +561,9 @@
 /*
  * 9. Loads: which changed loads the next heartbeat carries.
  */
+/* With 8 peers and 4 bytes a load, 640 bytes a second. */
+#define FL_LOADS_PER_HEARTBEAT 16
+
 struct fl_load_sent {
 	uint64_t runner;
 	uint32_t sent;
@@ -558,7 +573,7 @@
 struct fl_loads {
 	uint32_t count;
 	uint32_t taken;   /* while the runners are gone through */
-	uint32_t refresh; /* next one that is sent although unchanged */
+	uint32_t refresh; /* where the next search starts */
 	struct fl_load_sent runners[FL_LOADS_MAX];
 };
 
--- a/lib/link/http_message.c
+++ b/lib/link/http_message.c
@@ -23,6 +23,21 @@
 	response->header_count++;
 }
 
+/* Copies the type of the body; longer ones and those with line ends are left at
+ * the default. */
+void
+lk_http_response_type(
+    struct lk_http_response *response, const char *content_type)
+{
+	size_t bytes = strlen(content_type) + 1;
+
+	if (bytes > sizeof(response->own_type) ||
+	    strpbrk(content_type, "\r\n") != NULL)
+		return;
+	memcpy(response->own_type, content_type, bytes);
+	response->content_type = response->own_type;
+}
+
 /* Sets the status and a copy of the body. Returns CW_ENOMEM, and the response
  * is then 500 without a body. */
 int
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -22,6 +22,7 @@
  * latency, so that callers with short deadlines do not eject runners. */
 #define TIMEOUT_LATENCIES 4
 #define CHOOSE_TRIES 3
+#define QUEUE_SAMPLE_ONE_IN 8
 
 static bool was_tried(
     const struct rt_pick_query *query, const struct rt_candidate *candidate);
@@ -41,8 +42,8 @@
     const struct rt_index *index, const struct rt_group *group, int64_t now_us);
 static bool pay_crossing(struct rt_route *route, const struct rt_index *index,
     uint64_t bytes, int64_t now_us);
-static void fill(struct rt_pick *pick, const struct rt_candidate *candidate,
-    uint64_t service);
+static void fill(const struct rt_route *route, struct rt_pick *pick,
+    const struct rt_candidate *candidate, uint64_t service);
 static void average(atomic_uint *gauge, int64_t value_us);
 static bool is_failure(const struct rt_gauge *gauge,
     const struct rt_outcome *outcome, int64_t elapsed_us);
@@ -239,9 +240,12 @@
 }
 
 static void
-fill(struct rt_pick *pick, const struct rt_candidate *candidate,
-    uint64_t service)
+fill(const struct rt_route *route, struct rt_pick *pick,
+    const struct rt_candidate *candidate, uint64_t service)
 {
+	pick->latency_us = atomic_load_explicit(
+	    &route->gauges[candidate->runner.index].latency_us,
+	    memory_order_relaxed);
 	pick->runner = candidate->runner;
 	pick->runner_id = candidate->id;
 	pick->service = service;
@@ -278,7 +282,7 @@
 			found = choose_probe(
 			    route, index, &service->probes, now_us);
 		if (found != NULL) {
-			fill(pick, found, admission->service);
+			fill(route, pick, found, admission->service);
 			pick->probe = true;
 		}
 	}
@@ -296,7 +300,7 @@
 			continue;
 		found = choose(route, index, group, query, now_us);
 		if (found != NULL)
-			fill(pick, found, admission->service);
+			fill(route, pick, found, admission->service);
 		if (found != NULL && pays)
 			pick->bytes_reserved = admission->bytes_estimate;
 		else if (pays)
@@ -319,8 +323,11 @@
 		value = UINT32_MAX / 2;
 	if (old != 0)
 		value = old + (value - (int64_t)old) / 8;
-	atomic_store_explicit(
-	    gauge, value < 1 ? 1 : (uint32_t)value, memory_order_relaxed);
+	if (value < 1)
+		value = 1;
+	if (value != (int64_t)old)
+		atomic_store_explicit(
+		    gauge, (uint32_t)value, memory_order_relaxed);
 }
 
 /* 429 and silent kept connections say nothing against the runner. */
