--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -44,6 +44,7 @@
 EV(413, EV_DUTIES_RELEASED, EV_LEVEL_INFO, "duties handed over")
 EV(414, EV_SHARES_LAPSED, EV_LEVEL_WARN, "leased shares lapsed")
 /* 500: scheduling */
+EV(501, EV_SCHED_GUARANTEE, EV_LEVEL_ERROR, "guarantee condition is broken")
 /* 600: gangs and leases */
 EV(601, EV_GANG_RUNNING, EV_LEVEL_INFO, "all members of a gang run")
 EV(602, EV_GANG_DONE, EV_LEVEL_INFO, "all members of a gang are done")
--- a/lib/sched/scheduler_internal.h
+++ b/lib/sched/scheduler_internal.h
@@ -262,7 +262,7 @@
 	uint32_t swap_next;  /* promise from which the search goes on */
 	uint32_t proposed;   /* in this step */
 	atomic_int pending;  /* proposals whose status is not known */
-	uint32_t reserved;
+	uint32_t broken;     /* the guarantee condition, when last checked */
 };
 
 /* view.c, index.c: the flat working view, valid within one read section. */
--- a/lib/sched/step.c
+++ b/lib/sched/step.c
@@ -16,6 +16,7 @@
 static int alloc_scratch(struct sch *sch);
 static int run_one(
     struct sch *sch, int64_t now_ms, int (*decide)(struct sch *sch));
+static void check_condition(struct sch *sch);
 static bool is_waiting_for_status(struct sch *sch, int64_t now_ms);
 
 static void
@@ -248,6 +249,18 @@
 	return false;
 }
 
+/* Reports a broken guarantee condition once. Apply keeps it, so this is a
+ * fault in either package; the decisions go on, for they can only mend it. */
+static void
+check_condition(struct sch *sch)
+{
+	bool broken = sch_guarantee_run(sch) != CW_OK;
+
+	if (broken && !sch->broken)
+		ev_emit(EV_SCHED_GUARANTEE, "message=\"%s\"", cw_error_last());
+	sch->broken = broken;
+}
+
 /*
  * One step of the controller, for ctl_start with a struct sch as the context.
  * Returns the time (ms) of the next step. Every VM learns; only the holder of
@@ -271,6 +284,7 @@
 	sch->proposed = 0;
 	sch->pending_since_ms = now_ms;
 	sch_view_load(sch, now_ms);
+	check_condition(sch);
 	for (i = 0; i < sizeof(decisions) / sizeof(*decisions) &&
 	     code == CW_OK && sch_has_budget(sch);
 	     i++)
