--- a/lib/sched/scheduler_internal.h
+++ b/lib/sched/scheduler_internal.h
@@ -262,7 +262,7 @@
 	uint32_t swap_next;  /* promise from which the search goes on */
 	uint32_t proposed;   /* in this step */
 	atomic_int pending;  /* proposals whose status is not known */
-	uint32_t reserved;
+	uint32_t broken;     /* the guarantee condition, when last checked */
 };
 
 /* view.c, index.c: the flat working view, valid within one read section. */
@@ -322,6 +322,7 @@
 /* heat.c */
 void sch_heat_note(struct sch *sch, uint32_t promise);
 int64_t sch_heat_interval_ms(const struct sch *sch, uint64_t promise);
+double sch_heat_risk(const struct sch *sch, uint32_t worker, int64_t run_ms);
 uint32_t sch_heat_mask(const struct sch *sch, uint32_t worker, int64_t run_ms);
 
 /* The others. */
