--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -116,7 +116,6 @@
 };
 
 struct fl_fleet;
-
 int fl_create(
     struct fl_fleet **out, const struct fl_options *options, int64_t now_ms);
 void fl_destroy(struct fl_fleet *fleet);
@@ -200,12 +199,10 @@
 struct fl_leave_msg {
 	uint32_t gone; /* 0: no new work; 1: the process ends */
 };
-
 struct fl_tail_get {
 	uint64_t from;
 	uint64_t start; /* bytes of the entry `from` that are there already */
 };
-
 /* One entry, or a part of a large one. */
 struct fl_tail_entry {
 	uint64_t offset;
@@ -225,7 +222,6 @@
 	uint64_t position; /* of the image being read, 0: any */
 	uint64_t start;
 };
-
 struct fl_snap {
 	uint64_t position;
 	uint64_t total;
@@ -254,7 +250,6 @@
 	uint64_t request_id;
 	uint64_t ticket;
 };
-
 struct fl_result {
 	uint64_t ticket;
 	int32_t status;
