--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -9,6 +9,8 @@
 EV(103, EV_DAEMON_DRAIN, EV_LEVEL_INFO, "graceful shutdown started")
 EV(104, EV_DAEMON_CUT, EV_LEVEL_WARN, "second signal: work cut short")
 EV(105, EV_DAEMON_STOP, EV_LEVEL_INFO, "daemon stopped")
+EV(106, EV_DAEMON_RELOADED, EV_LEVEL_INFO, "keys reloaded")
+EV(107, EV_DAEMON_RELOAD_FAILED, EV_LEVEL_ERROR, "keys not reloaded")
 /* 200: configuration */
 /* 300: state and log */
 EV(301, EV_STATE_RECORD_MALFORMED, EV_LEVEL_WARN, "malformed record skipped")
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -78,6 +78,13 @@
 		    "CURVE keys must have %d characters; "
 		    "\"camphorctl curve-key\" makes a pair",
 		    CFG_CURVE_KEY_BYTES - 1);
+	if (settings->curve_peer_count != 0 &&
+	    settings->curve_peer_count != settings->peer_count)
+		cfg_errors_add(errors, 0, 0,
+		    "\"curve_peers\" has %u keys but \"peers\" has %u "
+		    "addresses; list one key for each address, in the same "
+		    "order",
+		    settings->curve_peer_count, settings->peer_count);
 }
 
 /*
--- a/lib/front/front_internal.h
+++ b/lib/front/front_internal.h
@@ -80,7 +80,7 @@
 json_t *fr_json_accounts(const struct fr_account_use *uses, size_t count);
 json_t *fr_json_workers(const struct bd_board *board);
 json_t *fr_json_runners(const struct bd_board *board);
-json_t *fr_json_members(const struct bd_board *board);
+json_t *fr_json_members(const struct bd_board *board, int64_t wall_offset_ms);
 struct rp_report;
 json_t *fr_json_history(const struct rp_report *report);
 json_t *fr_json_events(
--- a/lib/front/http_state.c
+++ b/lib/front/http_state.c
@@ -47,8 +47,12 @@
 int
 fr_http_members(struct fr_exchange *exchange)
 {
+	const struct fr_options *options = &exchange->front->options;
+	int64_t offset_ms = options->wall.now_ms(options->wall.ctx) -
+	    options->mono.now_ms(options->mono.ctx);
+
 	return fr_reply_json(
-	    exchange, 200, fr_json_members(exchange->front->options.board));
+	    exchange, 200, fr_json_members(options->board, offset_ms));
 }
 
 /* GET /v1/events */
--- a/lib/front/json_state.c
+++ b/lib/front/json_state.c
@@ -12,7 +12,7 @@
 static json_t *make_worker(const struct bd_worker *row);
 static json_t *make_runner(
     const struct bd_board *board, const struct bd_runner *row);
-static json_t *make_member(const struct bd_member *row);
+static json_t *make_member(const struct bd_member *row, int64_t wall_offset_ms);
 static json_t *make_account(const struct fr_account_use *use);
 
 static const char *
@@ -210,7 +210,7 @@
 }
 
 static json_t *
-make_member(const struct bd_member *row)
+make_member(const struct bd_member *row, int64_t wall_offset_ms)
 {
 	char digest[20];
 
@@ -218,14 +218,15 @@
 	return json_pack("{ss sb ss ss ss sI sI ss sI}", "name", row->name,
 	    "self", (int)row->self, "state", member_state_name(row->state),
 	    "peer", row->peer_address, "http", row->http_address, "heard_ms",
-	    (json_int_t)row->heard_ms, "position", (json_int_t)row->position,
-	    "digest", digest, "config_version",
+	    (json_int_t)(row->heard_ms + wall_offset_ms), "position",
+	    (json_int_t)row->position, "digest", digest, "config_version",
 	    (json_int_t)row->config_version);
 }
 
-/* Encodes the entry VMs as this one sees them. */
+/* Encodes the entry VMs as this one sees them. wall_offset_ms turns times of
+ * the monotonic clock, which membership uses, into times of day. */
 json_t *
-fr_json_members(const struct bd_board *board)
+fr_json_members(const struct bd_board *board, int64_t wall_offset_ms)
 {
 	json_t *list = json_array();
 	const struct bd_member *row;
@@ -233,7 +234,7 @@
 
 	bd_read_begin();
 	while ((row = bd_member_next(board, &cursor)) != NULL)
-		json_array_append_new(list, make_member(row));
+		json_array_append_new(list, make_member(row, wall_offset_ms));
 	bd_read_end();
 	return json_pack("{so}", "members", list);
 }
--- a/lib/link/http_server.c
+++ b/lib/link/http_server.c
@@ -299,6 +299,9 @@
 	if (tls) {
 		options[18] = "ssl_certificate";
 		options[19] = config->tls_certificate;
+		/* A replaced file is used from the next connection on. */
+		options[20] = "ssl_short_trust";
+		options[21] = "yes";
 	}
 	mg_init_library(MG_FEATURES_TLS);
 	server->context = mg_start(&callbacks, server, options);
--- a/programs/camphord/daemon.c
+++ b/programs/camphord/daemon.c
@@ -69,6 +69,7 @@
 	daemon->mono.now_ms = mono_now;
 	pthread_mutex_init(&daemon->image.lock, NULL);
 	pthread_mutex_init(&daemon->sch_lock, NULL);
+	pthread_rwlock_init(&daemon->peer_lock, NULL);
 	rt_seed(daemon->self);
 	code = fr_events_create(&daemon->events, ev_sink_get(), &daemon->wall);
 	if (code == CW_OK) {
@@ -80,6 +81,44 @@
 	return code;
 }
 
+/*
+ * Takes over the CURVE keys of new settings; everything else needs a restart.
+ * A TLS certificate is read again by the server itself. Messages of the few
+ * milliseconds in which the links are closed are lost, which heartbeats and
+ * repeated asks make up for.
+ */
+int
+daemon_reload(struct daemon *daemon, const struct cfg_settings *settings)
+{
+	struct cfg_settings *own = &daemon->settings;
+	struct lk_peer *old;
+	int code;
+
+	pthread_rwlock_wrlock(&daemon->peer_lock);
+	old = daemon->peer;
+	daemon->peer = NULL;
+	pthread_rwlock_unlock(&daemon->peer_lock);
+	if (old != NULL)
+		lk_peer_stop(old);
+	memcpy(own->curve_public, settings->curve_public,
+	    sizeof(own->curve_public));
+	memcpy(own->curve_secret, settings->curve_secret,
+	    sizeof(own->curve_secret));
+	memcpy(
+	    own->curve_peers, settings->curve_peers, sizeof(own->curve_peers));
+	memcpy(own->peers, settings->peers, sizeof(own->peers));
+	own->curve_peer_count = settings->curve_peer_count;
+	own->peer_count = settings->peer_count;
+	code = wire_links(daemon);
+	if (code != CW_OK)
+		ev_emit(
+		    EV_DAEMON_RELOAD_FAILED, "error=\"%s\"", cw_error_last());
+	else
+		ev_emit(EV_DAEMON_RELOADED, "curve_peers=%u",
+		    own->curve_peer_count);
+	return code;
+}
+
 /*
  * Graceful shutdown: refuses new work, tells balancer and members, hands over
  * duties, and waits for the requests in flight, at most settings.drain_ms.
@@ -162,6 +201,7 @@
 	ev_sink_set(NULL);
 	if (daemon->events != NULL)
 		fr_events_destroy(daemon->events);
+	pthread_rwlock_destroy(&daemon->peer_lock);
 	pthread_mutex_destroy(&daemon->sch_lock);
 	pthread_mutex_destroy(&daemon->image.lock);
 }
--- a/programs/camphord/daemon.h
+++ b/programs/camphord/daemon.h
@@ -48,7 +48,8 @@
 	struct daemon_image image;
 	struct rt_route *route;
 	struct lk_http_client *client;
-	struct lk_peer *peer;
+	struct lk_peer *peer;       /* NULL while keys are replaced */
+	pthread_rwlock_t peer_lock; /* of the pointer */
 	struct fl_fleet *fleet;
 	struct sch *sch;
 	pthread_mutex_t sch_lock; /* sch_step against sch_explain */
@@ -62,12 +63,14 @@
 };
 
 int daemon_start(struct daemon *daemon);
+int daemon_reload(struct daemon *daemon, const struct cfg_settings *settings);
 void daemon_drain(struct daemon *daemon);
 void daemon_stop(struct daemon *daemon);
 
 /* wire_*.c: one part each; the codes are those of the part. */
 int wire_state(struct daemon *daemon);
 int wire_fleet(struct daemon *daemon);
+int wire_links(struct daemon *daemon);
 int wire_sched(struct daemon *daemon);
 int wire_requests(struct daemon *daemon);
 int wire_front(struct daemon *daemon);
--- a/programs/camphord/main.c
+++ b/programs/camphord/main.c
@@ -11,6 +11,11 @@
 /* Exit codes, see docs/man/camphord.8. */
 #define EXIT_USAGE 2
 
+/* A daemon that has the state neither from the log nor from a member by then
+ * ends, so that its supervisor and its operator notice. */
+#define READY_WITHIN_MS 15000
+#define READY_LOOK_MS 200
+
 struct options {
 	struct arg_lit *help;
 	struct arg_lit *version;
@@ -22,7 +27,10 @@
 static void print_errors(const char *path, const struct cfg_errors *errors);
 static void *wait_for_second(void *arg);
 static void block_signals(sigset_t *set);
-static int run(struct daemon *daemon, const sigset_t *set);
+static void reload(struct daemon *daemon, const char *path);
+static bool wait_until_ready(
+    struct daemon *daemon, const sigset_t *set, int *number);
+static int run(struct daemon *daemon, const char *path, const sigset_t *set);
 static int serve(const char *path, bool check_only);
 
 static void
@@ -51,6 +59,7 @@
 	int number;
 
 	block_signals(&set);
+	sigdelset(&set, SIGHUP);
 	sigwait(&set, &number);
 	ev_emit(EV_DAEMON_CUT, "signal=%d in_flight=%u", number,
 	    rt_in_flight(daemon->route));
@@ -64,11 +73,54 @@
 	sigemptyset(set);
 	sigaddset(set, SIGTERM);
 	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, set, NULL);
 }
 
+/* Wrong settings change nothing. */
+static void
+reload(struct daemon *daemon, const char *path)
+{
+	static struct cfg_settings settings;
+	static struct cfg_errors errors;
+
+	errors.count = 0;
+	if (cfg_settings_load(path, &settings, &errors) == CW_OK) {
+		daemon_reload(daemon, &settings);
+		return;
+	}
+	print_errors(path, &errors);
+	ev_emit(
+	    EV_DAEMON_RELOAD_FAILED, "file=%s errors=%zu", path, errors.count);
+}
+
+/* Returns false where the state cannot be had. *number is the signal that came
+ * meanwhile, 0 for none. */
+static bool
+wait_until_ready(struct daemon *daemon, const sigset_t *set, int *number)
+{
+	struct timespec look = {0, READY_LOOK_MS * 1000000L};
+	int64_t until_ms = cw_clock_mono_ms() + READY_WITHIN_MS;
+	struct st_follower_status status;
+
+	*number = 0;
+	do {
+		st_follower_status_get(daemon->follower, &status);
+		if (status.ready) {
+			ev_emit(EV_DAEMON_READY, "position=%llu",
+			    (unsigned long long)status.position);
+			return true;
+		}
+		*number = sigtimedwait(set, NULL, &look);
+		if (*number == SIGTERM || *number == SIGINT)
+			return true;
+		*number = 0;
+	} while (cw_clock_mono_ms() < until_ms);
+	return false;
+}
+
 static int
-run(struct daemon *daemon, const sigset_t *set)
+run(struct daemon *daemon, const char *path, const sigset_t *set)
 {
 	pthread_t second;
 	int number;
@@ -80,7 +132,18 @@
 	ev_emit(EV_DAEMON_START, "name=%s version=%s http=%s peer=%s",
 	    daemon->settings.name, CAMPHOR_VERSION,
 	    daemon->settings.http_address, daemon->settings.peer_address);
-	sigwait(set, &number);
+	if (!wait_until_ready(daemon, set, &number)) {
+		fprintf(stderr,
+		    "camphord: the log at %s cannot be reached and no member "
+		    "has the state; check platform_address and peers\n",
+		    daemon->settings.platform_address);
+		daemon_stop(daemon);
+		return EXIT_FAILURE;
+	}
+	while (number == 0 && sigwait(set, &number) == 0 && number == SIGHUP) {
+		number = 0;
+		reload(daemon, path);
+	}
 	if (pthread_create(&second, NULL, wait_for_second, daemon) == 0)
 		pthread_detach(second);
 	daemon_drain(daemon);
@@ -118,7 +181,7 @@
 		free(daemon);
 		return EXIT_FAILURE;
 	}
-	result = run(daemon, &set);
+	result = run(daemon, path, &set);
 	free(daemon);
 	return result;
 }
--- a/programs/camphord/wire_fleet.c
+++ b/programs/camphord/wire_fleet.c
@@ -26,6 +26,7 @@
     void *buffer, size_t bytes_max, size_t *bytes);
 static int send_message(
     void *ctx, const char *address, const void *data, size_t bytes);
+static int key_of(void *ctx, const char *address, char key[LK_PEER_KEY_BYTES]);
 static void receive(void *ctx, const void *data, size_t bytes);
 
 static void
@@ -217,8 +218,30 @@
 send_message(void *ctx, const char *address, const void *data, size_t bytes)
 {
 	struct daemon *daemon = ctx;
+	int code = FL_EUNREACHABLE;
 
-	return lk_peer_send(daemon->peer, address, data, bytes);
+	pthread_rwlock_rdlock(&daemon->peer_lock);
+	if (daemon->peer != NULL)
+		code = lk_peer_send(daemon->peer, address, data, bytes);
+	pthread_rwlock_unlock(&daemon->peer_lock);
+	return code;
+}
+
+/* curve_peers names the keys of the daemons at peers, in the same order;
+ * daemons that are not listed share this one's pair. */
+static int
+key_of(void *ctx, const char *address, char key[LK_PEER_KEY_BYTES])
+{
+	struct daemon *daemon = ctx;
+	const struct cfg_settings *settings = &daemon->settings;
+	uint32_t i;
+
+	memcpy(key, settings->curve_public, LK_PEER_KEY_BYTES);
+	for (i = 0; i < settings->curve_peer_count; i++)
+		if (strcmp(settings->peers[i], address) == 0)
+			memcpy(
+			    key, settings->curve_peers[i], LK_PEER_KEY_BYTES);
+	return CW_OK;
 }
 
 static void
@@ -229,17 +252,12 @@
 	fl_receive(daemon->fleet, data, bytes, cw_clock_mono_ms());
 }
 
-/* Makes the fleet and opens the links to the other daemons. */
+/* Makes the fleet and its links. */
 int
 wire_fleet(struct daemon *daemon)
 {
 	const struct cfg_settings *settings = &daemon->settings;
 	struct fl_options *options = calloc(1, sizeof(*options));
-	struct lk_peer_options links = {
-	    .bind = settings->peer_address,
-	    .receive = receive,
-	    .ctx = daemon,
-	};
 	int code;
 
 	if (options == NULL)
@@ -270,10 +288,33 @@
 	free(options);
 	if (code != CW_OK)
 		return code;
+	return wire_links(daemon);
+}
+
+/* Opens the links to the other daemons with the keys of the settings. */
+int
+wire_links(struct daemon *daemon)
+{
+	const struct cfg_settings *settings = &daemon->settings;
+	struct lk_peer_options links = {
+	    .bind = settings->peer_address,
+	    .key_of = key_of,
+	    .receive = receive,
+	    .ctx = daemon,
+	};
+	struct lk_peer *peer;
+	int code;
+
 	memcpy(links.public_key, settings->curve_public, LK_PEER_KEY_BYTES);
 	memcpy(links.secret_key, settings->curve_secret, LK_PEER_KEY_BYTES);
 	links.allowed_count = settings->curve_peer_count;
 	memcpy(links.allowed, settings->curve_peers,
 	    sizeof(settings->curve_peers));
-	return lk_peer_start(&daemon->peer, &links);
+	code = lk_peer_start(&peer, &links);
+	if (code != CW_OK)
+		return code;
+	pthread_rwlock_wrlock(&daemon->peer_lock);
+	daemon->peer = peer;
+	pthread_rwlock_unlock(&daemon->peer_lock);
+	return CW_OK;
 }
--- a/programs/camphord/wire_front.c
+++ b/programs/camphord/wire_front.c
@@ -1,5 +1,4 @@
 #include <signal.h>
-#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -8,20 +7,11 @@
 /* Connections that wait for a thread of the server. */
 #define SERVER_QUEUE 256
 
-struct request_metrics {
-	const struct bd_board *board;
-	struct fr_metric_out *out;
-};
-
 static bool is_ready(void *ctx);
 static void start_drain(void *ctx);
 static void log_state(void *ctx, struct fr_log_state *out);
 static int explain(
     void *ctx, uint64_t job, int64_t now_ms, struct sch_explanation *out);
-static void emit_hist(void *ctx, uint64_t account, uint32_t class_number,
-    enum rt_hist_kind kind, const struct hist *hist);
-static void collect_requests(void *ctx, struct fr_metric_out *out);
-static void collect_traffic(void *ctx, struct fr_metric_out *out);
 
 static bool
 is_ready(void *ctx)
@@ -65,70 +55,6 @@
 	return code;
 }
 
-static void
-emit_hist(void *ctx, uint64_t account, uint32_t class_number,
-    enum rt_hist_kind kind, const struct hist *hist)
-{
-	struct request_metrics *metrics = ctx;
-	const struct bd_account *row;
-	char name[CW_NAME_BYTES] = "removed";
-	struct fr_metric metric = {
-	    .name = "request_seconds",
-	    .help = "Time of requests in queue, at the upstream and in all.",
-	    .kind = FR_METRIC_SUMMARY,
-	    .label_count = 3,
-	    .labels = {{"account", name},
-		{"class", bd_class_name(class_number)},
-		{"part", rt_hist_name(kind)}},
-	    .hist = hist,
-	    .scale = 1e-6,
-	};
-
-	bd_read_begin();
-	row = bd_account_lookup(metrics->board, account);
-	if (row != NULL)
-		memcpy(name, row->name, sizeof(name));
-	bd_read_end();
-	metrics->out->emit(metrics->out->ctx, &metric);
-}
-
-static void
-collect_requests(void *ctx, struct fr_metric_out *out)
-{
-	struct daemon *daemon = ctx;
-	struct request_metrics metrics = {daemon->board, out};
-	struct rt_hist_reader reader = {emit_hist, &metrics};
-	uint32_t i;
-
-	for (i = 0; i < RT_COUNTERS; i++)
-		fr_metric_value(out, rt_counter_name(i),
-		    "Counter of the request path.", FR_METRIC_COUNTER,
-		    (double)rt_counter_read(daemon->route, i));
-	rt_hist_read(daemon->route, &reader);
-}
-
-static void
-collect_traffic(void *ctx, struct fr_metric_out *out)
-{
-	struct daemon *daemon = ctx;
-	struct fl_counters counters;
-	uint32_t kind;
-
-	fl_traffic(daemon->fleet, &counters);
-	for (kind = 1; kind < FL_MSG_KIND_LIMIT; kind++) {
-		struct fr_metric metric = {
-		    .name = "peer_sent_bytes_total",
-		    .help = "Bytes of messages to other daemons, by kind.",
-		    .kind = FR_METRIC_COUNTER,
-		    .label_count = 1,
-		    .labels = {{"kind", fl_msg_kind_name(kind)}},
-		    .value = (double)counters.sent_bytes[kind],
-		};
-
-		out->emit(out->ctx, &metric);
-	}
-}
-
 /* Makes the HTTP interface and opens its port. */
 int
 wire_front(struct daemon *daemon)
@@ -159,9 +85,14 @@
 	options.log = &daemon->platform.log;
 	options.events = daemon->events;
 	options.sources[options.source_count++] =
-	    (struct fr_metric_source){collect_requests, daemon};
+	    fr_source_route(daemon->route);
+	options.sources[options.source_count++] =
+	    fr_source_fleet(daemon->fleet);
+	options.sources[options.source_count++] =
+	    fr_source_writer(daemon->writer);
 	options.sources[options.source_count++] =
-	    (struct fr_metric_source){collect_traffic, daemon};
+	    fr_source_follower(daemon->follower);
+	options.waiters_max = daemon->settings.http_threads / 4 + 1;
 	code = fr_create(&daemon->front, &options);
 	if (code != CW_OK)
 		return code;
--- a/tests/test_config.cc
+++ b/tests/test_config.cc
@@ -172,6 +172,8 @@
 	    {"zone = \"z\"", "zone = \"z\"\ndrain = \"1\"", 4, "a duration"},
 	    {"zone = \"z\"", "zone = \"z\"\ncurve_public = \"k\"", 0,
 		"go together"},
+	    {"zone = \"z\"", "zone = \"z\"\ncurve_peers = [\"k\"]", 0,
+		"one key for each address"},
 	};
 	static struct cfg_settings settings;
 
