--- a/lib/front/json_state.c
+++ b/lib/front/json_state.c
@@ -218,7 +218,7 @@
 	return json_pack("{ss sb ss ss ss sI sI ss sI}", "name", row->name,
 	    "self", (int)row->self, "state", member_state_name(row->state),
 	    "peer", row->peer_address, "http", row->http_address, "heard_ms",
-	    (json_int_t)(row->heard_ms + wall_offset_ms), "position",
+	    (json_int_t)row->heard_ms + wall_offset_ms, "position",
 	    (json_int_t)row->position, "digest", digest, "config_version",
 	    (json_int_t)row->config_version);
 }
