Accept a job that declares no run time

Cause: a submit without declared_s was refused although the scheduler has a default and the command line marks the option as optional. Conclusion: interface, command line and scheduler agree.

--- a/lib/front/json_job.c
+++ b/lib/front/json_job.c
@@ -101,7 +101,7 @@
 	    "cores", "memory_mb", "class", "declared_s", "cross_region",
 	    "input"};
 	static const struct fr_json_int declared = {
-	    "declared_s", true, 0, 1, 31536000};
+	    "declared_s", false, 0, 1, 31536000};
 	int64_t declared_s = 0;
 	int code;
 
