Leave table share to the fleet alone

Cause: the router kept a second writer of table share and a second finder of changed loads, both unused by camphord.

Change: rt_limits_step, rt_lease_set and rt_load_changed are gone.

--- a/lib/route/load.c
+++ b/lib/route/load.c
@@ -82,32 +82,20 @@
 	pthread_mutex_unlock(&route->fleet_lock);
 }
 
-/* Tells which loads have changed since the last call, at most max; one thread
- * calls it, for the heartbeat. Returns the count. */
-size_t
-rt_load_changed(struct rt_route *route, struct rt_load *out, size_t max)
+/* Calls a function for every runner with the requests that this VM has in
+ * flight on it. */
+void
+rt_load_each(struct rt_route *route,
+    void (*each)(void *ctx, uint64_t runner, uint32_t in_flight), void *ctx)
 {
 	const struct bd_runner *row;
 	struct bd_handle handle;
 	uint32_t cursor = 0;
-	size_t count = 0;
 
 	bd_read_begin();
-	while (count < max &&
-	    (row = bd_next(route->board, BD_TABLE_runner, &cursor, &handle)) !=
-		NULL) {
-		uint32_t load =
-		    atomic_load(&route->gauges[handle.index].in_flight);
-
-		if (load > 1000)
-			load = 1000;
-		if (load == route->reported[handle.index])
-			continue;
-		route->reported[handle.index] = (uint16_t)load;
-		out[count].runner = row->id;
-		out[count].in_flight = load;
-		count++;
-	}
+	while ((row = bd_next(
+		    route->board, BD_TABLE_runner, &cursor, &handle)) != NULL)
+		each(ctx, row->id,
+		    atomic_load(&route->gauges[handle.index].in_flight));
 	bd_read_end();
-	return count;
 }
--- a/lib/route/route.h
+++ b/lib/route/route.h
@@ -253,19 +253,11 @@
 int64_t rt_index_step(struct rt_route *route, int64_t now_ms);
 int64_t rt_health_step(
     struct rt_route *route, int64_t now_ms); /* writes health */
-int64_t rt_limits_step(
-    struct rt_route *route, int64_t now_ms); /* writes share */
 
 /*
- * 7. Fleet: leases of limits and loads of runners on other VMs.
+ * 7. Fleet: demand for leases of limits, which it grants in table share, and
+ * loads of runners on other VMs.
  */
-struct rt_lease {
-	uint64_t account;
-	uint32_t rate_per_s;
-	uint32_t concurrency;
-	int64_t until_ms;
-};
-
 struct rt_demand {
 	uint64_t account;
 	uint32_t rate_per_s;  /* asked for in the last second, with refusals */
@@ -277,10 +269,8 @@
 	uint32_t in_flight;
 };
 
-void rt_lease_set(struct rt_route *route, const struct rt_lease *lease);
 size_t rt_demand_read(
     struct rt_route *route, struct rt_demand *out, size_t max);
-size_t rt_load_changed(struct rt_route *route, struct rt_load *out, size_t max);
 void rt_load_each(struct rt_route *route,
     void (*each)(void *ctx, uint64_t runner, uint32_t in_flight), void *ctx);
 void rt_load_set(struct rt_route *route, uint64_t peer,
