Treat a dropped answer as unknown, not as one that ran

Cause: where the log's state drops an answer for space, the note on whether the request ran goes with it, and the router assumed that it ran. An answer fetched from an owner that still ran the request was leaked.

Change: unpack reads nothing from a row with answer_dropped set and says unknown; the proxy passes that on with 502 unless the owner has the answer.

Conclusion: FrontProxy.DroppedAnswerIsNotWhole covers rows that keep nothing, a cut text and a whole text beside the mark, by key and by id.

--- a/lib/front/proxy.c
+++ b/lib/front/proxy.c
@@ -154,6 +154,7 @@
 answer_known(struct fr_task *task, struct fr_proxy_answer *answer)
 {
 	struct rt_known known;
+	struct rt_answer kept;
 	int code =
 	    rt_once_lookup(task->proxy->config.route, &task->once, &known);
 
@@ -170,15 +171,21 @@
 	default:
 		break;
 	}
-	if (known.answer_kept ||
-	    (fr_answer_find(task->proxy, known.answer.owner,
-		 known.answer.request, &known.answer) == CW_OK &&
-		!known.answer.running)) {
+	if (!known.answer_kept &&
+	    fr_answer_find(task->proxy, known.answer.owner,
+		known.answer.request, &kept) == CW_OK) {
+		known.answer_kept = !kept.running;
+		if (known.answer_kept)
+			known.answer = kept;
+		else
+			free(kept.body);
+	}
+	if (known.answer_kept) {
 		fr_answer_kept(answer, &known.answer);
 		return true;
 	}
-	fr_answer_error(answer, 502, RT_RAN_YES, 0,
-	    "the request ran before; its answer was too large to keep");
+	fr_answer_error(answer, 502, known.answer.ran, 0,
+	    "a request with this key has ended; its answer is not kept");
 	return true;
 }
 
--- a/lib/route/once.c
+++ b/lib/route/once.c
@@ -41,8 +41,7 @@
 static int wait_for(struct wait *wait, int64_t timeout_ms);
 static void push_pending(struct rt_route *route, struct rt_pending *pending);
 static size_t pack(const struct rt_answer *answer, char *envelope);
-static bool unpack(
-    const char *envelope, size_t bytes, struct rt_answer *answer);
+static bool unpack(const struct bd_request *row, struct rt_answer *answer);
 static struct rt_pending *make_pending(const struct rt_once *once,
     uint64_t request, const struct rt_answer *answer);
 static void propose_outcome(
@@ -80,14 +79,18 @@
 	return type_bytes + 3 + answer->body_bytes;
 }
 
-/* Reads what pack wrote. Returns false where the body is not kept. */
+/* Reads what pack wrote. Returns false where the body is not kept; where the
+ * log's state dropped the whole text, it is not known any more how far the
+ * request came. */
 static bool
-unpack(const char *envelope, size_t bytes, struct rt_answer *answer)
+unpack(const struct bd_request *row, struct rt_answer *answer)
 {
+	const char *envelope = row->answer;
+	size_t bytes = row->answer_dropped != 0 ? 0 : row->answer_bytes;
 	const char *end = bytes < 3 ? NULL : memchr(envelope, '\n', bytes);
 	size_t type_bytes;
 
-	answer->ran = RT_RAN_YES;
+	answer->ran = RT_RAN_UNKNOWN;
 	if (end == NULL || end - envelope < 2)
 		return false;
 	type_bytes = (size_t)(end - envelope) - 2;
@@ -136,8 +139,7 @@
 			code = RT_EINPROGRESS;
 		else {
 			code = RT_EREPEATED;
-			known->answer_kept = unpack(
-			    row->answer, row->answer_bytes, &known->answer);
+			known->answer_kept = unpack(row, &known->answer);
 		}
 	}
 	bd_read_end();
@@ -166,7 +168,7 @@
 		out->account = row->account;
 		out->http_status = (int)row->http_status;
 		out->running = row->state != BD_REQUEST_DONE;
-		if (out->running || unpack(row->answer, row->answer_bytes, out))
+		if (out->running || unpack(row, out))
 			code = CW_OK;
 		break;
 	}
--- a/tests/test_front_proxy.cc
+++ b/tests/test_front_proxy.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <thread>
@@ -226,6 +227,54 @@
 	EXPECT_EQ(runs, 50);
 }
 
+// Guards against an answer that was dropped for space and is passed on as
+// whole, and against a claim that its request ran, which is not known.
+TEST(FrontProxy, DroppedAnswerIsNotWhole)
+{
+	Vm a(11);
+	Vm b(22);
+	FakeLog log({&a, &b});
+	struct rt_once once;
+	auto script = [](const lk_http_call &, lk_http_answer *answer, int) {
+		whole(answer, 201, "hemmed");
+	};
+
+	a.runner("10.0.0.1:1", 8);
+	a.start(log, script);
+	b.start(log, script);
+	struct fr_proxy_answer first = a.run("k");
+	ASSERT_EQ(first.status, 201);
+	ASSERT_EQ(b.run("k").status, 201) << "kept in the log's state";
+	rt_once_id(&once, cw_id_from_name("himal"), "k");
+	for (uint32_t cut : {0u, 3u, 100u}) {
+		alignas(struct bd_request) char bytes[1024];
+		struct bd_request *row = (struct bd_request *)bytes;
+		struct fr_proxy_answer got;
+		bd_read_begin();
+		const struct bd_request *old =
+		    bd_request_lookup(b.board, once.id);
+		size_t size = sizeof(*old) + old->answer_bytes;
+		ASSERT_LE(size, sizeof(bytes));
+		memcpy(bytes, old, size);
+		bd_read_end();
+		row->answer_dropped = 1;
+		row->answer_bytes = std::min(cut, row->answer_bytes);
+		ASSERT_EQ(bd_put(b.board, BD_TABLE_request, BD_WRITER_STATE,
+			      row->id, row, size, nullptr),
+		    CW_OK);
+		got = b.run("k");
+		EXPECT_EQ(got.status, 502) << cut;
+		EXPECT_EQ(got.ran, RT_RAN_UNKNOWN);
+		EXPECT_TRUE(b.text.empty());
+		fr_proxy_fetch(
+		    b.proxy, cw_id_from_name("himal"), first.id, &got);
+		EXPECT_EQ(got.status, 404) << cut;
+	}
+	b.other = &a;
+	EXPECT_EQ(b.run("k").status, 201) << "the owner keeps it";
+	EXPECT_EQ(b.calls, 0);
+}
+
 // Guards against a run or a promise without the log; what is idempotent goes
 // on.
 TEST(FrontProxy, LogOutage)
