Keep idle connections from holding all threads of the HTTP server

Cause: a thread serves one connection, and CivetWeb waits up to 30 s for the next request on it. With the default of 8 threads, 8 idle connections of a balancer blocked a daemon. An answer with Connection: close did not close the connection, as CivetWeb does not see heads that the server writes itself.

Change: 64 threads by default. One thread in eight, and at least one, keeps no connection open after its answer, and a close is told to CivetWeb. The benchmark of the proxy takes one thread more than it has clients.

Conclusion: idle connections cannot block a daemon. Connections beyond seven eighths of the threads pay for a new connection with each request.

--- a/lib/board/board.c
+++ b/lib/board/board.c
@@ -176,3 +176,18 @@
 	pthread_mutex_unlock(&board->lock);
 	return version;
 }
+
+/*
+ * Returns the part of a limit that each of entry_vms VMs always has: half of
+ * the limit divided among them, but 1 where that is 0 and the limit reaches
+ * entry_vms. The floors of all VMs never add up to more than the limit; below
+ * entry_vms the floor is 0, and the whole limit is leased.
+ */
+uint32_t
+bd_share_floor(uint32_t limit, uint32_t entry_vms)
+{
+	uint32_t vms = entry_vms == 0 ? 1 : entry_vms;
+	uint32_t part = limit / 2 / vms;
+
+	return part == 0 && limit >= vms ? 1 : part;
+}
--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -381,16 +381,19 @@
 	int64_t since_ms;
 };
 
-/* This VM's share of an account's limits. Written by limits. */
+/* This VM's share of an account's limits, UINT32_MAX: unlimited. Written by
+ * limits. */
 struct bd_share {
 	uint64_t id; /* account */
 	uint32_t rate_per_s;
 	uint32_t concurrency;
 	uint32_t leased_rate_per_s;
 	uint32_t leased_concurrency;
-	int64_t lease_until_ms;
+	int64_t lease_until_ms; /* of the monotonic clock */
 };
 
+uint32_t bd_share_floor(uint32_t limit, uint32_t entry_vms);
+
 /* Latest usage report of a job. Written by usage. */
 struct bd_usage {
 	uint64_t id; /* job */
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -6,6 +6,9 @@
 #include "config_internal.h"
 
 #define SETTINGS_BYTES_MAX (64 * 1024)
+/* A thread serves one connection at a time, an idle one of the load balancer
+ * included; with 8, the kept connections of one balancer held them all. */
+#define HTTP_THREADS_DEFAULT 64
 
 #define FIELD(member)                          \
 	offsetof(struct cfg_settings, member), \
@@ -94,7 +97,7 @@
 
 	assert(settings != NULL && errors != NULL);
 	memset(settings, 0, sizeof(*settings));
-	settings->http_threads = 8;
+	settings->http_threads = HTTP_THREADS_DEFAULT;
 	settings->drain_ms = 60000;
 	memcpy(settings->log_level, "info", sizeof("info"));
 	code = toml_doc_parse(text, bytes, &doc, errors);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -435,7 +435,6 @@
 	uint32_t of[FL_LIMIT_KINDS];
 };
 
-uint32_t fl_share_floor(uint32_t limit, uint32_t entry_vms);
 uint32_t fl_share_pool(uint32_t limit, uint32_t entry_vms);
 
 /* Holder side. */
--- a/lib/fleet/share_holder.c
+++ b/lib/fleet/share_holder.c
@@ -13,19 +13,12 @@
     struct fl_lease *lease, const struct fl_route_hooks *route, bool relative);
 static uint32_t share_of(const struct fl_lease *lease, enum fl_limit_kind kind);
 
-/* Returns the static part of a limit that every one of entry_vms VMs has. */
-uint32_t
-fl_share_floor(uint32_t limit, uint32_t entry_vms)
-{
-	return limit / 2 / (entry_vms == 0 ? 1 : entry_vms);
-}
-
 /* Returns what remains of a limit for leases when entry_vms VMs have their
- * floors; half of the limit and what rounding leaves. */
+ * floors. */
 uint32_t
 fl_share_pool(uint32_t limit, uint32_t entry_vms)
 {
-	return limit - fl_share_floor(limit, entry_vms) * entry_vms;
+	return limit - bd_share_floor(limit, entry_vms) * entry_vms;
 }
 
 static struct fl_lease *
@@ -73,7 +66,7 @@
 	holder->base = 0;
 	for (kind = 0; kind < FL_LIMIT_KINDS; kind++)
 		lease->floor.of[kind] =
-		    fl_share_floor(limit.of[kind], entry_vms);
+		    bd_share_floor(limit.of[kind], entry_vms);
 	lease->changed = true;
 }
 
--- a/lib/link/http_server.c
+++ b/lib/link/http_server.c
@@ -12,6 +12,8 @@
 /* Responses up to this size leave in one write, hence in one packet. */
 #define ONE_WRITE_BYTES 8192
 #define HEAD_BYTES 2560
+/* One thread in this many, and at least one, waits on no idle connection. */
+#define RESERVE_PART 8
 
 struct lk_http_server {
 	struct mg_context *context;
@@ -19,8 +21,13 @@
 	size_t route_count;
 	uint16_t port;
 	atomic_bool draining;
+	uint32_t kept_max;
+	atomic_uint connections; /* that have a thread */
 };
 
+static int on_connection(
+    const struct mg_connection *connection, void **connection_data);
+static void on_close(const struct mg_connection *connection);
 static int on_request(struct mg_connection *connection);
 static int on_error(
     struct mg_connection *connection, int status, const char *message);
@@ -39,6 +46,32 @@
 static void refuse(struct mg_connection *connection,
     const struct lk_http_server *server, int status, const char *text);
 
+static int
+on_connection(const struct mg_connection *connection, void **connection_data)
+{
+	struct lk_http_server *server =
+	    mg_get_user_data(mg_get_context(connection));
+
+	*connection_data = server;
+	atomic_fetch_add_explicit(
+	    &server->connections, 1, memory_order_relaxed);
+	return 0;
+}
+
+/* CivetWeb calls this too for a connection whose TLS handshake failed, which
+ * on_connection has not seen. It forgets the connection's data afterwards, so
+ * connection_closed comes too late. */
+static void
+on_close(const struct mg_connection *connection)
+{
+	struct lk_http_server *server = mg_get_user_connection_data(connection);
+
+	if (server == NULL)
+		return;
+	atomic_fetch_sub_explicit(
+	    &server->connections, 1, memory_order_relaxed);
+}
+
 /* CivetWeb's own page for a request that never reached a handler. */
 static int
 on_error(struct mg_connection *connection, int status, const char *message)
@@ -155,9 +188,18 @@
 	char buffer[HEAD_BYTES + ONE_WRITE_BYTES];
 	size_t head_bytes;
 
+	/* CivetWeb does not tell whether connections wait for a thread, and an
+	 * idle one cannot be closed from outside: some threads hold none. */
 	if (atomic_load_explicit(&((struct lk_http_server *)server)->draining,
-		memory_order_relaxed))
+		memory_order_relaxed) ||
+	    atomic_load_explicit(
+		&((struct lk_http_server *)server)->connections,
+		memory_order_relaxed) > server->kept_max)
 		response->close = true;
+	/* The head is not written by CivetWeb, which would wait for another
+	 * request after a "Connection: close". */
+	if (response->close)
+		mg_disable_connection_keep_alive(connection);
 	head_bytes = format_head(connection, response, buffer);
 	if (response->body_bytes <= ONE_WRITE_BYTES) {
 		if (response->body_bytes > 0)
@@ -269,6 +311,8 @@
 	    .begin_request = on_request,
 	    .http_error = on_error,
 	    .log_message = on_message,
+	    .init_connection = on_connection,
+	    .connection_close = on_close,
 	};
 	bool tls =
 	    config->tls_certificate != NULL && *config->tls_certificate != '\0';
@@ -288,6 +332,9 @@
 	memcpy(server->routes, config->routes,
 	    config->route_count * sizeof(*config->routes));
 	server->route_count = config->route_count;
+	server->kept_max = config->threads -
+	    (config->threads < RESERVE_PART ? 1
+					    : config->threads / RESERVE_PART);
 	snprintf(port, sizeof(port), "%s%s", config->address, tls ? "s" : "");
 	snprintf(numbers[0], sizeof(numbers[0]), "%u", config->threads);
 	snprintf(numbers[1], sizeof(numbers[1]), "%u", config->queue);
--- a/lib/link/http_server.h
+++ b/lib/link/http_server.h
@@ -82,7 +82,9 @@
 struct lk_http_server_config {
 	const char *address;         /* "ip:port"; port 0 picks a free one */
 	const char *tls_certificate; /* PEM file, NULL or "": in the clear */
-	uint32_t threads;            /* each serves one connection at a time */
+	/* Each serves one connection at a time; one in eight, and at least one,
+	 * keeps none open after its answer, so that idle ones block nobody. */
+	uint32_t threads;
 	uint32_t queue;              /* connections that wait for a thread */
 	uint32_t header_bytes_max;   /* of a request */
 	uint32_t request_timeout_ms; /* to receive a request */
--- a/lib/route/limit.c
+++ b/lib/route/limit.c
@@ -1,5 +1,4 @@
 #include <assert.h>
-#include <string.h>
 
 #include "route_internal.h"
 
@@ -7,7 +6,6 @@
 #define CONCURRENCY_RETRY_MS 100
 #define NO_SHARE_RETRY_MS 1000
 #define DRAIN_RETRY_MS 1000
-#define STEP_INTERVAL_MS 500
 
 /* What this VM may let in of an account now; UINT32_MAX: unlimited. */
 struct allowance {
@@ -19,8 +17,7 @@
     struct rt_route *route, uint64_t account, int64_t now_ms);
 static void raise_peak(struct rt_account *account, uint32_t value);
 static void give_back(struct rt_route *route);
-static uint32_t floor_of(uint32_t limit, uint32_t entry_vms);
-static struct rt_lease lease_of(const struct rt_route *route, uint64_t account);
+static uint32_t in_force(uint32_t floor, uint32_t leased);
 
 /* Returns the place of an account's gauges. Ids that were used once keep
  * theirs; when there are more than places, accounts share one. */
@@ -45,34 +42,43 @@
 	return place;
 }
 
-/* Half of a limit is the floor, divided among the entry VMs: it needs neither
- * the log nor another VM. */
 static uint32_t
-floor_of(uint32_t limit, uint32_t entry_vms)
+in_force(uint32_t floor, uint32_t leased)
 {
-	return limit / 2 / (entry_vms == 0 ? 1 : entry_vms);
+	return leased > UINT32_MAX - floor ? UINT32_MAX : floor + leased;
 }
 
+/* Until the fleet has written a share, the floors hold: they need neither the
+ * log nor another VM, and their sum stays within the limit. */
 static struct allowance
 allowance_of(struct rt_route *route, uint64_t account, int64_t now_ms)
 {
 	struct allowance allowance = {UINT32_MAX, UINT32_MAX};
 	const struct bd_account *row;
+	const struct bd_config *config;
 	const struct bd_share *share;
+	struct bd_share floors = {0};
+	uint32_t entry_vms;
 	bool leased;
 
 	bd_read_begin();
 	row = bd_account_lookup(route->board, account);
 	share = bd_share_lookup(route->board, account);
+	if (row != NULL && share == NULL) {
+		config = bd_config_lookup(route->board, BD_CONFIG_ID);
+		entry_vms = config == NULL ? 1 : config->entry_vms;
+		floors.rate_per_s = bd_share_floor(row->rate_per_s, entry_vms);
+		floors.concurrency =
+		    bd_share_floor(row->concurrency, entry_vms);
+		share = &floors;
+	}
 	leased = share != NULL && share->lease_until_ms > now_ms;
 	if (row != NULL && row->rate_per_s > 0)
-		allowance.rate_per_s = share == NULL ? 0
-						     : share->rate_per_s +
-			(leased ? share->leased_rate_per_s : 0);
+		allowance.rate_per_s = in_force(
+		    share->rate_per_s, leased ? share->leased_rate_per_s : 0);
 	if (row != NULL && row->concurrency > 0)
-		allowance.concurrency = share == NULL ? 0
-						      : share->concurrency +
-			(leased ? share->leased_concurrency : 0);
+		allowance.concurrency = in_force(
+		    share->concurrency, leased ? share->leased_concurrency : 0);
 	bd_read_end();
 	return allowance;
 }
@@ -188,78 +194,6 @@
 	return code;
 }
 
-/* Keeps a lease that the fleet got for an account until the limits controller
- * writes it. Any thread may call it. */
-void
-rt_lease_set(struct rt_route *route, const struct rt_lease *lease)
-{
-	size_t i;
-
-	pthread_mutex_lock(&route->fleet_lock);
-	for (i = 0; i < route->lease_count; i++)
-		if (route->leases[i].account == lease->account)
-			break;
-	if (i < RT_ACCOUNTS) {
-		route->leases[i] = *lease;
-		if (i == route->lease_count)
-			route->lease_count++;
-	}
-	pthread_mutex_unlock(&route->fleet_lock);
-	bd_publish(route->board);
-}
-
-static struct rt_lease
-lease_of(const struct rt_route *route, uint64_t account)
-{
-	struct rt_lease none = {0};
-	size_t i;
-
-	for (i = 0; i < route->lease_count; i++)
-		if (route->leases[i].account == account)
-			return route->leases[i];
-	return none;
-}
-
-/* Writes the shares of all accounts: the floor and the lease. Returns when to
- * run again (ms). */
-int64_t
-rt_limits_step(struct rt_route *route, int64_t now_ms)
-{
-	const struct bd_config *config;
-	const struct bd_account *row;
-	const struct bd_share *old;
-	uint32_t entry_vms;
-	uint32_t cursor = 0;
-
-	bd_read_begin();
-	config = bd_config_lookup(route->board, BD_CONFIG_ID);
-	entry_vms = config == NULL ? 1 : config->entry_vms;
-	pthread_mutex_lock(&route->fleet_lock);
-	while ((row = bd_account_next(route->board, &cursor)) != NULL) {
-		struct rt_lease lease = lease_of(route, row->id);
-		struct bd_share share = {0};
-
-		share.id = row->id;
-		share.rate_per_s = floor_of(row->rate_per_s, entry_vms);
-		share.concurrency = floor_of(row->concurrency, entry_vms);
-		share.leased_rate_per_s = lease.rate_per_s;
-		share.leased_concurrency = lease.concurrency;
-		share.lease_until_ms = lease.until_ms;
-		old = bd_share_lookup(route->board, row->id);
-		if (old == NULL || memcmp(old, &share, sizeof(share)) != 0)
-			bd_put(route->board, BD_TABLE_share, BD_WRITER_LIMITS,
-			    row->id, &share, sizeof(share), NULL);
-	}
-	pthread_mutex_unlock(&route->fleet_lock);
-	cursor = 0;
-	while ((old = bd_share_next(route->board, &cursor)) != NULL)
-		if (bd_account_lookup(route->board, old->id) == NULL)
-			bd_remove(route->board, BD_TABLE_share,
-			    BD_WRITER_LIMITS, old->id);
-	bd_read_end();
-	return now_ms + STEP_INTERVAL_MS;
-}
-
 /* Tells what the accounts asked for since the last call, at most max of them;
  * call it once a second from one thread. Returns the count. */
 size_t
--- a/lib/route/route_internal.h
+++ b/lib/route/route_internal.h
@@ -170,11 +170,8 @@
 	int64_t answers_scan_ms;
 	_Atomic(struct rt_pending *) pending_new;
 	struct rt_pending *pending; /* of the controller */
-	pthread_mutex_t fleet_lock; /* leases and loads, off the path */
-	struct rt_lease leases[RT_ACCOUNTS];
-	size_t lease_count;
+	pthread_mutex_t fleet_lock; /* loads of peers, off the path */
 	struct rt_peer_loads *peers[RT_PEERS];
-	uint16_t reported[RT_RUNNERS];
 };
 
 uint32_t rt_account_slot(struct rt_route *route, uint64_t account);
@@ -195,7 +192,5 @@
 void rt_queue_dispatch_all(struct rt_route *route, int64_t now_us);
 void rt_answers_destroy(struct rt_route *route);
 void rt_once_destroy(struct rt_route *route);
-uint32_t rt_lease_limit(
-    const struct bd_share *share, bool rate, int64_t now_ms);
 
 #endif
--- a/tests/bench/bench_proxy.c
+++ b/tests/bench/bench_proxy.c
@@ -21,7 +21,7 @@
 #define LOAD_MS 1500
 #define LOAD_ROUNDS 3
 #define RUNNERS 8
-#define SERVER_THREADS 4
+#define SERVER_THREADS 4 /* that serve a client each */
 
 static const char ANSWER[] =
     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -297,7 +297,8 @@
 	http_route.ctx = proxy;
 	lk_http_server_config_default(&server_config);
 	server_config.address = "127.0.0.1:0";
-	server_config.threads = SERVER_THREADS;
+	/* One more, as the last one keeps no connection open. */
+	server_config.threads = SERVER_THREADS + 1;
 	server_config.routes = &http_route;
 	server_config.route_count = 1;
 	if (lk_http_server_start(&server, &server_config) != CW_OK)
--- a/tests/bench/bench_route.h
+++ b/tests/bench/bench_route.h
@@ -46,7 +46,6 @@
 bench_vm_step(struct bench_vm *vm, int64_t now_ms)
 {
 	rt_health_step(vm->route, now_ms);
-	rt_limits_step(vm->route, now_ms);
 	rt_answer_step(vm->route, now_ms);
 	rt_index_step(vm->route, now_ms);
 }
--- a/tests/route_fixture.h
+++ b/tests/route_fixture.h
@@ -100,7 +100,6 @@
 	{
 		now_ms += ms;
 		rt_health_step(route, now_ms);
-		rt_limits_step(route, now_ms);
 		rt_index_step(route, now_ms);
 	}
 	struct rt_admission
--- a/tests/test_link_http.cc
+++ b/tests/test_link_http.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "fake_upstream.h"
 #include "http_client.h"
@@ -45,15 +46,10 @@
 	Server(const Server &) = delete;
 	Server &operator=(const Server &) = delete;
 
-	// Sends raw bytes, and returns what comes back until the end or, for
-	// kept connections, until as many bodies as asked for have arrived.
-	std::string
-	exchange(const std::string &bytes, bool half_close)
+	int
+	open()
 	{
 		struct sockaddr_in address = {};
-		std::string got;
-		char buffer[4096];
-		ssize_t n;
 		int fd = socket(AF_INET, SOCK_STREAM, 0);
 		address.sin_family = AF_INET;
 		address.sin_port = htons(lk_http_server_port(server));
@@ -61,6 +57,17 @@
 		EXPECT_EQ(
 		    connect(fd, (struct sockaddr *)&address, sizeof(address)),
 		    0);
+		return fd;
+	}
+	// Sends raw bytes, and returns what comes back until the end or, for
+	// kept connections, until as many bodies as asked for have arrived.
+	std::string
+	exchange(const std::string &bytes, bool half_close)
+	{
+		std::string got;
+		char buffer[4096];
+		ssize_t n;
+		int fd = open();
 		EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
 		    (ssize_t)bytes.size());
 		if (half_close)
@@ -137,6 +144,46 @@
 	EXPECT_EQ(got.find("200"), std::string::npos);
 }
 
+// Guards against idle connections, as of a balancer, that hold all threads.
+TEST(LinkHttp, IdleConnectionsDoNotBlockOthers)
+{
+	Server server;
+	const char request[] =
+	    "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
+	struct timeval deadline = {20, 0};
+	std::vector<int> fds;
+	auto ask = [&] {
+		std::string got;
+		char buffer[1024];
+		ssize_t n;
+		fds.push_back(server.open());
+		setsockopt(fds.back(), SOL_SOCKET, SO_RCVTIMEO, &deadline,
+		    sizeof(deadline));
+		send(fds.back(), request, sizeof(request) - 1, MSG_NOSIGNAL);
+		while (got.find("\r\n\r\nx") == std::string::npos &&
+		    (n = recv(fds.back(), buffer, sizeof(buffer), 0)) > 0)
+			got.append(buffer, (size_t)n);
+		EXPECT_NE(got.find("200 OK"), std::string::npos);
+		return got.find("keep-alive") != std::string::npos;
+	};
+
+	for (int i = 0; i < 6; i++)
+		ASSERT_EQ(ask(), i == 0) << "one of two threads keeps";
+	// A closed connection gives its thread back, once the server sees it.
+	bool kept = false;
+	for (int i = 0; i < 2000 && !kept; i++) {
+		for (int fd : fds)
+			close(fd);
+		fds.clear();
+		kept = ask();
+		if (!kept)
+			usleep(1000);
+	}
+	EXPECT_TRUE(kept);
+	for (int fd : fds)
+		close(fd);
+}
+
 struct Client {
 	Client()
 	{
--- a/tests/test_route_limit.cc
+++ b/tests/test_route_limit.cc
@@ -3,6 +3,7 @@
 #include <thread>
 #include <vector>
 
+#include "fleet.h"
 #include "route_fixture.h"
 
 namespace {
@@ -62,20 +63,26 @@
 		return n;
 	};
 	r.config(4, 0);
-	EXPECT_EQ(enter(true), 0) << "before the share is known";
-	r.step();
-	EXPECT_EQ(enter(true), 2) << "concurrency 16 / 2 / 4";
-	struct rt_lease lease = {account, 100, 30, r.now_ms + 3000};
-	rt_lease_set(r.route, &lease);
-	r.step();
+	EXPECT_EQ(enter(true), 2) << "without a share: concurrency 16 / 2 / 4";
+	struct bd_share share = {account, 100, 2, 100, 30, r.now_ms + 3000};
+	r.put(BD_TABLE_share, BD_WRITER_LIMITS, share);
 	EXPECT_EQ(enter(true), 32);
 	struct rt_demand demand[4];
 	ASSERT_EQ(rt_demand_read(r.route, demand, 4), 1u);
 	EXPECT_EQ(demand[0].account, account);
 	EXPECT_GE(demand[0].concurrency, 33u) << "what was refused counts";
 	r.now_ms += 3001;
-	EXPECT_EQ(enter(true), 2) << "lapsed before the controller ran";
+	EXPECT_EQ(enter(true), 2) << "lapsed before the fleet took it back";
 
+	share.rate_per_s = share.concurrency = UINT32_MAX;
+	share.lease_until_ms = r.now_ms + 3000;
+	r.put(BD_TABLE_share, BD_WRITER_LIMITS, share);
+	for (int i = 0; i < 1000; i++)
+		ASSERT_EQ(rt_enter(r.route, account, r.now_ms * 1000, &refusal),
+		    CW_OK);
+	for (int i = 0; i < 1000; i++)
+		rt_leave(r.route, account);
+	bd_remove(r.board, BD_TABLE_share, BD_WRITER_LIMITS, account);
 	r.account("himal", 800, 0);
 	r.step(10000);
 	EXPECT_EQ(enter(true), 25) << "800 / 2 / 4 a second for 250 ms";
@@ -87,6 +94,50 @@
 	EXPECT_EQ(rt_in_flight(r.route), 0u);
 }
 
+// Guards against an account that is never served because its limit is less
+// than the number of VMs, and against floors that add up to more than a limit.
+TEST(RouteLimit, LimitBelowTheNumberOfVms)
+{
+	Router r;
+	struct rt_refusal refusal;
+	struct rt_demand demand[4];
+	struct fl_holder holder = {};
+	struct fl_share_list ask = {};
+	uint64_t account = r.account("himal", 4, 4);
+	auto wants = [](void *ctx, uint64_t id, uint32_t *rate,
+			 uint32_t *concurrency) {
+		const struct rt_demand *d = static_cast<rt_demand *>(ctx);
+		*rate = id == d->account ? d->rate_per_s : 0;
+		*concurrency = id == d->account ? d->concurrency : 0;
+	};
+	struct fl_route_hooks hooks = {};
+
+	for (uint32_t vms = 0; vms < 12; vms++)
+		for (uint32_t limit = 0; limit < 60; limit++)
+			EXPECT_LE(bd_share_floor(limit, vms) * vms, limit);
+	EXPECT_EQ(bd_share_floor(9, 9), 1u);
+	r.config(9, 0);
+	EXPECT_NE(rt_enter(r.route, account, r.now_ms * 1000, &refusal), CW_OK);
+	EXPECT_GT(refusal.retry_after_ms, 0u);
+	ASSERT_EQ(rt_demand_read(r.route, demand, 4), 1u);
+	hooks.demand = wants;
+	hooks.ctx = &demand[0];
+	fl_holder_limits(&holder, r.board);
+	ASSERT_TRUE(fl_holder_ask(&holder, &hooks, r.now_ms, &ask));
+	ASSERT_EQ(ask.count, 1u);
+	EXPECT_EQ(ask.entries[0].rate_per_s, 1u);
+	EXPECT_EQ(ask.entries[0].concurrency, 1u);
+	ASSERT_EQ(fl_holder_grant(&holder, &ask, r.now_ms), CW_OK);
+	ASSERT_EQ(fl_holder_apply(&holder, r.board), CW_OK);
+	EXPECT_EQ(rt_enter(r.route, account, r.now_ms * 1000, &refusal), CW_OK);
+	EXPECT_EQ(rt_enter(r.route, account, r.now_ms * 1000, &refusal),
+	    RT_ECONCURRENCY);
+	rt_leave(r.route, account);
+	r.now_ms += FL_SHARE_LEASE_MS;
+	EXPECT_NE(rt_enter(r.route, account, r.now_ms * 1000, &refusal), CW_OK)
+	    << "the lease is over";
+}
+
 // Guards against a queue without order: urgent first, then by account, and
 // the requests of one account by deadline.
 TEST(RouteLimit, QueueOrder)
