Drive libcurl by its socket interface

Cause: of 10 system calls a proxied request on its thread, 7 were libcurl's, 5 of them poll: the wakeup socket, and the connection before each read.

Change: http_transfer.c waits by itself and tells libcurl which socket is ready. The header list is made of nodes in the handle, without allocations.

--- a/lib/link/http_client.c
+++ b/lib/link/http_client.c
@@ -11,6 +11,7 @@
 #include <curl/curl.h>
 
 #include "http_client.h"
+#include "http_transfer.h"
 
 /* A connection that was idle for longer may have been closed by the upstream
  * at the moment of reuse; 5 s is below the usual keep-alive times. */
@@ -22,9 +23,11 @@
 #define PROBE_COUNT 3
 #define ANSWER_BYTES_FIRST 1024
 
-/* One curl handle, which holds at most one connection. */
+/* One curl handle and its multi handle, which holds at most one connection. */
 struct handle {
 	CURL *curl;
+	struct lk_transfer transfer;
+	struct curl_slist headers[LK_HTTP_CALL_HEADERS_MAX + 1];
 	int64_t used_ms;
 	const struct lk_http_call *call;
 	struct lk_http_answer *answer;
@@ -61,8 +64,7 @@
 static void pool_put(
     struct pool *pool, struct handle *handle, uint32_t idle_max);
 static uint32_t thread_slot(uint32_t count);
-static int prepare(struct handle *handle, const struct lk_http_call *call,
-    struct curl_slist **list);
+static int prepare(struct handle *handle, const struct lk_http_call *call);
 static enum lk_http_outcome classify(
     const struct handle *handle, CURLcode code);
 static int client_call(
@@ -225,18 +227,16 @@
 
 	if (handle == NULL)
 		return NULL;
-	curl = curl_easy_init();
-	if (curl == NULL) {
-		free(handle);
+	handle->curl = curl = curl_easy_init();
+	if (curl == NULL || !lk_transfer_init(&handle->transfer)) {
+		handle_destroy(handle);
 		return NULL;
 	}
-	handle->curl = curl;
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(
 	    curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(curl, CURLOPT_MAXCONNECTS, 1L);
 	curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, REUSE_IDLE_MAX_S);
 	curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, on_issue);
 	curl_easy_setopt(curl, CURLOPT_PREREQDATA, handle);
@@ -254,6 +254,7 @@
 handle_destroy(struct handle *handle)
 {
 	curl_easy_cleanup(handle->curl);
+	curl_multi_cleanup(handle->transfer.multi);
 	free(handle);
 }
 
@@ -325,8 +326,7 @@
 }
 
 static int
-prepare(struct handle *handle, const struct lk_http_call *call,
-    struct curl_slist **list)
+prepare(struct handle *handle, const struct lk_http_call *call)
 {
 	char url[1024];
 	CURL *curl = handle->curl;
@@ -335,20 +335,18 @@
 	if ((size_t)snprintf(url, sizeof(url), "http://%s%s", call->address,
 		call->path) >= sizeof(url))
 		return CW_EINVAL;
-	*list = curl_slist_append(NULL, "Expect:");
-	for (i = 0; i < call->header_count && *list != NULL; i++) {
-		struct curl_slist *grown =
-		    curl_slist_append(*list, call->headers[i]);
-
-		if (grown == NULL) {
-			curl_slist_free_all(*list);
-			*list = NULL;
-		}
+	assert(call->header_count <= LK_HTTP_CALL_HEADERS_MAX);
+	/* libcurl reads the list during the call only and changes nothing. */
+	handle->headers[0].data = (char *)(uintptr_t) "Expect:";
+	handle->headers[0].next = NULL;
+	for (i = 0; i < call->header_count; i++) {
+		handle->headers[i].next = &handle->headers[i + 1];
+		handle->headers[i + 1].data =
+		    (char *)(uintptr_t)call->headers[i];
+		handle->headers[i + 1].next = NULL;
 	}
-	if (*list == NULL)
-		return CW_ENOMEM;
 	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, *list);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, handle->headers);
 	curl_easy_setopt(
 	    curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)call->body_bytes);
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
@@ -384,7 +382,6 @@
 {
 	uint32_t idle_max = call->idle_max == 0 ? 1 : call->idle_max;
 	struct pool *pool = pool_get(ctx, call->pool);
-	struct curl_slist *list = NULL;
 	struct handle *handle;
 	curl_off_t bytes = 0;
 	long value = 0;
@@ -406,13 +403,13 @@
 	handle->issued = 0;
 	handle->too_large = handle->no_memory = false;
 	handle->has_end = handle->says_close = handle->says_leaving = false;
-	status = prepare(handle, call, &list);
+	status = prepare(handle, call);
 	if (status != CW_OK) {
 		handle_destroy(handle);
 		return cw_error_set(
 		    status, "call of %s cannot be prepared", call->address);
 	}
-	code = curl_easy_perform(handle->curl);
+	code = lk_transfer_run(&handle->transfer, handle->curl);
 	curl_easy_getinfo(handle->curl, CURLINFO_RESPONSE_CODE, &value);
 	answer->status = (int)value;
 	curl_easy_getinfo(handle->curl, CURLINFO_NUM_CONNECTS, &value);
@@ -425,7 +422,6 @@
 	answer->outcome = classify(handle, code);
 	answer->leaving = handle->says_leaving ||
 	    (answer->status == 503 && handle->says_close);
-	curl_slist_free_all(list);
 	if (answer->outcome != LK_HTTP_WHOLE) {
 		free(answer->body);
 		answer->body = NULL;
