Claim the equal plan on the fullest workers

Cause: among equal plans of an account the first one listed was claimed, so urgent jobs spread over the workers of all plans and broke whole idle ones.

Change: among plans of equal loss and size the claim takes the one whose workers have the fewest free accelerators.

--- a/lib/sched/reclaim.c
+++ b/lib/sched/reclaim.c
@@ -50,6 +50,8 @@
 static bool move_plan(struct sch *sch, uint32_t job, struct claim *claim,
     const struct sch_need *need, int *code);
 static bool is_match(const struct sch_need *need, const struct bd_shape *shape);
+static uint32_t claim_free(const struct sch *sch, const struct claim *claim,
+    const struct sch_need *need);
 static bool find_best(struct sch *sch, uint32_t job,
     const struct sch_need *need, uint32_t flags, struct claim *best);
 
@@ -450,8 +452,24 @@
 	    (int64_t)shape->members * shape->cores_milli;
 }
 
+/* Returns the free accelerators of the workers that a claim uses, counted for
+ * each member. */
+static uint32_t
+claim_free(const struct sch *sch, const struct claim *claim,
+    const struct sch_need *need)
+{
+	uint32_t free = 0;
+	uint32_t i;
+
+	for (i = 0; i < need->members; i++)
+		free += (uint32_t)__builtin_popcount(
+		    sch->workers[claim->spots[i].worker].free.mask);
+	return free;
+}
+
 /* Finds the plan of the account that can be had at once, else the one that
- * loses least; among equals the smallest one. */
+ * loses least; among equals the smallest one, then the one on the fullest
+ * workers, so that idle plans leave whole workers free. */
 static bool
 find_best(struct sch *sch, uint32_t job, const struct sch_need *need,
     uint32_t flags, struct claim *best)
@@ -460,6 +478,7 @@
 	    &sch->accounts[sch->jobs[job].account];
 	struct claim claim;
 	uint32_t best_size = 0;
+	uint32_t best_free = 0;
 	bool found = false;
 	uint32_t p;
 
@@ -467,19 +486,23 @@
 	     p = sch->promises[p].next_of_account) {
 		const struct bd_shape *shape = &sch->promises[p].row->shape;
 		uint32_t size = (uint32_t)shape->members * shape->accels;
+		uint32_t free;
 
 		if (!sch->promises[p].valid ||
 		    ((flags & FIND_MATCHING) != 0 && !is_match(need, shape)) ||
 		    !try_plan(
 			sch, p, need, (flags & FIND_DISPLACING) != 0, &claim))
 			continue;
+		free = claim_free(sch, &claim, need);
 		if (found &&
 		    (claim.waits != best->waits        ? claim.waits
 			    : claim.loss != best->loss ? claim.loss > best->loss
-						       : size >= best_size))
+			    : size != best_size        ? size > best_size
+						       : free >= best_free))
 			continue;
 		*best = claim;
 		best_size = size;
+		best_free = free;
 		found = true;
 	}
 	return found;
