--- a/lib/sched/reclaim.c
+++ b/lib/sched/reclaim.c
@@ -50,6 +50,8 @@
 static bool move_plan(struct sch *sch, uint32_t job, struct claim *claim,
     const struct sch_need *need, int *code);
 static bool is_match(const struct sch_need *need, const struct bd_shape *shape);
+static uint32_t claim_free(const struct sch *sch, const struct claim *claim,
+    const struct sch_need *need);
 static bool find_best(struct sch *sch, uint32_t job,
     const struct sch_need *need, uint32_t flags, struct claim *best);
 
@@ -80,7 +82,8 @@
 	return sch->jobs[job].victim || sch->jobs[job].mark == sch->mark;
 }
 
-/* Counts a job as stopped in this trial: what it holds is free again. */
+/* Counts a job as stopped in this trial: what it holds is free again, but for
+ * what another waiting job has claimed already. */
 static void
 claim_victim(struct sch *sch, struct claim *claim, uint32_t job)
 {
@@ -99,7 +102,7 @@
 		if (task->worker == SCH_NONE)
 			continue;
 		room = &sch->rooms[task->worker];
-		room->mask |= task->mask;
+		room->mask |= task->mask & ~sch->workers[task->worker].blocked;
 		room->cores += entry->row->shape.cores_milli;
 		room->memory += entry->row->shape.memory_mb;
 	}
@@ -289,7 +292,8 @@
 	return members;
 }
 
-/* Counts a guaranteed job as stopped and gives its part of the plan back. */
+/* Counts a guaranteed job as stopped and gives its part of the plan back, but
+ * for what another waiting job has claimed already. */
 static void
 displace(
     struct sch *sch, struct claim *claim, struct sch_cell *cells, uint32_t job)
@@ -305,7 +309,8 @@
 		for (i = 0; i < entry->cell_count; i++) {
 			if (cells[i].worker != sch->tasks[t].worker)
 				continue;
-			cells[i].free.mask |= sch->tasks[t].mask;
+			cells[i].free.mask |= sch->tasks[t].mask &
+			    ~sch->workers[cells[i].worker].blocked;
 			cells[i].free.cores += shape->cores_milli;
 			cells[i].free.memory += shape->memory_mb;
 		}
@@ -447,8 +452,24 @@
 	    (int64_t)shape->members * shape->cores_milli;
 }
 
+/* Returns the free accelerators of the workers that a claim uses, counted for
+ * each member. */
+static uint32_t
+claim_free(const struct sch *sch, const struct claim *claim,
+    const struct sch_need *need)
+{
+	uint32_t free = 0;
+	uint32_t i;
+
+	for (i = 0; i < need->members; i++)
+		free += (uint32_t)__builtin_popcount(
+		    sch->workers[claim->spots[i].worker].free.mask);
+	return free;
+}
+
 /* Finds the plan of the account that can be had at once, else the one that
- * loses least; among equals the smallest one. */
+ * loses least; among equals the smallest one, then the one on the fullest
+ * workers, so that idle plans leave whole workers free. */
 static bool
 find_best(struct sch *sch, uint32_t job, const struct sch_need *need,
     uint32_t flags, struct claim *best)
@@ -457,6 +478,7 @@
 	    &sch->accounts[sch->jobs[job].account];
 	struct claim claim;
 	uint32_t best_size = 0;
+	uint32_t best_free = 0;
 	bool found = false;
 	uint32_t p;
 
@@ -464,19 +486,23 @@
 	     p = sch->promises[p].next_of_account) {
 		const struct bd_shape *shape = &sch->promises[p].row->shape;
 		uint32_t size = (uint32_t)shape->members * shape->accels;
+		uint32_t free;
 
 		if (!sch->promises[p].valid ||
 		    ((flags & FIND_MATCHING) != 0 && !is_match(need, shape)) ||
 		    !try_plan(
 			sch, p, need, (flags & FIND_DISPLACING) != 0, &claim))
 			continue;
+		free = claim_free(sch, &claim, need);
 		if (found &&
 		    (claim.waits != best->waits        ? claim.waits
 			    : claim.loss != best->loss ? claim.loss > best->loss
-						       : size >= best_size))
+			    : size != best_size        ? size > best_size
+						       : free >= best_free))
 			continue;
 		*best = claim;
 		best_size = size;
+		best_free = free;
 		found = true;
 	}
 	return found;
@@ -505,9 +531,13 @@
 	int code = CW_OK;
 
 	*done = false;
-	/* Urgent jobs come first, so a memo of one holds for all later. */
+	/* Urgent jobs come first, so a memo of one holds for all later. A
+	 * larger need matches more plans, so there only an equal need is known.
+	 */
 	for (i = 0; i < account->failed_count[matching]; i++)
-		if (sch_need_covers(&need, &account->failed[matching][i]))
+		if (sch_need_covers(&need, &account->failed[matching][i]) &&
+		    (!matching ||
+			sch_need_covers(&account->failed[matching][i], &need)))
 			return CW_OK;
 	urgent = entry->row->class_number == BD_CLASS_URGENT;
 	flags = matching ? FIND_MATCHING : 0;
