--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -15,6 +15,8 @@
 static void handle_give(struct pf_http *http, CURL *handle);
 static size_t keep_answer(char *data, size_t size, size_t count, void *arg);
 static CURL *prepare(struct pf_http *http, struct pf_http_call *call);
+static void count_traffic(
+    struct pf_http *http, const struct pf_http_call *call, CURL *handle);
 static int judge_failure(CURL *handle, CURLcode code, bool is_change);
 static int judge_status(CURL *handle, const char *path);
 
@@ -173,6 +175,39 @@
 	return handle;
 }
 
+/* libcurl's size of the request leaves out the body. */
+static void
+count_traffic(
+    struct pf_http *http, const struct pf_http_call *call, CURL *handle)
+{
+	curl_off_t up = 0, down = 0;
+	long request = 0, header = 0;
+
+	curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request);
+	curl_easy_getinfo(handle, CURLINFO_SIZE_UPLOAD_T, &up);
+	curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &header);
+	curl_easy_getinfo(handle, CURLINFO_SIZE_DOWNLOAD_T, &down);
+	atomic_fetch_add(&http->traffic[call->kind].calls, 1);
+	atomic_fetch_add(&http->traffic[call->kind].sent,
+	    (unsigned long long)request + (unsigned long long)up);
+	atomic_fetch_add(&http->traffic[call->kind].received,
+	    (unsigned long long)header + (unsigned long long)down);
+}
+
+/* Fills in the bytes of each kind of call so far. */
+void
+pf_http_traffic(struct pf_http *http, struct pf_traffic out[PF_TRAFFIC_KINDS])
+{
+	uint32_t i;
+
+	assert(http != NULL && out != NULL);
+	for (i = 0; i < PF_TRAFFIC_KINDS; i++) {
+		out[i].calls = atomic_load(&http->traffic[i].calls);
+		out[i].sent_bytes = atomic_load(&http->traffic[i].sent);
+		out[i].received_bytes = atomic_load(&http->traffic[i].received);
+	}
+}
+
 /* Turns a failure without a whole answer into a status. */
 static int
 judge_failure(CURL *handle, CURLcode code, bool is_change)
@@ -231,6 +266,7 @@
 	if (handle == NULL)
 		return cw_error_set(PF_EUNREACHABLE, "no memory for a call");
 	done = curl_easy_perform(handle);
+	count_traffic(http, call, handle);
 	if (done != CURLE_OK) {
 		code = judge_failure(handle, done, call->is_change);
 		curl_easy_cleanup(handle);
--- a/lib/platform/http_log.c
+++ b/lib/platform/http_log.c
@@ -24,6 +24,7 @@
 {
 	char path[128];
 	struct pf_http_call call = {
+	    .kind = PF_TRAFFIC_LOG,
 	    .method = "POST",
 	    .path = path,
 	    .body = data,
@@ -77,8 +78,10 @@
     const struct pf_log_sink *sink)
 {
 	char path[160];
-	struct pf_http_call call = {
-	    .method = "GET", .path = path, .wait_ms = wait_ms};
+	struct pf_http_call call = {.kind = PF_TRAFFIC_LOG,
+	    .method = "GET",
+	    .path = path,
+	    .wait_ms = wait_ms};
 	uint64_t offset, expected;
 	size_t at, bytes;
 	int code;
@@ -111,7 +114,8 @@
 read_range(void *ctx, const char *stream, struct pf_log_range *range)
 {
 	char path[128];
-	struct pf_http_call call = {.method = "GET", .path = path};
+	struct pf_http_call call = {
+	    .kind = PF_TRAFFIC_LOG, .method = "GET", .path = path};
 	json_int_t first = -1, next = -1;
 	json_t *json;
 	int code;
--- a/lib/platform/http_tasks.c
+++ b/lib/platform/http_tasks.c
@@ -55,8 +55,10 @@
     size_t count, bool is_change, json_t **answer)
 {
 	char path[64], *text;
-	struct pf_http_call call = {
-	    .method = "POST", .path = path, .is_change = is_change};
+	struct pf_http_call call = {.kind = PF_TRAFFIC_TASKS,
+	    .method = "POST",
+	    .path = path,
+	    .is_change = is_change};
 	json_t *list = json_array(), *body;
 	size_t i;
 	int code = CW_OK;
--- a/lib/platform/http_vms.c
+++ b/lib/platform/http_vms.c
@@ -57,7 +57,8 @@
 static int
 list(void *ctx, const struct pf_vm_sink *sink)
 {
-	struct pf_http_call call = {.method = "GET", .path = "/vms"};
+	struct pf_http_call call = {
+	    .kind = PF_TRAFFIC_VMS, .method = "GET", .path = "/vms"};
 	struct pf_vm vm;
 	json_t *json, *vms, *item;
 	size_t i;
@@ -84,8 +85,10 @@
 announce(void *ctx, const struct pf_vm *self)
 {
 	char path[64 + CW_NAME_BYTES];
-	struct pf_http_call call = {
-	    .method = "PUT", .path = path, .is_change = true};
+	struct pf_http_call call = {.kind = PF_TRAFFIC_VMS,
+	    .method = "PUT",
+	    .path = path,
+	    .is_change = true};
 	json_t *body = json_pack("{s:s s:s s:s s:s}", "address", self->address,
 	    "region", self->region, "zone", self->zone, "state",
 	    self->state == PF_VM_LEAVING ? "leaving" : "live");
--- a/lib/platform/names.c
+++ b/lib/platform/names.c
@@ -21,3 +21,16 @@
 		return cw_status_name(code);
 	}
 }
+
+/* Returns the label of a kind of traffic. */
+const char *
+pf_traffic_name(uint32_t kind)
+{
+	static const char *const names[PF_TRAFFIC_KINDS] = {
+	    [PF_TRAFFIC_LOG] = "log",
+	    [PF_TRAFFIC_VMS] = "vms",
+	    [PF_TRAFFIC_TASKS] = "tasks",
+	};
+
+	return kind < PF_TRAFFIC_KINDS ? names[kind] : "unknown";
+}
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -187,12 +187,30 @@
 	uint32_t answer_bytes_max; /* 2 MiB */
 };
 
+/* Bytes of requests and answers with their HTTP headers, without those of TCP
+ * and IP, since the adapter was created. Failed calls count too. */
+enum pf_traffic_kind {
+	PF_TRAFFIC_LOG,
+	PF_TRAFFIC_VMS,
+	PF_TRAFFIC_TASKS,
+	PF_TRAFFIC_KINDS
+};
+
+struct pf_traffic {
+	uint64_t calls;
+	uint64_t sent_bytes;
+	uint64_t received_bytes;
+};
+
 struct pf_http;
 
+const char *pf_traffic_name(uint32_t kind);
 int pf_http_create(
     struct pf_http **out, const struct pf_http_settings *settings);
 void pf_http_destroy(struct pf_http *http);
 void pf_http_platform(struct pf_http *http, struct pf_platform *out);
+void pf_http_traffic(
+    struct pf_http *http, struct pf_traffic out[PF_TRAFFIC_KINDS]);
 
 #ifdef __cplusplus
 }
--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -2,6 +2,7 @@
 #define CAMPHOR_PLATFORM_INTERNAL_H
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 
 #include <curl/curl.h>
@@ -21,11 +22,15 @@
 	pthread_mutex_t mutex;
 	CURL *idle[PF_HTTP_IDLE_MAX];
 	size_t idle_count;
+	struct {
+		atomic_ullong calls, sent, received;
+	} traffic[PF_TRAFFIC_KINDS];
 };
 
 struct pf_http_call {
 	const char *method;
 	const char *path;
+	uint32_t kind;    /* enum pf_traffic_kind */
 	const void *body; /* NULL: none */
 	size_t body_bytes;
 	uint32_t wait_ms;  /* more time for a long poll */
--- a/programs/camphord/wire_front.c
+++ b/programs/camphord/wire_front.c
@@ -22,6 +22,7 @@
     enum rt_hist_kind kind, const struct hist *hist);
 static void collect_requests(void *ctx, struct fr_metric_out *out);
 static void collect_traffic(void *ctx, struct fr_metric_out *out);
+static void collect_platform(struct daemon *daemon, struct fr_metric_out *out);
 
 static bool
 is_ready(void *ctx)
@@ -127,6 +128,45 @@
 
 		out->emit(out->ctx, &metric);
 	}
+	collect_platform(daemon, out);
+}
+
+/* Emits each family of metrics whole before the next, as the text form asks. */
+static void
+collect_platform(struct daemon *daemon, struct fr_metric_out *out)
+{
+	struct pf_traffic traffic[PF_TRAFFIC_KINDS];
+	struct fr_metric metric = {
+	    .kind = FR_METRIC_COUNTER,
+	    .label_count = 1,
+	    .labels = {{"kind", NULL}},
+	};
+	uint32_t kind, part;
+
+	pf_http_traffic(daemon->http, traffic);
+	for (part = 0; part < 3; part++)
+		for (kind = 0; kind < PF_TRAFFIC_KINDS; kind++) {
+			const struct pf_traffic *of = &traffic[kind];
+			const struct {
+				const char *name, *help;
+				uint64_t value;
+			} parts[] = {
+			    {"platform_calls_total",
+				"Calls to the platform, by kind.", of->calls},
+			    {"platform_sent_bytes_total",
+				"Bytes sent to the platform, by kind.",
+				of->sent_bytes},
+			    {"platform_received_bytes_total",
+				"Bytes received from the platform, by kind.",
+				of->received_bytes},
+			};
+
+			metric.name = parts[part].name;
+			metric.help = parts[part].help;
+			metric.labels[0].value = pf_traffic_name(kind);
+			metric.value = (double)parts[part].value;
+			out->emit(out->ctx, &metric);
+		}
 }
 
 /* Makes the HTTP interface and opens its port. */
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -29,6 +29,7 @@
 	uint32_t workers;
 	uint32_t rack_size;
 	uint32_t accels;
+	uint32_t accel_workers; /* the first ones; the others hold none */
 	uint32_t cores;
 	uint32_t memory_mb;
 	uint32_t runners;
--- a/tests/standin/vms.c
+++ b/tests/standin/vms.c
@@ -76,7 +76,7 @@
 		snprintf(vm->kind, sizeof(vm->kind), "worker");
 		vm->cores_milli = set->cores * 1000;
 		vm->memory_mb = set->memory_mb;
-		vm->accels = set->accels;
+		vm->accels = i < set->accel_workers ? set->accels : 0;
 	}
 	for (i = 0; i < set->runners; i++) {
 		snprintf(name, sizeof(name), "runner-%u", i);
