--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -393,7 +393,8 @@
 	uint32_t failures; /* in a row */
 	bool overflow;
 	bool listed;
-	struct pf_vm *rows; /* of the list being read */
+	uint64_t known_version; /* of the list in rows, 0: none */
+	struct pf_vm *rows;     /* of the latest list */
 };
 
 int fl_vms_init(
--- a/lib/fleet/vms.c
+++ b/lib/fleet/vms.c
@@ -152,16 +152,21 @@
 fl_vms_poll(struct fl_vms *vms, int64_t poll_ms, int64_t now_ms)
 {
 	struct pf_vm_sink sink = {take_vm, vms};
+	uint32_t known = vms->count;
 	int changes;
 	int code;
 
 	assert(poll_ms > 0);
 	vms->count = 0;
 	vms->overflow = false;
-	code = vms->list.list(vms->list.ctx, &sink);
+	code = vms->list.list(vms->list.ctx, &vms->known_version, &sink);
+	if (code == PF_UNCHANGED)
+		vms->count = known;
 	if (vms->overflow)
 		code = FL_ETOOLARGE;
 	if (cw_is_error(code)) {
+		/* The rows kept may be part of a list only. */
+		vms->known_version = 0;
 		ev_emit(EV_VM_LIST_FAILED, "code=%d failures=%u", code,
 		    vms->failures);
 		if (vms->failures < 4)
@@ -177,6 +182,8 @@
 	changes = put_listed(vms, now_ms);
 	if (changes >= 0)
 		changes += put_unlisted(vms, now_ms);
+	else
+		vms->known_version = 0;
 	if (changes > 0)
 		bd_publish(vms->board);
 	return now_ms + poll_ms;
--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -18,7 +18,7 @@
 static void count_traffic(
     struct pf_http *http, const struct pf_http_call *call, CURL *handle);
 static int judge_failure(CURL *handle, CURLcode code, bool is_change);
-static int judge_status(CURL *handle, const char *path);
+static int judge_status(CURL *handle, const struct pf_http_call *call);
 
 static pthread_once_t global_once = PTHREAD_ONCE_INIT;
 
@@ -175,7 +175,8 @@
 	return handle;
 }
 
-/* libcurl's size of the request leaves out the body. */
+/* libcurl's size of the request holds a body that went out with the headers,
+ * which is one below 64 KiB; the headers alone are smaller than any other. */
 static void
 count_traffic(
     struct pf_http *http, const struct pf_http_call *call, CURL *handle)
@@ -189,7 +190,7 @@
 	curl_easy_getinfo(handle, CURLINFO_SIZE_DOWNLOAD_T, &down);
 	atomic_fetch_add(&http->traffic[call->kind].calls, 1);
 	atomic_fetch_add(&http->traffic[call->kind].sent,
-	    (unsigned long long)request + (unsigned long long)up);
+	    (unsigned long long)(request > up ? request : request + up));
 	atomic_fetch_add(&http->traffic[call->kind].received,
 	    (unsigned long long)header + (unsigned long long)down);
 }
@@ -224,7 +225,7 @@
 }
 
 static int
-judge_status(CURL *handle, const char *path)
+judge_status(CURL *handle, const struct pf_http_call *call)
 {
 	long status = 0;
 
@@ -232,19 +233,24 @@
 	switch (status) {
 	case 200:
 		return CW_OK;
+	case 304:
+		if (call->may_be_unchanged)
+			return PF_UNCHANGED;
+		return cw_error_set(
+		    PF_EREFUSED, "platform answered 304 to %.64s", call->path);
 	case 408:
 	case 500:
 	case 502:
 	case 504:
 		return cw_error_set(PF_EUNKNOWN,
-		    "platform answered %ld to %.64s", status, path);
+		    "platform answered %ld to %.64s", status, call->path);
 	case 410:
 		return PF_EEXPIRED;
 	case 413:
 		return PF_ETOOLARGE;
 	default:
 		return cw_error_set(PF_EREFUSED,
-		    "platform answered %ld to %.64s", status, path);
+		    "platform answered %ld to %.64s", status, call->path);
 	}
 }
 
@@ -271,7 +277,7 @@
 		code = judge_failure(handle, done, call->is_change);
 		curl_easy_cleanup(handle);
 	} else {
-		code = judge_status(handle, call->path);
+		code = judge_status(handle, call);
 		handle_give(http, handle);
 	}
 	if (code == CW_OK && call->answer == NULL) {
--- a/lib/platform/http_vms.c
+++ b/lib/platform/http_vms.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -5,7 +6,7 @@
 #include "platform_internal.h"
 
 static bool decode(json_t *item, struct pf_vm *vm);
-static int list(void *ctx, const struct pf_vm_sink *sink);
+static int list(void *ctx, uint64_t *version, const struct pf_vm_sink *sink);
 static int announce(void *ctx, const struct pf_vm *self);
 
 static const char *const kind_names[] = {
@@ -55,17 +56,29 @@
 /* Checks every VM before the first is delivered, so that a damaged list does
  * not look like VMs that have gone. */
 static int
-list(void *ctx, const struct pf_vm_sink *sink)
+list(void *ctx, uint64_t *version, const struct pf_vm_sink *sink)
 {
-	struct pf_http_call call = {
-	    .kind = PF_TRAFFIC_VMS, .method = "GET", .path = "/vms"};
+	char path[64];
+	struct pf_http_call call = {.kind = PF_TRAFFIC_VMS,
+	    .method = "GET",
+	    .path = path,
+	    .may_be_unchanged = *version != 0};
 	struct pf_vm vm;
 	json_t *json, *vms, *item;
+	json_int_t listed;
 	size_t i;
-	int code = pf_http_call_json(ctx, &call, &json);
+	int code;
+
+	if (*version == 0)
+		snprintf(path, sizeof(path), "/vms");
+	else
+		snprintf(path, sizeof(path), "/vms?since=%" PRIu64, *version);
+	code = pf_http_call_json(ctx, &call, &json);
 
 	if (code != CW_OK)
 		return code;
+	listed = json_integer_value(json_object_get(json, "version"));
+	*version = listed > 0 ? (uint64_t)listed : 0;
 	vms = json_object_get(json, "vms");
 	if (!json_is_array(vms))
 		code = PF_EMALFORMED;
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -21,6 +21,7 @@
 	PF_EEXPIRED = CW_BASE_PLATFORM - 4,     /* records no longer kept */
 	PF_EMALFORMED = CW_BASE_PLATFORM - 5,   /* answer cannot be read */
 	PF_ETOOLARGE = CW_BASE_PLATFORM - 6,
+	PF_UNCHANGED = 1, /* success of a list that is still the known one */
 };
 
 const char *pf_status_name(int code);
@@ -90,7 +91,11 @@
 };
 
 struct pf_vm_list {
-	int (*list)(void *ctx, const struct pf_vm_sink *sink);
+	/* Delivers all VMs and sets *version to that of the list, 0 where it
+	 * has none. Where *version is not 0 and still the present one,
+	 * delivers none and returns PF_UNCHANGED. */
+	int (*list)(
+	    void *ctx, uint64_t *version, const struct pf_vm_sink *sink);
 	void *ctx;
 	/* Registers this entry VM, or tells that it leaves (state). May be
 	 * NULL where the platform registers VMs itself. */
