--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -15,8 +15,10 @@
 static void handle_give(struct pf_http *http, CURL *handle);
 static size_t keep_answer(char *data, size_t size, size_t count, void *arg);
 static CURL *prepare(struct pf_http *http, struct pf_http_call *call);
+static void count_traffic(
+    struct pf_http *http, const struct pf_http_call *call, CURL *handle);
 static int judge_failure(CURL *handle, CURLcode code, bool is_change);
-static int judge_status(CURL *handle, const char *path);
+static int judge_status(CURL *handle, const struct pf_http_call *call);
 
 static pthread_once_t global_once = PTHREAD_ONCE_INIT;
 
@@ -173,6 +175,40 @@
 	return handle;
 }
 
+/* libcurl's size of the request holds a body that went out with the headers,
+ * which is one below 64 KiB; the headers alone are smaller than any other. */
+static void
+count_traffic(
+    struct pf_http *http, const struct pf_http_call *call, CURL *handle)
+{
+	curl_off_t up = 0, down = 0;
+	long request = 0, header = 0;
+
+	curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request);
+	curl_easy_getinfo(handle, CURLINFO_SIZE_UPLOAD_T, &up);
+	curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &header);
+	curl_easy_getinfo(handle, CURLINFO_SIZE_DOWNLOAD_T, &down);
+	atomic_fetch_add(&http->traffic[call->kind].calls, 1);
+	atomic_fetch_add(&http->traffic[call->kind].sent,
+	    (unsigned long long)(request > up ? request : request + up));
+	atomic_fetch_add(&http->traffic[call->kind].received,
+	    (unsigned long long)header + (unsigned long long)down);
+}
+
+/* Fills in the bytes of each kind of call so far. */
+void
+pf_http_traffic(struct pf_http *http, struct pf_traffic out[PF_TRAFFIC_KINDS])
+{
+	uint32_t i;
+
+	assert(http != NULL && out != NULL);
+	for (i = 0; i < PF_TRAFFIC_KINDS; i++) {
+		out[i].calls = atomic_load(&http->traffic[i].calls);
+		out[i].sent_bytes = atomic_load(&http->traffic[i].sent);
+		out[i].received_bytes = atomic_load(&http->traffic[i].received);
+	}
+}
+
 /* Turns a failure without a whole answer into a status. */
 static int
 judge_failure(CURL *handle, CURLcode code, bool is_change)
@@ -189,7 +225,7 @@
 }
 
 static int
-judge_status(CURL *handle, const char *path)
+judge_status(CURL *handle, const struct pf_http_call *call)
 {
 	long status = 0;
 
@@ -197,19 +233,24 @@
 	switch (status) {
 	case 200:
 		return CW_OK;
+	case 304:
+		if (call->may_be_unchanged)
+			return PF_UNCHANGED;
+		return cw_error_set(
+		    PF_EREFUSED, "platform answered 304 to %.64s", call->path);
 	case 408:
 	case 500:
 	case 502:
 	case 504:
 		return cw_error_set(PF_EUNKNOWN,
-		    "platform answered %ld to %.64s", status, path);
+		    "platform answered %ld to %.64s", status, call->path);
 	case 410:
 		return PF_EEXPIRED;
 	case 413:
 		return PF_ETOOLARGE;
 	default:
 		return cw_error_set(PF_EREFUSED,
-		    "platform answered %ld to %.64s", status, path);
+		    "platform answered %ld to %.64s", status, call->path);
 	}
 }
 
@@ -231,11 +272,12 @@
 	if (handle == NULL)
 		return cw_error_set(PF_EUNREACHABLE, "no memory for a call");
 	done = curl_easy_perform(handle);
+	count_traffic(http, call, handle);
 	if (done != CURLE_OK) {
 		code = judge_failure(handle, done, call->is_change);
 		curl_easy_cleanup(handle);
 	} else {
-		code = judge_status(handle, call->path);
+		code = judge_status(handle, call);
 		handle_give(http, handle);
 	}
 	if (code == CW_OK && call->answer == NULL) {
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -21,6 +21,7 @@
 	PF_EEXPIRED = CW_BASE_PLATFORM - 4,     /* records no longer kept */
 	PF_EMALFORMED = CW_BASE_PLATFORM - 5,   /* answer cannot be read */
 	PF_ETOOLARGE = CW_BASE_PLATFORM - 6,
+	PF_UNCHANGED = 1, /* success of a list that is still the known one */
 };
 
 const char *pf_status_name(int code);
@@ -90,7 +91,11 @@
 };
 
 struct pf_vm_list {
-	int (*list)(void *ctx, const struct pf_vm_sink *sink);
+	/* Delivers all VMs and sets *version to that of the list, 0 where it
+	 * has none. Where *version is not 0 and still the present one,
+	 * delivers none and returns PF_UNCHANGED. */
+	int (*list)(
+	    void *ctx, uint64_t *version, const struct pf_vm_sink *sink);
 	void *ctx;
 	/* Registers this entry VM, or tells that it leaves (state). May be
 	 * NULL where the platform registers VMs itself. */
@@ -187,12 +192,30 @@
 	uint32_t answer_bytes_max; /* 2 MiB */
 };
 
+/* Bytes of requests and answers with their HTTP headers, without those of TCP
+ * and IP, since the adapter was created. Failed calls count too. */
+enum pf_traffic_kind {
+	PF_TRAFFIC_LOG,
+	PF_TRAFFIC_VMS,
+	PF_TRAFFIC_TASKS,
+	PF_TRAFFIC_KINDS
+};
+
+struct pf_traffic {
+	uint64_t calls;
+	uint64_t sent_bytes;
+	uint64_t received_bytes;
+};
+
 struct pf_http;
 
+const char *pf_traffic_name(uint32_t kind);
 int pf_http_create(
     struct pf_http **out, const struct pf_http_settings *settings);
 void pf_http_destroy(struct pf_http *http);
 void pf_http_platform(struct pf_http *http, struct pf_platform *out);
+void pf_http_traffic(
+    struct pf_http *http, struct pf_traffic out[PF_TRAFFIC_KINDS]);
 
 #ifdef __cplusplus
 }
--- a/programs/camphord/wire_front.c
+++ b/programs/camphord/wire_front.c
@@ -12,6 +12,7 @@
 static void log_state(void *ctx, struct fr_log_state *out);
 static int explain(
     void *ctx, uint64_t job, int64_t now_ms, struct sch_explanation *out);
+static void collect_platform(void *ctx, struct fr_metric_out *out);
 
 static bool
 is_ready(void *ctx)
@@ -55,6 +56,47 @@
 	return code;
 }
 
+/* Emits each family of metrics whole before the next, as the text form asks. */
+static void
+collect_platform(void *ctx, struct fr_metric_out *out)
+{
+	struct daemon *daemon = ctx;
+	struct pf_traffic traffic[PF_TRAFFIC_KINDS];
+	struct fr_metric metric = {
+	    .kind = FR_METRIC_COUNTER,
+	    .label_count = 1,
+	    .labels = {{"kind", NULL}},
+	};
+	uint32_t kind;
+	uint32_t part;
+
+	pf_http_traffic(daemon->http, traffic);
+	for (part = 0; part < 3; part++)
+		for (kind = 0; kind < PF_TRAFFIC_KINDS; kind++) {
+			const struct pf_traffic *of = &traffic[kind];
+			const struct {
+				const char *name;
+				const char *help;
+				uint64_t value;
+			} parts[] = {
+			    {"platform_calls_total",
+				"Calls to the platform, by kind.", of->calls},
+			    {"platform_sent_bytes_total",
+				"Bytes sent to the platform, by kind.",
+				of->sent_bytes},
+			    {"platform_received_bytes_total",
+				"Bytes received from the platform, by kind.",
+				of->received_bytes},
+			};
+
+			metric.name = parts[part].name;
+			metric.help = parts[part].help;
+			metric.labels[0].value = pf_traffic_name(kind);
+			metric.value = (double)parts[part].value;
+			out->emit(out->ctx, &metric);
+		}
+}
+
 /* Makes the HTTP interface and opens its port. */
 int
 wire_front(struct daemon *daemon)
@@ -92,6 +134,8 @@
 	    fr_source_writer(daemon->writer);
 	options.sources[options.source_count++] =
 	    fr_source_follower(daemon->follower);
+	options.sources[options.source_count++] =
+	    (struct fr_metric_source){collect_platform, daemon};
 	options.waiters_max = daemon->settings.http_threads / 4 + 1;
 	code = fr_create(&daemon->front, &options);
 	if (code != CW_OK)
