Run the tests and the decoders under clang's sanitizers

Cause: clang -Werror refused the tree, make fuzz had no script, and ThreadSanitizer gave false reports wherever liburcu orders accesses.

--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -137,6 +137,25 @@
 uint64_t ev_count(enum ev_number number);
 const char *ev_text(enum ev_number number);
 
+/*
+ * 6. Orders that ThreadSanitizer cannot see, because liburcu is not built with
+ * it: what was done before the release of an address is seen after an acquire.
+ */
+#if defined(__has_feature)
+#if __has_feature(thread_sanitizer)
+#define CW_TSAN 1
+#endif
+#endif
+#if defined(CW_TSAN) || defined(__SANITIZE_THREAD__)
+void __tsan_acquire(void *address);
+void __tsan_release(void *address);
+#define CW_TSAN_ACQUIRE(address) __tsan_acquire((void *)(address))
+#define CW_TSAN_RELEASE(address) __tsan_release((void *)(address))
+#else
+#define CW_TSAN_ACQUIRE(address) ((void)(address))
+#define CW_TSAN_RELEASE(address) ((void)(address))
+#endif
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -449,6 +449,7 @@
 
 void bd_read_begin(void);
 void bd_read_end(void);
+void bd_grace_passed(void);
 
 const void *bd_get(const struct bd_board *board, enum bd_table_number number,
     struct bd_handle handle, int *status);
--- a/lib/board/table.c
+++ b/lib/board/table.c
@@ -15,6 +15,10 @@
 static int insert_box(struct bd_table *table, struct bd_box *box);
 static void remove_box(struct bd_table *table, struct bd_box *box);
 
+/* Stands for all grace periods: read sections release it when they end, what
+ * runs after a grace period acquires it. Its value is never used. */
+static char grace;
+
 static struct bd_box *
 box_of_row(const void *row)
 {
@@ -36,6 +40,7 @@
 {
 	const struct bd_box *box = caa_container_of(node, struct bd_box, node);
 
+	CW_TSAN_ACQUIRE(box);
 	return box->id == *(const uint64_t *)key;
 }
 
@@ -56,6 +61,7 @@
 static void
 free_box(struct rcu_head *head)
 {
+	bd_grace_passed();
 	free(caa_container_of(head, struct bd_box, rcu));
 }
 
@@ -81,6 +87,7 @@
 	box->handle = old->handle;
 	cds_lfht_lookup(
 	    table->by_id, hash_of(box->id), match_id, &box->id, &iter);
+	CW_TSAN_RELEASE(box);
 	rcu_set_pointer(&table->entries[box->handle.index].box, box);
 	cds_lfht_replace(table->by_id, &iter, hash_of(box->id), match_id,
 	    &box->id, &box->node);
@@ -100,6 +107,7 @@
 	entry = &table->entries[index];
 	box->handle.index = index;
 	box->handle.generation = atomic_load(&entry->generation);
+	CW_TSAN_RELEASE(box);
 	rcu_set_pointer(&entry->box, box);
 	cds_lfht_add(table->by_id, hash_of(box->id), &box->node);
 	atomic_fetch_add(&table->used, 1);
@@ -134,9 +142,18 @@
 void
 bd_read_end(void)
 {
+	CW_TSAN_RELEASE(&grace);
 	urcu_bp_read_unlock();
 }
 
+/* Tells ThreadSanitizer that the read sections from before a grace period have
+ * ended. Call first in what runs after one. */
+void
+bd_grace_passed(void)
+{
+	CW_TSAN_ACQUIRE(&grace);
+}
+
 /*
  * Returns the row of a handle, or NULL with *status = BD_ESTALE where the row
  * has been removed since. status may be NULL. Call within a read section.
@@ -150,6 +167,8 @@
 
 	if (handle.index < table->capacity)
 		box = rcu_dereference(table->entries[handle.index].box);
+	if (box != NULL)
+		CW_TSAN_ACQUIRE(box);
 	if (box == NULL || box->handle.generation != handle.generation) {
 		if (status != NULL)
 			*status = BD_ESTALE;
@@ -197,6 +216,7 @@
 		(*cursor)++;
 		if (box == NULL)
 			continue;
+		CW_TSAN_ACQUIRE(box);
 		if (handle != NULL)
 			*handle = box->handle;
 		return box->row;
@@ -240,7 +260,7 @@
 	if (box == NULL)
 		return cw_error_set(
 		    BD_ENOMEM, "no memory for a row of %s", table->name);
-	urcu_bp_read_lock();
+	bd_read_begin();
 	old = find_box(table, id);
 	if (old != NULL)
 		replace_box(table, old, box);
@@ -248,7 +268,7 @@
 		code = insert_box(table, box);
 	if (code == CW_OK && handle != NULL)
 		*handle = box->handle;
-	urcu_bp_read_unlock();
+	bd_read_end();
 	if (code != CW_OK)
 		free(box);
 	/* The table owns the box; the analyzer does not follow it there. */
@@ -265,11 +285,11 @@
 	struct bd_box *box;
 
 	assert(writer == table->writer);
-	urcu_bp_read_lock();
+	bd_read_begin();
 	box = find_box(table, id);
 	if (box != NULL)
 		remove_box(table, box);
-	urcu_bp_read_unlock();
+	bd_read_end();
 	if (box == NULL)
 		return BD_ENOTFOUND;
 	return CW_OK;
@@ -285,9 +305,9 @@
 	uint32_t i;
 
 	assert(writer == table->writer);
-	urcu_bp_read_lock();
+	bd_read_begin();
 	for (i = 0; i < high; i++)
 		if (table->entries[i].box != NULL)
 			remove_box(table, table->entries[i].box);
-	urcu_bp_read_unlock();
+	bd_read_end();
 }
--- a/lib/config/text.c
+++ b/lib/config/text.c
@@ -418,10 +418,12 @@
 	return CW_OK;
 }
 
-/* Frees a parsed text. */
+/* Frees a parsed text; NULL is allowed, as in free(). */
 void
 cfg_text_free(struct cfg_text *text)
 {
+	if (text == NULL)
+		return;
 	free(text->accounts);
 	free(text->promises);
 	free(text->services);
--- a/lib/route/answers.c
+++ b/lib/route/answers.c
@@ -105,7 +105,7 @@
 			&route->ring_tail, &tail, oldest + 1))
 			return;
 		tail = oldest;
-		urcu_bp_read_lock();
+		bd_read_begin();
 		entry = atomic_load(&route->ring[tail % RT_RING]);
 		if (entry != NULL && !entry->answer.running &&
 		    atomic_compare_exchange_strong(
@@ -113,7 +113,7 @@
 			retire(route, entry);
 			rt_count(route, RT_COUNT_ANSWERS_EVICTED, 1);
 		}
-		urcu_bp_read_unlock();
+		bd_read_end();
 	}
 }
 
@@ -140,7 +140,7 @@
 	if (answer->body_bytes > 0)
 		memcpy(entry->body, answer->body, answer->body_bytes);
 	atomic_fetch_add(&route->ring_bytes, entry_bytes(entry));
-	urcu_bp_read_lock();
+	bd_read_begin();
 	old = atomic_load(place);
 	do {
 		/* A request that has run since the ring went round once. */
@@ -153,7 +153,7 @@
 	} while (!atomic_compare_exchange_weak(place, &old, entry));
 	if (entry != NULL && old != NULL)
 		retire(route, old);
-	urcu_bp_read_unlock();
+	bd_read_end();
 	evict(route);
 	return CW_OK;
 }
@@ -166,7 +166,7 @@
 	const struct rt_entry *entry;
 	int code = RT_ENOTFOUND;
 
-	urcu_bp_read_lock();
+	bd_read_begin();
 	entry = atomic_load(&route->ring[request % RT_RING]);
 	if (entry != NULL && entry->answer.request == request) {
 		*out = entry->answer;
@@ -175,7 +175,7 @@
 		if (code == CW_OK)
 			memcpy(out->body, entry->body, out->body_bytes);
 	}
-	urcu_bp_read_unlock();
+	bd_read_end();
 	return code;
 }
 
@@ -187,6 +187,7 @@
 	if (entry == NULL)
 		return;
 	urcu_bp_synchronize_rcu();
+	bd_grace_passed();
 	while (entry != NULL) {
 		struct rt_entry *next = entry->next;
 
--- a/lib/route/index.c
+++ b/lib/route/index.c
@@ -316,6 +316,7 @@
 static void
 free_index(struct rcu_head *head)
 {
+	bd_grace_passed();
 	free(caa_container_of(head, struct rt_index, rcu));
 }
 
@@ -350,6 +351,7 @@
 		index->candidates = (struct rt_candidate *)(index->services +
 		    bd_capacity(BD_TABLE_service));
 		build(route, &scan, index);
+		CW_TSAN_RELEASE(index);
 		rcu_set_pointer(&route->index, index);
 		if (old != NULL)
 			urcu_bp_call_rcu(&old->rcu, free_index);
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -273,8 +273,10 @@
 	int code = RT_ENORUNNER;
 	uint32_t k;
 
-	urcu_bp_read_lock();
+	bd_read_begin();
 	index = rcu_dereference(route->index);
+	if (index != NULL)
+		CW_TSAN_ACQUIRE(index);
 	service = rt_service_find(index, admission->service);
 	if (service != NULL && service->probes.count > 0) {
 		code = RT_EBUSY;
@@ -308,7 +310,7 @@
 			    (double)index->cross_bytes_per_s,
 			    -(double)admission->bytes_estimate);
 	}
-	urcu_bp_read_unlock();
+	bd_read_end();
 	return found != NULL ? CW_OK : code;
 }
 
@@ -412,13 +414,15 @@
 		rt_count(
 		    route, RT_COUNT_CROSS_REQUEST_BYTES, outcome->bytes_out);
 		rt_count(route, RT_COUNT_CROSS_ANSWER_BYTES, outcome->bytes_in);
-		urcu_bp_read_lock();
+		bd_read_begin();
 		index = rcu_dereference(route->index);
+		if (index != NULL)
+			CW_TSAN_ACQUIRE(index);
 		if (index != NULL && index->cross_bytes_per_s > 0)
 			rt_bucket_charge(&route->cross,
 			    (double)index->cross_bytes_per_s,
 			    (double)bytes - (double)pick->bytes_reserved);
-		urcu_bp_read_unlock();
+		bd_read_end();
 	}
 	atomic_fetch_sub(&gauge->in_flight, 1);
 	if (atomic_load(&queue->waiting) > 0)
--- a/lib/route/queue.c
+++ b/lib/route/queue.c
@@ -67,13 +67,17 @@
 static uint32_t
 slots_of(struct rt_route *route, uint64_t id)
 {
+	const struct rt_index *index;
 	const struct rt_service *service;
 	uint32_t slots;
 
-	urcu_bp_read_lock();
-	service = rt_service_find(rcu_dereference(route->index), id);
+	bd_read_begin();
+	index = rcu_dereference(route->index);
+	if (index != NULL)
+		CW_TSAN_ACQUIRE(index);
+	service = rt_service_find(index, id);
 	slots = service == NULL ? 0 : service->slots;
-	urcu_bp_read_unlock();
+	bd_read_end();
 	return slots;
 }
 
--- a/lib/sched/scheduler_internal.h
+++ b/lib/sched/scheduler_internal.h
@@ -206,7 +206,6 @@
 	struct sch_spec spec;
 	struct sch_limits limits;
 	const struct bd_config *config;
-	struct bd_config config_default;
 	int64_t now_ms;
 	int64_t pending_since_ms;
 	uint64_t total_accels;
@@ -263,6 +262,9 @@
 	uint32_t proposed;   /* in this step */
 	atomic_int pending;  /* proposals whose status is not known */
 	uint32_t broken;     /* the guarantee condition, when last checked */
+
+	/* Used while the board has no row. Ends in an array: last. */
+	struct bd_config config_default;
 };
 
 /* view.c, index.c: the flat working view, valid within one read section. */
--- /dev/null
+++ b/tests/fuzz/fuzz_toml.c
@@ -0,0 +1,54 @@
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t bytes);
+
+static void check_errors(int status, const struct cfg_errors *errors);
+
+/* A refusal gives at least one reason, in terminated text; success gives none.
+ */
+static void
+check_errors(int status, const struct cfg_errors *errors)
+{
+	size_t i;
+
+	if ((status == CW_OK) != (errors->count == 0) ||
+	    errors->count > CFG_ERRORS_MAX)
+		abort();
+	for (i = 0; i < errors->count; i++)
+		if (errors->errors[i].text[0] == '\0' ||
+		    memchr(errors->errors[i].text, '\0',
+			sizeof(errors->errors[i].text)) == NULL)
+			abort();
+}
+
+/* Takes the bytes as the operators' text and as a process's settings. */
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t bytes)
+{
+	static struct cfg_settings settings;
+	static struct cfg_errors errors;
+	struct cfg_text *text = NULL;
+	size_t i;
+	int status;
+
+	errors.count = 0;
+	status = cfg_text_parse((const char *)data, bytes, &text, &errors);
+	check_errors(status, &errors);
+	if ((status == CW_OK) != (text != NULL))
+		abort();
+	for (i = 0; text != NULL && i < text->account_count; i++)
+		if (text->accounts[i].id == 0 ||
+		    text->accounts[i].name[0] == '\0')
+			abort();
+	cfg_text_free(text);
+
+	errors.count = 0;
+	status =
+	    cfg_settings_parse((const char *)data, bytes, &settings, &errors);
+	check_errors(status, &errors);
+	return 0;
+}
--- a/tests/test_board.cc
+++ b/tests/test_board.cc
@@ -128,6 +128,12 @@
 	EXPECT_EQ(torn, 0u);
 }
 
+#if defined(__has_feature)
+#if __has_feature(address_sanitizer) || __has_feature(thread_sanitizer)
+#define SANITIZED
+#endif
+#endif
+
 long
 resident_bytes()
 {
@@ -145,7 +151,7 @@
 TEST_F(BoardTest, FullTableOfPositionsStaysSmall)
 {
 	uint32_t capacity = bd_capacity(BD_TABLE_task);
-	long before = resident_bytes();
+	[[maybe_unused]] long before = resident_bytes();
 
 	for (uint64_t i = 1; i <= capacity; i++) {
 		struct bd_task task = {};
@@ -154,7 +160,7 @@
 			      &task, sizeof(task), nullptr),
 		    CW_OK);
 	}
-#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+#ifndef SANITIZED /* shadow memory is resident, too */
 	EXPECT_LT(resident_bytes() - before,
 	    (long)(capacity * (sizeof(struct bd_task) + 128) + (2 << 20)));
 #endif
--- a/tests/test_cli.cc
+++ b/tests/test_cli.cc
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <mutex>
 #include <random>
 #include <string>
 #include <vector>
@@ -421,8 +422,10 @@
 TEST(CliProgram, ApplyConflictNamesWinner)
 {
 	std::string text = read_file(kExample);
+	std::mutex lock;
 	std::string put;
 	FakeUpstream server([&](const std::string &request, int, int) {
+		std::lock_guard<std::mutex> guard(lock);
 		if (request.compare(0, 3, "GET") == 0)
 			return answer(
 			    "200 OK", in_force(9, "bjarni", "other\n"));
@@ -435,6 +438,7 @@
 	Result run = run_ctl("apply " + file + " --server " + server.address);
 
 	EXPECT_EQ(run.code, CLI_EXIT_CONFLICT);
+	std::lock_guard<std::mutex> guard(lock);
 	EXPECT_TRUE(has(put, "PUT /v1/config?base=7 ")) << put.substr(0, 80);
 	EXPECT_EQ(put.substr(put.find("\r\n\r\n") + 4), text);
 	EXPECT_TRUE(
@@ -464,8 +468,10 @@
 // Guards against a second job after a lost answer.
 TEST(CliProgram, SubmitRepeatsWithSameKey)
 {
+	std::mutex lock;
 	std::vector<std::string> keys;
 	FakeUpstream server([&](const std::string &request, int number, int) {
+		std::lock_guard<std::mutex> guard(lock);
 		keys.push_back(header(request, "Idempotency-Key"));
 		return number == 0 ? Action{"", Action::CLOSE}
 				   : answer("200 OK", "{\"id\": 41}");
@@ -476,6 +482,7 @@
 
 	EXPECT_EQ(run.code, CLI_EXIT_OK) << run.out;
 	EXPECT_TRUE(has(run.out, "41\n"));
+	std::lock_guard<std::mutex> guard(lock);
 	ASSERT_EQ(keys.size(), 2U);
 	EXPECT_EQ(keys[0], keys[1]);
 	EXPECT_GT(keys[0].size(), strlen("Idempotency-Key: "));
--- a/tests/test_config.cc
+++ b/tests/test_config.cc
@@ -162,6 +162,17 @@
 	}
 }
 
+// Guards against a crash where a text that was refused, or is empty, is freed.
+TEST(ConfigText, NoTextCanBeFreed)
+{
+	struct cfg_errors errors = {};
+	struct cfg_text *text = nullptr;
+
+	EXPECT_EQ(cfg_text_parse("", 0, &text, &errors), CFG_EINVALID);
+	EXPECT_EQ(text, nullptr);
+	cfg_text_free(text);
+}
+
 // Guards against settings that start a daemon with half of its addresses.
 TEST(ConfigSettings, ChecksAndExample)
 {
--- a/tests/test_state_snapshot.cc
+++ b/tests/test_state_snapshot.cc
@@ -10,8 +10,8 @@
     "worker id=#w2 name=w2 rack=#r cores_milli=64000 memory_mb=65536 accels=8",
     "config base_version=0 author=ann text=one.toml",
     "plan promise=%a/0/0 epoch=@ slots=#w1:f,#w2:f",
-    "job_submit label=j account=#a submit_key=k shape.members=2 "
-    "shape.accels=4 shape.cores_milli=8000",
+    ("job_submit label=j account=#a submit_key=k shape.members=2 "
+     "shape.accels=4 shape.cores_milli=8000"),
     "place job=$j epoch=@ promise=%a/0/0 members=#w1:f,#w2:f",
     "job_submit label=k account=#b shape.members=1 shape.accels=4",
     "place job=$k epoch=@ members=#w2:f0",
