Report usage for one member; decide only on whole changes

Cause: running gangs were stopped as overrunning seconds after their start. The owner published the use of all members together, and the scheduler compared it with what one member declared. Change: a usage row holds the member that uses most; the state controller marks the beginning and the end of each record's change, and the scheduler reads its view again where it met one.

--- a/lib/board/board.c
+++ b/lib/board/board.c
@@ -140,6 +140,34 @@
 	free(board);
 }
 
+/* Begins a change of several rows; only the state controller makes such
+ * changes, so they do not nest. */
+void
+bd_change_begin(struct bd_board *board)
+{
+	uint64_t before = atomic_fetch_add(&board->changes, 1);
+
+	assert(before % 2 == 0);
+	(void)before;
+}
+
+/* Ends a change of several rows. */
+void
+bd_change_end(struct bd_board *board)
+{
+	uint64_t before = atomic_fetch_add(&board->changes, 1);
+
+	assert(before % 2 == 1);
+	(void)before;
+}
+
+/* Returns the number of beginnings and ends so far. */
+uint64_t
+bd_change_count(const struct bd_board *board)
+{
+	return atomic_load(&((struct bd_board *)board)->changes);
+}
+
 /* Tells every thread in bd_wait that tables have changed. */
 void
 bd_publish(struct bd_board *board)
--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -394,7 +394,8 @@
 
 uint32_t bd_share_floor(uint32_t limit, uint32_t entry_vms);
 
-/* Latest usage report of a job. Written by usage. */
+/* Latest usage report of a job: sizes are those of the member that uses most,
+ * to be compared with the shape. Written by usage. */
 struct bd_usage {
 	uint64_t id; /* job */
 	uint32_t cores_milli;
@@ -500,6 +501,13 @@
 void bd_clear(
     struct bd_board *board, enum bd_table_number number, enum bd_writer writer);
 
+/* A change of several rows that belong together. The count is odd meanwhile; a
+ * reader of many rows that finds it odd or different afterwards has seen them
+ * half changed and reads again later. */
+void bd_change_begin(struct bd_board *board);
+void bd_change_end(struct bd_board *board);
+uint64_t bd_change_count(const struct bd_board *board);
+
 /* Tells waiting controllers that tables have changed. */
 void bd_publish(struct bd_board *board);
 uint64_t bd_version(const struct bd_board *board);
--- a/lib/board/board_internal.h
+++ b/lib/board/board_internal.h
@@ -42,6 +42,7 @@
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	atomic_uint_least64_t version;
+	atomic_uint_least64_t changes;
 };
 
 #endif
--- a/lib/gang/set.c
+++ b/lib/gang/set.c
@@ -223,8 +223,10 @@
 	for (i = 0; i < gang->member_count; i++) {
 		const struct gang_member *member = &gang->members[i];
 
-		row.cores_milli += member->used_cores_milli;
-		row.memory_mb += member->used_memory_mb;
+		if (member->used_cores_milli > row.cores_milli)
+			row.cores_milli = member->used_cores_milli;
+		if (member->used_memory_mb > row.memory_mb)
+			row.memory_mb = member->used_memory_mb;
 		if (member->run_ms > row.run_ms)
 			row.run_ms = member->run_ms;
 	}
--- a/lib/sched/step.c
+++ b/lib/sched/step.c
@@ -6,6 +6,9 @@
 
 /* Without a change of the board the scheduler looks again this often: ages,
  * holds and quarantines run out by time alone. */
+/* A view that was read while records were applied is read again after this
+ * time: members of a gang would be missing from it. */
+#define STEP_AGAIN_MS 5
 #define STEP_INTERVAL_MS 1000
 /* A status that has not come in this time is lost with its proposal; epochs
  * make a repetition harmless. */
@@ -274,6 +277,7 @@
 	static int (*const decisions[])(struct sch * sch) = {sch_quarantine_run,
 	    sch_plan_run, sch_place_run, sch_defrag_run, sch_overrun_run};
 	struct sch *sch = ctx;
+	uint64_t changes;
 	size_t i;
 	int code = CW_OK;
 
@@ -285,7 +289,12 @@
 	bd_read_begin();
 	sch->proposed = 0;
 	sch->pending_since_ms = now_ms;
+	changes = bd_change_count(sch->spec.board);
 	sch_view_load(sch, now_ms);
+	if (changes % 2 != 0 || bd_change_count(sch->spec.board) != changes) {
+		bd_read_end();
+		return now_ms + STEP_AGAIN_MS;
+	}
 	check_condition(sch);
 	for (i = 0; i < sizeof(decisions) / sizeof(*decisions) &&
 	     code == CW_OK && sch_has_budget(sch);
--- a/lib/state/apply.c
+++ b/lib/state/apply.c
@@ -96,8 +96,11 @@
 		    apply_table[rec->kind] == NULL) {
 			atomic_fetch_add(&state->unknown_kinds, 1);
 			code = ST_EUNKNOWNKIND;
-		} else
+		} else {
+			bd_change_begin(state->board);
 			code = apply_table[rec->kind](state, rec, position);
+			bd_change_end(state->board);
+		}
 	}
 	atomic_store(&state->position, position);
 	return code;
--- a/lib/state/snapshot.c
+++ b/lib/state/snapshot.c
@@ -286,9 +286,11 @@
 	if (code == CW_OK && walk.digest != image.digest)
 		code = ST_EMALFORMED;
 	if (code == CW_OK) {
+		bd_change_begin(state->board);
 		remove_others(state, &walk);
 		code = walk_rows(rows, rows_bytes, &walk, put_row);
 		st_index_rebuild(state);
+		bd_change_end(state->board);
 		atomic_store(&state->position, image.basis);
 		assert(code != CW_OK || st_digest(state) == image.digest);
 	}
--- a/tests/gang_world.h
+++ b/tests/gang_world.h
@@ -18,6 +18,8 @@
 constexpr int64_t TICK_MS = 100;
 constexpr int64_t LEASE_MS = 120000;
 constexpr uint64_t ACCOUNT = 77;
+constexpr uint32_t USED_CORES_MILLI = 700;
+constexpr uint32_t USED_MEMORY_MB = 300;
 constexpr uint32_t MEMBERS = 4;
 
 // Workers in memory that follow the token rule. Two members on each.
@@ -187,6 +189,8 @@
 			return;
 		answer->report.state = found->second.state;
 		answer->report.checkpoint_ms = found->second.checkpoint;
+		answer->report.used_cores_milli = USED_CORES_MILLI;
+		answer->report.used_memory_mb = USED_MEMORY_MB;
 		answer->report.run_ms =
 		    found->second.resume + now - found->second.started;
 	}
--- a/tests/test_gang.cc
+++ b/tests/test_gang.cc
@@ -11,6 +11,23 @@
 
 namespace {
 
+// Guards against the use of all members being taken for that of one: a gang of
+// two would be stopped as using twice what it declared.
+TEST(Gang, UsageIsThatOfOneMember)
+{
+	World world;
+	world.place(1);
+	ASSERT_TRUE(world.run_until(BD_JOB_RUNNING, 1000));
+	world.run(2000);
+	bd_read_begin();
+	const struct bd_usage *usage =
+	    bd_usage_lookup(world.vms[0]->board, world.job);
+	ASSERT_NE(usage, nullptr);
+	EXPECT_EQ(usage->cores_milli, USED_CORES_MILLI);
+	EXPECT_EQ(usage->memory_mb, USED_MEMORY_MB);
+	bd_read_end();
+}
+
 // Guards against a start that skips a step or a finish that is not recorded.
 TEST(Gang, StartsWholeAndEndsDone)
 {
--- a/tests/test_sched_place.cc
+++ b/tests/test_sched_place.cc
@@ -79,6 +79,19 @@
 	struct world w;
 };
 
+// Guards against decisions on a gang of which only some rows are applied.
+TEST_F(Place, HalfAppliedRecordIsNotDecidedOn)
+{
+	uint64_t job = submit("a", 1, 1);
+
+	bd_change_begin(w.board);
+	EXPECT_LT(sch_step(w.sch, w.now_ms), w.now_ms + 100);
+	EXPECT_FALSE(placed(job));
+	bd_change_end(w.board);
+	run(job);
+	EXPECT_TRUE(placed(job));
+}
+
 // Guards against gangs that are spread further than they need to be, and
 // against members in two regions without leave.
 TEST_F(Place, GangsStandAsCloseAsTheyFit)
