--- a/tests/test_front_json.cc
+++ b/tests/test_front_json.cc
@@ -16,6 +16,7 @@
 		const char *part;
 	} cases[] = {
 	    {"{" + base + "}", 201, "id"},
+	    {"{\"name\":\"j\",\"accelerators\":2}", 201, "id"},
 	    {"{" + base +
 		    ",\"class\":\"urgent\",\"cores\":0.5,"
 		    "\"memory_mb\":0,\"members\":64,\"cross_region\":true,"
