Refuse a TLS certificate that the HTTP library cannot serve

Cause: with OpenSSL 3 Debian 12's CivetWeb does not find TLS; a daemon with tls_certificate started, and crashed with the first connection. Conclusion: TLS needs another HTTP library; that is open.

--- a/lib/link/http_server.c
+++ b/lib/link/http_server.c
@@ -350,7 +350,17 @@
 		options[20] = "ssl_short_trust";
 		options[21] = "yes";
 	}
-	mg_init_library(MG_FEATURES_TLS);
+	/* Debian 12's CivetWeb finds no TLS in OpenSSL 3, goes on without it,
+	 * and crashes with the first connection. */
+	if (tls && (mg_init_library(MG_FEATURES_TLS) & MG_FEATURES_TLS) == 0) {
+		free(server);
+		return cw_error_set(LK_ESERVER,
+		    "tls_certificate is set, but the installed CivetWeb cannot "
+		    "serve TLS with the installed OpenSSL; end TLS at the "
+		    "balancer and remove the setting");
+	}
+	if (!tls)
+		mg_init_library(MG_FEATURES_DEFAULT);
 	server->context = mg_start(&callbacks, server, options);
 	if (server->context == NULL) {
 		free(server);
--- a/programs/camphord/main.c
+++ b/programs/camphord/main.c
@@ -205,7 +205,7 @@
 		printf("usage: camphord");
 		arg_print_syntax(stdout, table, "\n");
 		arg_print_glossary(stdout, table, "  %-20s %s\n");
-		printf("example: camphord /etc/camphorworks/camphord.toml\n");
+		printf("example: camphord /etc/camphor/camphord.toml\n");
 		result = EXIT_SUCCESS;
 	} else if (options.version->count > 0) {
 		printf("camphord %s\n", CAMPHOR_VERSION);
--- a/tests/test_link_http.cc
+++ b/tests/test_link_http.cc
@@ -1,8 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <cstdio>
 #include <string>
 #include <vector>
 
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+
 #include "fake_upstream.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -84,6 +89,60 @@
 
 const char CLOSE[] = "Host: a\r\nConnection: close\r\n";
 
+void
+write_certificate(const std::string &path)
+{
+	EVP_PKEY *key = EVP_RSA_gen(2048);
+	X509 *certificate = X509_new();
+	FILE *file = fopen(path.c_str(), "w");
+
+	ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
+	X509_gmtime_adj(X509_getm_notBefore(certificate), 0);
+	X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
+	X509_set_pubkey(certificate, key);
+	X509_sign(certificate, key, EVP_sha256());
+	PEM_write_PrivateKey(file, key, nullptr, nullptr, 0, nullptr, nullptr);
+	PEM_write_X509(file, certificate);
+	fclose(file);
+	X509_free(certificate);
+	EVP_PKEY_free(key);
+}
+
+// Guards against a server that takes a certificate, cannot serve TLS, and
+// crashes with the first connection.
+TEST(LinkHttp, TlsIsServedOrRefused)
+{
+	std::string path = testing::TempDir() + "link_http.pem";
+	struct lk_http_server_config config;
+	struct lk_http_server *server = nullptr;
+
+	write_certificate(path);
+	lk_http_server_config_default(&config);
+	config.address = "127.0.0.1:0";
+	config.tls_certificate = path.c_str();
+	if (lk_http_server_start(&server, &config) == CW_OK) {
+		struct sockaddr_in address = {};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		address.sin_family = AF_INET;
+		address.sin_port = htons(lk_http_server_port(server));
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(
+		    connect(fd, (struct sockaddr *)&address, sizeof(address)),
+		    0);
+		EXPECT_EQ(send(fd, "x", 1, MSG_NOSIGNAL), 1);
+		shutdown(fd, SHUT_WR);
+		char byte;
+		while (recv(fd, &byte, 1, 0) > 0)
+			;
+		close(fd);
+		lk_http_server_stop(server);
+	} else {
+		EXPECT_NE(std::string(cw_error_last()).find("TLS"),
+		    std::string::npos);
+	}
+	remove(path.c_str());
+}
+
 // Guards against routes that shadow each other and against requests beyond the
 // limits that reach a handler.
 TEST(LinkHttp, RoutesAndRefusals)
