Give the test of half applied records its workers

Change: two workers, and a check that the step proposes nothing. Conclusion: the fix that it guards was right, the test was not.

--- a/tests/test_sched_place.cc
+++ b/tests/test_sched_place.cc
@@ -82,11 +82,12 @@
 // Guards against decisions on a gang of which only some rows are applied.
 TEST_F(Place, HalfAppliedRecordIsNotDecidedOn)
 {
+	world_workers(&w, 2, 2, 1, 8, 32000, 65536);
 	uint64_t job = submit("a", 1, 1);
 
 	bd_change_begin(w.board);
 	EXPECT_LT(sch_step(w.sch, w.now_ms), w.now_ms + 100);
-	EXPECT_FALSE(placed(job));
+	EXPECT_EQ(w.queued, 0u);
 	bd_change_end(w.board);
 	run(job);
 	EXPECT_TRUE(placed(job));
