--- a/lib/link/http_server.c
+++ b/lib/link/http_server.c
@@ -329,8 +329,9 @@
 	assert(config->route_count <= LK_HTTP_ROUTES_MAX);
 	if (server == NULL)
 		return cw_error_set(CW_ENOMEM, "no memory for the server");
-	memcpy(server->routes, config->routes,
-	    config->route_count * sizeof(*config->routes));
+	if (config->route_count > 0)
+		memcpy(server->routes, config->routes,
+		    config->route_count * sizeof(*config->routes));
 	server->route_count = config->route_count;
 	server->kept_max = config->threads -
 	    (config->threads < RESERVE_PART ? 1
