Count control bytes to other regions by kind

Cause: traffic between regions is paid by volume; requests were counted by region, messages between daemons only by kind. Change: each message to a member of another region is counted by kind and shown in the metrics. Figures: of three simulated VMs, one apart: more than 3/4 of its heartbeat bytes and less than 2/3 of a near one's go to another region, as the test asks. Conclusion: both kinds of traffic between regions are visible.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -585,6 +585,7 @@
 struct fl_counters {
 	uint64_t sent_messages[FL_MSG_KIND_LIMIT];
 	uint64_t sent_bytes[FL_MSG_KIND_LIMIT];
+	uint64_t cross_bytes[FL_MSG_KIND_LIMIT]; /* sent to other regions */
 	uint64_t received_bytes[FL_MSG_KIND_LIMIT];
 	uint64_t unsent;
 	uint64_t malformed;
--- a/lib/fleet/send.c
+++ b/lib/fleet/send.c
@@ -14,11 +14,29 @@
 	} list[FL_TARGETS_MAX];
 };
 
+static bool is_other_region(const struct fl_fleet *fleet, const char *address);
 static void add_target(struct targets *targets, const struct fl_fleet *fleet,
     const char *address, bool knows_us);
 static void collect_targets(struct fl_fleet *fleet, struct targets *targets);
 static void fill_heartbeat(struct fl_fleet *fleet, int64_t now_ms);
 
+/* Tells whether the member at an address stands in another region. One that is
+ * not known yet counts as near. */
+static bool
+is_other_region(const struct fl_fleet *fleet, const char *address)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->members.count; i++) {
+		const struct fl_peer *peer = &fleet->members.peers[i];
+
+		if (!peer->ended &&
+		    strcmp(peer->row.peer_address, address) == 0)
+			return peer->row.region != fleet->members.self.region;
+	}
+	return false;
+}
+
 /* Sends the first bytes of the frame and counts them. */
 int
 fl_send_frame(
@@ -33,6 +51,8 @@
 	}
 	fleet->traffic.sent_messages[kind]++;
 	fleet->traffic.sent_bytes[kind] += bytes;
+	if (is_other_region(fleet, address))
+		fleet->traffic.cross_bytes[kind] += bytes;
 	return CW_OK;
 }
 
--- a/lib/front/metrics_sources.c
+++ b/lib/front/metrics_sources.c
@@ -126,6 +126,9 @@
 	emit_kinds(out, "control_sent_bytes_total",
 	    "Bytes sent to other entry VMs by kind of message.",
 	    counters.sent_bytes);
+	emit_kinds(out, "control_cross_region_bytes_total",
+	    "Bytes sent to entry VMs of other regions by kind of message.",
+	    counters.cross_bytes);
 	emit_kinds(out, "control_received_bytes_total",
 	    "Bytes received from other entry VMs by kind of message.",
 	    counters.received_bytes);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -81,6 +81,7 @@
 	    void *buffer, size_t bytes_max, size_t *bytes);
 	void (*each_tick)(struct sim *sim, void *ctx);
 	void *ctx;
+	uint32_t first_region; /* VMs below this index stand apart */
 };
 
 static inline void
@@ -340,6 +341,7 @@
 		abort();
 	options.board = vm->board;
 	options.self.id = vm->incarnation;
+	options.self.region = index < sim->first_region ? 1 : 0;
 	options.started_ms = SIM_WALL_MS + sim->now_ms;
 	snprintf(options.self.name, CW_NAME_BYTES, "vm-%u", index);
 	snprintf(options.self.peer_address, CW_NAME_BYTES, "@%u", index);
--- a/tests/test_fleet_relay.cc
+++ b/tests/test_fleet_relay.cc
@@ -49,6 +49,25 @@
 	}
 }
 
+// Guards against paid traffic between regions that is counted as near.
+TEST(FleetRelay, BytesToOtherRegionsAreCounted)
+{
+	struct sim *sim = sim_create(3, 7);
+	struct fl_counters apart, near;
+	sim->first_region = 1;
+	sim_kill(sim, 0);
+	sim_start(sim, 0);
+	sim_run(sim, 15000);
+	fl_traffic(sim->vms[0].fleet, &apart);
+	fl_traffic(sim->vms[1].fleet, &near);
+	uint64_t cross = near.cross_bytes[FL_MSG_HEARTBEAT];
+	EXPECT_GT(cross, 0u);
+	EXPECT_LT(cross, near.sent_bytes[FL_MSG_HEARTBEAT] * 2 / 3);
+	EXPECT_GT(apart.cross_bytes[FL_MSG_HEARTBEAT],
+	    apart.sent_bytes[FL_MSG_HEARTBEAT] * 3 / 4);
+	sim_destroy(sim);
+}
+
 // Guards against a relay that waits for one silent peer for ever.
 TEST(FleetRelay, AnotherPeerIsAskedWhereOneIsSilent)
 {
