Only look at silent workers; never acknowledge ends of replaced runs

Orders to 49 workers that had left were repeated every 50 ms, 900 refused connections a second on the placer.

Change: a silent worker is looked at and gets no orders; runs that it cannot have started go elsewhere at once; a refused order counts as silence. An end of a run that was replaced is never acknowledged; one whose task still waits counts as done. An answer to a look that was under way is waited for before a lease counts as over. Runs of a worker that was leaving end with it when its entry is gone and nothing listens there.

Five tests fail on the former code and pass now.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -30,8 +30,8 @@
 
 static void judge_hosts(struct fw_placer *placer, struct fw_view *view);
 static void keep_urgent(struct fw_placer *placer, struct fw_view *view);
-static void note_end(
-    struct fw_placer *placer, const struct fw_run *run, int64_t now_ms);
+static void note_end(struct fw_placer *placer, const struct fw_run *run,
+    enum fw_end end, int64_t now_ms);
 static void apply_ends(struct fw_placer *placer, struct fw_view *view);
 static void collect_victims(
     struct fw_placer *placer, struct fw_view *view, struct blocked *blocked);
@@ -83,23 +83,25 @@
 }
 
 static void
-note_end(struct fw_placer *placer, const struct fw_run *run, int64_t now_ms)
+note_end(struct fw_placer *placer, const struct fw_run *run, enum fw_end end,
+    int64_t now_ms)
 {
 	struct fw_link *link = &placer->tables.links[run->link];
 
-	if (run->end == FW_END_FAILED) {
+	if (end == FW_END_FAILED) {
 		link->failed_count++;
 		link->failed_ms = now_ms;
-	} else if (run->end == FW_END_DONE)
+	} else if (end == FW_END_DONE)
 		link->failed_count = 0;
 	ev_emit(EV_FLOW_ENDED,
 	    "job=%016llx task=%u run=%u worker=%s end=%s percent=%u ms=%lld",
 	    (unsigned long long)run->flow, run->index, run->run, link->name,
-	    fw_end_name(run->end), run->percent,
+	    fw_end_name(end), run->percent,
 	    (long long)(now_ms - run->placed_ms));
 }
 
-/* Puts the ends that were reported into their jobs. */
+/* Puts the ends that were reported into their jobs. A run that counts as lost
+ * may be done after all, as long as no other one was placed. */
 static void
 apply_ends(struct fw_placer *placer, struct fw_view *view)
 {
@@ -110,24 +112,29 @@
 		struct bd_flow *copy;
 		uint32_t job;
 		const struct bd_step_task *task;
+		enum fw_end end;
 
 		if (!run->used || run->phase != FW_PHASE_ENDED ||
-		    run->unplaced_ms != 0)
+		    (run->unplaced_ms != 0 && !run->done_late))
 			continue;
 		job = fw_view_job(view, run->flow);
 		if (job == FW_NONE)
 			continue;
 		task = &fw_flow_tasks(fw_job_now(&view->jobs[job]))[run->index];
-		if (task->state != BD_STEP_TASK_PLACED || task->run != run->run)
+		if (task->run != run->run ||
+		    task->state !=
+			(run->done_late ? BD_STEP_TASK_WAITING
+					: BD_STEP_TASK_PLACED))
 			continue;
 		copy = fw_job_change(&view->jobs[job]);
 		if (copy == NULL) {
 			ev_emit(EV_FLOW_NO_MEMORY, "what=job");
 			continue;
 		}
-		note_end(placer, run, view->now_ms);
+		end = run->done_late ? FW_END_DONE : run->end;
+		note_end(placer, run, end, view->now_ms);
 		fw_fate_apply(
-		    copy, run->index, run->end, run->checkpoint, view->wall_ms);
+		    copy, run->index, end, run->checkpoint, view->wall_ms);
 	}
 }
 
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -33,6 +33,9 @@
 	uint32_t doubtful; /* runs whose fate the next report decides */
 	uint32_t orders_busy;
 	bool hold_busy;
+	bool listed;   /* the store has its entry */
+	bool leaving;  /* its latest entry says so */
+	bool refused;  /* nothing listened there at the latest call */
 	bool reported; /* since this placer has the duty */
 	bool fresh;    /* the report has not been looked at */
 	struct fw_report report;
@@ -64,9 +67,11 @@
 	int64_t unplaced_ms; /* its job no longer has it as a present run */
 	bool used;
 	bool busy;    /* an order is open */
-	bool sent;    /* a start may have reached the worker */
+	bool sent;    /* a start may have been carried out */
 	bool stop;    /* is to end */
 	bool stopped; /* the stop was answered */
+	/* Its worker lists it as done although it counts as lost. */
+	bool done_late;
 	char checkpoint[BD_CHECKPOINT_BYTES];
 };
 
@@ -282,6 +287,7 @@
 	uint32_t index;
 	uint32_t run;
 	uint64_t ended_upto;
+	bool sent_before; /* an earlier start may have been carried out */
 	struct fw_report report;
 };
 
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -15,8 +15,10 @@
  * list decides something. */
 #define HOLD_WAIT_MS 2000
 #define HOLD_WAIT_SHORT_MS 150
-/* Pause between calls to a worker that does not answer. */
+/* Pause between looks at a worker that does not answer: short while a lease may
+ * still be renewed, longer once all of its runs are over. */
 #define SILENT_RETRY_MS 400
+#define SILENT_OVER_RETRY_MS 2000
 /* Ends that are not stored yet make a hold return at once. */
 #define HOLD_PAUSE_MS 500
 /* Orders to one worker at a time, beside the hold: each is a connection. */
@@ -48,7 +50,7 @@
 static void take_reborn(
     struct fw_placer *placer, uint32_t handle, int64_t born_ms);
 static void take_start(
-    struct fw_run *run, const struct fw_report *report, int64_t now_ms);
+    struct fw_run *run, const struct fw_call *call, int64_t now_ms);
 static void take_hold(
     struct fw_placer *placer, uint32_t handle, struct fw_call *call);
 static void take_call(
@@ -128,6 +130,7 @@
 	call->flow = run->flow;
 	call->index = run->index;
 	call->run = run->run;
+	call->sent_before = run->sent;
 	if (!send(placer, call, order))
 		return;
 	run->busy = true;
@@ -173,8 +176,11 @@
 	const struct bd_flow *flow =
 	    bd_flow_lookup(placer->parts.board, run->flow);
 
+	/* A silent worker is only looked at: orders to 49 workers that had gone
+	 * were 900 refused connections a second. */
 	if (flow == NULL || run->busy || now_ms < run->retry_ms ||
-	    link->address[0] == '\0' || link->orders_busy >= ORDERS_MAX ||
+	    link->address[0] == '\0' || link->silent_ms != 0 ||
+	    link->orders_busy >= ORDERS_MAX ||
 	    run->phase == FW_PHASE_ENDED || run->unplaced_ms != 0)
 		return;
 	if (run->stop) {
@@ -192,6 +198,8 @@
 	if (link->address[0] == '\0' || link->hold_busy ||
 	    now_ms < link->next_hold_ms)
 		return false;
+	if (!link->listed && link->run_count == 0)
+		return false;
 	return !link->reported || link->run_count > 0 || link->silent_ms != 0 ||
 	    link->ended_told < link->ended_upto;
 }
@@ -276,7 +284,7 @@
 }
 
 /* Notes whether a worker answers its holds, its clock and its life. Single
- * orders may stay unanswered on a sound worker. */
+ * orders may stay unanswered on a sound worker, but none is refused there. */
 static void
 take_contact(struct fw_placer *placer, struct fw_link *link,
     const struct fw_report *report, bool is_hold, int64_t now_ms)
@@ -284,7 +292,8 @@
 	bool silent = report->answer >= FW_ANSWER_REFUSED;
 	uint32_t handle = (uint32_t)(link - placer->tables.links);
 
-	if (silent && is_hold && link->silent_ms == 0) {
+	link->refused = report->answer == FW_ANSWER_REFUSED;
+	if (silent && (is_hold || link->refused) && link->silent_ms == 0) {
 		link->silent_ms = now_ms;
 		ev_emit(EV_FLOW_HOST_SILENT, "worker=%s answer=%s runs=%u",
 		    link->name, fw_answer_name(report->answer),
@@ -308,8 +317,10 @@
 }
 
 static void
-take_start(struct fw_run *run, const struct fw_report *report, int64_t now_ms)
+take_start(struct fw_run *run, const struct fw_call *call, int64_t now_ms)
 {
+	const struct fw_report *report = &call->report;
+
 	switch (report->answer) {
 	case FW_ANSWER_DONE:
 		if (run->phase != FW_PHASE_ENDED) {
@@ -328,9 +339,17 @@
 	case FW_ANSWER_ROOM:
 	case FW_ANSWER_REJECTED:
 		run->stop = true;
+		run->sent = call->sent_before;
 		break;
 	case FW_ANSWER_LATE:
 		run->retry_ms = now_ms;
+		run->sent = call->sent_before;
+		break;
+	case FW_ANSWER_BUSY:
+	case FW_ANSWER_REFUSED:
+	case FW_ANSWER_NOT_SENT:
+		run->retry_ms = now_ms + RETRY_MS;
+		run->sent = call->sent_before;
 		break;
 	default:
 		run->retry_ms = now_ms + RETRY_MS;
@@ -349,7 +368,9 @@
 
 	link->hold_busy = false;
 	if (report->answer != FW_ANSWER_DONE) {
-		link->next_hold_ms = report->now_ms + SILENT_RETRY_MS;
+		link->next_hold_ms = report->now_ms +
+		    (report->now_ms > link->lease_end_ms ? SILENT_OVER_RETRY_MS
+							 : SILENT_RETRY_MS);
 		return;
 	}
 	link->reported = true;
@@ -392,7 +413,7 @@
 	run = &placer->tables.runs[found];
 	run->busy = false;
 	if (call->kind == FW_ORDER_START)
-		take_start(run, &call->report, now_ms);
+		take_start(run, call, now_ms);
 	else if (call->report.answer == FW_ANSWER_DONE) {
 		run->stopped = true;
 		run->sure_ms = now_ms;
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -8,9 +8,12 @@
     uint32_t link);
 static void take_run(
     struct fw_run *run, const struct fw_listed_run *listed, int64_t now_ms);
+static bool row_done(const struct bd_board *board,
+    const struct fw_listed_end *end, bool unknown);
 static bool is_stored(const struct fw_tables *tables,
     const struct bd_board *board, const struct fw_listed_end *end,
     uint32_t link);
+static uint64_t last_lapse(const struct fw_report *report);
 
 /* Copies a report with its lists. Returns FW_ENOMEM. */
 int
@@ -87,20 +90,67 @@
 		    sizeof(run->checkpoint));
 }
 
-/* An end is stored once its run is no longer the present one of its task. */
+/* Tells whether the job's row names a run as the one with which its task is
+ * done. unknown is the answer where the row no longer tells. */
+static bool
+row_done(const struct bd_board *board, const struct fw_listed_end *end,
+    bool unknown)
+{
+	const struct bd_step_task *task;
+	const struct bd_flow *flow;
+	uint32_t index;
+	uint64_t id;
+
+	if (!fw_flow_id(end->task.job, &id))
+		return unknown;
+	flow = bd_flow_lookup(board, id);
+	if (flow == NULL || flow->shrunk != 0 ||
+	    !fw_task_index(flow, &end->task, &index))
+		return unknown;
+	task = &fw_flow_tasks(flow)[index];
+	return task->state == BD_STEP_TASK_DONE && task->run == end->run;
+}
+
+/*
+ * Tells whether an end may be acknowledged: its run is no longer the present
+ * one of its task, and the job's row has taken this end over. A run that
+ * counted as lost and was replaced, and is listed as done or failed after all,
+ * is never acknowledged: its task would then count as started after its end.
+ */
 static bool
 is_stored(const struct fw_tables *tables, const struct bd_board *board,
     const struct fw_listed_end *end, uint32_t link)
 {
 	uint32_t found = find_listed(tables, board, &end->task, end->run, link);
+	const struct fw_run *run;
+
+	if (found == FW_NONE)
+		return end->end != FW_END_DONE || row_done(board, end, true);
+	run = &tables->runs[found];
+	if (fw_run_placed(board, run))
+		return false;
+	if (end->end == FW_END_DONE)
+		return run->end == FW_END_DONE || row_done(board, end, false);
+	return end->end != FW_END_FAILED || run->end == FW_END_FAILED;
+}
+
+/* Returns the number of the latest end that says that the worker's lease had
+ * lapsed, 0 where none does. Ends before it count as if never listed. */
+static uint64_t
+last_lapse(const struct fw_report *report)
+{
+	uint32_t i = report->end_count;
 
-	return found == FW_NONE || !fw_run_placed(board, &tables->runs[found]);
+	while (i > 0)
+		if (report->ends[--i].end == FW_END_LAPSED)
+			return report->ends[i].number;
+	return 0;
 }
 
 /*
  * Takes over what the latest report of a worker says: runs that it lists are
- * up and listed ends end them. Moves the number up to which all listed ends are
- * stored. Call again after the jobs' rows have changed, within a read section.
+ * up and listed ends end them. Moves the number up to which all listed ends may
+ * be acknowledged. Call again after the jobs' rows have changed, within a read section.
  */
 void
 fw_report_take(struct fw_tables *tables, const struct bd_board *board,
@@ -108,6 +158,7 @@
 {
 	struct fw_link *link = &tables->links[handle];
 	const struct fw_report *report = &link->report;
+	uint64_t lapse = last_lapse(report);
 	bool stored = true;
 	uint32_t i;
 
@@ -133,9 +184,13 @@
 				memcpy(run->checkpoint, end->checkpoint,
 				    sizeof(run->checkpoint));
 			run->seen_ms = report->sent_ms;
+			run->done_late = run->phase == FW_PHASE_ENDED &&
+			    run->end != FW_END_DONE && end->end == FW_END_DONE;
 			fw_run_end(run, end->end);
 		}
-		stored = stored && is_stored(tables, board, end, handle);
+		stored = stored &&
+		    (end->number < lapse ||
+			is_stored(tables, board, end, handle));
 		if (stored && end->number > link->ended_upto)
 			link->ended_upto = end->number;
 	}
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -28,6 +28,8 @@
 static bool gang_whole(struct fw_placer *placer, const struct bd_flow *flow,
     const struct fw_run *run, int64_t now_ms);
 static bool stalled(const struct bd_flow *flow, const struct fw_run *run);
+static bool leases_over(const struct fw_link *link, int64_t now_ms);
+static bool has_left(const struct fw_link *link);
 static void judge_run(
     struct fw_placer *placer, uint32_t handle, int64_t now_ms);
 static void stop_run(
@@ -44,6 +46,8 @@
 		return;
 	}
 	link = &placer->tables.links[handle];
+	link->listed = true;
+	link->leaving = row->leaving != 0;
 	if (link->address[0] == '\0' ||
 	    (row->born_ms != link->born_ms && row->heard_ms > 0)) {
 		memcpy(link->name, row->name, sizeof(link->name));
@@ -190,6 +194,9 @@
 	else if (run->phase == FW_PHASE_NEW && host != NULL &&
 	    host->leaving != 0)
 		stop_run(placer, run, "worker_leaving");
+	else if (run->phase == FW_PHASE_NEW && !run->sent &&
+	    placer->tables.links[run->link].silent_ms != 0)
+		stop_run(placer, run, "worker_silent");
 	else if (stalled(flow, run)) {
 		struct fw_link *link = &placer->tables.links[run->link];
 
@@ -200,6 +207,28 @@
 	return !run->stop;
 }
 
+/* Tells whether no run can live on a worker that does not answer. The answer to
+ * a look that it may have received before then is waited for: it may list runs
+ * that are done. */
+static bool
+leases_over(const struct fw_link *link, int64_t now_ms)
+{
+	if (link->lease_end_ms == 0 || now_ms <= link->lease_end_ms)
+		return false;
+	if (link->address[0] == '\0')
+		return true;
+	return link->silent_ms != 0 &&
+	    !(link->hold_busy && link->hold_sent_ms <= link->lease_end_ms);
+}
+
+/* Tells whether a worker that was leaving has gone: the store has dropped its
+ * entry and nothing listens at its address. Its runs ended with it. */
+static bool
+has_left(const struct fw_link *link)
+{
+	return link->leaving && !link->listed && link->refused;
+}
+
 /* Finds out whether a run has ended without a listed end, and forgets one that
  * its job and its worker have both forgotten. */
 static void
@@ -215,10 +244,9 @@
 			run->unplaced_ms = now_ms;
 		if (run->busy)
 			return;
-		if ((run->phase == FW_PHASE_ENDED && run->end == FW_END_LOST) ||
-		    (link->reported && report->sent_ms > run->unplaced_ms &&
+		if ((link->reported && report->sent_ms > run->unplaced_ms &&
 			!listed) ||
-		    (link->silent_ms != 0 && now_ms > link->lease_end_ms))
+		    (!link->listed && now_ms > link->lease_end_ms))
 			fw_run_remove(&placer->tables, handle);
 		return;
 	}
@@ -235,8 +263,7 @@
 		fw_run_end(run, run->stopped ? FW_END_STOPPED : FW_END_LOST);
 		return;
 	}
-	if (link->lease_end_ms > 0 && now_ms > link->lease_end_ms &&
-	    (link->silent_ms != 0 || link->address[0] == '\0'))
+	if (leases_over(link, now_ms) || has_left(link))
 		fw_run_end(run, FW_END_LOST);
 	if (run->stopped || run->phase == FW_PHASE_ADOPTED)
 		link->doubtful++;
@@ -266,6 +293,8 @@
 
 	/* Entries may also be read anew as a whole, at the same position. */
 	if (changed || now_ms - placer->hosts_ms > HOSTS_SYNC_MS) {
+		for (i = 0; i < tables->link_count; i++)
+			tables->links[i].listed = false;
 		while ((host = bd_host_next(board, &cursor)) != NULL)
 			sync_host(placer, host);
 		placer->hosts_ms = now_ms;
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -38,6 +38,7 @@
 	std::map<std::string, SimWorker> workers;
 	std::set<std::string> cut_workers;
 	std::set<std::string> gone_workers; /* nothing listens there */
+	std::map<std::string, int> orders;  /* sent to each worker */
 	std::vector<std::unique_ptr<SimVm>> vms;
 	int64_t store_ms = 4;
 	bool store_down = false;
@@ -87,6 +88,29 @@
 		    &host, sizeof(host), nullptr);
 	}
 
+	/* The store's entry of a worker says that it is leaving. */
+	void
+	leaving(SimVm *vm, const std::string &id)
+	{
+		struct bd_host host;
+		uint64_t row = cw_id_from_name(id.c_str());
+
+		bd_read_begin();
+		host = *bd_host_lookup(vm->world.board, row);
+		bd_read_end();
+		host.leaving = 1;
+		bd_put(vm->world.board, BD_TABLE_host, BD_WRITER_FLOW, row,
+		    &host, sizeof(host), nullptr);
+	}
+
+	/* The store's entry of a worker is gone. */
+	void
+	unlist(SimVm *vm, const std::string &id)
+	{
+		bd_remove(vm->world.board, BD_TABLE_host, BD_WRITER_FLOW,
+		    cw_id_from_name(id.c_str()));
+	}
+
 	/* The store's side of a VM's calls. */
 	static int append(void *ctx, const struct fw_append *call);
 	static int read(void *ctx, const struct fw_read *call);
@@ -492,6 +516,7 @@
 	int64_t delay_ms =
 	    2 + (call->kind == FW_ORDER_HOLD ? (int64_t)call->wait_ms / 10 : 0);
 
+	sim->orders[address]++;
 	copy.address = copy.host = copy.text = copy.checkpoint = nullptr;
 	if (sim->gone_workers.count(address) != 0) {
 		sim->at(1, [sim, copy, sent_ms] {
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -124,6 +124,114 @@
 	expect_clean(sim);
 }
 
+/* Guards against a run that counts as lost, is replaced, and whose end is then
+ * acknowledged when its worker is back: its task has started after its end.
+ * Found with 49 workers cut at a time. */
+TEST(FlowPlacer, EndsOfReplacedRunsAreNotAcknowledged)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	sim.vm("a");
+	sim.workers["w1"].work_ms = 4000;
+	sim.run(1000);
+	sim.submit(JOB_A, {FlowWorld::step(1, 1)});
+	sim.run(500);
+	sim.worker("w2");
+	sim.workers["w2"].work_ms = 60000;
+	sim.cut_workers.insert("w1");
+	sim.run(12000);
+	EXPECT_EQ(2, sim.judge.starts);
+	sim.cut_workers.clear();
+	sim.run(6000);
+	expect_clean(sim);
+	EXPECT_EQ(1U, sim.workers["w1"].ends.size());
+}
+
+/* Guards against work that is done again although its worker, which was cut off
+ * for longer than a lease, had done it and nothing was placed since. */
+TEST(FlowPlacer, LateEndsCountWhereNothingWasPlacedSince)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *vm = sim.vm("a");
+	sim.workers["w1"].work_ms = 4000;
+	sim.run(1000);
+	sim.submit(JOB_A, {FlowWorld::step(2, 1)});
+	sim.run(500);
+	sim.cut_workers.insert("w1");
+	sim.run(12000);
+	sim.cut_workers.clear();
+	sim.run(6000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	EXPECT_EQ(2, sim.judge.starts);
+	EXPECT_EQ(0U, sim.open_ends());
+	expect_clean(sim);
+}
+
+/* Guards against a flood of refused connections: orders to 49 workers that had
+ * left were repeated 900 times a second in all. A look each 400 ms tells as
+ * soon that the worker is back. */
+TEST(FlowPlacer, WorkersThatRefuseAreOnlyLookedAt)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	sim.vm("a");
+	sim.workers["w1"].work_ms = 60000;
+	sim.run(1000);
+	sim.submit(JOB_A, {FlowWorld::step(4, 1)});
+	sim.run(500);
+	sim.gone_workers.insert("w1");
+	sim.cancel(JOB_A);
+	sim.orders.clear();
+	sim.run(5000);
+	EXPECT_LE(sim.orders["w1"], 5000 / 400 + 4);
+}
+
+/* Guards against a wait for the lease of a worker that has left as it had
+ * announced: nothing runs there any more. */
+TEST(FlowPlacer, RunsEndWithAWorkerThatHasLeft)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *vm = sim.vm("a");
+	sim.workers["w1"].work_ms = 60000;
+	sim.run(1000);
+	sim.submit(JOB_A, {FlowWorld::step(2, 1)});
+	sim.run(500);
+	sim.leaving(vm, "w1");
+	sim.run(1000);
+	sim.worker("w2");
+	sim.gone_workers.insert("w1");
+	sim.run(300); /* looks that were under way */
+	sim.workers["w1"].reborn(sim.now_ms);
+	sim.unlist(vm, "w1");
+	sim.run(1500);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	expect_clean(sim);
+}
+
+/* Guards against tasks that wait on a worker that refuses their starts: none of
+ * them runs there, so all may start elsewhere at once. */
+TEST(FlowPlacer, RefusedStartsGoElsewhereAtOnce)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *vm = sim.vm("a");
+	sim.run(1000);
+	sim.gone_workers.insert("w1");
+	sim.submit(JOB_A, {FlowWorld::step(8, 1)});
+	sim.run(50);
+	sim.worker("w2");
+	sim.run(2000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	expect_clean(sim);
+}
+
 /* Guards against a worker that counts as answering because a stop, which it
  * does not answer either, is no look at it. Found as gangs that had nothing
  * running at the end of a day. */
