Let only the placer follow the workers' entries

Each of 37 VMs read the entries of 350 workers, rewritten each 1.5 s, and half of them over the link between regions, which was full; reads that timed out began again.

Change: a follower can be paused and resumed, with the newest records first. The placer resumes the one of the workers' entries when it has the duty. A look at a silent worker is no longer brought forward by each change of a job.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -272,6 +272,7 @@
 
 struct fw_follow_spec {
 	enum fw_topic topic;
+	bool paused;      /* reads nothing before fw_follower_resume */
 	uint32_t gap_ms;  /* shortest time between two reads */
 	uint32_t wait_ms; /* longest time that a read waits for a record */
 	/* Applies a record; first is called before and last after a reading
@@ -287,6 +288,8 @@
     const struct fw_store *store, const struct fw_follow_spec *spec);
 void fw_follower_stop(struct fw_follower *follower);
 void fw_follower_free(struct fw_follower *follower);
+void fw_follower_pause(struct fw_follower *follower);
+void fw_follower_resume(struct fw_follower *follower);
 void fw_follower_gap(struct fw_follower *follower, uint32_t gap_ms);
 void fw_follower_catch_up(struct fw_follower *follower, uint64_t end);
 bool fw_follower_loaded(const struct fw_follower *follower);
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -30,7 +30,10 @@
 	atomic_int_least64_t fresh_ms;  /* send time of the last good read */
 	atomic_int_least64_t issued_ms; /* send time of the open read */
 	atomic_bool lost;               /* the last read has failed */
+	atomic_bool paused;
 	/* Of the platform's thread: */
+	bool open;    /* a read or the timer before it is under way */
+	bool restart; /* begin with the newest records after that */
 	bool newest;
 	char after[FW_KEY_BYTES];
 	uint64_t first_end; /* end of the log at the first page */
@@ -44,6 +47,8 @@
 };
 
 static void issue(void *ctx, int64_t now_ms);
+static void begin(void *ctx, int64_t now_ms);
+static void restart(struct fw_follower *follower);
 static void catch_up(void *ctx, int64_t now_ms);
 static void on_caught_up(void *ctx, enum fw_fate fate, bool more, uint64_t end,
     int64_t sent_ms, int64_t now_ms);
@@ -69,8 +74,10 @@
 	    .done = on_done,
 	    .ctx = follower};
 
-	if (atomic_load(&follower->stop))
+	follower->open = false;
+	if (atomic_load(&follower->stop) || atomic_load(&follower->paused))
 		return;
+	follower->open = true;
 	follower->now_ms = now_ms;
 	atomic_store(&follower->issued_ms, now_ms);
 	memcpy(read.after, follower->after, sizeof(read.after));
@@ -78,6 +85,29 @@
 		schedule(follower, RETRY_MAX_MS);
 }
 
+/* Starts over with the newest records, once the open read has ended. */
+static void
+begin(void *ctx, int64_t now_ms)
+{
+	struct fw_follower *follower = ctx;
+
+	if (follower->open) {
+		follower->restart = true;
+		return;
+	}
+	restart(follower);
+	issue(follower, now_ms);
+}
+
+static void
+restart(struct fw_follower *follower)
+{
+	drop_kept(follower);
+	follower->restart = false;
+	follower->newest = true;
+	follower->first_page = true;
+}
+
 /* Reads once without waiting, beside the read that waits. */
 static void
 catch_up(void *ctx, int64_t now_ms)
@@ -118,8 +148,10 @@
 static void
 schedule(struct fw_follower *follower, uint32_t delay_ms)
 {
+	follower->open = false;
 	if (atomic_load(&follower->stop))
 		return;
+	follower->open = true;
 	if (follower->store.after(
 		follower->store.ctx, delay_ms, issue, follower) != CW_OK)
 		ev_emit(EV_FLOW_FOLLOW_ENDED, "topic=%d reason=\"%s\"",
@@ -259,6 +291,11 @@
 	int64_t passed_ms = now_ms - sent_ms;
 	bool pages = follower->newest;
 
+	if (follower->restart) {
+		restart(follower);
+		schedule(follower, 0);
+		return;
+	}
 	if (fate != FW_FATE_DONE) {
 		failed(follower, fate);
 		return;
@@ -312,11 +349,33 @@
 	follower->retry_ms = RETRY_FIRST_MS;
 	atomic_store(&follower->gap_ms, spec->gap_ms);
 	atomic_store(&follower->fresh_ms, INT64_MIN / 2);
+	atomic_store(&follower->paused, spec->paused);
 	*out = follower;
-	schedule(follower, 0);
+	if (!spec->paused)
+		schedule(follower, 0);
 	return CW_OK;
 }
 
+/* Ends reading for now; what was read stays as it is. */
+void
+fw_follower_pause(struct fw_follower *follower)
+{
+	atomic_store(&follower->paused, true);
+}
+
+/* Goes on after a pause, with the newest records first: it counts as loaded
+ * again once these are read. */
+void
+fw_follower_resume(struct fw_follower *follower)
+{
+	atomic_store(&follower->loaded, false);
+	atomic_store(&follower->paused, false);
+	if (follower->store.after(follower->store.ctx, 0, begin, follower) !=
+	    CW_OK)
+		ev_emit(EV_FLOW_FOLLOW_ENDED, "topic=%d reason=\"%s\"",
+		    (int)follower->spec.topic, cw_error_last());
+}
+
 /* Ends following; the platform's thread may still run one callback. */
 void
 fw_follower_stop(struct fw_follower *follower)
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -19,10 +19,6 @@
  * as each read is paid for. */
 #define GAP_ACTIVE_MS 0
 #define GAP_IDLE_MS 150
-/* Workers write their entries each second or so; only the placer needs to know
- * soon that one is leaving. */
-#define HOSTS_GAP_ACTIVE_MS 100
-#define HOSTS_GAP_IDLE_MS 1400
 /* Nothing is placed on workers whose entries may be older than this. */
 #define HOSTS_AGE_MAX_MS 3000
 
@@ -221,7 +217,7 @@
 	fw_plans_clear(&placer->plans);
 	fw_tables_clear(&placer->tables);
 	fw_follower_gap(placer->parts.jobs, GAP_IDLE_MS);
-	fw_follower_gap(placer->parts.hosts, HOSTS_GAP_IDLE_MS);
+	fw_follower_pause(placer->parts.hosts);
 }
 
 static void
@@ -233,7 +229,7 @@
 	placer->retry_ms = now_ms;
 	atomic_store(&placer->state, FW_PLACER_FENCING);
 	fw_follower_gap(placer->parts.jobs, GAP_ACTIVE_MS);
-	fw_follower_gap(placer->parts.hosts, HOSTS_GAP_ACTIVE_MS);
+	fw_follower_resume(placer->parts.hosts);
 }
 
 /* Makes the term known to the store, which refuses earlier placers from then
@@ -360,7 +356,7 @@
 	placer->inbox_last = &placer->inbox;
 	pthread_mutex_init(&placer->lock, NULL);
 	fw_follower_gap(parts->jobs, GAP_IDLE_MS);
-	fw_follower_gap(parts->hosts, HOSTS_GAP_IDLE_MS);
+	fw_follower_pause(parts->hosts);
 	*out = placer;
 	return CW_OK;
 }
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -314,7 +314,7 @@
 		changed = true;
 		link->fresh = false;
 		fw_report_take(tables, board, i, now_ms);
-		if (report->end_count > 0 &&
+		if (report->end_count > 0 && link->silent_ms == 0 &&
 		    link->ended_upto >=
 			report->ends[report->end_count - 1].number)
 			link->next_hold_ms = 0;
