Keep progress in a topic that only the placer reads

Change: progress is in the topic keyed.progress, which the placer follows while it has the duty. What callers are told is a small record of its own beside the job, written once the progress behind it is stored, so that the order of cancel and end is that of one log. A term is made known to both topics; jobs are read before the progress that names them. Appends of the placer are a module of their own, and so are the states that are shown.

Tests: CancelStoredFirstKeepsItsOutcome and LateCancelLeavesCompleted now check what callers are told; the end has to be shown before a late cancel to count, as the order in the log of jobs decides.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -133,13 +133,13 @@
 	uint64_t queue;
 	uint64_t pool;
 	uint64_t client;
-	uint64_t epoch;      /* log offset of its latest progress record */
+	uint64_t epoch;      /* log position behind its progress, 0: none */
 	int64_t accepted_ms; /* wall time */
 	int64_t changed_ms;  /* wall time of the latest change of state */
 	int64_t first_due_ms;
 	int64_t interval_ms;
 	char name[BD_FLOW_NAME_BYTES];
-	uint32_t state;     /* enum bd_flow_state */
+	uint32_t state;     /* enum bd_flow_state, with its progress */
 	uint32_t cancelled; /* 1: a cancel is in the log */
 	uint32_t priority;
 	uint32_t attempts_max;
@@ -150,7 +150,7 @@
 	uint32_t step_tasks; /* tasks of one occurrence */
 	uint32_t text_bytes;
 	uint32_t shrunk; /* 1: has ended; one step and task stand for all */
-	uint32_t reserved;
+	uint32_t shown;  /* enum bd_flow_state that callers are told */
 	uint64_t data[];
 };
 
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -38,7 +38,6 @@
 static void on_blocked(
     void *ctx, struct fw_view *view, const struct fw_group *group);
 static void log_change(const struct fw_job_view *job);
-static int shrink(struct fw_progress_batch *batch, const struct bd_flow *row);
 static bool fill_batch(struct fw_placer *placer, struct fw_view *view);
 
 /* Closes workers that do not answer or that fail what they run. */
@@ -258,45 +257,10 @@
 			job->copy->accepted_ms));
 }
 
-/* Replaces the records of a job that has ended by small ones, or drops the
- * small ones when their time is over. */
-static int
-shrink(struct fw_progress_batch *batch, const struct bd_flow *row)
-{
-	struct bd_flow *small;
-	size_t job_bytes = 0;
-	size_t bytes = 0;
-	void *job = NULL;
-	void *progress = NULL;
-	int code = CW_OK;
-
-	if (row->shrunk == 0) {
-		small = fw_flow_shrink(row);
-		if (small == NULL)
-			return FW_ENOMEM;
-		code = fw_job_encode(small, &job, &job_bytes);
-		if (code == CW_OK)
-			code = fw_progress_encode(small, &progress, &bytes);
-		free(small);
-	} else
-		code =
-		    fw_batch_add(batch, FW_RECORD_CANCEL, row->name, NULL, 0);
-	if (code == CW_OK)
-		code = fw_batch_add(
-		    batch, FW_RECORD_JOB, row->name, job, job_bytes);
-	else
-		free(job);
-	if (code == CW_OK)
-		return fw_batch_add(
-		    batch, FW_RECORD_PROGRESS, row->name, progress, bytes);
-	free(progress);
-	return code;
-}
-
 static bool
 fill_batch(struct fw_placer *placer, struct fw_view *view)
 {
-	struct fw_progress_batch *batch = &placer->batch;
+	struct fw_writer *writer = &placer->progress;
 	int code = CW_OK;
 	uint32_t i;
 
@@ -311,14 +275,15 @@
 		if (code != CW_OK)
 			break;
 		log_change(job);
-		code = fw_batch_add(
-		    batch, FW_RECORD_PROGRESS, job->copy->name, value, bytes);
+		code = fw_writer_add(
+		    writer, FW_RECORD_PROGRESS, job->copy->name, value, bytes);
 	}
 	for (i = 0; i < view->settled_count && code == CW_OK; i++)
-		code = shrink(batch, view->settled[i]);
+		code = fw_writer_add(writer, FW_RECORD_PROGRESS,
+		    view->settled[i]->name, NULL, 0);
 	if (code != CW_OK)
 		ev_emit(EV_FLOW_NO_MEMORY, "what=batch");
-	return batch->count > 0;
+	return writer->count > 0;
 }
 
 /*
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -58,6 +58,7 @@
 const char *fw_flow_text(const struct bd_flow *flow);
 bool fw_flow_ended(const struct bd_flow *flow);
 bool fw_flow_settled(const struct bd_flow *flow);
+uint32_t fw_flow_shown(const struct bd_flow *flow);
 struct bd_flow *fw_flow_shrink(const struct bd_flow *flow);
 
 /* Names one task of a job. */
@@ -73,7 +74,9 @@
 void fw_task_ref_of(
     const struct bd_flow *flow, uint32_t index, struct fw_task_ref *ref);
 
-/* Records are kept by key: the newest record of each key is the state. */
+/* Records are kept by key: the newest record of each key is the state. Jobs,
+ * their cancels and the states that callers are told are in one topic, which
+ * every VM follows; progress is in another, which the placer follows. */
 #define FW_KEY_BYTES 32
 #define FW_RECORD_BYTES_MAX ((size_t)256 * 1024)
 
@@ -81,6 +84,7 @@
 	FW_RECORD_JOB = 'j',
 	FW_RECORD_PROGRESS = 'p',
 	FW_RECORD_CANCEL = 'c',
+	FW_RECORD_STATE = 's',
 };
 
 struct fw_record {
@@ -95,10 +99,27 @@
 int fw_job_encode(const struct bd_flow *flow, void **out, size_t *bytes);
 int fw_job_decode(const void *data, size_t bytes, struct bd_flow **out);
 int fw_progress_encode(const struct bd_flow *flow, void **out, size_t *bytes);
-int fw_progress_decode(
-    const void *data, size_t bytes, struct bd_flow *flow, uint32_t *listed);
+int fw_progress_decode(const void *data, size_t bytes, struct bd_flow *flow);
+int fw_state_encode(const struct bd_flow *flow, void **out, size_t *bytes);
+int fw_state_decode(const void *data, size_t bytes, struct bd_flow *flow);
 int fw_apply(struct bd_board *board, const struct fw_record *record);
 
+/* The rows that a reading of the newest records names; the others are gone. */
+struct fw_seen {
+	uint64_t *ids;
+	size_t count;
+	size_t room;
+	bool noting;
+	bool whole;
+};
+
+void fw_seen_begin(struct fw_seen *seen);
+void fw_seen_add(struct fw_seen *seen, uint64_t id);
+bool fw_seen_end(struct fw_seen *seen);
+bool fw_seen_has(const struct fw_seen *seen, uint64_t id);
+void fw_seen_free(struct fw_seen *seen);
+void fw_progress_forget(struct bd_board *board, const struct fw_seen *seen);
+
 /*
  * 2. The platform, as callbacks. Each call returns at once; its callback runs
  * later on the platform's thread.
@@ -107,6 +128,7 @@
 	FW_TOPIC_JOBS,
 	FW_TOPIC_CONFIG,
 	FW_TOPIC_WORKERS,
+	FW_TOPIC_PROGRESS,
 	FW_TOPIC_COUNT,
 };
 
@@ -119,6 +141,7 @@
 };
 
 struct fw_append {
+	enum fw_topic topic;
 	const struct fw_record *records;
 	size_t count;
 	uint64_t term; /* 0: not fenced */
@@ -313,6 +336,7 @@
 	struct fw_store store;
 	struct fw_workers workers;
 	struct fw_follower *jobs;
+	struct fw_follower *progress;
 	struct fw_follower *hosts;
 	struct fw_duty *duty;
 	struct fw_settings settings;
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -98,7 +98,7 @@
 	struct bd_flow *copy; /* NULL: unchanged */
 };
 
-/* Ended jobs whose records one decision makes small or drops. */
+/* Ended jobs whose progress one decision drops. */
 #define FW_SETTLED_MAX 16
 
 struct fw_view {
@@ -114,7 +114,7 @@
 	uint32_t rack_count;
 	struct fw_job_view *jobs;
 	uint32_t job_count;
-	const struct bd_flow *settled[FW_SETTLED_MAX]; /* ended jobs */
+	const struct bd_flow *settled[FW_SETTLED_MAX];
 	uint32_t settled_count;
 	uint32_t *host_places; /* by index of the row's handle */
 	uint32_t *job_places;
@@ -261,19 +261,31 @@
 enum fw_placer_state {
 	FW_PLACER_IDLE,    /* another process has the duty */
 	FW_PLACER_FENCING, /* the term is being made known to the store */
-	FW_PLACER_LOADING, /* records of earlier placers are being read */
+	FW_PLACER_JOBS,    /* jobs are read up to that */
+	FW_PLACER_LOADING, /* progress by earlier placers is being read */
 	FW_PLACER_ACTIVE,
 };
 
-/* Progress that is decided and not yet seen in the log. */
-struct fw_progress_batch {
+/* The placer's appends to one topic, one at a time: a batch of records that are
+ * decided and not yet seen in the log. */
+struct fw_writer {
+	struct fw_placer *placer;
+	enum fw_topic topic;
+	struct fw_follower *follower; /* of the same topic */
 	struct fw_record *records;
 	size_t count;
 	size_t room;
 	uint64_t sequence;
-	uint64_t end; /* of the log behind it, 0: not stored yet */
+	uint64_t end; /* of the log behind the batch, 0: not stored yet */
+	bool fenced;  /* the store knows the term */
+	uint64_t fence_end;
 	int64_t sent_ms;
-	int64_t retry_ms; /* when to repeat it, INT64_MAX: being sent */
+	int64_t retry_ms; /* when to repeat, INT64_MAX: an append is open */
+	/* Under the placer's lock: */
+	bool answered;
+	uint64_t ticket; /* of the append that counts */
+	enum fw_fate answer_fate;
+	uint64_t answer_end;
 };
 
 /* One open order; its callback puts it into the placer's inbox. */
@@ -296,27 +308,23 @@
 	struct fw_tables tables;
 	CW_ATOMIC(uint32_t) state; /* enum fw_placer_state */
 	uint64_t term;
-	uint64_t fence_end;
 	int64_t active_ms;
 	int64_t worked_ms;  /* last step as the placer */
 	uint64_t jobs_seen; /* positions of the topics at that step */
+	uint64_t progress_seen;
 	uint64_t hosts_seen;
 	int64_t hosts_ms;
 	int64_t decided_ms;
-	bool pending; /* something has changed since then */
-	int64_t retry_ms;
-	struct fw_progress_batch batch;
+	bool pending;     /* something has changed since then */
+	int64_t shown_ms; /* last time that running jobs were shown */
+	struct fw_writer progress;
+	struct fw_writer shown;
 	struct fw_plan *plans;
 	uint64_t urgent_milli; /* accelerators in use by priority 0, averaged */
 	int64_t urgent_ms;     /* time of the average */
-	uint64_t sequence;
-	pthread_mutex_t lock; /* the fields below */
+	pthread_mutex_t lock;  /* the fields below, answers of writers */
 	struct fw_call *inbox;
 	struct fw_call **inbox_last;
-	bool append_done;
-	uint64_t append_ticket; /* of the append that counts */
-	enum fw_fate append_fate;
-	uint64_t append_end;
 	uint32_t open; /* callbacks that are to come */
 };
 
@@ -326,11 +334,16 @@
 void fw_orders_take(struct fw_placer *placer, int64_t now_ms);
 bool fw_runs_sync(struct fw_placer *placer, int64_t now_ms);
 bool fw_decide(struct fw_placer *placer, int64_t now_ms);
-int fw_batch_add(struct fw_progress_batch *batch, enum fw_record_kind kind,
+void fw_show(struct fw_placer *placer, int64_t now_ms);
+
+void fw_writer_reset(struct fw_writer *writer);
+bool fw_writer_fence(struct fw_writer *writer, int64_t now_ms);
+int fw_writer_add(struct fw_writer *writer, enum fw_record_kind kind,
     const char *name, void *value, size_t bytes);
-void fw_batch_clear(struct fw_progress_batch *batch);
-void fw_batch_send(struct fw_placer *placer, int64_t now_ms);
-bool fw_batch_settled(struct fw_placer *placer, int64_t now_ms);
+void fw_writer_clear(struct fw_writer *writer);
+void fw_writer_send(struct fw_writer *writer, int64_t now_ms);
+bool fw_writer_settled(struct fw_writer *writer, int64_t now_ms);
+void fw_writer_free(struct fw_writer *writer);
 
 #ifdef __cplusplus
 }
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -180,8 +180,8 @@
 	 * were 900 refused connections a second. */
 	if (flow == NULL || run->busy || now_ms < run->retry_ms ||
 	    link->address[0] == '\0' || link->silent_ms != 0 ||
-	    link->orders_busy >= ORDERS_MAX ||
-	    run->phase == FW_PHASE_ENDED || run->unplaced_ms != 0)
+	    link->orders_busy >= ORDERS_MAX || run->phase == FW_PHASE_ENDED ||
+	    run->unplaced_ms != 0)
 		return;
 	if (run->stop) {
 		if (!run->stopped)
--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -11,6 +11,7 @@
 #define JOB_FIELDS 15
 #define STEP_FIELDS 10
 #define PROGRESS_FIELDS 4
+#define STATE_FIELDS 3
 #define TASK_FIELDS 9
 /* Most that one started task takes: its numbers and its checkpoint. */
 #define TASK_BYTES_MAX 85
@@ -36,6 +37,8 @@
 static void read_step(struct cursor *cursor, struct bd_flow_step *step);
 static void read_task(struct cursor *cursor, struct bd_flow *flow);
 static int read_job(struct cursor *cursor, struct bd_flow **out);
+static bool open_record(msgpack_unpacked *unpacked, const void *data,
+    size_t bytes, struct cursor *cursor);
 
 /* Writes the key of a record about the job with a name. */
 void
@@ -63,8 +66,8 @@
 }
 
 /*
- * Encodes a job as it was accepted, without progress; the caller frees *out.
- * Returns FW_ENOMEM.
+ * Encodes a job as it was accepted, without progress; the caller frees *out. A
+ * shrunk row is marked by its number of occurrences, 0. Returns FW_ENOMEM.
  */
 int
 fw_job_encode(const struct bd_flow *flow, void **out, size_t *bytes)
@@ -74,7 +77,7 @@
 	    flow->client, (uint64_t)flow->accepted_ms,
 	    (uint64_t)flow->first_due_ms, (uint64_t)flow->interval_ms,
 	    flow->priority, flow->attempts_max, flow->stretch_milli,
-	    flow->target_ms, flow->occurrences};
+	    flow->target_ms, flow->shrunk != 0 ? 0 : flow->occurrences};
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	uint32_t i;
@@ -241,6 +244,7 @@
 	const msgpack_object *text;
 	struct cursor list;
 	size_t bytes;
+	bool small;
 
 	memset(steps, 0, sizeof(steps));
 	if (next_int(cursor, LAYOUT) != LAYOUT)
@@ -256,6 +260,9 @@
 	queue.stretch_milli = (uint32_t)next_int(cursor, UINT32_MAX);
 	queue.target_ms = (uint32_t)next_int(cursor, UINT32_MAX);
 	spec.occurrences = (uint32_t)next_int(cursor, UINT32_MAX);
+	small = spec.occurrences == 0;
+	if (small)
+		spec.occurrences = 1;
 	name[0] = '\0';
 	next_text(cursor, name, sizeof(name));
 	spec.name = name;
@@ -268,8 +275,10 @@
 		return FW_EBADRECORD;
 	spec.text = text->via.bin.ptr;
 	spec.text_bytes = text->via.bin.size;
-	return fw_flow_build(&spec, out, &bytes) == CW_OK ? CW_OK
-							  : FW_EBADRECORD;
+	if (fw_flow_build(&spec, out, &bytes) != CW_OK)
+		return FW_EBADRECORD;
+	(*out)->shrunk = small;
+	return CW_OK;
 }
 
 /* Decodes a job without progress; the caller frees *out. Returns
@@ -279,18 +288,10 @@
 {
 	msgpack_unpacked unpacked;
 	struct cursor cursor = {0};
-	size_t used;
 	int code = FW_EBADRECORD;
 
-	msgpack_unpacked_init(&unpacked);
-	if (cw_msgpack_whole(data, bytes, &used) &&
-	    msgpack_unpack_next(&unpacked, data, bytes, NULL) ==
-		MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
-		cursor.next = unpacked.data.via.array.ptr;
-		cursor.left = unpacked.data.via.array.size;
+	if (open_record(&unpacked, data, bytes, &cursor))
 		code = read_job(&cursor, out);
-	}
 	msgpack_unpacked_destroy(&unpacked);
 	if (code != CW_OK)
 		return cw_error_set(code, "record of a job cannot be read");
@@ -320,32 +321,40 @@
 		fw_flow_tasks(flow)[index] = read;
 }
 
-/* Puts decoded progress into a copy of the job's row; *listed is the number of
- * tasks that it names. Returns FW_EBADRECORD;
+/* Opens a record that is one array. Returns false where it is none; unpacked is
+ * to be destroyed either way. */
+static bool
+open_record(msgpack_unpacked *unpacked, const void *data, size_t bytes,
+    struct cursor *cursor)
+{
+	size_t used;
+
+	msgpack_unpacked_init(unpacked);
+	if (!cw_msgpack_whole(data, bytes, &used) ||
+	    msgpack_unpack_next(unpacked, data, bytes, NULL) !=
+		MSGPACK_UNPACK_SUCCESS ||
+	    unpacked->data.type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	cursor->bad = false;
+	cursor->next = unpacked->data.via.array.ptr;
+	cursor->left = unpacked->data.via.array.size;
+	return true;
+}
+
+/* Puts decoded progress into a copy of the job's row. Returns FW_EBADRECORD;
  * the copy is then half changed and must not be used. */
 int
-fw_progress_decode(
-    const void *data, size_t bytes, struct bd_flow *flow, uint32_t *listed)
+fw_progress_decode(const void *data, size_t bytes, struct bd_flow *flow)
 {
 	msgpack_unpacked unpacked;
 	struct cursor cursor = {.bad = true};
 	struct cursor list = {0};
-	size_t used;
 
-	*listed = 0;
-	msgpack_unpacked_init(&unpacked);
-	if (cw_msgpack_whole(data, bytes, &used) &&
-	    msgpack_unpack_next(&unpacked, data, bytes, NULL) ==
-		MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
-		cursor.bad = false;
-		cursor.next = unpacked.data.via.array.ptr;
-		cursor.left = unpacked.data.via.array.size;
+	if (open_record(&unpacked, data, bytes, &cursor)) {
 		cursor.bad |= next_int(&cursor, LAYOUT) != LAYOUT;
 		flow->state = (uint32_t)next_int(&cursor, BD_FLOW_CANCELLED);
 		flow->changed_ms = next_int(&cursor, INT64_MAX);
 		next_array(&cursor, &list);
-		*listed = list.left;
 		while (!cursor.bad && !list.bad && list.left > 0)
 			read_task(&list, flow);
 	}
@@ -355,3 +364,42 @@
 		    FW_EBADRECORD, "record of progress cannot be read");
 	return CW_OK;
 }
+
+/* Encodes the state of a job that callers are to be told; the caller frees
+ * *out. Returns FW_ENOMEM. */
+int
+fw_state_encode(const struct bd_flow *flow, void **out, size_t *bytes)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, STATE_FIELDS);
+	msgpack_pack_uint32(&packer, LAYOUT);
+	msgpack_pack_uint32(&packer, flow->state);
+	msgpack_pack_int64(&packer, flow->changed_ms);
+	take_buffer(&buffer, out, bytes);
+	return *out != NULL ? CW_OK
+			    : cw_error_set(FW_ENOMEM, "no memory for a record");
+}
+
+/* Puts a decoded state into a copy of the job's row, as the one that callers
+ * are told. Returns FW_EBADRECORD; the copy must not be used then. */
+int
+fw_state_decode(const void *data, size_t bytes, struct bd_flow *flow)
+{
+	msgpack_unpacked unpacked;
+	struct cursor cursor = {.bad = true};
+
+	if (open_record(&unpacked, data, bytes, &cursor)) {
+		cursor.bad |= next_int(&cursor, LAYOUT) != LAYOUT;
+		flow->shown = (uint32_t)next_int(&cursor, BD_FLOW_CANCELLED);
+		flow->changed_ms = next_int(&cursor, INT64_MAX);
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	if (cursor.bad)
+		return cw_error_set(
+		    FW_EBADRECORD, "record of a state cannot be read");
+	return CW_OK;
+}
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -93,8 +93,8 @@
 /* Tells whether the job's row names a run as the one with which its task is
  * done. unknown is the answer where the row no longer tells. */
 static bool
-row_done(const struct bd_board *board, const struct fw_listed_end *end,
-    bool unknown)
+row_done(
+    const struct bd_board *board, const struct fw_listed_end *end, bool unknown)
 {
 	const struct bd_step_task *task;
 	const struct bd_flow *flow;
@@ -150,7 +150,8 @@
 /*
  * Takes over what the latest report of a worker says: runs that it lists are
  * up and listed ends end them. Moves the number up to which all listed ends may
- * be acknowledged. Call again after the jobs' rows have changed, within a read section.
+ * be acknowledged. Call again after the jobs' rows have changed, within a read
+ * section.
  */
 void
 fw_report_take(struct fw_tables *tables, const struct bd_board *board,
--- a/lib/flow/row.c
+++ b/lib/flow/row.c
@@ -51,6 +51,16 @@
 	return flow->state >= BD_FLOW_COMPLETED;
 }
 
+/* Returns the state that callers are told: a cancel counts unless the job's end
+ * was stored before it. */
+uint32_t
+fw_flow_shown(const struct bd_flow *flow)
+{
+	if (flow->shown < BD_FLOW_COMPLETED && flow->cancelled != 0)
+		return BD_FLOW_CANCELLED;
+	return flow->shown;
+}
+
 /* Tells whether a job has ended and nothing of it may still run. */
 bool
 fw_flow_settled(const struct bd_flow *flow)
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -89,7 +89,8 @@
     uint32_t timeout_ms)
 {
 	struct append_call *call = calloc(1, sizeof(*call));
-	struct fw_append append = {.records = record,
+	struct fw_append append = {.topic = FW_TOPIC_JOBS,
+	    .records = record,
 	    .count = 1,
 	    .timeout_ms = timeout_ms,
 	    .done = on_done,
@@ -197,7 +198,7 @@
 	flow = bd_flow_lookup(front->board, id);
 	found = flow != NULL && flow->queue == queue;
 	if (found)
-		*state = flow->state;
+		*state = fw_flow_shown(flow);
 	bd_read_end();
 	return found;
 }
@@ -271,7 +272,8 @@
 
 	bd_read_begin();
 	while ((flow = bd_flow_next(board, &cursor)) != NULL)
-		count += flow->queue == queue && flow->state == BD_FLOW_QUEUED;
+		count += flow->queue == queue &&
+		    fw_flow_shown(flow) == BD_FLOW_QUEUED;
 	bd_read_end();
 	return count;
 }
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -282,9 +282,11 @@
 	struct fw_tables *tables = &placer->tables;
 	const struct bd_board *board = placer->parts.board;
 	uint64_t jobs = fw_follower_position(placer->parts.jobs);
+	uint64_t progress = fw_follower_position(placer->parts.progress);
 	uint64_t hosts = fw_follower_position(placer->parts.hosts);
 	bool first = placer->active_ms == now_ms;
-	bool jobs_changed = first || jobs != placer->jobs_seen;
+	bool jobs_changed = first || jobs != placer->jobs_seen ||
+	    progress != placer->progress_seen;
 	bool changed = jobs_changed || first || hosts != placer->hosts_seen;
 	const struct bd_host *host;
 	const struct bd_flow *flow;
@@ -303,6 +305,7 @@
 	while (jobs_changed && (flow = bd_flow_next(board, &cursor)) != NULL)
 		sync_flow(placer, flow, now_ms);
 	placer->jobs_seen = jobs;
+	placer->progress_seen = progress;
 	placer->hosts_seen = hosts;
 	for (i = 0; i < tables->link_count; i++) {
 		struct fw_link *link = &tables->links[i];
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -7,9 +7,6 @@
 /* Most that is kept for priority 0: the rest has to carry the other work even
  * in a burst of urgent jobs. */
 #define KEPT_MILLI 400
-/* Ended jobs are known for this much longer than promised, as clocks differ. */
-#define KEEP_MARGIN_MS 60000
-
 static uint32_t place_of(const struct fw_view *view, enum bd_table_number table,
     const uint32_t *places, uint64_t id);
 static uint32_t *places_new(enum bd_table_number table);
@@ -135,15 +132,12 @@
 	return CW_OK;
 }
 
-/* A job that has ended is looked at until its last run is gone. Then its
- * records are made small, and dropped once nobody may ask for it. */
+/* Progress of an ended job is dropped once the job's record is small. */
 static void
 note_settled(struct fw_view *view, const struct bd_flow *row)
 {
-	bool old = view->wall_ms - row->changed_ms >
-	    (int64_t)view->settings->keep_ms + KEEP_MARGIN_MS;
-
-	if (view->settled_count < FW_SETTLED_MAX && (row->shrunk == 0 || old))
+	if (row->shrunk != 0 && row->epoch != 0 &&
+	    view->settled_count < FW_SETTLED_MAX)
 		view->settled[view->settled_count++] = row;
 }
 
--- a/tests/flow_world.h
+++ b/tests/flow_world.h
@@ -142,6 +142,35 @@
 		free(value);
 	}
 
+	/* Stores the state that callers are told. */
+	void
+	show(const char *name)
+	{
+		struct fw_record record = {};
+		void *value;
+		size_t bytes;
+
+		bd_read_begin();
+		fw_state_encode(flow(name), &value, &bytes);
+		bd_read_end();
+		fw_record_key(record.key, FW_RECORD_STATE, name);
+		record.value = value;
+		record.value_bytes = bytes;
+		apply(record);
+		free(value);
+	}
+
+	uint32_t
+	shown(const char *name)
+	{
+		uint32_t state;
+
+		bd_read_begin();
+		state = fw_flow_shown(flow(name));
+		bd_read_end();
+		return state;
+	}
+
 	void
 	cancel(const char *name)
 	{
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -37,7 +37,6 @@
 check_flow(const char *text, size_t size)
 {
 	struct bd_flow *flow;
-	uint32_t listed;
 	size_t bytes;
 	void *value;
 
@@ -46,7 +45,8 @@
 	if (fw_job_encode(flow, &value, &bytes) != CW_OK)
 		abort();
 	free(value);
-	if (fw_progress_decode(text, size, flow, &listed) == CW_OK)
+	if (fw_progress_decode(text, size, flow) == CW_OK ||
+	    fw_state_decode(text, size, flow) == CW_OK)
 		abort(); /* a job is no progress */
 	free(flow);
 }
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -19,7 +19,9 @@
 	std::string name;
 	FlowWorld world;
 	struct fw_follower *jobs = nullptr;
+	struct fw_follower *progress = nullptr;
 	struct fw_follower *hosts = nullptr;
+	struct fw_seen seen_progress = {};
 	struct fw_duty *duty = nullptr;
 	struct fw_placer *placer = nullptr;
 	bool alive = true;
@@ -32,7 +34,9 @@
 struct FlowSim {
 	std::multimap<int64_t, std::function<void()>> events;
 	int64_t now_ms = 1000;
-	SimLog log;
+	SimLog log; /* of jobs */
+	SimLog progress;
+	std::map<std::string, int> reads; /* of progress, by VM */
 	SimGroup group;
 	SimJudge judge;
 	std::map<std::string, SimWorker> workers;
@@ -88,6 +92,12 @@
 		    &host, sizeof(host), nullptr);
 	}
 
+	SimLog &
+	topic(enum fw_topic name)
+	{
+		return name == FW_TOPIC_PROGRESS ? progress : log;
+	}
+
 	/* The store's entry of a worker says that it is leaving. */
 	void
 	leaving(SimVm *vm, const std::string &id)
@@ -130,6 +140,31 @@
 		fw_apply(((SimVm *)ctx)->world.board, record);
 	}
 
+	static void
+	progress_first(void *ctx)
+	{
+		fw_seen_begin(&((SimVm *)ctx)->seen_progress);
+	}
+
+	static void
+	on_progress(void *ctx, const struct fw_record *record, int64_t now_ms)
+	{
+		uint64_t id;
+
+		fw_flow_id(record->key + 2, &id);
+		fw_seen_add(&((SimVm *)ctx)->seen_progress, id);
+		on_record(ctx, record, now_ms);
+	}
+
+	static void
+	progress_last(void *ctx)
+	{
+		SimVm *vm = (SimVm *)ctx;
+
+		fw_seen_end(&vm->seen_progress);
+		fw_progress_forget(vm->world.board, &vm->seen_progress);
+	}
+
 	static void
 	on_host(void *, const struct fw_record *, int64_t)
 	{
@@ -165,6 +200,14 @@
 		spec.ctx = row;
 		fw_follower_start(
 		    &row->jobs, row->world.board, &parts.store, &spec);
+		spec.topic = FW_TOPIC_PROGRESS;
+		spec.paused = true;
+		spec.first = progress_first;
+		spec.record = on_progress;
+		spec.last = progress_last;
+		fw_follower_start(
+		    &row->progress, row->world.board, &parts.store, &spec);
+		spec.first = spec.last = nullptr;
 		spec.topic = FW_TOPIC_WORKERS;
 		spec.record = on_host;
 		fw_follower_start(
@@ -172,6 +215,7 @@
 		fw_duty_start(&row->duty, row->world.board, &parts.store,
 		    &parts.settings);
 		parts.jobs = row->jobs;
+		parts.progress = row->progress;
 		parts.hosts = row->hosts;
 		parts.duty = row->duty;
 		fw_placer_create(&row->placer, &parts);
@@ -191,12 +235,15 @@
 	close(SimVm *row)
 	{
 		fw_follower_stop(row->jobs);
+		fw_follower_stop(row->progress);
 		fw_follower_stop(row->hosts);
 		row->alive = false;
 		run(20000);
 		fw_placer_free(row->placer);
 		fw_duty_free(row->duty);
 		fw_follower_free(row->jobs);
+		fw_follower_free(row->progress);
+		fw_seen_free(&row->seen_progress);
 		fw_follower_free(row->hosts);
 	}
 
@@ -292,7 +339,7 @@
 		uint32_t value;
 
 		bd_read_begin();
-		value = row->world.flow(name)->state;
+		value = fw_flow_shown(row->world.flow(name));
 		bd_read_end();
 		return value;
 	}
@@ -327,8 +374,9 @@
 
 		if (sim->store_down || vm->cut_store)
 			fate = FW_FATE_UNKNOWN;
-		else if (sim->log.append(records, copy.term,
-			     (int64_t)copy.sequence, &end) != 200)
+		else if (sim->topic(copy.topic)
+			     .append(records, copy.term, (int64_t)copy.sequence,
+				 &end) != 200)
 			fate = FW_FATE_FENCED;
 		else if (sim->lose_answers)
 			fate = FW_FATE_UNKNOWN;
@@ -351,14 +399,16 @@
 		});
 		return;
 	}
-	if (call.topic != FW_TOPIC_JOBS) {
+	SimLog &source = topic(call.topic);
+
+	if (call.topic == FW_TOPIC_WORKERS) {
 		at(call.newest ? 0 : call.wait_ms, [this, call, sent_ms] {
 			call.done(
 			    call.ctx, FW_FATE_DONE, false, 0, sent_ms, now_ms);
 		});
 		return;
 	}
-	if (!call.newest && log.end() <= call.from && now_ms < until_ms) {
+	if (!call.newest && source.end() <= call.from && now_ms < until_ms) {
 		at(never_wake ? until_ms - now_ms : 1,
 		    [this, vm, call, sent_ms, until_ms] {
 			    answer_read(vm, call, sent_ms, until_ms);
@@ -376,13 +426,13 @@
 		call.record(call.ctx, &record);
 	};
 	if (call.newest)
-		for (const auto &entry : log.newest())
+		for (const auto &entry : source.newest())
 			give(entry.second.first, entry.first,
 			    entry.second.second);
 	else
-		for (uint64_t i = call.from; i < log.end(); i++)
-			give(i, log.records[i].key, log.records[i].value);
-	call.done(call.ctx, FW_FATE_DONE, false, log.end(), sent_ms, now_ms);
+		for (uint64_t i = call.from; i < source.end(); i++)
+			give(i, source.records[i].key, source.records[i].value);
+	call.done(call.ctx, FW_FATE_DONE, false, source.end(), sent_ms, now_ms);
 }
 
 inline int
@@ -393,6 +443,7 @@
 	struct fw_read copy = *call;
 	int64_t sent_ms = sim->now_ms;
 
+	sim->reads[vm->name] += call->topic == FW_TOPIC_PROGRESS;
 	sim->at(sim->store_ms, [sim, vm, copy, sent_ms] {
 		sim->answer_read(vm, copy, sent_ms, sent_ms + copy.wait_ms);
 	});
--- a/tests/test_flow_apply.cc
+++ b/tests/test_flow_apply.cc
@@ -58,6 +58,55 @@
 	EXPECT_EQ(BD_FLOW_CANCELLED, world.flow(JOB)->state);
 	EXPECT_EQ(BD_STEP_TASK_DONE, fw_flow_tasks(world.flow(JOB))[0].state);
 	bd_read_end();
+	world.show(JOB);
+	EXPECT_EQ(BD_FLOW_CANCELLED, world.shown(JOB));
+}
+
+/* Guards against VMs that tell callers different outcomes: a cancel that is
+ * stored before the state that callers are told counts, although the progress
+ * behind that state was stored before. */
+TEST(FlowApply, CancelBeforeTheShownEndCounts)
+{
+	FlowWorld world;
+
+	world.host("1", "r1");
+	world.submit(JOB, {FlowWorld::step(1, 1)});
+	world.place();
+	world.end(JOB, 0, FW_END_DONE);
+	EXPECT_EQ(BD_FLOW_QUEUED, world.shown(JOB));
+	world.cancel(JOB);
+	EXPECT_EQ(BD_FLOW_CANCELLED, world.shown(JOB));
+	bd_read_begin();
+	EXPECT_EQ(BD_FLOW_CANCELLED, world.flow(JOB)->state);
+	bd_read_end();
+}
+
+/* Guards against a state that goes back, as records may come again. */
+TEST(FlowApply, ShownStatesOnlyGoOn)
+{
+	FlowWorld world;
+	FlowWorld other;
+
+	world.host("1", "r1");
+	world.submit(JOB, {FlowWorld::step(1, 1)});
+	world.place();
+	world.show(JOB);
+	EXPECT_EQ(BD_FLOW_RUNNING, world.shown(JOB));
+	world.end(JOB, 0, FW_END_DONE);
+	world.show(JOB);
+	EXPECT_EQ(BD_FLOW_COMPLETED, world.shown(JOB));
+	bd_read_begin();
+	struct bd_flow early = *world.flow(JOB);
+	bd_read_end();
+	early.state = BD_FLOW_RUNNING;
+	struct fw_record record = {};
+	void *value;
+	fw_state_encode(&early, &value, &record.value_bytes);
+	record.value = value;
+	fw_record_key(record.key, FW_RECORD_STATE, JOB);
+	EXPECT_EQ(CW_OK, world.apply(record));
+	free(value);
+	EXPECT_EQ(BD_FLOW_COMPLETED, world.shown(JOB));
 }
 
 /* Guards against a completed job that a late cancel turns into a cancelled one.
@@ -70,7 +119,9 @@
 	world.submit(JOB, {FlowWorld::step(1, 1)});
 	world.place();
 	world.end(JOB, 0, FW_END_DONE);
+	world.show(JOB);
 	world.cancel(JOB);
+	EXPECT_EQ(BD_FLOW_COMPLETED, world.shown(JOB));
 	bd_read_begin();
 	EXPECT_EQ(BD_FLOW_COMPLETED, world.flow(JOB)->state);
 	bd_read_end();
@@ -109,13 +160,15 @@
 	const char bad[] = "\x94\x01\x02";
 
 	world.submit(JOB, {FlowWorld::step(1, 1)});
-	strcpy(record.key, "p/" JOB);
 	record.value = bad;
-	for (size_t n = 1; n < sizeof(bad); n++) {
-		record.value_bytes = n;
-		record.offset = 100;
-		EXPECT_EQ(FW_EBADRECORD, fw_apply(world.board, &record));
-	}
+	for (const char *key : {"p/" JOB, "s/" JOB, "j/" JOB})
+		for (size_t n = 1; n < sizeof(bad); n++) {
+			strcpy(record.key, key);
+			record.value_bytes = n;
+			record.offset = 100;
+			EXPECT_EQ(
+			    FW_EBADRECORD, fw_apply(world.board, &record));
+		}
 	strcpy(record.key, "x");
 	EXPECT_EQ(FW_EBADRECORD, fw_apply(world.board, &record));
 	bd_read_begin();
@@ -161,9 +214,10 @@
 	before = fw_flow_bytes(world.flow(JOB));
 	small = fw_flow_shrink(world.flow(JOB));
 	bd_read_end();
-	fw_progress_encode(small, &value, &bytes);
+	fw_job_encode(small, &value, &bytes);
 	free(small);
-	fw_record_key(record.key, FW_RECORD_PROGRESS, JOB);
+	world.show(JOB);
+	fw_record_key(record.key, FW_RECORD_JOB, JOB);
 	record.value = value;
 	record.value_bytes = bytes;
 	EXPECT_EQ(CW_OK, world.apply(record));
@@ -173,6 +227,41 @@
 	EXPECT_EQ(1U, world.flow(JOB)->shrunk);
 	EXPECT_EQ(BD_FLOW_COMPLETED, world.flow(JOB)->state);
 	EXPECT_EQ(world.queue.id, world.flow(JOB)->queue);
+	EXPECT_NE(0U, world.flow(JOB)->epoch);
+	bd_read_end();
+	EXPECT_EQ(BD_FLOW_COMPLETED, world.shown(JOB));
+	/* The progress that is left is dropped. */
+	fw_record_key(record.key, FW_RECORD_PROGRESS, JOB);
+	record.value = nullptr;
+	record.value_bytes = 0;
+	EXPECT_EQ(CW_OK, world.apply(record));
+	bd_read_begin();
+	EXPECT_EQ(0U, world.flow(JOB)->epoch);
+	bd_read_end();
+}
+
+/* Guards against a VM that places again and takes old progress for the present
+ * one: it had read it in an earlier term, and it was dropped since. */
+TEST(FlowApply, ProgressThatIsGoneIsForgotten)
+{
+	FlowWorld world;
+	struct fw_seen seen = {};
+	uint64_t id;
+
+	world.host("1", "r1");
+	world.submit(JOB, {FlowWorld::step(2, 1)});
+	world.submit("00000000000000a2", {FlowWorld::step(2, 1)});
+	EXPECT_EQ(4U, world.place());
+	fw_flow_id("00000000000000a2", &id);
+	fw_seen_begin(&seen);
+	fw_seen_add(&seen, id);
+	ASSERT_TRUE(fw_seen_end(&seen));
+	fw_progress_forget(world.board, &seen);
+	fw_seen_free(&seen);
+	bd_read_begin();
+	EXPECT_EQ(0U, fw_flow_tasks(world.flow(JOB))[0].run);
+	EXPECT_EQ(BD_FLOW_QUEUED, world.flow(JOB)->state);
+	EXPECT_EQ(1U, fw_flow_tasks(world.flow("00000000000000a2"))[0].run);
 	bd_read_end();
 }
 
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -436,3 +436,50 @@
 	sim.run(6000);
 	EXPECT_TRUE(fw_placer_active(far->placer));
 }
+
+/* Guards against VMs that all read what only the placer needs: the progress of
+ * all jobs filled the link between regions. A VM that has lost the duty stops,
+ * and callers are told the end of a job at every VM. */
+TEST(FlowPlacer, OnlyThePlacerReadsProgress)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *a = sim.vm("a");
+	SimVm *b = sim.vm("b");
+	sim.run(1000);
+	ASSERT_TRUE(fw_placer_active(a->placer));
+	sim.submit(JOB_A, {FlowWorld::step(4, 1)});
+	sim.run(3000);
+	EXPECT_EQ(0, sim.reads["b"]);
+	EXPECT_LT(0, sim.reads["a"]);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(a, JOB_A));
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(b, JOB_A));
+}
+
+/* Guards against a duty that comes back to a VM which then decides on what it
+ * had read in its earlier term. */
+TEST(FlowPlacer, TheDutyMayComeBack)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *a = sim.vm("a");
+	SimVm *b = sim.vm("b");
+	sim.workers["w1"].work_ms = 1500;
+	sim.run(1000);
+	sim.submit(JOB_A, {FlowWorld::step(4, 1)});
+	sim.run(300);
+	a->cut_store = true;
+	sim.run(4000);
+	ASSERT_TRUE(fw_placer_active(b->placer));
+	a->cut_store = false;
+	sim.submit(JOB_B, {FlowWorld::step(4, 1)});
+	sim.run(500);
+	b->cut_store = true;
+	sim.run(9000);
+	ASSERT_TRUE(fw_placer_active(a->placer));
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(a, JOB_A));
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(a, JOB_B));
+	expect_clean(sim);
+}
