Serve in time what can be: hopeless jobs last, room for waiting urgent ones

Change: a job that would end after three times its completion target comes after all others; while urgent groups wait, other work leaves as many accelerators free as they need; kept workers may be used by what has waited for 1.5 s while 45% of the accelerators are free. Each of the three tests fails without its change.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -111,6 +111,8 @@
 	const char **racks;   /* names, host_count at most */
 	uint32_t *rack_first; /* hosts are in the order of their racks */
 	uint64_t effort;      /* workers that were looked at for tasks */
+	int64_t promised;     /* accelerators that urgent groups wait for */
+	bool roomy;           /* kept workers may be used by what waits */
 	uint32_t rack_count;
 	struct fw_job_view *jobs;
 	uint32_t job_count;
@@ -129,6 +131,7 @@
 	uint32_t priority;
 	int64_t age_ms;
 	int64_t slack_ms; /* until its completion target cannot be met */
+	bool hopeless;    /* too late to be of use to its caller */
 	uint64_t work;    /* accelerator-milliseconds of the job */
 };
 
@@ -159,6 +162,7 @@
     const struct fw_view *view, uint32_t rack, uint32_t *first);
 uint64_t fw_view_urgent_use(const struct fw_view *view);
 void fw_view_keep_urgent(struct fw_view *view, uint64_t accels);
+int64_t fw_view_free_accels(const struct fw_view *view);
 
 int fw_groups_ready(struct fw_groups *groups, const struct fw_view *view);
 void fw_groups_order(struct fw_groups *groups);
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -5,8 +5,10 @@
 #include "flow_internal.h"
 
 /* A job of lower priority may use kept workers when it has less time than this
- * until its target is missed. */
+ * until its target is missed, and where there is room when it has waited for so
+ * long. */
 #define KEPT_SLACK_MS 4000
+#define KEPT_WAIT_MS 1500
 
 /* Workers that one decision looks at for tasks, some ms of processor time; the
  * groups behind wait for the next decision. */
@@ -18,6 +20,8 @@
     struct fw_view *view, const struct fw_group *group, uint32_t rack);
 static bool fit_one_rack(
     struct fw_view *view, const struct fw_group *group, uint32_t *hosts);
+static bool leaves_promised(
+    const struct fw_view *view, const struct fw_group *group);
 static bool may_spread(const struct fw_view *view, const struct fw_group *group,
     const struct bd_flow_step *step);
 
@@ -53,13 +57,14 @@
 	}
 }
 
-/* Kept workers are for jobs of priority 0, and for tasks whose data is there or
- * that are about to miss their target. */
+/* Kept workers are for jobs of priority 0, and for tasks whose data is there,
+ * that are about to miss their target, or that wait while there is room. */
 static bool
-may_use(const struct fw_host_view *host, const struct fw_group *group,
-    const struct bd_flow_step *step)
+may_use(const struct fw_view *view, const struct fw_host_view *host,
+    const struct fw_group *group, const struct bd_flow_step *step)
 {
 	return !host->urgent || group->priority == 0 ||
+	    (view->roomy && group->age_ms > KEPT_WAIT_MS) ||
 	    (group->slack_ms >= 0 && group->slack_ms < KEPT_SLACK_MS) ||
 	    strcmp(step->data_rack, host->row->rack) == 0;
 }
@@ -95,7 +100,7 @@
 		struct fw_host_view *host = &view->hosts[i];
 
 		if ((step->host_max > 0 && host->taken >= step->host_max) ||
-		    !may_use(host, group, step) ||
+		    !may_use(view, host, group, step) ||
 		    !fw_host_fits(host, flow, step))
 			continue;
 		if (best == FW_NONE ||
@@ -231,10 +236,23 @@
 	}
 }
 
+/* Tells whether enough accelerators stay free for the urgent groups that wait.
+ * Load answered: bursts of urgent jobs on a full deployment, where small tasks
+ * of lower priority took each accelerator that came free. */
+static bool
+leaves_promised(const struct fw_view *view, const struct fw_group *group)
+{
+	int64_t need = (int64_t)group->count * step_of(view, group)->accels;
+
+	return view->promised == 0 || need == 0 ||
+	    fw_view_free_accels(view) >= need + view->promised;
+}
+
 /*
  * Places groups in their order; what does not fit waits while smaller ones go
- * ahead. blocked is called for each group that waits and may close workers to
- * the groups behind it. Returns how many were placed.
+ * ahead, but for what urgent groups wait for. blocked is called for each group
+ * that waits and may close workers to the groups behind it. Returns how many
+ * were placed.
  */
 uint32_t
 fw_place(struct fw_view *view, const struct fw_groups *groups,
@@ -256,12 +274,16 @@
 		    group->step == group[-1].step && group->count == 1)
 			continue;
 		last_failed = false;
-		if (fw_group_fit(view, group, hosts, false)) {
+		if ((group->priority == 0 || leaves_promised(view, group)) &&
+		    fw_group_fit(view, group, hosts, false)) {
 			fw_group_place(view, group, hosts);
 			placed++;
 			continue;
 		}
 		last_failed = true;
+		if (group->priority == 0 && !group->hopeless)
+			view->promised += (int64_t)group->count *
+			    step_of(view, group)->accels;
 		if (blocked != NULL)
 			blocked(ctx, view, group);
 	}
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -7,11 +7,17 @@
  * by some tens of ms. */
 #define DUE_MARGIN_MS 60
 
+/* A caller is served late up to this many times the completion target, and not
+ * at all afterwards. */
+#define USEFUL_TARGETS 3
+
 static bool step_done(const struct bd_flow *flow, uint32_t k, uint32_t step);
 static bool step_ready(
     const struct bd_flow *flow, uint32_t k, uint32_t step, int64_t wall_ms);
 static uint64_t work_of(const struct bd_flow *flow);
-static int64_t slack_of(const struct bd_flow *flow, int64_t age_ms);
+static int64_t chain_of(const struct bd_flow *flow);
+static void judge_time(struct fw_group *group, const struct bd_flow *flow,
+    const struct fw_settings *settings);
 static int add_step(struct fw_groups *groups, const struct fw_view *view,
     uint32_t job, uint32_t k, uint32_t step);
 static int compare(const void *a, const void *b);
@@ -62,9 +68,9 @@
 	return work;
 }
 
-/* Returns how long a job can still wait and meet its completion target. */
+/* Returns the estimated run time of the steps of a job that wait for others. */
 static int64_t
-slack_of(const struct bd_flow *flow, int64_t age_ms)
+chain_of(const struct bd_flow *flow)
 {
 	const struct bd_flow_step *steps = fw_flow_steps(flow);
 	int64_t chain_ms = 0;
@@ -73,8 +79,24 @@
 	for (s = 0; s < flow->step_count; s++)
 		if (s == 0 || steps[s].after != 0)
 			chain_ms += steps[s].estimate_ms;
-	return chain_ms * ((int64_t)flow->stretch_milli - 1000) / 1000 +
-	    flow->target_ms - age_ms;
+	return chain_ms;
+}
+
+/* Finds out how long a job can still wait and meet its completion target, and
+ * whether it is so late that nobody waits for it any more. A job that may be
+ * guaranteed is not given up while its guarantee counts. */
+static void
+judge_time(struct fw_group *group, const struct bd_flow *flow,
+    const struct fw_settings *settings)
+{
+	int64_t chain_ms = chain_of(flow);
+	int64_t target_ms =
+	    chain_ms * flow->stretch_milli / 1000 + flow->target_ms;
+
+	group->slack_ms = target_ms - chain_ms - group->age_ms;
+	group->hopeless =
+	    group->age_ms + chain_ms > target_ms * USEFUL_TARGETS &&
+	    group->age_ms > (int64_t)settings->reclaim_ms * 2;
 }
 
 static int
@@ -116,7 +138,7 @@
 		group.age_ms = view->wall_ms - flow->accepted_ms;
 		if (group.age_ms < 0)
 			group.age_ms = 0;
-		group.slack_ms = slack_of(flow, group.age_ms);
+		judge_time(&group, flow, view->settings);
 		group.work = work_of(flow);
 		groups->items[groups->count++] = group;
 	}
@@ -153,9 +175,10 @@
 }
 
 /*
- * By priority; then jobs that can still meet their target before those that
- * cannot, and the least slack first. With more load than room this serves the
- * most jobs in time within a priority.
+ * Jobs that are too late to be of use come last of all. Then by priority; then
+ * jobs that can still meet their target before those that cannot, and the least
+ * slack first. With more load than room this serves the most jobs in time
+ * within a priority.
  */
 static int
 compare(const void *a, const void *b)
@@ -163,6 +186,8 @@
 	const struct fw_group *x = a;
 	const struct fw_group *y = b;
 
+	if (x->hopeless != y->hopeless)
+		return x->hopeless ? 1 : -1;
 	if (x->priority != y->priority)
 		return x->priority < y->priority ? -1 : 1;
 	if ((x->slack_ms < 0) != (y->slack_ms < 0))
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -7,6 +7,10 @@
 /* Most that is kept for priority 0: the rest has to carry the other work even
  * in a burst of urgent jobs. */
 #define KEPT_MILLI 400
+/* With more than this much of the accelerators free there is room for urgent
+ * jobs elsewhere, and work that waits may use kept workers. The platform takes
+ * work that waits with half of the room free for lost. */
+#define ROOMY_MILLI 450
 static uint32_t place_of(const struct fw_view *view, enum bd_table_number table,
     const uint32_t *places, uint64_t id);
 static uint32_t *places_new(enum bd_table_number table);
@@ -317,6 +321,19 @@
 	return use;
 }
 
+/* Returns how many accelerators are free on workers that may get new runs. */
+int64_t
+fw_view_free_accels(const struct fw_view *view)
+{
+	int64_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < view->host_count; i++)
+		if (view->hosts[i].open && view->hosts[i].accels > 0)
+			count += view->hosts[i].accels;
+	return count;
+}
+
 /*
  * Keeps workers with so many accelerators for jobs of priority 0, at most
  * KEPT_MILLI of all, so none on a very small deployment. They are taken rack by
@@ -326,12 +343,15 @@
 void
 fw_view_keep_urgent(struct fw_view *view, uint64_t accels)
 {
+	uint64_t free_accels = (uint64_t)fw_view_free_accels(view);
 	uint64_t kept = 0;
 	uint64_t all = 0;
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++)
-		all += view->hosts[i].row->accels;
+		if (view->hosts[i].open)
+			all += view->hosts[i].row->accels;
+	view->roomy = free_accels * 1000 > all * ROOMY_MILLI;
 	for (i = 0; i < view->host_count && kept < accels; i++) {
 		struct fw_host_view *host = &view->hosts[i];
 
--- a/tests/test_flow_place.cc
+++ b/tests/test_flow_place.cc
@@ -257,3 +257,92 @@
 	fw_view_free(&view);
 	bd_read_end();
 }
+
+/* Guards against urgent jobs that nobody waits for any more and that still go
+ * before others: found on a full deployment where gangs of priority 0 that were
+ * 25 s late held the room of 1,500 accelerators. */
+TEST(FlowPlace, HopelessJobsComeLast)
+{
+	FlowWorld world;
+	struct fw_groups groups;
+	struct fw_view view;
+	int64_t now_ms = 60000;
+
+	world.host("1", "r1");
+	world.queue.priority = 0;
+	world.submit(URGENT, {FlowWorld::step(1, 8)}, 1000);
+	world.queue.priority = 2;
+	world.submit(JOB, {FlowWorld::step(1, 8)}, now_ms - 100);
+	bd_read_begin();
+	fw_view_build(&view, world.board, &world.settings, 5000, now_ms);
+	fw_groups_ready(&groups, &view);
+	fw_groups_order(&groups);
+	ASSERT_EQ(2U, groups.count);
+	EXPECT_EQ(2U, groups.items[0].priority);
+	EXPECT_TRUE(groups.items[1].hopeless);
+	fw_groups_free(&groups);
+	fw_view_free(&view);
+	bd_read_end();
+	/* A job that is late but of use keeps its place. */
+	FlowWorld late;
+	late.host("1", "r1");
+	late.queue.priority = 0;
+	late.submit(URGENT, {FlowWorld::step(1, 8)}, 1000);
+	bd_read_begin();
+	fw_view_build(&view, late.board, &late.settings, 5000, 1000 + 3 * 4000);
+	fw_groups_ready(&groups, &view);
+	EXPECT_LT(groups.items[0].slack_ms, 0);
+	EXPECT_FALSE(groups.items[0].hopeless);
+	fw_groups_free(&groups);
+	fw_view_free(&view);
+	bd_read_end();
+}
+
+/* Guards against small tasks of lower priority that take each accelerator which
+ * comes free while an urgent gang waits for several. */
+TEST(FlowPlace, FreeRoomIsLeftToUrgentJobsThatWait)
+{
+	FlowWorld world;
+
+	world.host("1", "r1");
+	world.host("2", "r1");
+	world.submit(JOB, {FlowWorld::step(12, 1)});
+	EXPECT_EQ(12U, world.place());
+	world.queue.priority = 0;
+	world.submit(URGENT, {FlowWorld::step(1, 8)});
+	world.queue.priority = 2;
+	world.submit("00000000000000c3", {FlowWorld::step(4, 1)});
+	EXPECT_EQ(0U, world.place());
+	/* The first eight tasks fill one worker, these are on the other. */
+	for (uint32_t i = 8; i < 12; i++)
+		world.end(JOB, i, FW_END_DONE);
+	EXPECT_EQ(1U, world.place());
+	bd_read_begin();
+	EXPECT_EQ(BD_FLOW_RUNNING, world.flow(URGENT)->state);
+	bd_read_end();
+}
+
+/* Guards against work that waits beside kept workers with half of the room
+ * free: the platform takes it for lost. Found as gangs of priority 1 that were
+ * late and had nothing running at the end of a day. */
+TEST(FlowPlace, KeptWorkersAreUsedWhereThereIsRoom)
+{
+	FlowWorld world;
+	struct fw_groups groups;
+	struct fw_view view;
+	uint32_t hosts[64];
+
+	for (int i = 0; i < 5; i++)
+		world.host(std::to_string(i), "r1");
+	world.submit(JOB, {FlowWorld::step(4, 8, BD_STEP_GANG)}, 1000);
+	bd_read_begin();
+	fw_view_build(&view, world.board, &world.settings, 5000, 7000);
+	fw_view_keep_urgent(&view, 16);
+	fw_groups_ready(&groups, &view);
+	ASSERT_EQ(1U, groups.count);
+	groups.items[0].slack_ms = -1;
+	EXPECT_TRUE(fw_group_fit(&view, &groups.items[0], hosts, false));
+	fw_groups_free(&groups);
+	fw_view_free(&view);
+	bd_read_end();
+}
