Move runs away from workers that leave; see at once that one has left

Change: a worker that was leaving counts as gone when the least time that it announced is over and two looks find that nothing listens there. A run that cannot end in that time moves away at once, with its checkpoint; without one, where it cannot end within 4 s more, for which workers that drain serve on.

Both tests fail without the change.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -75,6 +75,8 @@
 	uint32_t memory_mb;
 	uint32_t accels;
 	uint32_t leaving;
+	uint32_t notice_ms; /* leaving: least time it stays after heard_ms */
+	uint32_t reserved;
 };
 
 enum bd_flow_state {
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -33,11 +33,12 @@
 	uint32_t doubtful; /* runs whose fate the next report decides */
 	uint32_t orders_busy;
 	bool hold_busy;
-	bool listed;   /* the store has its entry */
-	bool leaving;  /* its latest entry says so */
-	bool refused;  /* nothing listened there at the latest call */
-	bool reported; /* since this placer has the duty */
-	bool fresh;    /* the report has not been looked at */
+	bool listed;       /* the store has its entry */
+	bool leaving;      /* its latest entry says so */
+	int64_t leave_ms;  /* leaving: it may be gone from then on */
+	uint32_t refusals; /* calls in a row at which nothing listened */
+	bool reported;     /* since this placer has the duty */
+	bool fresh;        /* the report has not been looked at */
 	struct fw_report report;
 };
 
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -290,10 +290,11 @@
     const struct fw_report *report, bool is_hold, int64_t now_ms)
 {
 	bool silent = report->answer >= FW_ANSWER_REFUSED;
+	bool refused = report->answer == FW_ANSWER_REFUSED;
 	uint32_t handle = (uint32_t)(link - placer->tables.links);
 
-	link->refused = report->answer == FW_ANSWER_REFUSED;
-	if (silent && (is_hold || link->refused) && link->silent_ms == 0) {
+	link->refusals = refused ? link->refusals + 1 : 0;
+	if (silent && (is_hold || refused) && link->silent_ms == 0) {
 		link->silent_ms = now_ms;
 		ev_emit(EV_FLOW_HOST_SILENT, "worker=%s answer=%s runs=%u",
 		    link->name, fw_answer_name(report->answer),
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -15,6 +15,12 @@
  * the run time. */
 #define STALL_MS 2500
 #define STALL_PART_MILLI 250
+/* Looks at a worker that is leaving which find that nothing listens there: one
+ * may be a connection that was reset. */
+#define REFUSALS_MIN 2
+/* Workers that drain serve on for some seconds after the least time that they
+ * announce; those that are taken away do not. */
+#define LINGER_MS 4000
 /* Workers' entries are looked at again after this, changed or not. */
 #define HOSTS_SYNC_MS 500
 
@@ -29,7 +35,9 @@
     const struct fw_run *run, int64_t now_ms);
 static bool stalled(const struct bd_flow *flow, const struct fw_run *run);
 static bool leases_over(const struct fw_link *link, int64_t now_ms);
-static bool has_left(const struct fw_link *link);
+static bool has_left(const struct fw_link *link, int64_t now_ms);
+static bool must_move(const struct bd_flow *flow, const struct fw_run *run,
+    const struct bd_host *host, int64_t now_ms);
 static void judge_run(
     struct fw_placer *placer, uint32_t handle, int64_t now_ms);
 static void stop_run(
@@ -48,6 +56,7 @@
 	link = &placer->tables.links[handle];
 	link->listed = true;
 	link->leaving = row->leaving != 0;
+	link->leave_ms = row->heard_ms + row->notice_ms;
 	if (link->address[0] == '\0' ||
 	    (row->born_ms != link->born_ms && row->heard_ms > 0)) {
 		memcpy(link->name, row->name, sizeof(link->name));
@@ -191,8 +200,8 @@
 	else if (run->phase == FW_PHASE_NEW &&
 	    now_ms - run->placed_ms > START_MAX_MS)
 		stop_run(placer, run, "start_unanswered");
-	else if (run->phase == FW_PHASE_NEW && host != NULL &&
-	    host->leaving != 0)
+	else if (host != NULL && host->leaving != 0 &&
+	    (run->phase == FW_PHASE_NEW || must_move(flow, run, host, now_ms)))
 		stop_run(placer, run, "worker_leaving");
 	else if (run->phase == FW_PHASE_NEW && !run->sent &&
 	    placer->tables.links[run->link].silent_ms != 0)
@@ -221,12 +230,37 @@
 	    !(link->hold_busy && link->hold_sent_ms <= link->lease_end_ms);
 }
 
-/* Tells whether a worker that was leaving has gone: the store has dropped its
- * entry and nothing listens at its address. Its runs ended with it. */
+/* Tells whether a worker that was leaving has gone, and its runs with it:
+ * nothing listens at its address, and the store has dropped its entry or the
+ * time that it had announced is over. */
 static bool
-has_left(const struct fw_link *link)
+has_left(const struct fw_link *link, int64_t now_ms)
 {
-	return link->leaving && !link->listed && link->refused;
+	if (!link->leaving)
+		return false;
+	if (!link->listed)
+		return link->refusals > 0;
+	return link->refusals >= REFUSALS_MIN && now_ms > link->leave_ms;
+}
+
+/* Tells whether a run should move away from a worker that is leaving, before it
+ * ends with it. Without a checkpoint its work is lost either way, so that it
+ * stays where it may end in time. */
+static bool
+must_move(const struct bd_flow *flow, const struct fw_run *run,
+    const struct bd_host *host, int64_t now_ms)
+{
+	int64_t left_ms = host->heard_ms + host->notice_ms - now_ms;
+	const struct bd_flow_step *step;
+	struct fw_task_ref ref;
+
+	fw_task_ref_of(flow, run->index, &ref);
+	step = &fw_flow_steps(flow)[ref.step];
+	if ((step->flags & BD_STEP_CHECKPOINTS) == 0)
+		left_ms += LINGER_MS;
+	return (int64_t)step->estimate_ms * (100 - (int64_t)run->percent) /
+	    100 >
+	    left_ms;
 }
 
 /* Finds out whether a run has ended without a listed end, and forgets one that
@@ -263,7 +297,7 @@
 		fw_run_end(run, run->stopped ? FW_END_STOPPED : FW_END_LOST);
 		return;
 	}
-	if (leases_over(link, now_ms) || has_left(link))
+	if (leases_over(link, now_ms) || has_left(link, now_ms))
 		fw_run_end(run, FW_END_LOST);
 	if (run->stopped || run->phase == FW_PHASE_ADOPTED)
 		link->doubtful++;
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -100,7 +100,7 @@
 
 	/* The store's entry of a worker says that it is leaving. */
 	void
-	leaving(SimVm *vm, const std::string &id)
+	leaving(SimVm *vm, const std::string &id, uint32_t notice_ms = 3000)
 	{
 		struct bd_host host;
 		uint64_t row = cw_id_from_name(id.c_str());
@@ -109,6 +109,8 @@
 		host = *bd_host_lookup(vm->world.board, row);
 		bd_read_end();
 		host.leaving = 1;
+		host.notice_ms = notice_ms;
+		host.heard_ms = now_ms;
 		bd_put(vm->world.board, BD_TABLE_host, BD_WRITER_FLOW, row,
 		    &host, sizeof(host), nullptr);
 	}
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -246,6 +246,59 @@
 	expect_clean(sim);
 }
 
+/* Guards against a wait for the entry of a worker that was taken away at short
+ * notice: the store keeps it for 4.5 s more. Found as urgent gangs that began
+ * again 4 s after their workers had gone. */
+TEST(FlowPlacer, RunsEndWithAWorkerWhoseNoticeIsOver)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *vm = sim.vm("a");
+	sim.workers["w1"].work_ms = 60000;
+	sim.run(1000);
+	sim.submit(JOB_A, {FlowWorld::step(2, 1)});
+	sim.run(500);
+	sim.leaving(vm, "w1", 2000);
+	sim.gone_workers.insert("w1");
+	sim.run(1500);
+	EXPECT_EQ(2, sim.judge.starts);
+	sim.workers["w1"].reborn(sim.now_ms);
+	sim.worker("w2");
+	/* The notice ends 0.5 s from here; w2 needs 0.5 s for the work. */
+	sim.run(2000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	expect_clean(sim);
+}
+
+/* Guards against work that stays on a worker which is to be taken away: what
+ * cannot end in time moves at once, what can end stays. */
+TEST(FlowPlacer, RunsMoveAwayFromALeavingWorker)
+{
+	FlowSim sim;
+	struct bd_flow_step longer = FlowWorld::step(1, 1);
+
+	longer.estimate_ms = 20000;
+	sim.worker("w1");
+	SimVm *vm = sim.vm("a");
+	sim.workers["w1"].work_ms = 3000;
+	sim.run(1000);
+	sim.submit(JOB_A, {FlowWorld::step(1, 1)});
+	sim.run(300);
+	sim.workers["w1"].work_ms = 20000;
+	sim.submit(JOB_B, {longer});
+	sim.run(300);
+	sim.worker("w2");
+	sim.leaving(vm, "w1", 2000);
+	sim.run(1500);
+	EXPECT_EQ(1U, sim.workers["w1"].runs.size());
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_B));
+	sim.run(2000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	EXPECT_EQ(3, sim.judge.starts);
+	expect_clean(sim);
+}
+
 /* Guards against tasks that wait on a worker that refuses their starts: none of
  * them runs there, so all may start elsewhere at once. */
 TEST(FlowPlacer, RefusedStartsGoElsewhereAtOnce)
