Do not wait for a rack where none would hold the gang

Change: it may spread at once where no idle rack would hold it. The test SameRackWaitsForOneRack asked for such an impossible rack; it now has a rack that would hold the gang and is in use, and checks both sides of the limit.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -153,6 +153,8 @@
     struct fw_host_view *host, const struct bd_flow_step *step, int sign);
 bool fw_host_fits(const struct fw_host_view *host, const struct bd_flow *flow,
     const struct bd_flow_step *step);
+uint32_t fw_host_holds(const struct bd_host *row, const struct bd_flow *flow,
+    const struct bd_flow_step *step);
 
 /* Racks are named by their place in the view's list. */
 #define FW_ANY_RACK FW_NONE
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -22,6 +22,8 @@
     struct fw_view *view, const struct fw_group *group, uint32_t *hosts);
 static bool leaves_promised(
     const struct fw_view *view, const struct fw_group *group);
+static bool rack_holds(const struct fw_view *view, const struct fw_group *group,
+    const struct bd_flow_step *step);
 static bool may_spread(const struct fw_view *view, const struct fw_group *group,
     const struct bd_flow_step *step);
 
@@ -165,6 +167,27 @@
 	return fits;
 }
 
+/* Tells whether an idle rack would hold a group. */
+static bool
+rack_holds(const struct fw_view *view, const struct fw_group *group,
+    const struct bd_flow_step *step)
+{
+	const struct bd_flow *flow = fw_job_now(&view->jobs[group->job]);
+	uint32_t rack;
+	uint32_t i;
+
+	for (rack = 0; rack < view->rack_count; rack++) {
+		uint32_t end = fw_view_rack_hosts(view, rack, &i);
+		uint64_t count = 0;
+
+		for (; i < end; i++)
+			count += fw_host_holds(view->hosts[i].row, flow, step);
+		if (count >= group->count)
+			return true;
+	}
+	return false;
+}
+
 /* Away from its rack a task takes remote_factor times as long, so a job waits
  * for the rack as long as that is the shorter way. */
 static bool
@@ -174,14 +197,16 @@
 	int64_t longer_ms = (int64_t)step->estimate_ms *
 	    ((int64_t)view->settings->remote_factor - 1);
 
-	return group->age_ms > longer_ms;
+	return group->age_ms > longer_ms ||
+	    (step->data_rack[0] == '\0' && !rack_holds(view, group, step));
 }
 
 /*
  * Finds room for every task of a group, hosts[] being indexes of the view, and
  * takes it. A gang that asks for one rack and a task with data on a rack go
- * there; elsewhere only with spread, or once waiting has cost more than the
- * longer run time. Returns false where it does not fit.
+ * there; elsewhere only with spread, once waiting has cost more than the longer
+ * run time, or where no rack would hold the gang. Returns false where it does
+ * not fit.
  */
 bool
 fw_group_fit(struct fw_view *view, const struct fw_group *group,
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -67,6 +67,26 @@
 		strcmp(step->label, row->rack) == 0);
 }
 
+/* Returns how many tasks of a step an idle worker would hold. */
+uint32_t
+fw_host_holds(const struct bd_host *row, const struct bd_flow *flow,
+    const struct bd_flow_step *step)
+{
+	struct fw_host_view idle = {.row = row,
+	    .cores_milli = row->cores_milli,
+	    .memory_mb = row->memory_mb,
+	    .accels = row->accels,
+	    .open = row->leaving == 0};
+	uint32_t most = step->host_max > 0 ? step->host_max : step->count;
+	uint32_t n = 0;
+
+	while (n < most && fw_host_fits(&idle, flow, step)) {
+		fw_host_use(&idle, step, -1);
+		n++;
+	}
+	return n;
+}
+
 /* Makes a map from handle to place, without entries. */
 static uint32_t *
 places_new(enum bd_table_number table)
--- a/tests/test_flow_place.cc
+++ b/tests/test_flow_place.cc
@@ -50,13 +50,33 @@
 	struct bd_flow_step step =
 	    FlowWorld::step(2, 8, BD_STEP_GANG | BD_STEP_SAME_RACK);
 
+	/* A rack that would hold the gang has one worker in use. */
 	world.host("1", "r1");
-	world.host("2", "r2");
+	world.submit("00000000000000c3", {FlowWorld::step(1, 8)}, 1000);
+	EXPECT_EQ(1U, world.place(1000));
+	world.host("2", "r1");
+	world.host("3", "r2");
 	world.submit(JOB, {step}, 1000);
 	EXPECT_EQ(0U, world.place(1500));
+	EXPECT_EQ(0U, world.place(1000 + 2 * 1000 - 100));
 	EXPECT_EQ(1U, world.place(1000 + 2 * 1000 + 100));
 }
 
+/* Guards against a wait for one rack by a gang that none would hold even if it
+ * were idle: large gangs waited for twice their run time before they spread. */
+TEST(FlowPlace, GangsThatNoRackHoldsDoNotWaitForOne)
+{
+	FlowWorld world;
+	struct bd_flow_step step =
+	    FlowWorld::step(3, 8, BD_STEP_GANG | BD_STEP_SAME_RACK);
+
+	world.host("1", "r1");
+	world.host("2", "r1");
+	world.host("3", "r2");
+	world.submit(JOB, {step}, 1000);
+	EXPECT_EQ(1U, world.place(1100));
+}
+
 /* Guards against a start before the steps that it waits for are done. */
 TEST(FlowPlace, StepsStartInTheirOrder)
 {
