--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -12,7 +12,7 @@
     const struct fw_listed_end *end, bool unknown);
 static bool is_stored(const struct fw_tables *tables,
     const struct bd_board *board, const struct fw_listed_end *end,
-    uint32_t link);
+    uint32_t link, bool lapsed);
 static uint64_t last_lapse(const struct fw_report *report);
 
 /* Copies a report with its lists. Returns FW_ENOMEM. */
@@ -116,26 +116,30 @@
  * one of its task, and the job's row has taken this end over. A run that
  * counted as lost and was replaced, and is listed as done or failed after all,
  * is never acknowledged: its task would then count as started after its end.
+ * lapsed: the worker's lease has lapsed since, which makes the end void.
  */
 static bool
 is_stored(const struct fw_tables *tables, const struct bd_board *board,
-    const struct fw_listed_end *end, uint32_t link)
+    const struct fw_listed_end *end, uint32_t link, bool lapsed)
 {
 	uint32_t found = find_listed(tables, board, &end->task, end->run, link);
 	const struct fw_run *run;
 
 	if (found == FW_NONE)
-		return end->end != FW_END_DONE || row_done(board, end, true);
+		return lapsed || end->end != FW_END_DONE ||
+		    row_done(board, end, true);
 	run = &tables->runs[found];
 	if (fw_run_placed(board, run))
 		return false;
+	if (lapsed)
+		return true;
 	if (end->end == FW_END_DONE)
 		return run->end == FW_END_DONE || row_done(board, end, false);
 	return end->end != FW_END_FAILED || run->end == FW_END_FAILED;
 }
 
 /* Returns the number of the latest end that says that the worker's lease had
- * lapsed, 0 where none does. Ends before it count as if never listed. */
+ * lapsed, 0 where none does. */
 static uint64_t
 last_lapse(const struct fw_report *report)
 {
@@ -190,8 +194,7 @@
 			fw_run_end(run, end->end);
 		}
 		stored = stored &&
-		    (end->number < lapse ||
-			is_stored(tables, board, end, handle));
+		    is_stored(tables, board, end, handle, end->number < lapse);
 		if (stored && end->number > link->ended_upto)
 			link->ended_upto = end->number;
 	}
