--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -59,7 +59,7 @@
 	uint32_t percent;
 	enum fw_phase phase;
 	enum fw_end end;
-	int64_t born_ms;
+	int64_t born_ms;     /* life of the worker that has it */
 	int64_t placed_ms;   /* monotonic */
 	int64_t retry_ms;    /* next order not before */
 	int64_t sure_ms;     /* reports sent from then on list it if it lives */
@@ -69,6 +69,8 @@
 	bool used;
 	bool busy;    /* an order is open */
 	bool sent;    /* a start may have been carried out */
+	bool loose;   /* a start without an answer may still be */
+	bool crossed; /* its worker started anew while an order was open */
 	bool stop;    /* is to end */
 	bool stopped; /* the stop was answered */
 	/* Its worker lists it as done although it counts as lost. */
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -259,7 +259,10 @@
 			send_hold(placer, &tables->links[i], now_ms);
 }
 
-/* A worker that has started anew knows none of the runs of its former life. */
+/* A worker that has started anew knows none of the runs of its former life. It
+ * may have taken, or may still take, a start whose answer does not tell its
+ * life; such a run is stopped there, which keeps later starts out. The answer
+ * to an open order is waited for. */
 static void
 take_reborn(struct fw_placer *placer, uint32_t handle, int64_t born_ms)
 {
@@ -272,8 +275,16 @@
 	for (i = 0; i < tables->run_count; i++) {
 		struct fw_run *run = &tables->runs[i];
 
-		if (run->used && run->link == handle &&
-		    (born_ms == 0 || run->born_ms != born_ms))
+		if (!run->used || run->link != handle ||
+		    (born_ms != 0 && run->born_ms == born_ms))
+			continue;
+		if (born_ms == 0)
+			fw_run_end(run, FW_END_LOST);
+		else if (run->busy)
+			run->crossed = true;
+		else if (run->loose || run->phase == FW_PHASE_ADOPTED)
+			run->stop = true;
+		else
 			fw_run_end(run, FW_END_LOST);
 	}
 	link->born_ms = born_ms;
@@ -354,6 +365,7 @@
 		break;
 	default:
 		run->retry_ms = now_ms + RETRY_MS;
+		run->loose = true;
 		break;
 	}
 	ev_emit(EV_FLOW_START_FAILED, "job=%016llx task=%u run=%u answer=%s",
@@ -399,6 +411,15 @@
 	if (call->term != placer->term || handle == FW_NONE)
 		return;
 	link = &placer->tables.links[handle];
+	found = call->kind == FW_ORDER_HOLD
+	    ? FW_NONE
+	    : fw_run_find(&placer->tables, call->flow, call->index, call->run);
+	run = found == FW_NONE ? NULL : &placer->tables.runs[found];
+	/* The life that answers a start has the run, whatever the entry said
+	 * when it was placed. */
+	if (run != NULL && call->kind == FW_ORDER_START &&
+	    call->report.answer == FW_ANSWER_DONE && call->report.born_ms != 0)
+		run->born_ms = call->report.born_ms;
 	take_contact(
 	    placer, link, &call->report, call->kind == FW_ORDER_HOLD, now_ms);
 	if (call->kind == FW_ORDER_HOLD) {
@@ -407,12 +428,12 @@
 	}
 	assert(link->orders_busy > 0);
 	link->orders_busy--;
-	found =
-	    fw_run_find(&placer->tables, call->flow, call->index, call->run);
-	if (found == FW_NONE)
+	if (run == NULL)
 		return;
-	run = &placer->tables.runs[found];
 	run->busy = false;
+	if (run->crossed && run->born_ms != link->born_ms)
+		run->stop = true;
+	run->crossed = false;
 	if (call->kind == FW_ORDER_START)
 		take_start(run, call, now_ms);
 	else if (call->report.answer == FW_ANSWER_DONE) {
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -174,6 +174,8 @@
 		if (found == FW_NONE)
 			continue;
 		take_run(&tables->runs[found], &report->runs[i], now_ms);
+		if (report->born_ms != 0)
+			tables->runs[found].born_ms = report->born_ms;
 		tables->runs[found].sure_ms = report->sent_ms;
 		tables->runs[found].seen_ms = report->sent_ms;
 	}
--- /dev/null
+++ b/tests/sim/deployment.h
@@ -0,0 +1,229 @@
+#ifndef CAMPHOR_TESTS_DEPLOYMENT_H
+#define CAMPHOR_TESTS_DEPLOYMENT_H
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include "adapter.h"
+#include "emulator.h"
+#include "http_client.h"
+
+extern char **environ;
+
+/* How long a test waits for an event that always comes on a sound machine. */
+const int64_t patience_ms = 40000;
+
+/* camphord processes on the emulated platform. */
+struct Deployment {
+	Emulator platform;
+	std::vector<pid_t> pids;
+	std::vector<std::string> fronts;
+	std::vector<std::string> readys;
+	struct lk_http_client *client = nullptr;
+	std::string folder;
+
+	Deployment()
+	{
+		char name[] = "/tmp/camphor-test-XXXXXX";
+
+		folder = mkdtemp(name);
+		lk_http_client_create(&client);
+	}
+
+	~Deployment()
+	{
+		for (pid_t pid : pids)
+			if (pid > 0) {
+				::kill(pid, SIGKILL);
+				waitpid(pid, nullptr, 0);
+			}
+		platform.stop();
+		lk_http_client_destroy(client);
+		if (::testing::Test::HasFailure())
+			print_log();
+		std::string command = "rm -r " + folder;
+		EXPECT_EQ(0, system(command.c_str()));
+	}
+
+	/* The end of what the daemons have logged, for a failed test. */
+	void
+	print_log()
+	{
+		std::ifstream log(folder + "/log");
+		std::vector<std::string> lines;
+		std::string line;
+
+		while (std::getline(log, line))
+			lines.push_back(line);
+		for (size_t i = lines.size() > 400 ? lines.size() - 400 : 0;
+		     i < lines.size(); i++)
+			printf("%s\n", lines[i].c_str());
+	}
+
+	void
+	configure(const std::string &more_keys = "")
+	{
+		std::lock_guard<std::mutex> guard(platform.lock);
+
+		platform.put("keyed.op", "config",
+		    "{\"Version\":" + std::to_string(++version) +
+			",\"Routes\":[{\"Name\":\"q\",\"Host\":\"h.example\","
+			"\"PathPrefix\":\"/jobs/\",\"Service\":\"pool\","
+			"\"Priority\":1,\"MaxAttempts\":3,\"Stretch\":3,"
+			"\"TargetLatencyMs\":1000}],\"Services\":[{\"Name\":"
+			"\"pool\"}],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":["
+			"\"key\"" +
+			more_keys + "]}]}");
+	}
+
+	/* Starts one daemon on ports of its own. */
+	size_t
+	spawn()
+	{
+		size_t n = pids.size();
+		int base = platform.port + Emulator::PORTS / 2 + (int)n * 5;
+		std::string path = folder + "/" + std::to_string(n) + ".json";
+		std::string at = "127.0.0.1:";
+
+		fronts.push_back(at + std::to_string(base));
+		readys.push_back(at + std::to_string(base + 1));
+		std::ofstream(path)
+		    << "{\"NodeName\":\"n" << n
+		    << "\",\"Zone\":\"z\",\"Region\":\"r\",\"Ip\":\"127.0.0."
+		       "1\","
+		    << "\"InternalPorts\":[" << base + 2 << "],"
+		    << "\"ListenAddrs\":{\"Front\":\"" << fronts[n]
+		    << "\",\"Ready\":\"" << readys[n] << "\"},"
+		    << "\"Bounds\":{\"MaxHoldMs\":3000,\"GraceS\":6},"
+		    << "\"platform\":{\"Address\":\"" << at << platform.port
+		    << "\"}}";
+		pids.push_back(0);
+		run(n);
+		return n;
+	}
+
+	void
+	run(size_t n)
+	{
+		std::string path = folder + "/" + std::to_string(n) + ".json";
+		std::string log = folder + "/log";
+		const char *argv[] = {
+		    CAMPHORD, "--platform", path.c_str(), nullptr};
+		posix_spawn_file_actions_t actions;
+
+		posix_spawn_file_actions_init(&actions);
+		posix_spawn_file_actions_addopen(&actions, 1, log.c_str(),
+		    O_WRONLY | O_CREAT | O_APPEND, 0600);
+		EXPECT_EQ(0,
+		    posix_spawn(&pids[n], CAMPHORD, &actions, nullptr,
+			(char **)argv, environ));
+		posix_spawn_file_actions_destroy(&actions);
+	}
+
+	void
+	kill(size_t n)
+	{
+		::kill(pids[n], SIGKILL);
+		waitpid(pids[n], nullptr, 0);
+		pids[n] = 0;
+	}
+
+	int
+	call(const std::string &address, const std::string &path,
+	    const std::string &body, std::string *answer = nullptr,
+	    const char *key = "Authorization: Bearer key")
+	{
+		const char *headers[] = {
+		    "Host: h.example", key, "Content-Type: application/json"};
+		struct lk_http_caller caller = lk_http_client_caller(client);
+		struct lk_http_call call = {};
+		struct lk_http_answer got = {};
+		int status;
+
+		call.address = address.c_str();
+		call.path = path.c_str();
+		call.headers = headers;
+		call.header_count = 3;
+		call.body = body.empty() ? nullptr : body.data();
+		call.body_bytes = body.size();
+		call.answer_bytes_max = 65536;
+		call.connect_timeout_ms = 1000;
+		call.timeout_ms = 4000;
+		call.fresh = true;
+		caller.call(caller.ctx, &call, &got);
+		status = got.outcome == LK_HTTP_WHOLE ? got.status : -1;
+		if (answer != nullptr)
+			answer->assign(
+			    got.body != nullptr ? (const char *)got.body : "",
+			    got.body_bytes);
+		free(got.body);
+		return status;
+	}
+
+	/* The client of a library that sends POST with a body and GET without
+	 * one is not at hand here: lk_http_call always posts. */
+	int
+	submit(size_t n, const std::string &name, int count)
+	{
+		return call(fronts[n], "/jobs/" + name,
+		    "{\"Spec\":\"s\",\"Steps\":[{\"Count\":" +
+			std::to_string(count) +
+			",\"Cpu\":1000,\"MemMb\":100,\"Gpu\":1,"
+			"\"EstimateMs\":300}]}");
+	}
+
+	template <typename Condition>
+	bool
+	wait(Condition condition)
+	{
+		int64_t end_ms = Emulator::now_ms() + patience_ms;
+
+		while (Emulator::now_ms() < end_ms) {
+			if (condition())
+				return true;
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(20));
+		}
+		return false;
+	}
+
+	bool
+	ready(size_t n)
+	{
+		return wait([&] {
+			return call(readys[n], "/camphorworks/ready", "") ==
+			    200;
+		});
+	}
+
+	/* All tasks of so many jobs have ended and been acknowledged. */
+	bool
+	all_done(size_t tasks)
+	{
+		return wait([&] {
+			std::lock_guard<std::mutex> guard(platform.lock);
+
+			return platform.judge.done.size() >= tasks;
+		});
+	}
+
+	uint64_t version = 0;
+};
+
+/* The name of the nth job of a test. */
+inline std::string
+job(int n)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%016x", 0xa000 + n);
+	return text;
+}
+
+#endif
--- a/tests/sim/platform_sim.h
+++ b/tests/sim/platform_sim.h
@@ -156,6 +156,7 @@
 struct SimJudge {
 	std::map<std::string, std::set<const void *>> running;
 	std::set<std::string> done;
+	std::set<std::string> finished; /* ended as done, known or not */
 	std::map<std::string, int> started;
 	int doubled = 0;
 	int after_done = 0; /* starts after an end that is acknowledged */
@@ -216,6 +217,8 @@
 		end.checkpoint = run.checkpoint;
 		end.starts_before = judge->started[run.task];
 		ends.push_back(end);
+		if (end.how == "done")
+			judge->finished.insert(run.task);
 		closed[run.task] = std::max(closed[run.task], run.run);
 		judge->end(run.task, this);
 	}
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -419,6 +419,49 @@
 	expect_clean(sim);
 }
 
+/* Guards against a second run beside one that the new life of a worker has: its
+ * entry still told the former life when the run was placed. Found by the soak.
+ */
+TEST(FlowPlacer, RunsBelongToTheLifeThatTookThem)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *vm = sim.vm("a");
+	sim.workers["w1"].work_ms = 2000;
+	sim.run(1000);
+	sim.workers["w1"].reborn(sim.now_ms);
+	sim.submit(JOB_A, {FlowWorld::step(2, 1)});
+	sim.worker("w2");
+	sim.list(vm, sim.workers["w2"]);
+	sim.run(5000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	EXPECT_EQ(2, sim.judge.starts);
+	expect_clean(sim);
+}
+
+/* Guards against a start that reaches the new life of a worker after the run
+ * was placed elsewhere: it was on its way when the worker started anew. */
+TEST(FlowPlacer, LateStartsDoNotReachANewLife)
+{
+	FlowSim sim;
+
+	sim.worker("w1");
+	SimVm *vm = sim.vm("a");
+	sim.workers["w1"].work_ms = 2000;
+	sim.run(1000);
+	sim.late_orders_ms = 1500;
+	sim.submit(JOB_A, {FlowWorld::step(1, 1)});
+	sim.run(700);
+	sim.late_orders_ms = 0;
+	sim.workers["w1"].reborn(sim.now_ms);
+	sim.worker("w2");
+	sim.list(vm, sim.workers["w1"]);
+	sim.run(8000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	expect_clean(sim);
+}
+
 /* Guards against cancelled work that runs on. */
 TEST(FlowPlacer, CancelledRunsAreStopped)
 {
