Find the run of an answer once

The analyzer took the pointer to a run for one that may be null behind a check; the handle is checked instead.

--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -411,15 +411,15 @@
 	if (call->term != placer->term || handle == FW_NONE)
 		return;
 	link = &placer->tables.links[handle];
-	found = call->kind == FW_ORDER_HOLD
-	    ? FW_NONE
-	    : fw_run_find(&placer->tables, call->flow, call->index, call->run);
-	run = found == FW_NONE ? NULL : &placer->tables.runs[found];
+	found = FW_NONE;
+	if (call->kind != FW_ORDER_HOLD)
+		found = fw_run_find(
+		    &placer->tables, call->flow, call->index, call->run);
 	/* The life that answers a start has the run, whatever the entry said
 	 * when it was placed. */
-	if (run != NULL && call->kind == FW_ORDER_START &&
+	if (found != FW_NONE && call->kind == FW_ORDER_START &&
 	    call->report.answer == FW_ANSWER_DONE && call->report.born_ms != 0)
-		run->born_ms = call->report.born_ms;
+		placer->tables.runs[found].born_ms = call->report.born_ms;
 	take_contact(
 	    placer, link, &call->report, call->kind == FW_ORDER_HOLD, now_ms);
 	if (call->kind == FW_ORDER_HOLD) {
@@ -428,8 +428,9 @@
 	}
 	assert(link->orders_busy > 0);
 	link->orders_busy--;
-	if (run == NULL)
+	if (found == FW_NONE)
 		return;
+	run = &placer->tables.runs[found];
 	run->busy = false;
 	if (run->crossed && run->born_ms != link->born_ms)
 		run->stop = true;
