Let the test of late starts fail without its mend; split the simulation

Change: the worker is leaving, so that the next run goes elsewhere. Orders of the simulation are a header of their own.

--- /dev/null
+++ b/tests/sim/flow_sim_orders.h
@@ -0,0 +1,129 @@
+#ifndef CAMPHOR_TESTS_FLOW_SIM_ORDERS_H
+#define CAMPHOR_TESTS_FLOW_SIM_ORDERS_H
+
+/* Orders to the simulated workers; included by flow_sim.h only. */
+
+inline void
+FlowSim::carry_out(const struct fw_order &call, const std::string &address,
+    struct fw_report *report, std::vector<struct fw_listed_run> *runs,
+    std::vector<struct fw_listed_end> *ends)
+{
+	SimWorker &worker = workers[address];
+	std::string task = std::string(call.task.job) + "." +
+	    std::to_string(call.task.occurrence) + "." +
+	    std::to_string(call.task.step) + "." +
+	    std::to_string(call.task.index);
+	std::string reason;
+	auto ref = [](const std::string &name, struct fw_task_ref *out) {
+		memset(out, 0, sizeof(*out));
+		sscanf(name.c_str(), "%16[^.].%u.%u.%u", out->job,
+		    &out->occurrence, &out->step, &out->index);
+	};
+	static const char *const hows[] = {
+	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+
+	/* A worker that nobody calls lets its runs lapse all the same. */
+	for (auto &entry : workers)
+		entry.second.advance(now_ms);
+	if (call.kind == FW_ORDER_START)
+		reason = worker.start(
+		    task, call.run, call.until_ms, call.token, now_ms);
+	else if (call.kind == FW_ORDER_STOP)
+		reason = worker.stop(task, call.run, call.token, now_ms);
+	else
+		reason = worker.hold(
+		    call.until_ms, call.ended_upto, call.token, now_ms);
+	report->clock_ms = worker.clock(now_ms);
+	report->born_ms = worker.born_ms;
+	report->answer = reason.empty() ? FW_ANSWER_DONE
+	    : reason == "fence"         ? FW_ANSWER_FENCED
+	    : reason == "old"           ? FW_ANSWER_OLD
+					: FW_ANSWER_LATE;
+	if (call.kind != FW_ORDER_HOLD)
+		return;
+	for (const auto &entry : worker.runs) {
+		struct fw_listed_run row = {};
+
+		ref(entry.first, &row.task);
+		row.run = entry.second.run;
+		row.percent = worker.percent(entry.second, now_ms);
+		runs->push_back(row);
+	}
+	for (const SimEnd &end : worker.ends) {
+		struct fw_listed_end row = {};
+
+		ref(end.task, &row.task);
+		row.number = end.number;
+		row.run = end.run;
+		for (int i = 0; i < 6; i++)
+			if (end.how == hows[i])
+				row.end = (enum fw_end)i;
+		ends->push_back(row);
+	}
+}
+
+inline int
+FlowSim::order(void *ctx, const struct fw_order *call)
+{
+	FlowSim *sim = ((SimVm *)ctx)->sim;
+	struct fw_order copy = *call;
+	std::string address = call->address;
+	int64_t sent_ms = sim->now_ms;
+	bool cut = sim->cut_workers.count(address) != 0;
+	bool late = sim->late_orders_ms > 0 && call->kind != FW_ORDER_HOLD;
+	/* A hold is answered after its wait, which stands for a worker that
+	 * has nothing new; sooner answers would only help. */
+	int64_t delay_ms =
+	    2 + (call->kind == FW_ORDER_HOLD ? (int64_t)call->wait_ms / 10 : 0);
+
+	sim->orders[address]++;
+	copy.address = copy.host = copy.text = copy.checkpoint = nullptr;
+	if (sim->gone_workers.count(address) != 0) {
+		sim->at(1, [sim, copy, sent_ms] {
+			struct fw_report report = {};
+
+			report.answer = FW_ANSWER_REFUSED;
+			report.sent_ms = sent_ms;
+			report.now_ms = sim->now_ms;
+			copy.done(copy.ctx, &report);
+		});
+		return CW_OK;
+	}
+	sim->at(late ? sim->late_orders_ms : delay_ms,
+	    [sim, copy, address, sent_ms, cut, late] {
+		    std::vector<struct fw_listed_run> runs;
+		    std::vector<struct fw_listed_end> ends;
+		    struct fw_report report = {};
+
+		    report.sent_ms = sent_ms;
+		    report.now_ms = sim->now_ms;
+		    report.answer = FW_ANSWER_UNKNOWN;
+		    if (!cut)
+			    sim->carry_out(
+				copy, address, &report, &runs, &ends);
+		    if (late)
+			    return;
+		    report.run_count = (uint32_t)runs.size();
+		    report.end_count = (uint32_t)ends.size();
+		    report.runs = runs.data();
+		    report.ends = ends.data();
+		    sim->at(cut ? copy.timeout_ms : 0,
+			[copy, report, runs, ends]() mutable {
+				report.runs = runs.data();
+				report.ends = ends.data();
+				copy.done(copy.ctx, &report);
+			});
+	    });
+	if (late)
+		sim->at(copy.timeout_ms, [sim, copy, sent_ms] {
+			struct fw_report report = {};
+
+			report.answer = FW_ANSWER_UNKNOWN;
+			report.sent_ms = sent_ms;
+			report.now_ms = sim->now_ms;
+			copy.done(copy.ctx, &report);
+		});
+	return CW_OK;
+}
+
+#endif
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -457,6 +457,8 @@
 	sim.workers["w1"].reborn(sim.now_ms);
 	sim.worker("w2");
 	sim.list(vm, sim.workers["w1"]);
+	/* The next run goes to the other worker. */
+	sim.leaving(vm, "w1", 60000);
 	sim.run(8000);
 	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
 	expect_clean(sim);
