--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -62,6 +62,7 @@
 /* 900: links */
 EV(951, EV_PEER_STRANGER, EV_LEVEL_WARN, "peer with an unknown key refused")
 EV(952, EV_LINK_WAKE, EV_LEVEL_WARN, "client thread cannot be woken")
+EV(953, EV_LINK_LATE, EV_LEVEL_WARN, "client thread is late")
 /* 1000: HTTP front end */
 EV(1001, EV_FRONT_REPEATED, EV_LEVEL_WARN, "event repeated, lines left out")
 EV(1002, EV_FRONT_KEY_REFUSED, EV_LEVEL_WARN, "call with a wrong key refused")
@@ -96,3 +97,5 @@
 EV(1124, EV_FLOW_HOST_BAD, EV_LEVEL_WARN, "worker's entry cannot be read")
 EV(1125, EV_FLOW_NO_MEMORY, EV_LEVEL_ERROR, "memory is short")
 EV(1126, EV_FLOW_REFUSED, EV_LEVEL_INFO, "call refused")
+EV(1127, EV_FLOW_READ_LOST, EV_LEVEL_WARN, "read not answered in full")
+EV(1128, EV_FLOW_END_BACK, EV_LEVEL_WARN, "log ends before this VM's position")
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -315,6 +315,11 @@
 		return;
 	}
 	follower->retry_ms = RETRY_FIRST_MS;
+	if (end < atomic_load(&follower->position))
+		ev_emit(EV_FLOW_END_BACK, "topic=%d position=%llu end=%llu",
+		    (int)follower->spec.topic,
+		    (unsigned long long)atomic_load(&follower->position),
+		    (unsigned long long)end);
 	if (atomic_exchange(&follower->read_failed, false)) {
 		ev_emit(
 		    EV_FLOW_STORE_BACK, "topic=%d", (int)follower->spec.topic);
--- a/lib/link/http_async.c
+++ b/lib/link/http_async.c
@@ -28,6 +28,9 @@
 /* A connection that was idle for longer is not reused, because the platform may
  * have closed it. */
 #define IDLE_CONNECTION_MAX_S 20L
+/* A timer that runs later than this is logged: the thread was busy, or did not
+ * get the processor. */
+#define LATE_MS 500
 
 /* One call or one timer, from its submission until its callback returns. */
 struct operation {
@@ -329,6 +332,9 @@
 	while (async->timers != NULL && async->timers->due_ms <= now_ms) {
 		struct operation *operation = async->timers;
 
+		if (now_ms - operation->due_ms > LATE_MS)
+			ev_emit(EV_LINK_LATE, "ms=%lld",
+			    (long long)(now_ms - operation->due_ms));
 		async->timers = operation->next;
 		operation->run(operation->ctx, now_ms);
 		operation_free(operation);
