A VM that is behind reads the newest configuration only

Cause: the follower transferred each version since its position, one after another, though each replaces the one before. A VM that had missed seven versions of 297 KB needed 9 s at 2 Mbit/s, and fell further behind while versions came faster than the link carried them. The record that a follower was about to read told nothing about those after it.

Change: a follower whose records replace each other (newest_suffices) asks for the end of the log after a failure, after a load and after records, an answer of a few bytes; it reads one missing record from the log and the newest record of the key if it is further behind. A load is as recent as the send time of its first page, so that the age stays bounded in a series of versions.

Evidence: FlowFollow.ConfigurationThatIsFarBehindIsReadOnce, .ConfigurationThatIsOneBehindIsReadFromTheLog and .AgeDuringASeriesOfConfigurationsIsThatOfTheLoad fail without the flag and pass.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -160,6 +160,7 @@
 	enum fw_topic topic;
 	bool newest;              /* read a snapshot, page by page */
 	char after[FW_KEY_BYTES]; /* newest: return the keys after this one */
+	bool end_only;            /* return the end of the log and no records */
 	uint64_t from;    /* otherwise: return records from this offset */
 	uint32_t wait_ms; /* long poll: wait for a record */
 	/* record is called for each record, then done once. more: the snapshot
@@ -308,7 +309,11 @@
 
 struct fw_follow_spec {
 	enum fw_topic topic;
-	bool paused;               /* does not read until fw_follower_resume */
+	bool paused; /* does not read until fw_follower_resume */
+	/* The newest record of a key replaces the earlier ones, which may be
+	 * skipped: if the follower is more than one record behind, it reads
+	 * the newest record of each key. */
+	bool newest_suffices;
 	uint32_t read_interval_ms; /* minimum time between two reads */
 	uint32_t wait_ms; /* longest time for which a read waits for a record */
 	/* record applies a record; first is called before the records of a
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -40,6 +40,9 @@
 	uint64_t first_end;          /* end of the log at the first page */
 	bool first_page;
 	bool behind; /* has not reached the end of the log since the load */
+	bool end_unknown;     /* newest_suffices: the next read is end_only */
+	int64_t load_sent_ms; /* send time of the first page's read */
+	uint64_t read_from;   /* position when the pending read was sent */
 	struct buffered_record *buffered;
 	size_t buffered_count;
 	size_t buffered_capacity;
@@ -57,6 +60,11 @@
 static void on_record(void *ctx, const struct fw_record *record);
 static void on_done(void *ctx, enum fw_result result, bool more, uint64_t end,
     int64_t sent_ms, int64_t now_ms);
+static void on_end(void *ctx, enum fw_result result, bool more, uint64_t end,
+    int64_t sent_ms, int64_t now_ms);
+static void note_synced(struct fw_follower *follower, int64_t sent_ms);
+static void note_answer(struct fw_follower *follower, uint64_t end);
+static void ignore_record(void *ctx, const struct fw_record *record);
 static void buffer_record(
     struct fw_follower *follower, const struct fw_record *record);
 static void clear_buffered(struct fw_follower *follower);
@@ -81,8 +89,14 @@
 		return;
 	follower->read_pending = true;
 	follower->now_ms = now_ms;
+	follower->read_from = read.from;
 	atomic_store(&follower->read_sent_ms, now_ms);
 	memcpy(read.after, follower->last_key, sizeof(read.after));
+	if (follower->end_unknown && !follower->loading) {
+		read.end_only = true;
+		read.record = ignore_record;
+		read.done = on_end;
+	}
 	if (follower->store.read(follower->store.ctx, &read) != CW_OK)
 		schedule(follower, RETRY_MAX_MS);
 }
@@ -143,12 +157,26 @@
 	(void)now_ms;
 	if (result != FW_RESULT_DONE)
 		return;
-	if (atomic_load(&follower->position) >= end &&
-	    sent_ms > atomic_load(&follower->synced_ms))
-		atomic_store(&follower->synced_ms, sent_ms);
+	if (atomic_load(&follower->position) >= end)
+		note_synced(follower, sent_ms);
 	bd_notify(follower->board);
 }
 
+static void
+ignore_record(void *ctx, const struct fw_record *record)
+{
+	(void)ctx;
+	(void)record;
+}
+
+/* Notes that the board reflects all records that were stored before sent_ms. */
+static void
+note_synced(struct fw_follower *follower, int64_t sent_ms)
+{
+	if (sent_ms > atomic_load(&follower->synced_ms))
+		atomic_store(&follower->synced_ms, sent_ms);
+}
+
 /* Sends the next read after a delay. */
 static void
 schedule(struct fw_follower *follower, uint32_t delay_ms)
@@ -267,12 +295,16 @@
 	follower->loading = false;
 	follower->behind = true;
 	atomic_store(&follower->position, follower->first_end);
+	/* Each record is at least as new as at the time of the first page. */
+	if (spec->newest_suffices)
+		note_synced(follower, follower->load_sent_ms);
 	atomic_store(&follower->loaded, true);
 }
 
 static void
 handle_failure(struct fw_follower *follower, enum fw_result result)
 {
+	follower->end_unknown = follower->spec.newest_suffices;
 	if (follower->loading) {
 		clear_buffered(follower);
 		follower->first_page = true;
@@ -296,6 +328,55 @@
 		follower->retry_ms = RETRY_MAX_MS;
 }
 
+/* Notes that a read was answered, and the end of the log that it returned. */
+static void
+note_answer(struct fw_follower *follower, uint64_t end)
+{
+	follower->retry_ms = RETRY_FIRST_MS;
+	if (end < atomic_load(&follower->position))
+		ev_emit(EV_FLOW_END_BACK, "topic=%d position=%llu end=%llu",
+		    (int)follower->spec.topic,
+		    (unsigned long long)atomic_load(&follower->position),
+		    (unsigned long long)end);
+	if (atomic_exchange(&follower->read_failed, false)) {
+		ev_emit(
+		    EV_FLOW_STORE_BACK, "topic=%d", (int)follower->spec.topic);
+	}
+}
+
+/* Decides how to read on from the end of the log: wait for a record, read the
+ * one that is missing, or skip to the newest records. */
+static void
+on_end(void *ctx, enum fw_result result, bool more, uint64_t end,
+    int64_t sent_ms, int64_t now_ms)
+{
+	struct fw_follower *follower = ctx;
+	uint64_t position = atomic_load(&follower->position);
+
+	(void)more;
+	(void)now_ms;
+	if (follower->reload_pending)
+		reset_load(follower);
+	else if (result != FW_RESULT_DONE) {
+		handle_failure(follower, result);
+		return;
+	} else {
+		note_answer(follower, end);
+		if (end < position) {
+			schedule(follower, RETRY_MAX_MS);
+			return;
+		}
+		follower->end_unknown = false;
+		follower->behind = end > position;
+		if (end == position)
+			note_synced(follower, sent_ms);
+		else if (end > position + 1)
+			reset_load(follower);
+		bd_notify(follower->board);
+	}
+	schedule(follower, 0);
+}
+
 static void
 on_done(void *ctx, enum fw_result result, bool more, uint64_t end,
     int64_t sent_ms, int64_t now_ms)
@@ -304,6 +385,7 @@
 	uint32_t read_interval_ms = atomic_load(&follower->read_interval_ms);
 	int64_t elapsed_ms = now_ms - sent_ms;
 	bool was_loading = follower->loading;
+	uint64_t before = follower->read_from;
 
 	if (follower->reload_pending) {
 		reset_load(follower);
@@ -314,19 +396,12 @@
 		handle_failure(follower, result);
 		return;
 	}
-	follower->retry_ms = RETRY_FIRST_MS;
-	if (end < atomic_load(&follower->position))
-		ev_emit(EV_FLOW_END_BACK, "topic=%d position=%llu end=%llu",
-		    (int)follower->spec.topic,
-		    (unsigned long long)atomic_load(&follower->position),
-		    (unsigned long long)end);
-	if (atomic_exchange(&follower->read_failed, false)) {
-		ev_emit(
-		    EV_FLOW_STORE_BACK, "topic=%d", (int)follower->spec.topic);
-	}
+	note_answer(follower, end);
 	if (follower->loading) {
-		if (follower->first_page)
+		if (follower->first_page) {
 			follower->first_end = end;
+			follower->load_sent_ms = sent_ms;
+		}
 		follower->first_page = false;
 		if (more) {
 			schedule(follower, 0);
@@ -338,9 +413,16 @@
 	 * end of the log. */
 	if (!was_loading && atomic_load(&follower->position) >= end) {
 		follower->behind = false;
-		atomic_store(&follower->synced_ms, sent_ms);
+		note_synced(follower, sent_ms);
 	}
 	bd_notify(follower->board);
+	/* While the records were transferred, others may have been stored. */
+	if (follower->spec.newest_suffices &&
+	    (was_loading || atomic_load(&follower->position) != before)) {
+		follower->end_unknown = true;
+		schedule(follower, 0);
+		return;
+	}
 	if (atomic_load(&follower->position) < end ||
 	    elapsed_ms >= read_interval_ms)
 		schedule(follower, 0);
--- a/tests/sim/emulator.h
+++ b/tests/sim/emulator.h
@@ -403,8 +403,11 @@
 		std::unique_lock<std::mutex> guard(lock);
 		SimLog &log = topics[query(info, "Topic")];
 		json_t *items = json_array();
+		std::string after = query(info, "After");
 
 		for (const auto &entry : log.newest()) {
+			if (entry.first <= after)
+				continue;
 			const std::string &value = entry.second.second;
 			std::string text(value.size() * 2 + 8, '\0');
 			int n = EVP_EncodeBlock((unsigned char *)&text[0],
--- a/tests/test_flow_follow.cc
+++ b/tests/test_flow_follow.cc
@@ -33,12 +33,13 @@
 		((ManualStore *)ctx)->applied.push_back(row->key);
 	}
 
-	explicit ManualStore(bool paused = false)
+	explicit ManualStore(bool paused = false, bool newest_suffices = false)
 	{
 		struct fw_store store = {nullptr, read, nullptr, after, this};
 		struct fw_follow_spec spec = {};
 
 		spec.paused = paused;
+		spec.newest_suffices = newest_suffices;
 		spec.wait_ms = 500;
 		spec.record = on_record;
 		spec.ctx = this;
@@ -188,3 +189,55 @@
 	store.reply(FW_RESULT_DONE, 0, {"j/1", "j/2"}, 2);
 	EXPECT_TRUE(fw_follower_loaded(store.follower));
 }
+
+/* A VM that missed 7 versions of 300 KB on a link of 2 Mbit/s reads for 9 s if
+ * it reads each of them. */
+TEST(FlowFollow, ConfigurationThatIsFarBehindIsReadOnce)
+{
+	ManualStore store(false, true);
+
+	store.reply(FW_RESULT_DONE, 3, {"config"}, 4);
+	store.reply(FW_RESULT_DONE, 0, {}, 4);
+	EXPECT_EQ(500U, store.reads.back().wait_ms);
+	store.reply(FW_RESULT_UNKNOWN, 0, {}, 0);
+	EXPECT_TRUE(store.reads.back().end_only);
+	store.reply(FW_RESULT_DONE, 0, {}, 11);
+	EXPECT_TRUE(store.reads.back().newest);
+	store.reply(FW_RESULT_DONE, 10, {"config"}, 11);
+	EXPECT_EQ(2U, store.applied.size());
+	EXPECT_EQ(11U, fw_follower_position(store.follower));
+	EXPECT_EQ(0, fw_follower_age_ms(store.follower, store.now_ms));
+}
+
+/* The newest records of a topic are longer in a snapshot than in the log. */
+TEST(FlowFollow, ConfigurationThatIsOneBehindIsReadFromTheLog)
+{
+	ManualStore store(false, true);
+
+	store.reply(FW_RESULT_DONE, 3, {"config"}, 4);
+	store.reply(FW_RESULT_DONE, 0, {}, 5);
+	EXPECT_FALSE(store.reads.back().newest);
+	EXPECT_FALSE(store.reads.back().end_only);
+	EXPECT_EQ(4U, store.reads.back().from);
+	EXPECT_EQ(0U, store.reads.back().wait_ms);
+	store.reply(FW_RESULT_DONE, 4, {"config"}, 5);
+	EXPECT_TRUE(store.reads.back().end_only);
+	store.reply(FW_RESULT_DONE, 0, {}, 5);
+	EXPECT_EQ(500U, store.reads.back().wait_ms);
+	EXPECT_EQ(2U, store.applied.size());
+}
+
+/* While versions arrive faster than the link transfers them, the copy is as old
+ * as its transfer took, not as the time since the first version. */
+TEST(FlowFollow, AgeDuringASeriesOfConfigurationsIsThatOfTheLoad)
+{
+	ManualStore store(false, true);
+
+	for (uint64_t end = 4; end < 40; end += 4) {
+		store.now_ms += 1500;
+		store.reply(FW_RESULT_DONE, end - 1, {"config"}, end);
+		EXPECT_EQ(0, fw_follower_age_ms(store.follower, store.now_ms));
+		store.reply(FW_RESULT_DONE, 0, {}, end + 3);
+		EXPECT_TRUE(store.reads.back().newest);
+	}
+}
