A read after one without an answer uses a new connection

Change: fw_read tells that the read before it got no answer; the call is then made on a new connection.

Evidence: LinkAsync.NewConnectionIsNotAnIdleOne fails without the option (1 connection, 2 expected) and passes; FlowFollow.ReadAfterOneWithoutAnswerSaysSo.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -163,6 +163,7 @@
 	bool end_only;            /* return the end of the log and no records */
 	uint64_t from;    /* otherwise: return records from this offset */
 	uint32_t wait_ms; /* long poll: wait for a record */
+	bool unanswered;  /* the read before this one got no answer */
 	/* record is called for each record, then done once. more: the snapshot
 	 * has further pages; end: offset after the last record of the log. */
 	void (*record)(void *ctx, const struct fw_record *record);
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -43,6 +43,7 @@
 	bool end_unknown;     /* newest_suffices: the next read is end_only */
 	int64_t load_sent_ms; /* send time of the first page's read */
 	uint64_t read_from;   /* position when the pending read was sent */
+	bool unanswered;      /* the read before the pending one */
 	struct buffered_record *buffered;
 	size_t buffered_count;
 	size_t buffered_capacity;
@@ -80,6 +81,7 @@
 	    .newest = follower->loading,
 	    .from = atomic_load(&follower->position),
 	    .wait_ms = follower->behind ? 0 : follower->spec.wait_ms,
+	    .unanswered = follower->unanswered,
 	    .record = on_record,
 	    .done = on_done,
 	    .ctx = follower};
@@ -305,6 +307,7 @@
 handle_failure(struct fw_follower *follower, enum fw_result result)
 {
 	follower->end_unknown = follower->spec.newest_suffices;
+	follower->unanswered = result == FW_RESULT_UNKNOWN;
 	if (follower->loading) {
 		clear_buffered(follower);
 		follower->first_page = true;
@@ -333,6 +336,7 @@
 note_answer(struct fw_follower *follower, uint64_t end)
 {
 	follower->retry_ms = RETRY_FIRST_MS;
+	follower->unanswered = false;
 	if (end < atomic_load(&follower->position))
 		ev_emit(EV_FLOW_END_BACK, "topic=%d position=%llu end=%llu",
 		    (int)follower->spec.topic,
--- a/lib/link/http_async.c
+++ b/lib/link/http_async.c
@@ -50,6 +50,7 @@
 	int64_t stall_due_ms; /* fails at this time unless data arrives */
 	struct operation *watched_next;
 	bool post;
+	bool new_connection;
 	void (*done)(void *ctx, const struct lk_async_answer *answer);
 	void (*run)(void *ctx, int64_t now_ms); /* of a timer, NULL: a call */
 	void *ctx;
@@ -244,6 +245,8 @@
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
 	    operation->stall_ms > 0 ? (long)LK_ASYNC_CALL_MAX_MS
 				    : (long)operation->timeout_ms);
+	curl_easy_setopt(
+	    curl, CURLOPT_FRESH_CONNECT, operation->new_connection ? 1L : 0L);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
 	    operation->timeout_ms < CONNECT_TIMEOUT_MS
 		? (long)operation->timeout_ms
@@ -508,6 +511,7 @@
 	operation->post = call->post;
 	operation->timeout_ms = call->timeout_ms;
 	operation->stall_ms = call->stall_ms;
+	operation->new_connection = call->new_connection;
 	operation->done = call->done;
 	operation->ctx = call->ctx;
 	operation->sent_ms = cw_clock_mono_ms();
--- a/tests/test_flow_follow.cc
+++ b/tests/test_flow_follow.cc
@@ -241,3 +241,16 @@
 		EXPECT_TRUE(store.reads.back().newest);
 	}
 }
+
+/* All idle connections to the store may be dead after one has been. */
+TEST(FlowFollow, ReadAfterOneWithoutAnswerSaysSo)
+{
+	ManualStore store;
+
+	store.reply(FW_RESULT_DONE, 0, {}, 0);
+	EXPECT_FALSE(store.reads.back().unanswered);
+	store.reply(FW_RESULT_UNKNOWN, 0, {}, 0);
+	EXPECT_TRUE(store.reads.back().unanswered);
+	store.reply(FW_RESULT_NOT_DONE, 0, {}, 0);
+	EXPECT_FALSE(store.reads.back().unanswered);
+}
--- a/tests/test_link_async.cc
+++ b/tests/test_link_async.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -15,8 +16,8 @@
 
 namespace {
 
-/* Accepts one connection, reads its request and sends the parts of an answer
- * with a pause after each. Then waits for the client to close. */
+/* Accepts one connection, reads a request and sends the parts of an answer with
+ * a pause after each. Reads on, without an answer, until the client closes. */
 struct SlowServer {
 	int listener = -1;
 	std::string address;
@@ -136,3 +137,27 @@
 	EXPECT_EQ(LK_HTTP_TIMEOUT, outcome.outcome);
 	EXPECT_EQ(0U, outcome.bytes);
 }
+
+/* Guards against a repeated call on an idle connection that is dead as well. */
+TEST(LinkAsync, NewConnectionIsNotAnIdleOne)
+{
+	auto server = std::make_unique<SlowServer>(1, 1, 0);
+	struct lk_async *async = nullptr;
+	struct lk_async_call call = {};
+
+	ASSERT_EQ(CW_OK, lk_async_start(&async));
+	call.address = server->address.c_str();
+	call.path = "/";
+	call.timeout_ms = 500;
+	call.done = Outcome::on_done;
+	for (bool new_connection : {false, true}) {
+		Outcome outcome;
+
+		call.new_connection = new_connection;
+		call.ctx = &outcome;
+		ASSERT_EQ(CW_OK, lk_async_submit(async, &call));
+		outcome.done.get_future().wait();
+	}
+	EXPECT_EQ(2U, lk_async_connections(async));
+	lk_async_stop(async);
+}
