No call is answered from a configuration that may be out of date

Callers saw: a VM that could not read the configuration went on to serve keys and queues that had been taken away, and rejected (401, 404) those that had been added, for as long as it could not read.

Cause: each VM knew the age of its copy and logged it, but did not act on it. Whatever delays a version (a full link, a silent store, a processor that is short) thus became a wrong answer.

Change: a VM acts on its configuration while the copy is known to reflect all changes acknowledged longer ago than Bounds.ConfigApplyMs; otherwise it rejects the call with 503 and Retry-After, and is not ready.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -380,8 +380,10 @@
 	struct fw_store store;
 	struct fw_follower *jobs;
 	struct fw_follower *config;
+	uint32_t config_age_max_ms; /* a change is in force within this time */
 };
 
+bool fw_config_in_force(const struct fw_front *front, int64_t now_ms);
 int fw_submit(const struct fw_front *front, const struct fw_job_spec *spec,
     int64_t deadline_ms);
 int fw_cancel(const struct fw_front *front, uint64_t queue, const char *name,
--- a/tests/sim/emulator.h
+++ b/tests/sim/emulator.h
@@ -37,6 +37,7 @@
 	std::atomic<bool> store_down{false}; /* answers all calls with 503 */
 	std::atomic<int> drop_append_answers{0}; /* count */
 	std::atomic<int> slow_ms{0};             /* delay of each answer */
+	std::atomic<bool> config_silent{false};  /* no answer about keyed.op */
 	std::atomic<int> drop_worker_answers{0};
 	/* by worker: time until which it does not answer calls */
 	std::map<int, int64_t> unresponsive_until;
@@ -307,6 +308,9 @@
 			answer(connection, 503, "{}");
 			return;
 		}
+		while (config_silent && query(info, "Topic") == "keyed.op")
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(20));
 		if (path == "/camphorworks/log-append")
 			serve_append(connection, info, body);
 		else if (path == "/camphorworks/log-read")
--- a/tests/test_platform_system.cc
+++ b/tests/test_platform_system.cc
@@ -117,3 +117,33 @@
 	EXPECT_EQ(0, status);
 	EXPECT_LT(Emulator::now_ms() - start_ms, 5500);
 }
+
+/* A VM that cannot read the configuration must not serve a key that was taken
+ * away, nor reject a key that was added, once a change has to be in force. It
+ * rejects both at once, so that callers can try another VM. */
+TEST(PlatformSystem, OldConfigurationIsNotActedOn)
+{
+	Deployment deployment;
+	const char *other = "Authorization: Bearer other";
+	auto status = [&](const char *key) {
+		return deployment.call(deployment.front_addresses[0],
+		    "/jobs/" + job(1), "{}", nullptr, key);
+	};
+
+	ASSERT_TRUE(deployment.platform.start(1, 200));
+	deployment.configure();
+	deployment.spawn();
+	ASSERT_TRUE(deployment.ready(0));
+	EXPECT_EQ(401, status(other));
+	deployment.platform.config_silent = true;
+	deployment.configure(",\"other\"");
+	EXPECT_TRUE(deployment.wait([&] {
+		return status(other) == 503;
+	}));
+	EXPECT_EQ(503, status("Authorization: Bearer key"));
+	deployment.platform.config_silent = false;
+	EXPECT_TRUE(deployment.wait([&] {
+		return status(other) == 400;
+	}));
+	EXPECT_EQ(400, status("Authorization: Bearer key"));
+}
--- a/tests/test_platform_wire.cc
+++ b/tests/test_platform_wire.cc
@@ -27,6 +27,7 @@
 	EXPECT_STREQ("10.0.0.1:7000", settings.metrics_address);
 	EXPECT_EQ(6000U, settings.flow.lease_ms);
 	EXPECT_EQ(6000U, settings.grace_ms);
+	EXPECT_EQ(4000U, settings.config_age_max_ms);
 	EXPECT_EQ(120000U, settings.flow.retention_ms);
 }
 
@@ -39,6 +40,11 @@
 	EXPECT_EQ(CW_EINVAL, pl_settings_parse("{}", 2, &settings));
 	EXPECT_NE(nullptr, strstr(cw_error_last(), "NodeName"));
 	EXPECT_EQ(CW_EINVAL, pl_settings_parse("{", 1, &settings));
+	std::string bad(settings_text);
+	bad.replace(bad.find("\"MaxHoldMs\""), 0, "\"ConfigApplyMs\":9,");
+	EXPECT_EQ(
+	    CW_EINVAL, pl_settings_parse(bad.data(), bad.size(), &settings));
+	EXPECT_NE(nullptr, strstr(cw_error_last(), "ConfigApplyMs"));
 }
 
 /* Guards against losing flags or limits of steps while parsing. */
