A configuration comes into force as a whole, or not at all

If an entry was invalid, the rows before it had been stored and stayed, and no row was removed. A call looked up its queue and its key in two read sections.

Change: the configuration is one row of table setup, built aside and put in place of the former one with one pointer (read-copy-update). A call looks up its queue and key in one read section of that row. The tables queue, pool, client and access_key are gone; nothing read pool.

--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -453,10 +453,6 @@
 	BD_TABLE(usage, struct bd_usage, BD_WRITER_USAGE, 32768)          \
 	BD_TABLE(lease, struct bd_lease, BD_WRITER_GANG, 32768)           \
 	BD_TABLE(setup, struct bd_setup, BD_WRITER_FLOW, 1)               \
-	BD_TABLE(queue, struct bd_queue, BD_WRITER_FLOW, 8192)            \
-	BD_TABLE(pool, struct bd_pool, BD_WRITER_FLOW, 256)               \
-	BD_TABLE(client, struct bd_client, BD_WRITER_FLOW, 1024)          \
-	BD_TABLE(access_key, struct bd_access_key, BD_WRITER_FLOW, 16384) \
 	BD_TABLE(host, struct bd_host, BD_WRITER_FLOW, 4096)              \
 	BD_TABLE(flow, struct bd_flow, BD_WRITER_FLOW, 16384)
 
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -2,6 +2,7 @@
 #define CAMPHOR_FLOW_ROWS_H
 
 /* Included by board.h only. */
+#include <assert.h>
 #include <stdint.h>
 
 #include "base.h"
@@ -15,13 +16,6 @@
 #define BD_PREFIX_BYTES 64
 #define BD_FLOW_NAME_BYTES 24
 
-/* Table "setup", one row with id BD_CONFIG_ID: the active configuration. */
-struct bd_setup {
-	uint64_t version;
-	uint32_t body_bytes_max;
-	uint32_t reserved;
-};
-
 /* A queue of jobs, selected by the host name and path prefix of a request. The
  * completion target of its jobs, from acceptance to completion, is
  * stretch_milli / 1000 times the estimated run time plus target_ms. */
@@ -40,14 +34,6 @@
 	uint32_t auth_exempt; /* 1: requests need no access key */
 };
 
-/* A service: the pool of workers that run the jobs of its queues. */
-struct bd_pool {
-	uint64_t id; /* cw_id_from_name(name) */
-	char name[CW_NAME_BYTES];
-	uint32_t enforces_capacity; /* 1: workers reject excess tasks */
-	uint32_t standby;
-};
-
 /* A client account with its guarantee. */
 struct bd_client {
 	uint64_t id; /* cw_id_from_name(name) */
@@ -61,6 +47,22 @@
 	uint64_t client;
 };
 
+/* Table "setup", one row with id BD_CONFIG_ID: the whole active configuration,
+ * so that readers see one version of it. data[] holds its queues, its clients
+ * and its access keys, the latter two sorted by id. */
+struct bd_setup {
+	uint64_t version;
+	uint32_t body_bytes_max;
+	uint32_t queue_count;
+	uint32_t client_count;
+	uint32_t key_count;
+	unsigned char data[];
+};
+
+static_assert(sizeof(struct bd_setup) % 8 == 0 &&
+	sizeof(struct bd_queue) % 8 == 0 && sizeof(struct bd_client) % 8 == 0,
+    "rows within bd_setup are aligned");
+
 /* A worker, as registered by itself in the store. */
 struct bd_host {
 	uint64_t id; /* cw_id_from_name(name) */
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -105,6 +105,19 @@
 int fw_state_decode(const void *data, size_t bytes, struct bd_flow *flow);
 int fw_record_apply(struct bd_board *board, const struct fw_record *record);
 
+size_t fw_setup_bytes(const struct bd_setup *setup);
+struct bd_queue *fw_setup_queues(const struct bd_setup *setup);
+struct bd_client *fw_setup_clients(const struct bd_setup *setup);
+struct bd_access_key *fw_setup_keys(const struct bd_setup *setup);
+void fw_setup_sort(struct bd_setup *setup);
+const struct bd_setup *fw_setup(const struct bd_board *board);
+const struct bd_queue *fw_queue_find(
+    const struct bd_setup *setup, const char *host, const char *path);
+const struct bd_client *fw_client_find(
+    const struct bd_setup *setup, uint64_t id);
+const struct bd_access_key *fw_access_key_find(
+    const struct bd_setup *setup, uint64_t id);
+
 /* Ids of the rows that a snapshot of a topic contains. A snapshot consists of
  * the latest record of each key; rows that it lacks have been deleted. */
 struct fw_snapshot_ids {
@@ -391,8 +404,6 @@
 int fw_job_state(const struct fw_front *front, uint64_t queue, const char *name,
     int64_t deadline_ms, uint32_t *state);
 uint32_t fw_pending_jobs(const struct bd_board *board, uint64_t queue);
-const struct bd_queue *fw_queue_find(
-    const struct bd_board *board, const char *host, const char *path);
 
 #ifdef __cplusplus
 }
--- a/lib/flow/reclaim.c
+++ b/lib/flow/reclaim.c
@@ -284,7 +284,9 @@
 fw_within_guarantee(const struct fw_view *view, const struct bd_board *board,
     const struct bd_flow *flow)
 {
-	const struct bd_client *client = bd_client_lookup(board, flow->client);
+	const struct bd_setup *setup = fw_setup(board);
+	const struct bd_client *client =
+	    setup != NULL ? fw_client_find(setup, flow->client) : NULL;
 	uint64_t need = 0;
 	uint32_t i;
 	uint32_t s;
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -298,27 +298,3 @@
 	bd_read_end();
 	return count;
 }
-
-/* Returns the queue for a request: among the queues of the host name, the one
- * with the longest prefix of the path, or NULL if none matches. Call within a
- * read section. */
-const struct bd_queue *
-fw_queue_find(const struct bd_board *board, const char *host, const char *path)
-{
-	const struct bd_queue *best = NULL;
-	const struct bd_queue *queue;
-	size_t best_length = 0;
-	uint32_t cursor = 0;
-
-	while ((queue = bd_queue_next(board, &cursor)) != NULL) {
-		size_t length = strlen(queue->prefix);
-
-		if (strcmp(queue->host, host) != 0 ||
-		    strncmp(queue->prefix, path, length) != 0 ||
-		    (best != NULL && length <= best_length))
-			continue;
-		best = queue;
-		best_length = length;
-	}
-	return best;
-}
--- a/tests/test_platform_wire.cc
+++ b/tests/test_platform_wire.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <cstring>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "adapter.h"
@@ -104,20 +106,109 @@
 	ASSERT_EQ(CW_OK, bd_board_create(&board));
 	ASSERT_EQ(CW_OK, pl_config_apply(board, first.data(), first.size()));
 	bd_read_begin();
-	const struct bd_queue *queue = fw_queue_find(board, "h", "/a/x");
+	const struct bd_queue *queue =
+	    fw_queue_find(fw_setup(board), "h", "/a/x");
 	ASSERT_NE(nullptr, queue);
 	EXPECT_EQ(1500U, queue->stretch_milli);
-	EXPECT_EQ(nullptr, fw_queue_find(board, "other", "/a/x"));
+	EXPECT_EQ(nullptr, fw_queue_find(fw_setup(board), "other", "/a/x"));
+	EXPECT_EQ(2U, fw_setup(board)->key_count);
 	bd_read_end();
 	ASSERT_EQ(CW_OK, pl_config_apply(board, second.data(), second.size()));
-	EXPECT_EQ(0U, bd_row_count(board, BD_TABLE_queue));
-	EXPECT_EQ(1U, bd_row_count(board, BD_TABLE_access_key));
+	bd_read_begin();
+	EXPECT_EQ(0U, fw_setup(board)->queue_count);
+	EXPECT_EQ(1U, fw_setup(board)->key_count);
+	bd_read_end();
 	EXPECT_EQ(CW_OK, pl_config_apply(board, first.data(), first.size()));
-	EXPECT_EQ(0U, bd_row_count(board, BD_TABLE_queue));
+	bd_read_begin();
+	EXPECT_EQ(0U, fw_setup(board)->queue_count);
+	bd_read_end();
 	EXPECT_EQ(CW_EINVAL, pl_config_apply(board, "{", 1));
 	bd_board_destroy(board);
 }
 
+/* Guards against queues and keys of a version that as a whole is invalid. */
+TEST(PlatformWire, InvalidConfigurationChangesNothing)
+{
+	const std::string good =
+	    "{\"Version\":2,\"Routes\":[{\"Name\":\"r1\",\"Host\":\"h\","
+	    "\"PathPrefix\":\"/a/\",\"Service\":\"s\"}],\"Tenants\":[{"
+	    "\"Name\":\"t\",\"ApiKeys\":[\"k1\"]}]}";
+	const std::string route =
+	    "{\"Name\":\"r2\",\"Host\":\"h\",\"PathPrefix\":\"/b/\","
+	    "\"Service\":\"s\"}";
+	struct bd_board *board;
+
+	ASSERT_EQ(CW_OK, bd_board_create(&board));
+	ASSERT_EQ(CW_OK, pl_config_apply(board, good.data(), good.size()));
+	for (const std::string &rest :
+	    {"[" + route + ",{\"Name\":\"r3\"}]", std::string("{}"),
+		"[" + route + "],\"Tenants\":[{\"ApiKeys\":[\"k2\"]}]",
+		"[" + route +
+		    "],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k2\",5]"
+		    "}]"}) {
+		std::string bad = "{\"Version\":3,\"Routes\":" + rest + "}";
+
+		EXPECT_EQ(
+		    CW_EINVAL, pl_config_apply(board, bad.data(), bad.size()))
+		    << bad;
+		bd_read_begin();
+		const struct bd_setup *setup = fw_setup(board);
+		EXPECT_EQ(2U, setup->version);
+		EXPECT_NE(nullptr, fw_queue_find(setup, "h", "/a/x"));
+		EXPECT_EQ(nullptr, fw_queue_find(setup, "h", "/b/x"));
+		EXPECT_NE(
+		    nullptr, fw_access_key_find(setup, cw_id_from_name("k1")));
+		EXPECT_EQ(
+		    nullptr, fw_access_key_find(setup, cw_id_from_name("k2")));
+		bd_read_end();
+	}
+	bd_board_destroy(board);
+}
+
+/* A thread that serves a queue of the new version must not find the keys of the
+ * former one: it would show that a version came into force and went back. */
+TEST(PlatformWire, ReadersSeeOneVersionOfTheConfiguration)
+{
+	auto version = [](int number) {
+		std::string name = number % 2 == 0 ? "even" : "odd";
+
+		return "{\"Version\":" + std::to_string(number) +
+		    ",\"Routes\":[{\"Name\":\"" + name +
+		    "\",\"Host\":\"h\",\"PathPrefix\":\"/" + name +
+		    "/\",\"Service\":\"s\"}],\"Tenants\":[{\"Name\":\"t\","
+		    "\"ApiKeys\":[\"" +
+		    name + "\"]}]}";
+	};
+	struct bd_board *board;
+	std::atomic<bool> stop{false};
+	int mixed = 0;
+
+	ASSERT_EQ(CW_OK, bd_board_create(&board));
+	ASSERT_EQ(CW_OK,
+	    pl_config_apply(board, version(1).data(), version(1).size()));
+	std::thread reader([&] {
+		while (!stop) {
+			bd_read_begin();
+			const struct bd_setup *setup = fw_setup(board);
+			for (const char *name : {"even", "odd"})
+				mixed += (fw_queue_find(setup, "h",
+					      ("/" + std::string(name) + "/")
+						  .c_str()) != nullptr) !=
+				    (fw_access_key_find(setup,
+					 cw_id_from_name(name)) != nullptr);
+			bd_read_end();
+		}
+	});
+	for (int i = 2; i < 3000; i++)
+		EXPECT_EQ(CW_OK,
+		    pl_config_apply(
+			board, version(i).data(), version(i).size()));
+	stop = true;
+	reader.join();
+	EXPECT_EQ(0, mixed);
+	bd_board_destroy(board);
+}
+
 /* Guards against taking incomplete entries, such as those of other writers, for
  * workers. */
 TEST(PlatformWire, IncompleteWorkerEntriesAreRejected)
