A catch-up read does not disturb a load of the same topic

Cause: while a follower loads a topic page by page, a catch-up read that was sent before may be answered. Its records went into the load's buffer, and the last of them replaced the key after which the next page starts; the keys in between were skipped.

Change: the catch-up read has a record callback of its own, which ignores records while a load is in progress.

Evidence: FlowFollow.CatchUpReadDoesNotDisturbALoad asked for the page after s/9 in place of j/2 before, and passes.

--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -58,7 +58,10 @@
 static void on_caught_up(void *ctx, enum fw_result result, bool more,
     uint64_t end, int64_t sent_ms, int64_t now_ms);
 static void schedule(struct fw_follower *follower, uint32_t delay_ms);
+static void apply_next(
+    struct fw_follower *follower, const struct fw_record *record);
 static void on_record(void *ctx, const struct fw_record *record);
+static void on_catch_up_record(void *ctx, const struct fw_record *record);
 static void on_done(void *ctx, enum fw_result result, bool more, uint64_t end,
     int64_t sent_ms, int64_t now_ms);
 static void on_end(void *ctx, enum fw_result result, bool more, uint64_t end,
@@ -134,7 +137,7 @@
 	struct fw_follower *follower = ctx;
 	struct fw_read read = {.topic = follower->spec.topic,
 	    .from = atomic_load(&follower->position),
-	    .record = on_record,
+	    .record = on_catch_up_record,
 	    .done = on_caught_up,
 	    .ctx = follower};
 
@@ -226,18 +229,10 @@
 	follower->buffered_count++;
 }
 
+/* Applies a record of the log unless it was applied before. */
 static void
-on_record(void *ctx, const struct fw_record *record)
+apply_next(struct fw_follower *follower, const struct fw_record *record)
 {
-	struct fw_follower *follower = ctx;
-
-	if (follower->loading) {
-		memcpy(follower->last_key, record->key,
-		    sizeof(follower->last_key));
-		if (record->value != NULL)
-			buffer_record(follower, record);
-		return;
-	}
 	/* The waiting read and a catch-up read may return the same records. */
 	if (record->offset < atomic_load(&follower->position))
 		return;
@@ -245,6 +240,31 @@
 	atomic_store(&follower->position, record->offset + 1);
 }
 
+static void
+on_record(void *ctx, const struct fw_record *record)
+{
+	struct fw_follower *follower = ctx;
+
+	if (!follower->loading) {
+		apply_next(follower, record);
+		return;
+	}
+	memcpy(follower->last_key, record->key, sizeof(follower->last_key));
+	if (record->value != NULL)
+		buffer_record(follower, record);
+}
+
+/* Ignores the records if a load has begun since the read was sent: the load
+ * returns them as well, or reading continues before them. */
+static void
+on_catch_up_record(void *ctx, const struct fw_record *record)
+{
+	struct fw_follower *follower = ctx;
+
+	if (!follower->loading)
+		apply_next(follower, record);
+}
+
 static void
 clear_buffered(struct fw_follower *follower)
 {
--- a/tests/test_flow_follow.cc
+++ b/tests/test_flow_follow.cc
@@ -254,3 +254,40 @@
 	store.reply(FW_RESULT_NOT_DONE, 0, {}, 0);
 	EXPECT_FALSE(store.reads.back().unanswered);
 }
+
+/* If the records between two pages of a snapshot come from another read, the
+ * next page must still follow the last key of the page before: the keys that
+ * it skips are missing on this VM for good. */
+TEST(FlowFollow, CatchUpReadDoesNotDisturbALoad)
+{
+	ManualStore store;
+	struct fw_record late = {};
+
+	store.reply(FW_RESULT_DONE, 0, {"j/1"}, 1);
+	fw_follower_catch_up(store.follower, 5);
+	store.run_timers();
+	struct fw_read catch_up = store.reads.back();
+	struct fw_read waiting = store.reads[store.reads.size() - 2];
+	waiting.done(waiting.ctx, FW_RESULT_EXPIRED, false, 0, store.now_ms,
+	    store.now_ms);
+	store.run_timers();
+	struct fw_read page = store.reads.back();
+	ASSERT_TRUE(page.newest);
+	strcpy(late.key, "j/2");
+	late.value = "v";
+	late.value_bytes = 1;
+	late.offset = 3;
+	page.record(page.ctx, &late);
+	page.done(
+	    page.ctx, FW_RESULT_DONE, true, 9, store.now_ms, store.now_ms);
+	strcpy(late.key, "s/9");
+	late.offset = 4;
+	catch_up.record(catch_up.ctx, &late);
+	catch_up.done(
+	    catch_up.ctx, FW_RESULT_DONE, false, 5, store.now_ms, store.now_ms);
+	store.run_timers();
+	EXPECT_STREQ("j/2", store.reads.back().after);
+	store.reply(FW_RESULT_DONE, 5, {"j/3"}, 9);
+	EXPECT_EQ(
+	    (std::vector<std::string>{"j/1", "j/2", "j/3"}), store.applied);
+}
