The placer places nothing on an old copy of the jobs

Cause: as with the configuration, the age of the copy was known and not acted on; for the workers' entries it was.

Change: a decision needs a copy of the jobs that is younger than 1.5 s. A start follows its placement within a second, and 3 s are allowed.

--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -19,6 +19,10 @@
 #define READ_GAP_IDLE_MS 150
 /* Nothing is placed while the records of the workers may be older than this. */
 #define HOSTS_AGE_MAX_MS 3000
+/* Nothing is placed while a cancellation of this age may be unknown. A start
+ * follows its placement within a second, and tasks of a cancelled job may be
+ * started for 3 s. */
+#define JOBS_AGE_MAX_MS 1500
 
 static void go_idle(struct fw_placer *placer);
 static void begin_term(struct fw_placer *placer, uint64_t term);
@@ -135,7 +139,8 @@
 	placer->decision_due |= due;
 	if (progress_idle && placer->decision_due &&
 	    fw_follower_age_ms(placer->parts.hosts, now_ms) <
-		HOSTS_AGE_MAX_MS) {
+		HOSTS_AGE_MAX_MS &&
+	    fw_follower_age_ms(placer->parts.jobs, now_ms) < JOBS_AGE_MAX_MS) {
 		placer->decision_due = false;
 		placer->last_decision_ms = now_ms;
 		if (fw_decide(placer, now_ms))
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -26,6 +26,7 @@
 	struct fw_placer *placer = nullptr;
 	bool alive = true;
 	bool store_unreachable = false;
+	bool jobs_unreadable = false; /* reads of the jobs topic fail */
 	bool paused = false; /* the placer is not stepped */
 	uint64_t seen_version = 0;
 	int64_t next_step_ms = 0;
@@ -412,7 +413,8 @@
 FlowSim::complete_read(
     SimVm *vm, struct fw_read call, int64_t sent_ms, int64_t until_ms)
 {
-	if (store_down || vm->store_unreachable) {
+	if (store_down || vm->store_unreachable ||
+	    (vm->jobs_unreadable && call.topic == FW_TOPIC_JOBS)) {
 		schedule(READ_TIMEOUT_MS, [this, call, sent_ms] {
 			call.done(call.ctx, FW_RESULT_UNKNOWN, false, 0,
 			    sent_ms, now_ms);
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -470,6 +470,32 @@
 	expect_no_violations(sim);
 }
 
+/* A placer that cannot read the cancellations, and can write all else, must not
+ * go on to start the tasks of a cancelled job: that is allowed for 3 s. */
+TEST(FlowPlacer, NothingIsPlacedOnAnOldCopyOfTheJobs)
+{
+	FlowSim sim;
+
+	sim.add_worker("w1");
+	SimVm *vm = sim.add_vm("a");
+	sim.run_for(1000);
+	sim.submit(JOB_A, {FlowFixture::make_step(200, 1)});
+	sim.run_for(1000);
+	EXPECT_GT(sim.run_checker.starts, 8);
+	vm->jobs_unreadable = true;
+	sim.cancel(JOB_A);
+	sim.run_for(3000);
+	int starts = sim.run_checker.starts;
+	sim.run_for(4000);
+	EXPECT_EQ(starts, sim.run_checker.starts);
+	vm->jobs_unreadable = false;
+	sim.submit(JOB_B, {FlowFixture::make_step(2, 1)});
+	sim.run_for(4000);
+	EXPECT_EQ(BD_FLOW_CANCELLED, sim.state(vm, JOB_A));
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_B));
+	expect_no_violations(sim);
+}
+
 /* The runs of a cancelled job must be stopped. */
 TEST(FlowPlacer, CancelledRunsAreStopped)
 {
