Product path: log reads time out by a pause, not by their duration

Change: the time-out of a log read holds until the answer begins and between two of its parts. libcurl checks it at least once a second.

Evidence: PlatformHttp.SlowReadOfTheLogIsNotAborted failed (-802) with the time-out for the whole call, and passes.

--- a/lib/platform/http.c
+++ b/lib/platform/http.c
@@ -7,6 +7,7 @@
 
 #define CONNECT_TIMEOUT_MS_DEFAULT 500
 #define CALL_TIMEOUT_MS_DEFAULT 3000
+#define LONG_CALL_MAX_MS 60000L
 #define ANSWER_BYTES_MAX_DEFAULT (2 * 1024 * 1024)
 #define ANSWER_CAPACITY_MIN 1024
 
@@ -14,6 +15,10 @@
 static CURL *handle_acquire(struct pf_http *http);
 static void handle_release(struct pf_http *http, CURL *handle);
 static size_t on_body(char *data, size_t size, size_t count, void *arg);
+static int on_progress(void *arg, curl_off_t down_total, curl_off_t down,
+    curl_off_t up_total, curl_off_t up);
+static void set_stall_timeout(
+    const struct pf_http *http, struct pf_http_call *call, CURL *handle);
 static CURL *prepare(struct pf_http *http, struct pf_http_call *call);
 static void count_traffic(
     struct pf_http *http, const struct pf_http_call *call, CURL *handle);
@@ -146,9 +151,41 @@
 	memcpy(call->answer + call->answer_bytes, data, bytes);
 	call->answer_bytes += bytes;
 	call->answer[call->answer_bytes] = '\0';
+	call->stall_due_ms = cw_clock_mono_ms() + call->stall_ms;
 	return bytes;
 }
 
+/* libcurl callback, called at least once a second. Returns 1, which aborts the
+ * call, if the answer has stalled. */
+static int
+on_progress(void *arg, curl_off_t down_total, curl_off_t down,
+    curl_off_t up_total, curl_off_t up)
+{
+	const struct pf_http_call *call = arg;
+
+	(void)down_total;
+	(void)down;
+	(void)up_total;
+	(void)up;
+	return cw_clock_mono_ms() >= call->stall_due_ms;
+}
+
+/* Lets a call take as long as its answer keeps arriving: a call that is
+ * repeated starts from the first byte again, and on a full link it would never
+ * be complete. */
+static void
+set_stall_timeout(
+    const struct pf_http *http, struct pf_http_call *call, CURL *handle)
+{
+	call->stall_ms = http->call_timeout_ms;
+	call->stall_due_ms =
+	    cw_clock_mono_ms() + call->stall_ms + call->wait_ms;
+	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, LONG_CALL_MAX_MS);
+	curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(handle, CURLOPT_XFERINFODATA, call);
+}
+
 /* Takes a handle and sets the options of a call; NULL if out of memory. */
 static CURL *
 prepare(struct pf_http *http, struct pf_http_call *call)
@@ -168,6 +205,8 @@
 	    handle, CURLOPT_CONNECTTIMEOUT_MS, (long)http->connect_timeout_ms);
 	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
 	    (long)http->call_timeout_ms + (long)call->wait_ms);
+	if (call->is_long)
+		set_stall_timeout(http, call, handle);
 	curl_easy_setopt(handle, CURLOPT_MAXCONNECTS, 1L);
 	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, call);
--- a/lib/platform/http_log.c
+++ b/lib/platform/http_log.c
@@ -82,7 +82,8 @@
 	struct pf_http_call call = {.kind = PF_TRAFFIC_LOG,
 	    .method = "GET",
 	    .path = path,
-	    .wait_ms = wait_ms};
+	    .wait_ms = wait_ms,
+	    .is_long = true};
 	uint64_t offset, expected;
 	size_t at, bytes;
 	int code;
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -190,7 +190,8 @@
 struct pf_http_settings {
 	const char *address;         /* "http://ip:port" */
 	uint32_t connect_timeout_ms; /* 500 */
-	/* 3000, for one call; a long poll adds its wait. */
+	/* 3000, for one call; a long poll adds its wait. In a read of the log,
+	 * until the answer begins, and between two parts of it. */
 	uint32_t call_timeout_ms;
 	uint32_t answer_bytes_max; /* 2 MiB */
 };
--- a/lib/platform/platform_internal.h
+++ b/lib/platform/platform_internal.h
@@ -33,12 +33,17 @@
 	uint32_t kind;    /* enum pf_traffic_kind */
 	const void *body; /* NULL: none */
 	size_t body_bytes;
-	uint32_t wait_ms;        /* added to the timeout for a long poll */
+	uint32_t wait_ms; /* added to the timeout for a long poll */
+	/* The time-out holds until the first part of the answer and between
+	 * two parts, not for the whole answer. */
+	bool is_long;
 	bool may_be_unchanged;   /* 304 gives PF_UNCHANGED */
 	bool is_change;          /* an unreadable answer gives PF_EUNKNOWN */
 	size_t answer_bytes_max; /* set by pf_http_call */
 	char *answer;            /* terminated; the caller frees it */
 	size_t answer_bytes;
+	int64_t stall_due_ms; /* is_long: the call fails at this time */
+	uint32_t stall_ms;    /* is_long: longest pause in the answer */
 };
 
 int pf_http_call(struct pf_http *http, struct pf_http_call *call);
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -27,7 +27,7 @@
 	bool alive = true;
 	bool store_unreachable = false;
 	bool jobs_unreadable = false; /* reads of the jobs topic fail */
-	bool paused = false; /* the placer is not stepped */
+	bool paused = false;          /* the placer is not stepped */
 	uint64_t seen_version = 0;
 	int64_t next_step_ms = 0;
 };
--- a/tests/test_platform_http.cc
+++ b/tests/test_platform_http.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <civetweb.h>
@@ -64,8 +66,17 @@
 			platform_server->changed.wait(lock);
 		mg_printf(conn, "HTTP/1.1 %d x\r\nContent-Length: %zu\r\n\r\n",
 		    platform_server->status, platform_server->body.size());
-		mg_write(conn, platform_server->body.data(),
-		    platform_server->body.size());
+		if (platform_server->pause_ms > 0)
+			for (char part : platform_server->body) {
+				if (mg_write(conn, &part, 1) <= 0)
+					break;
+				std::this_thread::sleep_for(
+				    std::chrono::milliseconds(
+					platform_server->pause_ms));
+			}
+		else
+			mg_write(conn, platform_server->body.data(),
+			    platform_server->body.size());
 		return platform_server->status;
 	}
 	std::mutex mutex;
@@ -74,6 +85,7 @@
 	std::string address, body, uri, query;
 	std::vector<int> ports; // remote port of each request
 	int status = 200;
+	int pause_ms = 0; // after each byte of the answer, 0: sent as a whole
 	bool hold_answers = false;
 };
 
@@ -341,6 +353,21 @@
 	EXPECT_NE(platform_server.ports[2], platform_server.ports[3]);
 }
 
+// Guards against a VM that never catches up: a read that is aborted while its
+// answer arrives starts from the first byte again.
+TEST(PlatformHttp, SlowReadOfTheLogIsNotAborted)
+{
+	FakePlatform platform_server;
+	ClientFixture client(platform_server.address, 300);
+
+	platform_server.pause_ms = 50;
+	platform_server.set(200, frame(7, "abcdefgh", 8), false);
+	EXPECT_EQ(client.read(7), CW_OK);
+	platform_server.pause_ms = 1500;
+	platform_server.set(200, "ab", false);
+	EXPECT_NE(client.read(7), CW_OK);
+}
+
 // Guards against the status "unknown" if nothing was sent: callers could then
 // not be informed that their request was not run.
 TEST(PlatformHttp, ClosedPortIsUnreachable)
