Pending jobs are not counted in an old copy of the jobs

Found by looking for the cause of the incident elsewhere: a VM that had just started, or could not read the jobs topic, told callers a number of pending jobs from whatever it had.

Evidence: FlowFollow.PendingJobsAreNotCountedInAnOldCopy; without the check it gets 0 jobs in all three cases.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -403,7 +403,8 @@
     int64_t wall_ms, int64_t deadline_ms);
 int fw_job_state(const struct fw_front *front, uint64_t queue, const char *name,
     int64_t deadline_ms, uint32_t *state);
-uint32_t fw_pending_jobs(const struct bd_board *board, uint64_t queue);
+int fw_pending_jobs(const struct fw_front *front, uint64_t queue,
+    int64_t now_ms, uint32_t *count);
 
 #ifdef __cplusplus
 }
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -18,7 +18,8 @@
 #define UNKNOWN_RETRY_MAX_MS 1400
 /* A job that another VM has accepted is in this VM's table within this time. */
 #define PROPAGATION_MAX_MS 300
-/* A job is not reported as missing if this VM's copy of the topic is older. */
+/* A job is not reported as missing, and pending jobs are not counted, if this
+ * VM's copy of the topic is older. */
 #define STALENESS_MAX_MS 2600
 
 enum call_state {
@@ -45,6 +46,7 @@
     const struct fw_record *record, int64_t deadline_ms);
 static bool lookup_state(
     const struct fw_front *front, uint64_t queue, uint64_t id, uint32_t *state);
+static bool jobs_recent(const struct fw_front *front, int64_t now_ms);
 static int await_job(const struct fw_front *front, uint64_t queue,
     const char *name, int64_t deadline_ms, uint32_t *state);
 
@@ -222,6 +224,15 @@
 	return found;
 }
 
+/* Returns whether this VM's copy of the jobs is recent enough to tell what is
+ * not there. */
+static bool
+jobs_recent(const struct fw_front *front, int64_t now_ms)
+{
+	return fw_follower_loaded(front->jobs) &&
+	    fw_follower_age_ms(front->jobs, now_ms) <= STALENESS_MAX_MS;
+}
+
 /* Looks up a job and waits up to PROPAGATION_MAX_MS for one that another VM
  * has just accepted. Returns FW_ENOJOB or FW_ESTALE. */
 static int
@@ -246,9 +257,7 @@
 			break;
 		bd_wait(front->board, seen, until_ms - now_ms);
 	}
-	if (!fw_follower_loaded(front->jobs) ||
-	    fw_follower_age_ms(front->jobs, cw_clock_mono_ms()) >
-		STALENESS_MAX_MS)
+	if (!jobs_recent(front, cw_clock_mono_ms()))
 		return cw_error_set(FW_ESTALE, "the store is out of reach");
 	return cw_error_set(FW_ENOJOB, "there is no such job");
 }
@@ -282,19 +291,22 @@
 	return append_with_retry(front, &record, deadline_ms);
 }
 
-/* Returns the number of accepted jobs of a queue that have not started a task.
- */
-uint32_t
-fw_pending_jobs(const struct bd_board *board, uint64_t queue)
+/* Sets *count to the number of accepted jobs of a queue that have not started a
+ * task. Returns FW_ESTALE if this VM's table is too old to tell. */
+int
+fw_pending_jobs(const struct fw_front *front, uint64_t queue, int64_t now_ms,
+    uint32_t *count)
 {
 	const struct bd_flow *flow;
 	uint32_t cursor = 0;
-	uint32_t count = 0;
 
+	if (!jobs_recent(front, now_ms))
+		return cw_error_set(FW_ESTALE, "the store is out of reach");
+	*count = 0;
 	bd_read_begin();
-	while ((flow = bd_flow_next(board, &cursor)) != NULL)
-		count += flow->queue == queue &&
+	while ((flow = bd_flow_next(front->board, &cursor)) != NULL)
+		*count += flow->queue == queue &&
 		    fw_flow_public_state(flow) == BD_FLOW_QUEUED;
 	bd_read_end();
-	return count;
+	return CW_OK;
 }
--- a/tests/test_flow_follow.cc
+++ b/tests/test_flow_follow.cc
@@ -291,3 +291,22 @@
 	EXPECT_EQ(
 	    (std::vector<std::string>{"j/1", "j/2", "j/3"}), store.applied);
 }
+
+/* A VM that has just started, or that cannot read the jobs, would report an
+ * empty queue. */
+TEST(FlowFollow, PendingJobsAreNotCountedInAnOldCopy)
+{
+	ManualStore store;
+	struct fw_front front = {};
+	uint32_t count;
+
+	front.board = store.fixture.board;
+	front.jobs = store.follower;
+	store.reply(FW_RESULT_DONE, 0, {}, 3);
+	EXPECT_EQ(FW_ESTALE, fw_pending_jobs(&front, 1, store.now_ms, &count));
+	store.reply(FW_RESULT_DONE, 0, {"j/1", "j/2", "j/3"}, 3);
+	EXPECT_EQ(CW_OK, fw_pending_jobs(&front, 1, store.now_ms, &count));
+	EXPECT_EQ(0U, count);
+	EXPECT_EQ(
+	    FW_ESTALE, fw_pending_jobs(&front, 1, store.now_ms + 3000, &count));
+}
