Soak: configurations change and are checked on each VM

The soak now has two operators who publish versions, short and long, by a seeded plan, a store that leaves reads of the configuration unanswered or answers over a narrow link, and callers who find out by its own key which version a VM acts on. No call may be answered from a version that has to be replaced, nor from an older one than the same process has shown; at the end each VM acts on the latest.

--- a/tests/sim/deployment.h
+++ b/tests/sim/deployment.h
@@ -67,20 +67,32 @@
 			printf("%s\n", lines[i].c_str());
 	}
 
-	void
-	configure(const std::string &more_keys = "")
+	/* Publishes a version with access key "kN", N being its number, and so
+	 * many queues that nobody calls. Returns its number. */
+	uint64_t
+	configure(const std::string &more_keys = "", int routes = 0)
 	{
 		std::lock_guard<std::mutex> guard(platform.lock);
-
+		std::string text = "{\"Version\":" + std::to_string(++version) +
+		    ",\"Routes\":[{\"Name\":\"q\",\"Host\":\"h.example\","
+		    "\"PathPrefix\":\"/jobs/\",\"Service\":\"pool\","
+		    "\"Priority\":1,\"MaxAttempts\":3,\"Stretch\":3,"
+		    "\"TargetLatencyMs\":1000}";
+
+		for (int i = 0; i < routes; i++)
+			text += ",{\"Name\":\"more" + std::to_string(i) +
+			    "\",\"Host\":\"more.example\",\"PathPrefix\":"
+			    "\"/more" +
+			    std::to_string(i) +
+			    "/\",\"Service\":\"pool\",\"Priority\":1,"
+			    "\"MaxAttempts\":3,\"Stretch\":3,"
+			    "\"TargetLatencyMs\":1000}";
 		platform.put("keyed.op", "config",
-		    "{\"Version\":" + std::to_string(++version) +
-			",\"Routes\":[{\"Name\":\"q\",\"Host\":\"h.example\","
-			"\"PathPrefix\":\"/jobs/\",\"Service\":\"pool\","
-			"\"Priority\":1,\"MaxAttempts\":3,\"Stretch\":3,"
-			"\"TargetLatencyMs\":1000}],\"Services\":[{\"Name\":"
-			"\"pool\"}],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":["
-			"\"key\"" +
-			more_keys + "]}]}");
+		    text +
+			"],\"Services\":[{\"Name\":\"pool\"}],\"Tenants\":["
+			"{\"Name\":\"t\",\"ApiKeys\":[\"key\",\"k" +
+			std::to_string(version) + "\"" + more_keys + "]}]}");
+		return version;
 	}
 
 	/* Writes the settings of a new daemon with its own ports and starts it.
--- a/tests/sim/emulator.h
+++ b/tests/sim/emulator.h
@@ -37,6 +37,7 @@
 	std::atomic<bool> store_down{false}; /* answers all calls with 503 */
 	std::atomic<int> drop_append_answers{0}; /* count */
 	std::atomic<int> slow_ms{0};             /* delay of each answer */
+	std::atomic<int> link_bytes_per_s{0};    /* of each answer, 0: any */
 	std::atomic<bool> config_silent{false};  /* no answer about keyed.op */
 	std::atomic<int> drop_worker_answers{0};
 	/* by worker: time until which it does not answer calls */
@@ -169,7 +170,30 @@
 		    "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n"
 		    "Connection: keep-alive\r\n\r\n",
 		    status, body.size());
-		mg_write(connection, body.data(), body.size());
+		for (size_t at = 0; at < body.size();) {
+			size_t part = link_rate() > 0
+			    ? std::min(LINK_PART_BYTES, body.size() - at)
+			    : body.size();
+
+			if (mg_write(connection, body.data() + at, part) <= 0)
+				return;
+			at += part;
+			if (link_rate() > 0)
+				std::this_thread::sleep_for(
+				    std::chrono::milliseconds(
+					part * 1000 / (size_t)link_rate()));
+		}
+	}
+
+	static constexpr size_t LINK_PART_BYTES = 4096;
+
+	/* Rate of the answer that this thread sends, in bytes/s. */
+	static int &
+	link_rate()
+	{
+		static thread_local int rate = 0;
+
+		return rate;
 	}
 
 	static void
@@ -218,6 +242,9 @@
 		std::string body = read_body(connection);
 
 		emulator->calls++;
+		link_rate() = target_port == emulator->port
+		    ? emulator->link_bytes_per_s.load()
+		    : 0;
 		if (emulator->slow_ms > 0)
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(emulator->slow_ms));
--- a/tests/sim/soak.h
+++ b/tests/sim/soak.h
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include "config_check.h"
 #include "deployment.h"
 
 /*
@@ -21,6 +22,7 @@
 	};
 
 	Deployment deployment;
+	ConfigCheck config;
 	std::mt19937 random;
 	unsigned seed;
 	std::mutex lock; /* guards calls and latencies */
@@ -37,7 +39,8 @@
 	};
 
 	explicit Soak(unsigned seed_value)
-	    : random(seed_value), seed(seed_value)
+	    : config(deployment, VMS, seed_value), random(seed_value),
+	      seed(seed_value)
 	{
 	}
 
@@ -114,6 +117,8 @@
 		if (!vm_running[n])
 			return;
 		vm_running[n] = false;
+		if (kind != 1)
+			config.vm_restarts(n);
 		printf("soak seed=%u vm=%zu %s\n", seed, n,
 		    kind == 0       ? "SIGKILL"
 			: kind == 1 ? "SIGSTOP"
@@ -121,6 +126,7 @@
 		if (kind == 0) {
 			deployment.kill(n);
 			schedule_repair(draw(0, 2000), [this, n] {
+				config.vm_restarts(n);
 				deployment.run(n);
 				vm_running[n] = true;
 			});
@@ -141,6 +147,7 @@
 				    << "VM " << n
 				    << " did not exit within its grace time";
 				EXPECT_EQ(0, status);
+				config.vm_restarts(n);
 				deployment.run(n);
 				vm_running[n] = true;
 			});
@@ -202,6 +209,8 @@
 		std::vector<std::thread> callers;
 		int job_count = 0;
 
+		if (with_faults)
+			config.start();
 		while (Emulator::now_ms() < end_ms) {
 			if (Emulator::now_ms() >= job_ms) {
 				std::string name = job(job_count++);
@@ -241,6 +250,7 @@
 		}
 		for (std::thread &caller : callers)
 			caller.join();
+		config.stop();
 	}
 
 	/* Checks during the test: no daemon exits by itself. */
--- a/tests/test_platform_soak.cc
+++ b/tests/test_platform_soak.cc
@@ -19,7 +19,8 @@
 
 /* Guards against violations under injected faults: a task that runs twice, an
  * accepted job that is lost, a rejected one that runs, a process that exits by
- * itself or exceeds its grace time. SOAK_SEEDS and SOAK_SECONDS choose other
+ * itself or exceeds its grace time, a VM that acts on a configuration that is
+ * out of date or comes back. SOAK_SEEDS and SOAK_SECONDS choose other
  * plans; a seed determines the plan, but not its exact timing. */
 TEST(PlatformSoak, GuaranteesHoldUnderRandomFaults)
 {
@@ -38,6 +39,7 @@
 		soak.start(400);
 		soak.run(seconds, 5, true);
 		soak.check_at_end();
+		soak.config.check_at_end();
 		soak.print_report();
 		if (HasFailure())
 			return;
