--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -357,10 +357,10 @@
 {
 	follower->retry_ms = RETRY_FIRST_MS;
 	follower->unanswered = false;
-	if (end < atomic_load(&follower->position))
+	if (end < follower->read_from)
 		ev_emit(EV_FLOW_END_BACK, "topic=%d position=%llu end=%llu",
 		    (int)follower->spec.topic,
-		    (unsigned long long)atomic_load(&follower->position),
+		    (unsigned long long)follower->read_from,
 		    (unsigned long long)end);
 	if (atomic_exchange(&follower->read_failed, false)) {
 		ev_emit(
