--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -39,6 +39,7 @@
 	char last_key[FW_KEY_BYTES]; /* loading: last key that was read */
 	uint64_t first_end;          /* end of the log at the first page */
 	bool first_page;
+	bool page_incomplete; /* a record of a page was left out */
 	bool behind; /* has not reached the end of the log since the load */
 	bool end_unknown;     /* newest_suffices: the next read is end_only */
 	int64_t load_sent_ms; /* send time of the first page's read */
@@ -76,6 +77,8 @@
 static void apply_buffered(struct fw_follower *follower, int64_t now_ms);
 static void handle_failure(struct fw_follower *follower, enum fw_result result);
 
+/* Sends the next read: of the next page during a load, of the end of the log
+ * only, or of the records from the position on. */
 static void
 send_read(void *ctx, int64_t now_ms)
 {
@@ -128,6 +131,7 @@
 	follower->reload_pending = false;
 	follower->loading = true;
 	follower->first_page = true;
+	follower->page_incomplete = false;
 }
 
 /* Sends one read that does not wait, in parallel with the waiting one. */
@@ -167,6 +171,7 @@
 	bd_notify(follower->board);
 }
 
+/* An answer with the end of the log only has no records. */
 static void
 ignore_record(void *ctx, const struct fw_record *record)
 {
@@ -196,6 +201,8 @@
 		    (int)follower->spec.topic, cw_error_last());
 }
 
+/* Keeps a copy of a record until the load is complete. Without memory the page
+ * counts as unread. */
 static void
 buffer_record(struct fw_follower *follower, const struct fw_record *record)
 {
@@ -209,8 +216,7 @@
 		    realloc(follower->buffered, capacity * sizeof(*grown));
 
 		if (grown == NULL) {
-			ev_emit(EV_FLOW_RECORD_BAD,
-			    "key=%s reason=\"out of memory\"", record->key);
+			follower->page_incomplete = true;
 			return;
 		}
 		follower->buffered = grown;
@@ -220,8 +226,7 @@
 	buffered->record = *record;
 	buffered->value = malloc(record->value_bytes + 1);
 	if (buffered->value == NULL) {
-		ev_emit(EV_FLOW_RECORD_BAD, "key=%s reason=\"out of memory\"",
-		    record->key);
+		follower->page_incomplete = true;
 		return;
 	}
 	memcpy(buffered->value, record->value, record->value_bytes);
@@ -323,21 +328,19 @@
 	atomic_store(&follower->loaded, true);
 }
 
+/* Handles a read that has failed: reads again after a delay, or loads again if
+ * the records have expired or a load was in progress. */
 static void
 handle_failure(struct fw_follower *follower, enum fw_result result)
 {
 	follower->end_unknown = follower->spec.newest_suffices;
 	follower->unanswered = result == FW_RESULT_UNKNOWN;
-	if (follower->loading) {
-		clear_buffered(follower);
-		follower->first_page = true;
-	}
+	if (follower->loading || result == FW_RESULT_EXPIRED)
+		reset_load(follower);
 	if (result == FW_RESULT_EXPIRED) {
 		ev_emit(EV_FLOW_EXPIRED, "topic=%d position=%llu",
 		    (int)follower->spec.topic,
 		    (unsigned long long)atomic_load(&follower->position));
-		follower->loading = true;
-		follower->first_page = true;
 		schedule(follower, 0);
 		return;
 	}
@@ -401,6 +404,7 @@
 	schedule(follower, 0);
 }
 
+/* Ends a read of records or of a page, and sends the next one. */
 static void
 on_done(void *ctx, enum fw_result result, bool more, uint64_t end,
     int64_t sent_ms, int64_t now_ms)
@@ -416,6 +420,11 @@
 		schedule(follower, 0);
 		return;
 	}
+	if (result == FW_RESULT_DONE && follower->page_incomplete) {
+		ev_emit(EV_FLOW_NO_MEMORY, "what=page topic=%d",
+		    (int)follower->spec.topic);
+		result = FW_RESULT_NOT_DONE;
+	}
 	if (result != FW_RESULT_DONE) {
 		handle_failure(follower, result);
 		return;
