--- a/tests/test_flow_follow.cc
+++ b/tests/test_flow_follow.cc
@@ -190,8 +190,7 @@
 	EXPECT_TRUE(fw_follower_loaded(store.follower));
 }
 
-/* A VM that missed 7 versions of 300 KB on a link of 2 Mbit/s reads for 9 s if
- * it reads each of them. */
+/* Seven versions of 300 KB take 9 s on a link of 2 Mbit/s. */
 TEST(FlowFollow, ConfigurationThatIsFarBehindIsReadOnce)
 {
 	ManualStore store(false, true);
@@ -227,8 +226,7 @@
 	EXPECT_EQ(2U, store.applied.size());
 }
 
-/* While versions arrive faster than the link transfers them, the copy is as old
- * as its transfer took, not as the time since the first version. */
+/* Versions arrive faster than the link transfers them. */
 TEST(FlowFollow, AgeDuringASeriesOfConfigurationsIsThatOfTheLoad)
 {
 	ManualStore store(false, true);
@@ -255,9 +253,7 @@
 	EXPECT_FALSE(store.reads.back().unanswered);
 }
 
-/* If the records between two pages of a snapshot come from another read, the
- * next page must still follow the last key of the page before: the keys that
- * it skips are missing on this VM for good. */
+/* Keys that the next page skips are missing on this VM for good. */
 TEST(FlowFollow, CatchUpReadDoesNotDisturbALoad)
 {
 	ManualStore store;
@@ -292,8 +288,7 @@
 	    (std::vector<std::string>{"j/1", "j/2", "j/3"}), store.applied);
 }
 
-/* A VM that has just started, or that cannot read the jobs, would report an
- * empty queue. */
+/* A VM that has just started would report an empty queue. */
 TEST(FlowFollow, PendingJobsAreNotCountedInAnOldCopy)
 {
 	ManualStore store;
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -470,8 +470,7 @@
 	expect_no_violations(sim);
 }
 
-/* A placer that cannot read the cancellations, and can write all else, must not
- * go on to start the tasks of a cancelled job: that is allowed for 3 s. */
+/* Tasks of a cancelled job may be started for 3 s after its cancellation. */
 TEST(FlowPlacer, NothingIsPlacedOnAnOldCopyOfTheJobs)
 {
 	FlowSim sim;
--- a/tests/test_link_async.cc
+++ b/tests/test_link_async.cc
@@ -107,8 +107,7 @@
 
 } // namespace
 
-/* A configuration on a full link takes longer than any time-out that detects a
- * silent store; if it fails, its repetition starts from the first byte. */
+/* A repeated call would start from the first byte again. */
 TEST(LinkAsync, SlowAnswerThatKeepsArrivingIsNotAborted)
 {
 	Outcome outcome;
--- a/tests/test_platform_http.cc
+++ b/tests/test_platform_http.cc
@@ -353,8 +353,7 @@
 	EXPECT_NE(platform_server.ports[2], platform_server.ports[3]);
 }
 
-// Guards against a VM that never catches up: a read that is aborted while its
-// answer arrives starts from the first byte again.
+// A repeated read would start from the first byte again.
 TEST(PlatformHttp, SlowReadOfTheLogIsNotAborted)
 {
 	FakePlatform platform_server;
--- a/tests/test_platform_system.cc
+++ b/tests/test_platform_system.cc
@@ -118,9 +118,7 @@
 	EXPECT_LT(Emulator::now_ms() - start_ms, 5500);
 }
 
-/* A VM that cannot read the configuration must not serve a key that was taken
- * away, nor reject a key that was added, once a change has to be in force. It
- * rejects both at once, so that callers can try another VM. */
+/* Guards against serving a removed key and rejecting an added one. */
 TEST(PlatformSystem, OldConfigurationIsNotActedOn)
 {
 	Deployment deployment;
--- a/tests/test_platform_wire.cc
+++ b/tests/test_platform_wire.cc
@@ -165,8 +165,7 @@
 	bd_board_destroy(board);
 }
 
-/* A thread that serves a queue of the new version must not find the keys of the
- * former one: it would show that a version came into force and went back. */
+/* Guards against a version that is seen in force and goes back. */
 TEST(PlatformWire, ReadersSeeOneVersionOfTheConfiguration)
 {
 	auto version = [](int number) {
