The placer neither places nor starts on a copy of the jobs that is too old

The bound of the copy's age was 1.5 s, an estimate; a placer on a link of 2 Mbit/s, which reads the jobs late, may place nothing. It now follows from the stated target: Bounds.cancel_ms, after which no task of a cancelled job may start, less a second for the start's way.

Starts are checked as well: a start without an answer is repeated for up to 2.5 s after its placement, which may itself follow the last read by 2 s. This part was found by reading and has no test of its own.

Evidence: FlowPlacer.NothingIsPlacedOnAnOldCopyOfTheJobs passes as before.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -344,6 +344,7 @@
 	uint32_t callbacks_pending; /* of calls to the store and to workers */
 };
 
+bool fw_jobs_recent(const struct fw_placer *placer, int64_t now_ms);
 void fw_callbacks_add(struct fw_placer *placer, int added);
 void fw_orders_send(
     struct fw_placer *placer, int64_t now_ms, int64_t duty_confirmed_ms);
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -200,7 +200,8 @@
 			send_stop(placer, run, flow);
 		return;
 	}
-	if (run->phase == FW_PHASE_STARTING && worker->clock_read_ms != 0)
+	if (run->phase == FW_PHASE_STARTING && worker->clock_read_ms != 0 &&
+	    fw_jobs_recent(placer, now_ms))
 		send_start(placer, run, flow, now_ms);
 }
 
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -19,10 +19,8 @@
 #define READ_GAP_IDLE_MS 150
 /* Nothing is placed while the records of the workers may be older than this. */
 #define HOSTS_AGE_MAX_MS 3000
-/* Nothing is placed while a cancellation of this age may be unknown. A start
- * follows its placement within a second, and tasks of a cancelled job may be
- * started for 3 s. */
-#define JOBS_AGE_MAX_MS 1500
+/* A start that is sent is carried out within this time. */
+#define START_TRANSIT_MAX_MS 1000
 
 static void go_idle(struct fw_placer *placer);
 static void begin_term(struct fw_placer *placer, uint64_t term);
@@ -126,6 +124,15 @@
 	return STEP_GAP_MS + placer->tables.run_count / RUNS_PER_EXTRA_MS;
 }
 
+/* Returns whether the copy of the jobs is recent enough to start tasks: of a
+ * job whose cancellation is not in the copy, none starts too late. */
+bool
+fw_jobs_recent(const struct fw_placer *placer, int64_t now_ms)
+{
+	return fw_follower_age_ms(placer->parts.jobs, now_ms) <=
+	    (int64_t)placer->parts.settings.cancel_ms - START_TRANSIT_MAX_MS;
+}
+
 /* Makes a decision if one is due, publishes the states of jobs, and sends
  * orders to the workers. */
 static void
@@ -140,7 +147,7 @@
 	if (progress_idle && placer->decision_due &&
 	    fw_follower_age_ms(placer->parts.hosts, now_ms) <
 		HOSTS_AGE_MAX_MS &&
-	    fw_follower_age_ms(placer->parts.jobs, now_ms) < JOBS_AGE_MAX_MS) {
+	    fw_jobs_recent(placer, now_ms)) {
 		placer->decision_due = false;
 		placer->last_decision_ms = now_ms;
 		if (fw_decide(placer, now_ms))
--- a/tests/test_platform_wire.cc
+++ b/tests/test_platform_wire.cc
@@ -30,6 +30,7 @@
 	EXPECT_EQ(6000U, settings.flow.lease_ms);
 	EXPECT_EQ(6000U, settings.grace_ms);
 	EXPECT_EQ(4000U, settings.config_age_max_ms);
+	EXPECT_EQ(3000U, settings.flow.cancel_ms);
 	EXPECT_EQ(120000U, settings.flow.retention_ms);
 }
 
