--- a/tests/sim/deployment.h
+++ b/tests/sim/deployment.h
@@ -95,6 +95,16 @@
 		return version;
 	}
 
+	/* Returns the number of the latest version; a daemon may act on it
+	 * before configure() returns. */
+	uint64_t
+	latest_version()
+	{
+		std::lock_guard<std::mutex> guard(platform.lock);
+
+		return version;
+	}
+
 	/* Writes the settings of a new daemon with its own ports and starts it.
 	 * Returns its index. */
 	size_t
