A daemon's size follows its VM

Each daemon had 48 threads for clients and kept 800 connections, whatever its VM. With 97 VMs of 0.12 of a core a machine had no room for the threads of more than five such deployments, and beyond 800 workers every call opened a connection. A share above 1 stays valid: a VM may have several cores. Finishing a call no longer searches the list of active ones.

An idle daemon of a small VM has about 24 threads, not the 16 that the issue asks for: CivetWeb starts all of its threads at once.

Tests: PlatformSettings.ThreadsAndConnectionsFollowTheVm, .LimitsOfNothingAreRejectedByName.

--- a/lib/link/http_async.c
+++ b/lib/link/http_async.c
@@ -15,8 +15,6 @@
 
 #define EVENTS_MAX 32
 #define IDLE_HANDLES_MAX 64
-/* Idle connections kept for reuse: two for each of 400 workers. */
-#define CONNECTIONS_MAX 800L
 /* A timer that runs later than this is logged: the thread was busy, or did not
  * get the processor. */
 #define LATE_MS 500
@@ -45,6 +43,8 @@
 static int on_timer(CURLM *multi, long timeout_ms, void *ctx);
 static int enqueue(struct lk_async *async, struct lk_operation *operation);
 static void start_call(struct lk_async *async, struct lk_operation *operation);
+static void remove_active(
+    struct lk_async *async, struct lk_operation *operation);
 static void finish_call(
     struct lk_async *async, struct lk_operation *operation, CURLcode code);
 static void start_submitted(struct lk_async *async);
@@ -129,6 +129,8 @@
 	}
 	lk_operation_set_options(operation, &async->connections);
 	operation->next = async->active;
+	if (async->active != NULL)
+		async->active->previous = operation;
 	async->active = operation;
 	if (operation->stall_ms > 0) {
 		operation->stall_due_ms =
@@ -140,6 +142,21 @@
 		finish_call(async, operation, CURLE_FAILED_INIT);
 }
 
+/* Takes a call off the active list, if it is there. */
+static void
+remove_active(struct lk_async *async, struct lk_operation *operation)
+{
+	if (async->active != operation && operation->previous == NULL)
+		return;
+	if (operation->previous != NULL)
+		operation->previous->next = operation->next;
+	else
+		async->active = operation->next;
+	if (operation->next != NULL)
+		operation->next->previous = operation->previous;
+	operation->next = operation->previous = NULL;
+}
+
 /* Removes a call from the active list, reports its outcome to the callback, and
  * frees it. A handle whose call failed is not reused. */
 static void
@@ -147,14 +164,10 @@
     struct lk_async *async, struct lk_operation *operation, CURLcode code)
 {
 	struct lk_async_answer answer = {0};
-	struct lk_operation **link = &async->active;
 	long value = 0;
 	long sent = 0;
 
-	while (*link != NULL && *link != operation)
-		link = &(*link)->next;
-	if (*link == operation)
-		*link = operation->next;
+	remove_active(async, operation);
 	unwatch(async, operation);
 	if (operation->curl != NULL) {
 		curl_easy_getinfo(
@@ -412,9 +425,11 @@
 	return enqueue(async, operation);
 }
 
-/* Starts the client's thread. Returns CW_ENOMEM or CW_EIO. */
+/* Starts the client's thread. Beyond connections_max open connections, idle
+ * ones are closed; calls in flight may use more. Returns CW_ENOMEM or CW_EIO.
+ */
 int
-lk_async_start(struct lk_async **out)
+lk_async_start(struct lk_async **out, uint32_t connections_max)
 {
 	struct lk_async *async = calloc(1, sizeof(*async));
 	struct epoll_event event = {.events = EPOLLIN};
@@ -438,7 +453,8 @@
 		return cw_error_set(
 		    CW_EIO, "cannot create the HTTP client's descriptors");
 	}
-	curl_multi_setopt(async->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
+	curl_multi_setopt(
+	    async->multi, CURLMOPT_MAXCONNECTS, (long)connections_max);
 	curl_multi_setopt(async->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(async->multi, CURLMOPT_SOCKETDATA, async);
 	curl_multi_setopt(async->multi, CURLMOPT_TIMERFUNCTION, on_timer);
--- a/lib/link/http_async.h
+++ b/lib/link/http_async.h
@@ -59,7 +59,7 @@
  * 2. Start and stop. lk_async_stop aborts the calls in flight, whose done is
  * called with an outcome other than LK_HTTP_COMPLETE. Later submissions fail.
  */
-int lk_async_start(struct lk_async **out);
+int lk_async_start(struct lk_async **out, uint32_t connections_max);
 void lk_async_stop(struct lk_async *async);
 /* Number of connections opened since the start. */
 uint64_t lk_async_connections(const struct lk_async *async);
--- a/lib/link/http_async_internal.h
+++ b/lib/link/http_async_internal.h
@@ -12,7 +12,8 @@
 /* One call or one timer, from its submission until its callback returns. */
 struct lk_operation {
 	struct lk_operation *next;
-	CURL *curl; /* NULL until the call is started */
+	struct lk_operation *previous; /* in the list of active calls */
+	CURL *curl;                    /* NULL until the call is started */
 	struct curl_slist *headers;
 	char url[LK_OPERATION_URL_BYTES];
 	char *body;
--- a/programs/camphord/platform_main.c
+++ b/programs/camphord/platform_main.c
@@ -47,7 +47,14 @@
 		return EXIT_FAILURE;
 	}
 	if (check_only) {
-		printf("%s: valid settings of VM %s\n", path, settings.node);
+		printf("%s: valid settings of VM %s\n"
+		       "threads for clients: %u\n"
+		       "connections kept: %u\n"
+		       "places jobs: %s\n",
+		    path, settings.node, settings.front_threads,
+		    settings.connections_max,
+		    settings.flow.fallback_only ? "only if no other VM does"
+						: "yes");
 		return EXIT_SUCCESS;
 	}
 	if (pl_system_start(&system, &settings) != CW_OK) {
--- a/tests/sim/deployment.h
+++ b/tests/sim/deployment.h
@@ -38,7 +38,7 @@
 
 		folder = mkdtemp(name);
 		lk_http_client_create(&client);
-		lk_async_start(&async);
+		lk_async_start(&async, 64);
 	}
 
 	~Deployment()
--- a/tests/test_link_async.cc
+++ b/tests/test_link_async.cc
@@ -97,7 +97,7 @@
 	struct lk_async *async = nullptr;
 	struct lk_async_call call = {};
 
-	ASSERT_EQ(CW_OK, lk_async_start(&async));
+	ASSERT_EQ(CW_OK, lk_async_start(&async, 64));
 	call.address = server.address.c_str();
 	call.path = "/";
 	call.timeout_ms = call.stall_ms = 500;
@@ -118,7 +118,7 @@
 	struct lk_async *async = nullptr;
 	struct lk_async_call call = {};
 
-	EXPECT_EQ(CW_OK, lk_async_start(&async));
+	EXPECT_EQ(CW_OK, lk_async_start(&async, 64));
 	call.address = address.c_str();
 	call.path = "/";
 	call.post = true;
@@ -179,7 +179,7 @@
 	struct lk_async *async = nullptr;
 	struct lk_async_call call = {};
 
-	ASSERT_EQ(CW_OK, lk_async_start(&async));
+	ASSERT_EQ(CW_OK, lk_async_start(&async, 64));
 	call.address = server.address.c_str();
 	call.path = "/";
 	call.timeout_ms = 500;
--- a/tests/test_platform_answers.cc
+++ b/tests/test_platform_answers.cc
@@ -20,7 +20,7 @@
 	explicit Client(const std::vector<ScriptedServer::Answer> &answers)
 	    : server(answers)
 	{
-		EXPECT_EQ(CW_OK, lk_async_start(&client.async));
+		EXPECT_EQ(CW_OK, lk_async_start(&client.async, 64));
 		snprintf(client.store_address, sizeof(client.store_address),
 		    "%s", server.address.c_str());
 		pl_store_callbacks(&client, &store);
--- a/tests/test_platform_settings.cc
+++ b/tests/test_platform_settings.cc
@@ -47,6 +47,8 @@
 	    {"Bounds", "RemoteFactor"},
 	    {"Bounds", "status_s"},
 	    {"Limits", "CpuShare"},
+	    {"Limits", "MemoryMb"},
+	    {"Limits", "MaxFds"},
 	    {"platform", "MinTtlMs"},
 	    {"", "HeartbeatMs"},
 	};
@@ -109,3 +111,45 @@
 	ASSERT_EQ(CW_OK, parse("", "InternalPorts", "[65535]", &settings));
 	EXPECT_STREQ("10.0.0.1:65535", settings.metrics_address);
 }
+
+/* A VM without processor, memory or descriptors can serve nobody: the daemon
+ * must not start there, and must say what is missing. */
+TEST(PlatformSettings, LimitsOfNothingAreRejectedByName)
+{
+	static struct pl_settings settings;
+
+	for (const char *field : {"CpuShare", "MemoryMb", "MaxFds"}) {
+		EXPECT_EQ(CW_EINVAL, parse("Limits", field, "0", &settings));
+		EXPECT_NE(nullptr, strstr(cw_error_last(), field))
+		    << cw_error_last();
+	}
+	EXPECT_EQ(CW_EINVAL, parse("Limits", "MaxFds", "300", &settings));
+	ASSERT_EQ(CW_OK, parse("Limits", "CpuShare", "0.05", &settings));
+	EXPECT_EQ(50U, settings.cpu_milli);
+}
+
+/* A daemon must not be larger than its VM: with 48 threads for clients on each
+ * VM, whatever its size, a machine had no room for 300 daemons. */
+TEST(PlatformSettings, ThreadsAndConnectionsFollowTheVm)
+{
+	struct pl_settings small = {};
+	struct pl_settings large = {};
+
+	small.cpu_milli = 120;
+	small.memory_mb = 160;
+	small.descriptors = 4100;
+	pl_settings_size(&small);
+	EXPECT_EQ(12U, small.front_threads);
+	EXPECT_GT(small.connections_max, 800U);
+	large.cpu_milli = 500;
+	large.memory_mb = 512;
+	large.descriptors = 8192;
+	pl_settings_size(&large);
+	EXPECT_EQ(48U, large.front_threads);
+	/* One kept connection to each of 3,000 workers. */
+	EXPECT_GT(large.connections_max, 3000U);
+	large.descriptors = 512;
+	pl_settings_size(&large);
+	EXPECT_LT(
+	    large.connections_max + 4 * large.front_threads, 512U - 200 + 1);
+}
