Preemption counts all that a stop loses, and searches less

For an urgent job, runs were chosen by accelerator-seconds alone, and a run that saves checkpoints counted as losing 1.5 s. The loss is now in core-seconds, an accelerator counting as 8 cores; preempt.c states it, testable without a placer.

The search visited all runs for each run that it selected or released, and all workers for each task of a group. Workers' states were found by a linear search, 3,000 of them for each entry and each answer; they have a hash table now, and a start looks at the runs of its worker only.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -9,29 +9,12 @@
 /* A worker that lists more ends than this gets no runs: an end that must not be
  * acknowledged holds up those behind it, and a list has room for 500. */
 #define ENDS_WAITING_MAX 250
-/* A job of priority 0 that exceeds its account's guarantee may preempt runs
- * whose loss is at most this share, in thousandths, of the job's own work. */
-#define UNGUARANTEED_COST_MILLI 500
-/* Delay before runs are preempted. Many runs end by themselves within this
- * time, which is short compared with the start limit of guaranteed jobs. */
-#define RECLAIM_DELAY_MS 150
 /* Workers are reserved for jobs of priority 0 according to the moving average
  * of the demand of these jobs, plus a margin for the next ones. With this
  * averaging time the reserve follows a burst within some seconds. */
 #define URGENT_AVERAGE_MS 8000
 #define URGENT_MARGIN_MILLI 1200
 #define URGENT_MIN_ACCELS 16
-/* Estimated work that a run with checkpoints loses when it is stopped: the work
- * since its last checkpoint, half of a checkpoint period on average, and the
- * restore. */
-#define CHECKPOINT_LOSS_MS 1500
-
-struct reclaim_ctx {
-	struct fw_placer *placer;
-	struct fw_victim *victims;
-	uint32_t count;
-};
-
 static void exclude_failing_hosts(
     struct fw_placer *placer, struct fw_view *view);
 static void reserve_urgent(struct fw_placer *placer, struct fw_view *view);
@@ -42,10 +25,6 @@
     struct bd_flow *flow, const struct fw_view *view);
 static void apply_ends(struct fw_placer *placer, struct fw_view *view);
 static void charge_late_crashes(struct fw_placer *placer, struct fw_view *view);
-static void collect_victims(struct fw_placer *placer, struct fw_view *view,
-    struct reclaim_ctx *reclaim);
-static void reclaim_for_group(
-    void *ctx, struct fw_view *view, const struct fw_group *group);
 static void log_decision(const struct fw_job_view *job);
 static bool fill_batch(struct fw_placer *placer, struct fw_view *view);
 
@@ -256,99 +235,6 @@
 	}
 }
 
-/* Collects the runs that may be preempted, with the work that each would lose:
- * those of lower priority, and those that are being stopped already. */
-static void
-collect_victims(
-    struct fw_placer *placer, struct fw_view *view, struct reclaim_ctx *reclaim)
-{
-	uint32_t i;
-
-	reclaim->victims =
-	    calloc(placer->tables.run_count + 1, sizeof(*reclaim->victims));
-	if (reclaim->victims == NULL)
-		return;
-	for (i = 0; i < placer->tables.run_count; i++) {
-		const struct fw_run *run = &placer->tables.runs[i];
-		struct fw_victim *victim = &reclaim->victims[reclaim->count];
-		const struct bd_flow_step *step;
-		const struct bd_flow *flow;
-		struct fw_task_ref ref;
-		int64_t loss_ms = view->now_ms - run->placed_ms;
-		uint32_t members;
-
-		if (!run->used || run->superseded_since_ms != 0 ||
-		    run->phase == FW_PHASE_ENDED)
-			continue;
-		victim->run = i;
-		victim->job = fw_view_job_index(view, run->flow);
-		victim->host = fw_view_host_index(
-		    view, placer->tables.worker_states[run->worker].host);
-		if (victim->job == FW_NONE || victim->host == FW_NONE)
-			continue;
-		flow = fw_job_current(&view->jobs[victim->job]);
-		if (flow->priority == 0 && !run->stop_requested)
-			continue;
-		fw_task_ref_of(flow, run->index, &ref);
-		step = &fw_flow_steps(flow)[ref.step];
-		fw_group_of(flow, run->index, &victim->first, &members);
-		if ((step->flags & BD_STEP_CHECKPOINTS) != 0 &&
-		    loss_ms > CHECKPOINT_LOSS_MS)
-			loss_ms = CHECKPOINT_LOSS_MS;
-		victim->priority = flow->priority;
-		victim->stopping = run->stop_requested;
-		victim->cost = (uint64_t)loss_ms * members *
-		    (step->accels > 0 ? step->accels : 1);
-		reclaim->count++;
-	}
-}
-
-/* Preempts runs for a group of priority 0 that does not fit: at any cost while
- * its account is within its guarantee, otherwise only if little work is lost.
- */
-static void
-reclaim_for_group(void *ctx, struct fw_view *view, const struct fw_group *group)
-{
-	struct reclaim_ctx *reclaim = ctx;
-	struct fw_placer *placer = reclaim->placer;
-	const struct bd_flow *flow = fw_job_current(&view->jobs[group->job]);
-	uint64_t cost_max = UINT64_MAX;
-	uint32_t hosts[FW_TASKS_MAX];
-	uint32_t i;
-
-	/* A suspect job would start among the runs that are left there. */
-	if (group->priority != 0 || group->age_ms < RECLAIM_DELAY_MS ||
-	    group->suspect)
-		return;
-	if (!fw_within_guarantee(view, placer->parts.board, flow)) {
-		if (group->slack_ms < 0)
-			return;
-		cost_max = group->work * UNGUARANTEED_COST_MILLI / 1000;
-	}
-	if (reclaim->victims == NULL)
-		collect_victims(placer, view, reclaim);
-	if (!fw_reclaim(
-		view, group, reclaim->victims, reclaim->count, cost_max, hosts))
-		return;
-	if (fw_reservation_add(&placer->reservations, view, group, hosts) !=
-	    CW_OK)
-		ev_emit(EV_FLOW_NO_MEMORY, "what=plan");
-	for (i = 0; i < reclaim->count; i++) {
-		struct fw_run *run =
-		    &placer->tables.runs[reclaim->victims[i].run];
-
-		if (!reclaim->victims[i].to_preempt || run->stop_requested)
-			continue;
-		run->stop_requested = true;
-		ev_emit(EV_FLOW_STOP,
-		    "job=%016llx task=%u run=%u worker=%s reason=reclaimed "
-		    "for=%s percent=%u",
-		    (unsigned long long)run->flow, run->index, run->run,
-		    placer->tables.worker_states[run->worker].name, flow->name,
-		    run->percent);
-	}
-}
-
 /* Logs the tasks that a decision places and the end that it sets for a job. */
 static void
 log_decision(const struct fw_job_view *job)
@@ -423,7 +309,7 @@
 bool
 fw_decide(struct fw_placer *placer, int64_t now_ms)
 {
-	struct reclaim_ctx reclaim = {placer, NULL, 0};
+	struct fw_preempt preempt = {.placer = placer};
 	struct fw_groups groups;
 	struct fw_view view;
 	bool any = false;
@@ -443,12 +329,12 @@
 		fw_reservations_apply(&placer->reservations, &view, &groups);
 		fw_groups_sort(&groups);
 		fw_trials_hold(&view, &groups);
-		fw_place(&view, &groups, reclaim_for_group, &reclaim);
+		fw_place(&view, &groups, fw_preempt_for_group, &preempt);
 		fw_groups_free(&groups);
 	} else
 		ev_emit(EV_FLOW_NO_MEMORY, "what=groups");
 	any = fill_batch(placer, &view);
-	free(reclaim.victims);
+	fw_preempt_end(&preempt);
 	fw_view_free(&view);
 	return any;
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -312,6 +312,7 @@
 struct fw_settings {
 	uint32_t lease_ms;        /* longest lease that a worker grants */
 	uint32_t stop_timeout_ms; /* a stop completes within this time */
+	uint32_t restore_ms;      /* a start from a checkpoint takes longer */
 	uint32_t gang_timeout_ms; /* a gang must be complete within this time */
 	uint32_t reclaim_ms;      /* guaranteed jobs start within this time */
 	uint32_t ack_timeout_ms;  /* listed ends are acknowledged by then */
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -52,6 +52,7 @@
  */
 struct fw_worker_state {
 	uint64_t host; /* id of the worker */
+	uint32_t next; /* next in the bucket */
 	char name[CW_NAME_BYTES];
 	char address[CW_NAME_BYTES]; /* "": unknown */
 	int64_t incarnation_ms;      /* start of the incarnation, 0: unknown */
@@ -69,6 +70,7 @@
 	uint64_t end_ack_sent; /* ends up to this number were acknowledged */
 	int64_t list_from_ms; /* lists asked for later are of its incarnation */
 	uint32_t run_count;
+	uint32_t first_run;       /* of its runs, or FW_NONE */
 	uint32_t unresolved_runs; /* the next report decides their state */
 	uint32_t orders_in_flight;
 	uint64_t hold; /* number of the latest hold */
@@ -106,9 +108,10 @@
 	uint64_t flow;  /* id of the job */
 	uint32_t index; /* of the task in the job's row */
 	struct fw_task_ref task;
-	uint32_t run;    /* its number */
-	uint32_t worker; /* handle of the worker's state */
-	uint32_t next;   /* next in the bucket, or on the free list */
+	uint32_t run;         /* its number */
+	uint32_t worker;      /* handle of the worker's state */
+	uint32_t worker_next; /* next run of the worker, or FW_NONE */
+	uint32_t next;        /* next in the bucket, or on the free list */
 	uint32_t percent;
 	enum fw_phase phase;
 	enum fw_end end;
@@ -186,6 +189,7 @@
 
 struct fw_groups;
 struct fw_tables;
+struct fw_victim;
 
 struct fw_view {
 	const struct bd_board *board;
@@ -198,7 +202,9 @@
 	uint32_t *rack_first;   /* index of the first worker of each rack */
 	uint64_t hosts_scanned; /* workers examined so far in this decision */
 	int64_t urgent_backlog; /* accelerators that urgent groups wait for */
+	uint64_t accel_total;   /* of workers that may be given new runs */
 	bool ample_free;        /* waiting jobs may use reserved workers */
+	bool lists_pending;     /* first lists of many workers are missing */
 	uint32_t trial_count;   /* workers that are kept for a suspect job */
 	uint32_t rack_count;
 	struct fw_job_view *jobs;
@@ -208,6 +214,7 @@
 	struct fw_view_task *alive; /* wait, but a worker lists a run */
 	uint32_t alive_count;
 	uint32_t alive_capacity;
+	const struct fw_victim *indexed_victims; /* by fw_reclaim, or NULL */
 	uint32_t *host_positions; /* index in hosts by handle index */
 	uint32_t *job_positions;  /* index in jobs by handle index */
 };
@@ -225,7 +232,7 @@
 	bool suspect;     /* its job may crash workers: it is tried apart */
 	bool shares;      /* a suspect that may use workers of other jobs */
 	bool joins;       /* and those on which other suspects are tried */
-	uint64_t work;    /* of the whole job, in accelerator-milliseconds */
+	uint64_t work;    /* of the whole job, in core-milliseconds */
 };
 
 struct fw_groups {
@@ -282,6 +289,8 @@
 
 /* hosts[] holds, for each task of a group, the index of a worker in the view.
  */
+bool fw_group_may_use(const struct fw_view *view,
+    const struct fw_host_view *host, const struct fw_group *group);
 void fw_group_count_tasks(struct fw_view *view, const struct fw_group *group);
 bool fw_group_fit_rack(struct fw_view *view, const struct fw_group *group,
     uint32_t rack, uint32_t *hosts);
@@ -301,12 +310,49 @@
 	uint32_t first; /* first task of its group, the same for a whole gang */
 	uint32_t host;  /* index in the view */
 	uint32_t priority;
-	uint64_t cost;   /* accelerator-milliseconds that its gang loses */
-	bool stopping;   /* is being stopped already */
-	bool tentative;  /* selected by the search in progress */
-	bool to_preempt; /* to be preempted */
+	uint64_t cost; /* core-milliseconds that its gang loses */
+	const struct bd_flow_step *step;
+	uint32_t gang_next;     /* ring of the members of its gang */
+	uint32_t selected_next; /* list of the tentative ones */
+	bool stopping;          /* is being stopped already */
+	bool tentative;         /* selected by the search in progress */
+	bool to_preempt;        /* to be preempted */
 };
 
+/* The runs that one decision may preempt. */
+struct fw_preempt {
+	struct fw_placer *placer;
+	struct fw_victim *victims; /* NULL until a group needs them */
+	uint32_t count;
+	uint32_t searches;
+};
+
+uint64_t fw_step_size(const struct bd_flow_step *step);
+uint64_t fw_run_loss(const struct bd_flow_step *step, int64_t age_ms,
+    uint32_t members, const struct fw_settings *settings);
+uint64_t fw_preempt_cost_max(const struct fw_group *group, bool guaranteed);
+void fw_preempt_for_group(
+    void *ctx, struct fw_view *view, const struct fw_group *group);
+void fw_preempt_end(struct fw_preempt *preempt);
+
+struct fw_release;
+
+/* The capacity that one decision keeps for waiting gangs. */
+struct fw_advance {
+	const struct fw_placer *placer;
+	const struct fw_host_view *hosts; /* of the view */
+	struct fw_release *releases;      /* by worker and time, or NULL */
+	uint32_t *first;                  /* of each worker, and the end */
+	int64_t *fits; /* of each worker: time until a task fits */
+	uint32_t count;
+	uint32_t gangs;
+	uint64_t accels;
+};
+
+void fw_advance_for_group(struct fw_advance *advance, struct fw_view *view,
+    const struct fw_group *group);
+void fw_advance_end(struct fw_advance *advance);
+
 bool fw_reclaim(struct fw_view *view, const struct fw_group *group,
     struct fw_victim *victims, uint32_t count, uint64_t cost_max,
     uint32_t *hosts);
@@ -365,8 +411,9 @@
 	struct fw_run *runs;
 	uint32_t run_count; /* entries, in use or free */
 	uint32_t run_capacity;
-	uint32_t run_free; /* first free entry, or FW_NONE */
-	uint32_t *buckets; /* hash table of the runs by job and task */
+	uint32_t run_free;        /* first free entry, or FW_NONE */
+	uint32_t *buckets;        /* hash table of the runs by job and task */
+	uint32_t *worker_buckets; /* hash table of the workers by id */
 	/* Longest time for which the acknowledgement of an end is put off. */
 	int64_t ack_delay_max_ms;
 };
--- /dev/null
+++ b/lib/flow/preempt.c
@@ -0,0 +1,162 @@
+#include <stdlib.h>
+
+#include "flow_internal.h"
+
+/* Delay before runs are preempted. Many runs end by themselves within this
+ * time, which is short compared with the start limit of guaranteed jobs. */
+#define PREEMPT_DELAY_MS 150
+/* A job of priority 0 that exceeds its account's guarantee may preempt runs
+ * whose loss is at most this share, in thousandths, of the job's own work. */
+#define UNGUARANTEED_COST_MILLI 500
+/* Largest number of groups for which one decision searches runs to preempt: a
+ * search visits all workers. The others follow in the next decisions. */
+#define SEARCHES_MAX 8
+/* In the price of lost work an accelerator counts as this many cores. */
+#define ACCEL_CORES 8
+/* Time from the order to stop a run to its end, without the run's own. */
+#define STOP_TRANSIT_MS 100
+
+static void collect_victims(struct fw_preempt *preempt, struct fw_view *view);
+
+/* Returns the size of a task of a step in thousandths of a core. */
+uint64_t
+fw_step_size(const struct bd_flow_step *step)
+{
+	uint64_t cores_milli =
+	    (step->flags & BD_STEP_FILLS) != 0 ? 0 : step->cores_milli;
+
+	return cores_milli + (uint64_t)step->accels * ACCEL_CORES * 1000;
+}
+
+/* Returns the work that is lost, in core-milliseconds, when a run of a step is
+ * stopped after age_ms and its gang of `members` tasks ends with it. A run that
+ * saves checkpoints also saves one when it is stopped, and loses the time of
+ * its stop and of its restore. */
+uint64_t
+fw_run_loss(const struct bd_flow_step *step, int64_t age_ms, uint32_t members,
+    const struct fw_settings *settings)
+{
+	int64_t saved_ms = (int64_t)settings->restore_ms + STOP_TRANSIT_MS;
+
+	if (age_ms < 0)
+		age_ms = 0;
+	if ((step->flags & BD_STEP_CHECKPOINTS) != 0 && age_ms > saved_ms)
+		age_ms = saved_ms;
+	return (uint64_t)age_ms * members * fw_step_size(step) / 1000;
+}
+
+/*
+ * Returns the largest loss, in core-milliseconds, at which runs may be
+ * preempted for a waiting group; 0: none are. Only jobs of priority 0 preempt.
+ * Within its account's guarantee a job may preempt at any cost, otherwise only
+ * while it can still meet its target, and only if little is lost. Load
+ * answered: bursts of urgent jobs on a full deployment.
+ */
+uint64_t
+fw_preempt_cost_max(const struct fw_group *group, bool guaranteed)
+{
+	/* A suspect job would start among the runs that are left there. */
+	if (group->priority != 0 || group->suspect ||
+	    group->age_ms < PREEMPT_DELAY_MS)
+		return 0;
+	if (guaranteed)
+		return UINT64_MAX;
+	return group->slack_ms < 0
+	    ? 0
+	    : group->work * UNGUARANTEED_COST_MILLI / 1000;
+}
+
+/* Collects the runs that may be preempted, with the work that each would lose:
+ * those of another priority than 0, and those that are being stopped already.
+ */
+static void
+collect_victims(struct fw_preempt *preempt, struct fw_view *view)
+{
+	struct fw_placer *placer = preempt->placer;
+	uint32_t i;
+
+	preempt->victims =
+	    calloc(placer->tables.run_count + 1, sizeof(*preempt->victims));
+	if (preempt->victims == NULL)
+		return;
+	for (i = 0; i < placer->tables.run_count; i++) {
+		const struct fw_run *run = &placer->tables.runs[i];
+		struct fw_victim *victim = &preempt->victims[preempt->count];
+		const struct bd_flow *flow;
+		struct fw_task_ref ref;
+		uint32_t members;
+
+		if (!run->used || run->superseded_since_ms != 0 ||
+		    run->phase == FW_PHASE_ENDED)
+			continue;
+		victim->run = i;
+		victim->job = fw_view_job_index(view, run->flow);
+		victim->host = fw_view_host_index(
+		    view, placer->tables.worker_states[run->worker].host);
+		if (victim->job == FW_NONE || victim->host == FW_NONE)
+			continue;
+		flow = fw_job_current(&view->jobs[victim->job]);
+		if (flow->priority == 0 && !run->stop_requested)
+			continue;
+		fw_task_ref_of(flow, run->index, &ref);
+		fw_group_of(flow, run->index, &victim->first, &members);
+		victim->priority = flow->priority;
+		victim->stopping = run->stop_requested;
+		victim->cost = fw_run_loss(&fw_flow_steps(flow)[ref.step],
+		    view->now_ms - run->placed_ms, members, view->settings);
+		preempt->count++;
+	}
+}
+
+/* Preempts runs for a group that does not fit, and reserves their capacity for
+ * it. ctx is a struct fw_preempt. */
+void
+fw_preempt_for_group(
+    void *ctx, struct fw_view *view, const struct fw_group *group)
+{
+	struct fw_preempt *preempt = ctx;
+	struct fw_placer *placer = preempt->placer;
+	const struct bd_flow *flow = fw_job_current(&view->jobs[group->job]);
+	uint64_t cost_max = fw_preempt_cost_max(group,
+	    group->priority == 0 &&
+		fw_within_guarantee(view, placer->parts.board, flow));
+	uint32_t hosts[FW_TASKS_MAX];
+	uint32_t i;
+
+	if (cost_max == 0 ||
+	    preempt->searches >= SEARCHES_MAX)
+		return;
+	preempt->searches++;
+	if (preempt->victims == NULL)
+		collect_victims(preempt, view);
+	if (preempt->victims == NULL ||
+	    !fw_reclaim(
+		view, group, preempt->victims, preempt->count, cost_max, hosts))
+		return;
+	if (fw_reservation_add(&placer->reservations, view, group, hosts) !=
+	    CW_OK)
+		ev_emit(EV_FLOW_NO_MEMORY, "what=plan");
+	for (i = 0; i < preempt->count; i++) {
+		struct fw_run *run =
+		    &placer->tables.runs[preempt->victims[i].run];
+
+		if (!preempt->victims[i].to_preempt || run->stop_requested)
+			continue;
+		run->stop_requested = true;
+		ev_emit(EV_FLOW_STOP,
+		    "job=%016llx task=%u run=%u worker=%s reason=reclaimed "
+		    "for=%s percent=%u",
+		    (unsigned long long)run->flow, run->index, run->run,
+		    placer->tables.worker_states[run->worker].name, flow->name,
+		    run->percent);
+	}
+}
+
+/* Frees what the decision has collected. */
+void
+fw_preempt_end(struct fw_preempt *preempt)
+{
+	free(preempt->victims);
+	preempt->victims = NULL;
+	preempt->count = 0;
+}
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -55,8 +55,7 @@
 	return true;
 }
 
-/* Returns the estimated work of a job, in accelerator-milliseconds. A task
- * without accelerators counts as an eighth of one. */
+/* Returns the estimated work of a job, in core-milliseconds. */
 static uint64_t
 estimate_work(const struct bd_flow *flow)
 {
@@ -66,7 +65,7 @@
 
 	for (s = 0; s < flow->step_count; s++)
 		work += (uint64_t)steps[s].count * (steps[s].estimate_ms + 1) *
-		    (steps[s].accels > 0 ? steps[s].accels * 8U : 1U) / 8;
+		    fw_step_size(&steps[s]) / 1000;
 	return work;
 }
 
--- a/lib/flow/room.c
+++ b/lib/flow/room.c
@@ -108,9 +108,9 @@
 	uint32_t i;
 
 	*used = (struct fw_room){0};
-	for (i = 0; i < tables->run_count; i++)
-		if (tables->runs[i].worker == worker &&
-		    may_run(&tables->runs[i]))
+	for (i = tables->worker_states[worker].first_run; i != FW_NONE;
+	     i = tables->runs[i].worker_next)
+		if (may_run(&tables->runs[i]))
 			add_task(used, board, &tables->runs[i].task);
 	for (i = 0; i < report->run_count; i++)
 		if (!is_counted(tables, board, worker, &report->runs[i]))
--- a/lib/flow/tables.c
+++ b/lib/flow/tables.c
@@ -4,7 +4,8 @@
 
 #include "flow_internal.h"
 
-#define BUCKETS 4096 /* twice the number of runs of the design size */
+#define BUCKETS 8192 /* three times the number of runs of the design size */
+#define WORKER_BUCKETS 2048
 #define LINKS_INITIAL 64
 #define RUNS_INITIAL 256
 
@@ -16,19 +17,37 @@
 /* An order without an answer is carried out within this time, or never. */
 #define ORDER_LATE_MAX_MS 15000
 
+static void clear_buckets(struct fw_tables *tables);
+static uint32_t worker_bucket_of(uint64_t host);
 static uint32_t bucket_of(uint64_t flow, uint32_t index);
 
+/* Empties both hash tables: all of their entries are FW_NONE. */
+static void
+clear_buckets(struct fw_tables *tables)
+{
+	memset(tables->buckets, 0xff,
+	    (BUCKETS + WORKER_BUCKETS) * sizeof(*tables->buckets));
+}
+
+static uint32_t
+worker_bucket_of(uint64_t host)
+{
+	return (uint32_t)(cw_id_from_pair(host, 0) % WORKER_BUCKETS);
+}
+
 /* Initializes empty tables. Returns FW_ENOMEM. */
 int
 fw_tables_init(struct fw_tables *tables)
 {
 	memset(tables, 0, sizeof(*tables));
 	tables->run_free = FW_NONE;
-	tables->buckets = malloc(BUCKETS * sizeof(*tables->buckets));
+	tables->buckets =
+	    malloc((BUCKETS + WORKER_BUCKETS) * sizeof(*tables->buckets));
 	if (tables->buckets == NULL)
 		return cw_error_set(FW_ENOMEM,
 		    "out of memory while creating the table of runs");
-	memset(tables->buckets, 0xff, BUCKETS * sizeof(*tables->buckets));
+	tables->worker_buckets = tables->buckets + BUCKETS;
+	clear_buckets(tables);
 	return CW_OK;
 }
 
@@ -42,7 +61,7 @@
 		fw_report_free(&tables->worker_states[i].report);
 	tables->worker_state_count = tables->run_count = 0;
 	tables->run_free = FW_NONE;
-	memset(tables->buckets, 0xff, BUCKETS * sizeof(*tables->buckets));
+	clear_buckets(tables);
 }
 
 void
@@ -59,12 +78,11 @@
 uint32_t
 fw_worker_state_find(const struct fw_tables *tables, uint64_t host)
 {
-	uint32_t i;
+	uint32_t i = tables->worker_buckets[worker_bucket_of(host)];
 
-	for (i = 0; i < tables->worker_state_count; i++)
-		if (tables->worker_states[i].host == host)
-			return i;
-	return FW_NONE;
+	while (i != FW_NONE && tables->worker_states[i].host != host)
+		i = tables->worker_states[i].next;
+	return i;
 }
 
 /* Returns the handle of a worker's state, creating it if needed, or FW_NONE if
@@ -73,6 +91,7 @@
 fw_worker_state_get(struct fw_tables *tables, uint64_t host)
 {
 	uint32_t found = fw_worker_state_find(tables, host);
+	uint32_t *bucket;
 
 	if (found != FW_NONE)
 		return found;
@@ -92,6 +111,10 @@
 	memset(
 	    &tables->worker_states[found], 0, sizeof(*tables->worker_states));
 	tables->worker_states[found].host = host;
+	tables->worker_states[found].first_run = FW_NONE;
+	bucket = &tables->worker_buckets[worker_bucket_of(host)];
+	tables->worker_states[found].next = *bucket;
+	*bucket = found;
 	return found;
 }
 
@@ -152,6 +175,8 @@
 	row->worker = worker;
 	row->next = tables->buckets[bucket];
 	tables->buckets[bucket] = handle;
+	row->worker_next = tables->worker_states[worker].first_run;
+	tables->worker_states[worker].first_run = handle;
 	tables->worker_states[worker].run_count++;
 	return handle;
 }
@@ -167,6 +192,10 @@
 	while (*link != handle)
 		link = &tables->runs[*link].next;
 	*link = run->next;
+	link = &tables->worker_states[run->worker].first_run;
+	while (*link != handle)
+		link = &tables->runs[*link].worker_next;
+	*link = run->worker_next;
 	tables->worker_states[run->worker].run_count--;
 	run->used = false;
 	run->next = tables->run_free;
--- a/tests/flow_fixture.h
+++ b/tests/flow_fixture.h
@@ -20,6 +20,7 @@
 		bd_board_create(&board);
 		settings.lease_ms = 6000;
 		settings.stop_timeout_ms = 200;
+		settings.restore_ms = 600;
 		settings.gang_timeout_ms = 3000;
 		settings.reclaim_ms = 2700;
 		settings.ack_timeout_ms = 5000;
--- a/tests/sim/run_checker.h
+++ b/tests/sim/run_checker.h
@@ -52,6 +52,7 @@
 	std::set<std::string> done;     /* ended as done, acknowledged */
 	std::set<std::string> finished; /* ended as done */
 	std::map<std::string, int> started;
+	std::map<std::string, int> stopped;         /* runs that were stopped */
 	std::map<std::string, SimRoom> needs;       /* by job and step */
 	std::map<std::string, uint32_t> gang_sizes; /* by job and step */
 	/* By occurrence of a step and run. */
--- a/tests/sim/worker_sim.h
+++ b/tests/sim/worker_sim.h
@@ -83,6 +83,8 @@
 		end.checkpoint = run.checkpoint;
 		end.starts_at_end = run_checker->started[run.task];
 		ends.push_back(end);
+		if (end.how == "stopped")
+			run_checker->stopped[run.task]++;
 		if (end.how == "done")
 			run_checker->finished.insert(run.task);
 		highest_ended_run[run.task] =
--- a/tests/test_platform_settings.cc
+++ b/tests/test_platform_settings.cc
@@ -49,6 +49,7 @@
 	    {"Limits", "CpuShare"},
 	    {"Limits", "MemoryMb"},
 	    {"Limits", "MaxFds"},
+	    {"Bounds", "RestoreMs"},
 	    {"platform", "MinTtlMs"},
 	    {"", "HeartbeatMs"},
 	};
