A new placer asks thousands of workers for their runs in turn

At 3,000 workers a successor sent 3,000 calls at once. Half a core did not open so many connections before the time-outs of the calls; all workers counted as silent, the store's answers waited behind them, the duty was lost, and the next VM began in the same way: nothing was placed any more. At most 256 first lists are asked for at a time, those of workers with runs first, whose leases run out. Until most lists are in, nothing is preempted: urgent jobs saw only the first workers and stopped what ran there.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -9,6 +9,11 @@
 /* A worker that lists more ends than this gets no runs: an end that must not be
  * acknowledged holds up those behind it, and a list has room for 500. */
 #define ENDS_WAITING_MAX 250
+/* A new placer preempts nothing while it still waits for the first lists of
+ * more than one worker in this many, which takes up to this time: urgent jobs
+ * would find only the first workers, and stop what runs there. */
+#define LISTS_MISSING_PART 10
+#define LISTS_WAIT_MS 2000
 /* Workers are reserved for jobs of priority 0 according to the moving average
  * of the demand of these jobs, plus a margin for the next ones. With this
  * averaging time the reserve follows a burst within some seconds. */
@@ -34,6 +39,7 @@
 static void
 exclude_failing_hosts(struct fw_placer *placer, struct fw_view *view)
 {
+	uint32_t missing = 0;
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++) {
@@ -47,6 +53,8 @@
 			continue;
 		}
 		worker = &placer->tables.worker_states[found];
+		missing +=
+		    !worker->reported && worker->unresponsive_since_ms == 0;
 		if (!worker->reported || worker->unresponsive_since_ms != 0 ||
 		    worker->misaddressed ||
 		    worker->report.end_count > ENDS_WAITING_MAX ||
@@ -63,6 +71,8 @@
 				host->schedulable = false;
 		}
 	}
+	view->lists_pending = missing * LISTS_MISSING_PART > view->host_count &&
+	    view->now_ms - placer->active_since_ms < LISTS_WAIT_MS;
 }
 
 /* Updates the average demand of priority 0 and reserves workers for it. */
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -18,6 +18,14 @@
  * confirmed. Outages of the store up to this length lose no work. */
 #define UNCONFIRMED_MAX_MS 10000
 
+/* A new placer asks every worker for its list of runs. So many of these calls
+ * may be unanswered at a time: 3,000 at once kept half a core busy for longer
+ * than their time-out, and the store's answers waited behind them, so that the
+ * placer lost its duty and the next one began anew. A call that takes longer
+ * than FIRST_LIST_SLOW_MS counts as one to a silent worker. */
+#define FIRST_LISTS_MAX 256
+#define FIRST_LIST_SLOW_MS 300
+
 static void on_report(void *ctx, const struct fw_report *report);
 static struct fw_call *call_create(struct fw_placer *placer,
     const struct fw_worker_state *worker, enum fw_order_kind kind);
@@ -42,6 +50,10 @@
 static void send_due_order(
     struct fw_placer *placer, struct fw_run *run, int64_t now_ms);
 static bool hold_is_due(const struct fw_worker_state *worker, int64_t now_ms);
+static uint32_t first_lists_left(
+    const struct fw_tables *tables, int64_t now_ms);
+static void send_holds(
+    struct fw_placer *placer, bool with_runs, uint32_t *left, int64_t now_ms);
 
 /* Runs on the platform's thread: queues the answer for the placer's next step.
  */
@@ -351,6 +363,44 @@
 	worker->hold_sent_ms = now_ms;
 }
 
+/* Returns how many more workers may be asked for their first list now. */
+static uint32_t
+first_lists_left(const struct fw_tables *tables, int64_t now_ms)
+{
+	uint32_t waiting = 0;
+	uint32_t i;
+
+	for (i = 0; i < tables->worker_state_count; i++) {
+		const struct fw_worker_state *worker =
+		    &tables->worker_states[i];
+
+		waiting += !worker->reported && worker->hold_in_flight &&
+		    now_ms - worker->hold_sent_ms < FIRST_LIST_SLOW_MS;
+	}
+	return waiting < FIRST_LISTS_MAX ? FIRST_LISTS_MAX - waiting : 0;
+}
+
+/* Sends the holds that are due, to the workers with or without runs. *left is
+ * the number of first lists that may still be asked for. */
+static void
+send_holds(
+    struct fw_placer *placer, bool with_runs, uint32_t *left, int64_t now_ms)
+{
+	struct fw_tables *tables = &placer->tables;
+	uint32_t i;
+
+	for (i = 0; i < tables->worker_state_count; i++) {
+		struct fw_worker_state *worker = &tables->worker_states[i];
+
+		if ((worker->run_count > 0) != with_runs ||
+		    (!worker->reported && *left == 0) ||
+		    !hold_is_due(worker, now_ms))
+			continue;
+		*left -= !worker->reported;
+		send_hold(placer, worker, now_ms);
+	}
+}
+
 /*
  * Sends the orders that are due: first the stops that revoke late starts, then
  * a start for each new run, a stop for each run that is to end, and a hold for
@@ -364,6 +414,7 @@
     struct fw_placer *placer, int64_t now_ms, int64_t duty_confirmed_ms)
 {
 	struct fw_tables *tables = &placer->tables;
+	uint32_t first_lists;
 	uint32_t i;
 
 	for (i = 0; i < tables->worker_state_count; i++)
@@ -378,7 +429,8 @@
 		stop_unwanted(placer, i, now_ms);
 	if (now_ms - duty_confirmed_ms > UNCONFIRMED_MAX_MS)
 		return;
-	for (i = 0; i < tables->worker_state_count; i++)
-		if (hold_is_due(&tables->worker_states[i], now_ms))
-			send_hold(placer, &tables->worker_states[i], now_ms);
+	first_lists = first_lists_left(tables, now_ms);
+	/* Leases of an earlier placer run out. */
+	send_holds(placer, true, &first_lists, now_ms);
+	send_holds(placer, false, &first_lists, now_ms);
 }
--- a/lib/flow/preempt.c
+++ b/lib/flow/preempt.c
@@ -123,7 +123,7 @@
 	uint32_t hosts[FW_TASKS_MAX];
 	uint32_t i;
 
-	if (cost_max == 0 ||
+	if (cost_max == 0 || view->lists_pending ||
 	    preempt->searches >= SEARCHES_MAX)
 		return;
 	preempt->searches++;
--- /dev/null
+++ b/tests/test_flow_scale.cc
@@ -0,0 +1,50 @@
+#include <gtest/gtest.h>
+
+#include "sim/flow_sim.h"
+
+#define JOB "00000000000000b1"
+
+/* The placer's VM handles one answer of a worker at a time, in this time. */
+static constexpr int64_t ANSWER_MS = 1;
+
+/* Orders to all workers, whose answers wait for each other at the placer. */
+static void
+serialize_answers(FlowSim &sim, int64_t *busy_until_ms)
+{
+	sim.order_fault = [&sim, busy_until_ms](const SimVm *,
+			      const std::string &, enum fw_order_kind) {
+		SimOrderFault fault;
+
+		*busy_until_ms =
+		    std::max(*busy_until_ms, sim.now_ms) + ANSWER_MS;
+		fault.transit_ms = *busy_until_ms - sim.now_ms;
+		return fault;
+	};
+}
+
+/* A new placer of thousands of workers must not ask all of them at once for
+ * their runs: the answers came after their time-outs, all workers counted as
+ * silent, and nothing was placed any more. */
+TEST(FlowScale, SuccessorOfManyWorkersPlacesSoon)
+{
+	FlowSim sim;
+	int64_t busy_until_ms = 0;
+
+	for (int i = 0; i < 2000; i++)
+		sim.add_worker("w" + std::to_string(i));
+	serialize_answers(sim, &busy_until_ms);
+	SimVm *a = sim.add_vm("a");
+	sim.run_for(6000);
+	SimVm *b = sim.add_vm("b");
+	sim.run_for(1000);
+	ASSERT_TRUE(fw_placer_active(a->placer));
+	sim.submit(JOB, {FlowFixture::make_step(200, 8)}, 1);
+	sim.run_for(200);
+	sim.kill(a);
+	/* Until the duty has moved, the lists of all workers are read, and the
+	 * tasks have run. */
+	sim.run_for(2500 + 2000 * ANSWER_MS + 2500);
+	ASSERT_TRUE(fw_placer_active(b->placer));
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(b, JOB));
+	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+}
