Callers get through the end of an outage of the store

While the store was away each call was refused at once with Retry-After 1. Once an outage has lasted for 2.5 s, so that most VMs have it and no other one would serve, a submission is held until the store is back, for less than half of the time that its caller waits; nothing is sent meanwhile, so a refusal stays true. At most a third of the front's threads hold calls. Retry-After grows with the outage, up to 6 s. After a read without an answer the next ones do not wait for records and end after 0.6 s, so that the end of the outage is seen sooner.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -116,3 +116,4 @@
     "runs on a worker need more than its capacity")
 EV(1140, EV_FLOW_CRASHED, EV_LEVEL_WARN, "worker crashed under a run")
 EV(1141, EV_FLOW_GIVEN_UP, EV_LEVEL_WARN, "job given up after crashes")
+EV(1142, EV_FLOW_HELD, EV_LEVEL_INFO, "call held while the store is away")
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -405,8 +405,15 @@
 	struct fw_follower *jobs;
 	struct fw_follower *config;
 	uint32_t config_age_max_ms; /* a change is in force within this time */
+	uint32_t held_max;          /* most calls that are held at a time */
+	CW_ATOMIC(uint32_t) held;
 };
 
+int64_t fw_hold_ms(
+    int64_t patience_ms, int64_t outage_ms, uint32_t held, uint32_t held_max);
+uint32_t fw_retry_after_s(int64_t outage_ms);
+void fw_front_hold(struct fw_front *front, int64_t deadline_ms);
+uint32_t fw_front_retry_after_s(const struct fw_front *front, int64_t now_ms);
 bool fw_config_in_force(const struct fw_front *front, int64_t now_ms);
 int fw_submit(const struct fw_front *front, const struct fw_job_spec *spec,
     int64_t deadline_ms);
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -87,7 +87,9 @@
 	struct fw_read read = {.topic = follower->spec.topic,
 	    .newest = follower->loading,
 	    .from = atomic_load(&follower->position),
-	    .wait_ms = follower->behind ? 0 : follower->spec.wait_ms,
+	    .wait_ms = follower->behind || follower->unanswered
+		? 0
+		: follower->spec.wait_ms,
 	    .unanswered = follower->unanswered,
 	    .record = on_record,
 	    .done = on_done,
