Capacity is kept for wide gangs that can start soon

On full deployments small tasks of lower priority took each accelerator that came free, so that a wide gang never found all of its workers at once: the wide kind began 5 s later at the median and was the worst served. For up to four gangs that wait, the workers on which they can start first, by the progress of the runs there, are kept from the groups after them, for 4 s at most and up to a tenth of all accelerators, or four tenths for a single gang.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -20,6 +20,12 @@
 #define URGENT_AVERAGE_MS 8000
 #define URGENT_MARGIN_MILLI 1200
 #define URGENT_MIN_ACCELS 16
+/* What is done for the groups that have to wait. */
+struct waiting {
+	struct fw_preempt preempt;
+	struct fw_advance advance;
+};
+
 static void exclude_failing_hosts(
     struct fw_placer *placer, struct fw_view *view);
 static void reserve_urgent(struct fw_placer *placer, struct fw_view *view);
@@ -30,6 +36,8 @@
     struct bd_flow *flow, const struct fw_view *view);
 static void apply_ends(struct fw_placer *placer, struct fw_view *view);
 static void charge_late_crashes(struct fw_placer *placer, struct fw_view *view);
+static void on_blocked(
+    void *ctx, struct fw_view *view, const struct fw_group *group);
 static void log_decision(const struct fw_job_view *job);
 static bool fill_batch(struct fw_placer *placer, struct fw_view *view);
 
@@ -310,6 +318,18 @@
 	return writer->count > 0;
 }
 
+/* Handles a group that does not fit now. ctx is a struct waiting. */
+static void
+on_blocked(void *ctx, struct fw_view *view, const struct fw_group *group)
+{
+	struct waiting *waiting = ctx;
+
+	if (group->priority == 0)
+		fw_preempt_for_group(&waiting->preempt, view, group);
+	else
+		fw_advance_for_group(&waiting->advance, view, group);
+}
+
 /*
  * Makes one scheduling decision for all jobs: applies the ends that workers
  * have reported, then places waiting groups. Fills the progress writer's batch
@@ -319,7 +339,8 @@
 bool
 fw_decide(struct fw_placer *placer, int64_t now_ms)
 {
-	struct fw_preempt preempt = {.placer = placer};
+	struct waiting waiting = {
+	    .preempt.placer = placer, .advance.placer = placer};
 	struct fw_groups groups;
 	struct fw_view view;
 	bool any = false;
@@ -339,12 +360,13 @@
 		fw_reservations_apply(&placer->reservations, &view, &groups);
 		fw_groups_sort(&groups);
 		fw_trials_hold(&view, &groups);
-		fw_place(&view, &groups, fw_preempt_for_group, &preempt);
+		fw_place(&view, &groups, on_blocked, &waiting);
 		fw_groups_free(&groups);
 	} else
 		ev_emit(EV_FLOW_NO_MEMORY, "what=groups");
 	any = fill_batch(placer, &view);
-	fw_preempt_end(&preempt);
+	fw_preempt_end(&waiting.preempt);
+	fw_advance_end(&waiting.advance);
 	fw_view_free(&view);
 	return any;
 }
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -86,10 +86,12 @@
 /* Returns whether a group may use a worker. Reserved workers accept only jobs
  * of priority 0 and tasks whose data is on that rack, that are about to miss
  * their target, or that have waited for long while ample capacity is free. */
-static bool
-may_use_host(const struct fw_view *view, const struct fw_host_view *host,
-    const struct fw_group *group, const struct bd_flow_step *step)
+bool
+fw_group_may_use(const struct fw_view *view, const struct fw_host_view *host,
+    const struct fw_group *group)
 {
+	const struct bd_flow_step *step = step_of(view, group);
+
 	return !host->urgent || group->priority == 0 ||
 	    (view->ample_free && group->age_ms > RESERVED_WAIT_MS) ||
 	    (group->slack_ms >= 0 && group->slack_ms < RESERVED_SLACK_MS) ||
@@ -203,7 +205,7 @@
 
 		if ((step->host_max > 0 &&
 			host->same_step_tasks >= step->host_max) ||
-		    !may_use_host(view, host, group, step) ||
+		    !fw_group_may_use(view, host, group) ||
 		    (avoid && crashed_there(view, flow, group, host)))
 			continue;
 		company = company_on(view, group, step, i);
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -482,6 +482,7 @@
 	for (i = 0; i < view->host_count; i++)
 		if (view->hosts[i].schedulable)
 			total += view->hosts[i].row->accels;
+	view->accel_total = total;
 	view->ample_free = is_ample_free(view, total);
 	for (i = 0; i < view->host_count && reserved < accels; i++) {
 		struct fw_host_view *host = &view->hosts[i];
