--- a/lib/flow/reclaim.c
+++ b/lib/flow/reclaim.c
@@ -9,6 +9,11 @@
 #define COST_UNKNOWN (UINT64_MAX - 1)
 #define COST_NEVER UINT64_MAX
 
+/* An entry in the victims' order by gang. */
+struct victim_ref {
+	struct fw_victim *victim;
+};
+
 /* The search for runs to preempt for one group. */
 struct search {
 	struct fw_view *view;
@@ -245,8 +250,8 @@
 static int
 compare_gangs(const void *a, const void *b)
 {
-	const struct fw_victim *x = *(const struct fw_victim *const *)a;
-	const struct fw_victim *y = *(const struct fw_victim *const *)b;
+	const struct fw_victim *x = ((const struct victim_ref *)a)->victim;
+	const struct fw_victim *y = ((const struct victim_ref *)b)->victim;
 
 	if (x->job != y->job)
 		return x->job < y->job ? -1 : 1;
@@ -260,7 +265,7 @@
 static bool
 index_victims(struct fw_view *view, struct fw_victim *victims, uint32_t count)
 {
-	struct fw_victim **order;
+	struct victim_ref *order;
 	uint32_t i;
 
 	if (view->indexed_victims == victims)
@@ -278,7 +283,7 @@
 		if (host->victim_count++ == 0)
 			host->first_victim = i;
 		victims[i].step = victim_step(view, &victims[i]);
-		order[i] = &victims[i];
+		order[i].victim = &victims[i];
 	}
 	if (count > 1)
 		qsort(order, count, sizeof(*order), compare_gangs);
@@ -289,9 +294,10 @@
 		     i < count && compare_gangs(&order[first], &order[i]) == 0;
 		     i++)
 			if (i > first)
-				order[i - 1]->gang_next =
-				    (uint32_t)(order[i] - victims);
-		order[i - 1]->gang_next = (uint32_t)(order[first] - victims);
+				order[i - 1].victim->gang_next =
+				    (uint32_t)(order[i].victim - victims);
+		order[i - 1].victim->gang_next =
+		    (uint32_t)(order[first].victim - victims);
 	}
 	free(order);
 	view->indexed_victims = victims;
