Idle connections do not keep the client's thread busy

Once a second libcurl looks for idle connections that are too old or closed, and after each one that it finds it tests all others anew. A placer of 3,000 workers opened a connection to each at its start; 20 s later those to idle workers were too old at once, and the thread was busy for 11.7 s with testing the others: all workers counted as silent, the duty was lost, and nothing was placed. Connections are now too old after 110 s; one that its worker has closed is recognized when it is to be reused. The first list of a worker without runs is the last call on its connection.

Tests: LinkAsync.LastCallClosesItsConnection, FlowScale. ConnectionsToIdleWorkersAreNotKept. The pause itself has no test: it needs 3,000 connections that age for 20 s.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -297,6 +297,7 @@
 	const char *text; /* start only, as are the next two */
 	uint32_t text_bytes;
 	const char *checkpoint; /* to resume from, "": none */
+	bool last;              /* hold: no further order is expected soon */
 	void (*done)(void *ctx, const struct fw_report *report);
 	void *ctx;
 };
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -350,6 +350,7 @@
 	    : worker->unresolved_runs > 0 ? HOLD_WAIT_SHORT_MS
 					  : HOLD_WAIT_MS;
 	order.timeout_ms = FW_ORDER_TIMEOUT_MS + order.wait_ms;
+	order.last = idle && !worker->reported;
 	order.ctx = call;
 	call->end_ack = order.end_ack;
 	call->hold = worker->hold + 1;
--- a/lib/link/http_async.c
+++ b/lib/link/http_async.c
@@ -403,6 +403,7 @@
 	operation->timeout_ms = call->timeout_ms;
 	operation->stall_ms = call->stall_ms;
 	operation->new_connection = call->new_connection;
+	operation->last_on_connection = call->last_on_connection;
 	operation->done = call->done;
 	operation->ctx = call->ctx;
 	operation->sent_ms = cw_clock_mono_ms();
--- a/lib/link/http_async.h
+++ b/lib/link/http_async.h
@@ -45,7 +45,8 @@
 	 * to LK_ASYNC_CALL_MAX_MS. For answers whose size and link are unknown.
 	 */
 	uint32_t stall_ms;
-	bool new_connection; /* for a call after one without an answer */
+	bool new_connection;     /* for a call after one without an answer */
+	bool last_on_connection; /* its connection is closed afterwards */
 	void (*done)(void *ctx, const struct lk_async_answer *answer);
 	void *ctx;
 };
--- a/lib/link/http_async_internal.h
+++ b/lib/link/http_async_internal.h
@@ -29,6 +29,7 @@
 	struct lk_operation *watched_next;
 	bool post;
 	bool new_connection;
+	bool last_on_connection;
 	uint32_t requests_issued;
 	void (*done)(void *ctx, const struct lk_async_answer *answer);
 	void (*run)(void *ctx, int64_t now_ms); /* of a timer, NULL: a call */
--- a/lib/link/http_operation.c
+++ b/lib/link/http_operation.c
@@ -11,9 +11,12 @@
 /* The largest answer is a page of the store: 1 MB, in base64. */
 #define ANSWER_BYTES_MAX ((size_t)8 * 1024 * 1024)
 #define ANSWER_CAPACITY_INITIAL 1024
-/* A connection that was idle for longer is not reused, because the platform may
- * have closed it. */
-#define IDLE_CONNECTION_MAX_S 20L
+/* A connection that was idle for longer is not reused. libcurl looks once a
+ * second for connections that are too old or closed, and after each one that it
+ * finds it tests all others anew: 1,500 that became too old at once, beside as
+ * many others, kept the thread busy for 12 s. One that its peer has closed is
+ * recognized when it is to be reused. */
+#define IDLE_CONNECTION_MAX_S 110L
 
 static bool may_issue(const struct lk_operation *operation);
 static int on_prereq(
@@ -146,6 +149,8 @@
 				    : (long)operation->timeout_ms);
 	curl_easy_setopt(
 	    curl, CURLOPT_FRESH_CONNECT, operation->new_connection ? 1L : 0L);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE,
+	    operation->last_on_connection ? 1L : 0L);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
 	    operation->timeout_ms < CONNECT_TIMEOUT_MS
 		? (long)operation->timeout_ms
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -62,6 +62,7 @@
 	std::set<std::string> unreachable_workers;
 	std::set<std::string> refusing_workers;  /* refuse connections */
 	std::map<std::string, int> order_counts; /* by worker */
+	std::map<std::string, int> last_orders;  /* by worker */
 	std::vector<std::unique_ptr<SimVm>> vms;
 	int64_t store_latency_ms = 4;
 	bool store_down = false;
--- a/tests/sim/flow_sim_orders.h
+++ b/tests/sim/flow_sim_orders.h
@@ -141,6 +141,7 @@
 	};
 
 	sim->order_counts[address]++;
+	sim->last_orders[address] += call->last ? 1 : 0;
 	if (sim->order_fault)
 		fault = sim->order_fault(vm, address, call->kind);
 	int64_t silent_ms =
--- a/tests/test_flow_scale.cc
+++ b/tests/test_flow_scale.cc
@@ -48,3 +48,29 @@
 	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(b, JOB));
 	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
 }
+
+/* The connection to a worker must be kept while it has runs, and not after its
+ * first list if it has none. */
+TEST(FlowScale, ConnectionsToIdleWorkersAreNotKept)
+{
+	FlowSim sim;
+
+	sim.add_worker("w1").work_ms = 20000;
+	sim.add_worker("w2");
+	SimVm *a = sim.add_vm("a");
+	sim.run_for(1500);
+	EXPECT_EQ(1, sim.last_orders["w1"]);
+	EXPECT_EQ(1, sim.last_orders["w2"]);
+	sim.submit(JOB, {FlowFixture::make_step(8, 1)}, 1);
+	sim.run_for(5000);
+	std::string used = sim.worker_of(a, JOB, 0);
+	EXPECT_EQ(1, sim.last_orders[used]);
+	/* A successor asks the worker with runs over a connection that stays.
+	 */
+	sim.add_vm("b");
+	sim.run_for(1000);
+	sim.kill(a);
+	sim.run_for(4000);
+	EXPECT_EQ(1, sim.last_orders[used]);
+	EXPECT_EQ(2, sim.last_orders[used == "w1" ? "w2" : "w1"]);
+}
--- a/tests/test_link_async.cc
+++ b/tests/test_link_async.cc
@@ -196,6 +196,31 @@
 	lk_async_stop(async);
 }
 
+/* A connection that is not needed any more must be closed: thousands of idle
+ * ones kept the thread busy with testing them. */
+TEST(LinkAsync, LastCallClosesItsConnection)
+{
+	SlowServer server(1, 1, 0);
+	struct lk_async *async = nullptr;
+	struct lk_async_call call = {};
+
+	ASSERT_EQ(CW_OK, lk_async_start(&async, 64));
+	call.address = server.address.c_str();
+	call.path = "/";
+	call.timeout_ms = 500;
+	call.done = Outcome::on_done;
+	for (bool last : {false, true, false}) {
+		Outcome outcome;
+
+		call.last_on_connection = last;
+		call.ctx = &outcome;
+		ASSERT_EQ(CW_OK, lk_async_submit(async, &call));
+		outcome.done.get_future().wait();
+	}
+	EXPECT_EQ(2U, lk_async_connections(async));
+	lk_async_stop(async);
+}
+
 /* Guards against an order that was carried out and counts as never sent. */
 TEST(LinkAsync, SentRequestIsNotReportedAsRefused)
 {
