First lists that a slow placer gets late are still waited for

A call for a first list counted as one to a silent worker after 0.3 s, and another one was sent in its place: where half a core takes longer for 256 answers, as many calls were on their way as before. It counts for 0.9 s now.

FlowScale.SuccessorOfManyWorkersPlacesSoon counts the workers that are taken for silent: with answers of 2 ms each 1,401 without the limit, none with it. It had passed without the limit before, as it looked at the job only.

--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -24,7 +24,7 @@
  * placer lost its duty and the next one began anew. A call that takes longer
  * than FIRST_LIST_SLOW_MS counts as one to a silent worker. */
 #define FIRST_LISTS_MAX 256
-#define FIRST_LIST_SLOW_MS 300
+#define FIRST_LIST_SLOW_MS 900
 
 static void on_report(void *ctx, const struct fw_report *report);
 static struct fw_call *call_create(struct fw_placer *placer,
