--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD := build
 JOBS := $(shell nproc)
 
-.PHONY: all deps build check demo bench model sanitize fuzz soak format lint test install clean
+.PHONY: all deps build check demo bench model sanitize fuzz soak days format lint test install clean
 
 all: build
 
@@ -47,6 +47,11 @@
 	@SOAK_SEEDS="$(SEEDS)" SOAK_SECONDS="$(SECONDS)" \
 		$(BUILD)/tests/test_platform_soak
 
+# BENCH=PROGRAM SITES="SITE...": the deployments in force, compared with the
+# journal. Not part of CI.
+days:
+	@sh tests/days.sh "$(BENCH)" $(JOBS) $(SITES)
+
 install: build
 	@cmake --install $(BUILD)
 
