VMs that join at once learn sooner who has the duty

For its first second a member asks each 0.1 s. Test: FlowDuty.VmsThatJoinAtOnceSettleSoon, which failed before.

--- a/lib/flow/duty.c
+++ b/lib/flow/duty.c
@@ -6,6 +6,10 @@
 /* Three joins are sent within the shortest time to live that the store grants,
  * 1 s, so that the loss of one answer does not end the membership. */
 #define JOIN_INTERVAL_MS 330
+/* Where several VMs join at once, each may learn only from its next join that
+ * the duty was dealt to it or away from it: a new member asks sooner. */
+#define JOIN_SOON_INTERVAL_MS 100
+#define JOIN_SOON_MS 1000
 #define RETRY_MS 150
 /* A VM joins the election only if two probes in a row have found no placer: the
  * store may deal the duty anew to whoever joins, and each change of the placer
@@ -40,7 +44,8 @@
 	/* Owned by the platform's thread: */
 	uint64_t generation;
 	enum duty_call call;
-	bool member;              /* has joined, and its membership is valid */
+	bool member; /* has joined, and its membership is valid */
+	int64_t member_since_ms;
 	int64_t joined_ms;        /* last answered join, by its sending */
 	int64_t standby_since_ms; /* member without the duty since, 0: has it */
 	uint32_t vacant_probes;   /* probes in a row without a placer */
@@ -157,6 +162,8 @@
 	uint64_t term = atomic_load(&duty->term);
 
 	duty->generation = generation;
+	if (!duty->member)
+		duty->member_since_ms = sent_ms;
 	duty->member = true;
 	duty->joined_ms = sent_ms;
 	duty->vacant_probes = 0;
@@ -170,7 +177,10 @@
 		set_term(duty, generation, generation);
 	if (has_duty)
 		atomic_store(&duty->duty_confirmed_ms, sent_ms);
-	schedule(duty, JOIN_INTERVAL_MS);
+	schedule(duty,
+	    sent_ms - duty->member_since_ms < JOIN_SOON_MS
+		? JOIN_SOON_INTERVAL_MS
+		: JOIN_INTERVAL_MS);
 }
 
 /* Handles the answer to the call in flight. */
--- a/tests/test_flow_duty.cc
+++ b/tests/test_flow_duty.cc
@@ -116,3 +116,26 @@
 	sim.run_for(1000);
 	EXPECT_EQ(a, placer_of(sim));
 }
+
+/* Where two VMs join at once and the store deals the duty to the second one,
+ * the first one must learn soon that it has lost it, and the second that it has
+ * it: nothing was placed for 0.7 s. */
+TEST(FlowDuty, VmsThatJoinAtOnceSettleSoon)
+{
+	FlowSim sim;
+
+	sim.group.deals_to_newest = true;
+	sim.add_worker("w1");
+	SimVm *a = sim.add_vm("a");
+	sim.run_for(1000);
+	sim.add_vm("b");
+	sim.add_vm("c");
+	sim.run_for(1000);
+	ASSERT_EQ(a, placer_of(sim));
+	sim.kill(a);
+	while (sim.group.members.size() < 2)
+		sim.run_for(1);
+	sim.run_for(300);
+	ASSERT_NE(nullptr, placer_of(sim));
+	EXPECT_EQ(sim.group.owner, placer_of(sim)->name);
+}
