--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -119,6 +119,7 @@
 	uint32_t run = 0;
 	int64_t started_ms = 0;
 	int64_t work_ms = 0; /* 0: lasts until it is stopped */
+	int64_t fail_ms = 0; /* it fails after this time, 0: it does not */
 	int64_t stop_ms = 0; /* time at which its stop completes, 0: none */
 };
 
@@ -144,6 +145,7 @@
 	bool registered = false;
 	int64_t beat_ms = 0;
 	int64_t cut_until_ms = 0; /* cut off from the daemons until then */
+	int64_t held_ms = 0;      /* time of the latest hold that it got */
 	uint64_t token = 0;
 	int64_t until_ms = 0;
 	uint64_t next_end = 1;
@@ -193,6 +195,8 @@
 	size_t largest_refused = 0;
 	/* Work of a task by its step, "ID.K.STEP"; 0: until it is stopped. */
 	std::map<std::string, int64_t> work_by_step;
+	/* Time after which the tasks of a step fail. */
+	std::map<std::string, int64_t> fail_by_step;
 	/* Starts by task, with the time of each. */
 	std::map<std::string, std::vector<int64_t>> starts;
 	std::map<std::string, std::map<std::string, int>> ends_by_task;
@@ -359,6 +363,9 @@
 			else if (run.stop_ms == 0 && run.work_ms > 0 &&
 			    now - run.started_ms >= run.work_ms)
 				how = "done";
+			else if (run.stop_ms == 0 && run.fail_ms > 0 &&
+			    now - run.started_ms >= run.fail_ms)
+				how = "failed";
 			if (how == nullptr) {
 				++it;
 				continue;
@@ -765,6 +772,14 @@
 		return found != work_by_step.end() ? found->second : 1000;
 	}
 
+	int64_t
+	failure_of(const std::string &task)
+	{
+		auto found = fail_by_step.find(task.substr(0, task.rfind('.')));
+
+		return found != fail_by_step.end() ? found->second : 0;
+	}
+
 	std::string
 	start_run(Worker &worker, const std::string &task, uint32_t run,
 	    int64_t until, const char *spec)
@@ -784,6 +799,7 @@
 		row.run = run;
 		row.started_ms = mono_ms();
 		row.work_ms = work_of(task);
+		row.fail_ms = failure_of(task);
 		worker.runs[{task, run}] = row;
 		starts[task].push_back(mono_ms());
 		if (!quiet)
@@ -912,6 +928,8 @@
 			    std::min<int64_t>(2000, number("WaitMs"));
 			uint64_t acked = (uint64_t)number("AckedSeq");
 
+			worker.held_ms = mono_ms();
+
 			if (number("UntilMs") > 0)
 				worker.until_ms = std::max(worker.until_ms,
 				    std::min(number("UntilMs"),
