--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -197,6 +197,13 @@
 	std::map<std::string, int64_t> work_by_step;
 	/* Time after which the tasks of a step fail. */
 	std::map<std::string, int64_t> fail_by_step;
+	/* So many starts of a task get no answer and are held back. */
+	std::string delay_task;
+	int delay_starts = 0;
+	size_t delayed_worker = 0;
+	std::string delayed_body; /* of the latest of them */
+	/* Largest number of runs at the same time, by task. */
+	std::map<std::string, int> most_at_once;
 	/* Starts by task, with the time of each. */
 	std::map<std::string, std::vector<int64_t>> starts;
 	std::map<std::string, std::map<std::string, int>> ends_by_task;
@@ -399,15 +406,33 @@
 		changed.notify_all();
 	}
 
-	/* Starts a crashed worker again under its id. */
+	/* Starts a crashed worker again under its id. with_late: the start
+	 * that was held back is carried out then. */
 	void
-	restart(size_t n)
+	restart(size_t n, bool with_late = false)
 	{
 		std::lock_guard<std::mutex> guard(lock);
 
 		workers[n].start_life();
-		beat(workers[n]);
 		journal->line("worker %s starts again", workers[n].id.c_str());
+		if (with_late && !delayed_body.empty()) {
+			json_t *call =
+			    json_loads(delayed_body.c_str(), 0, nullptr);
+
+			journal->line("worker %s carries out the late start",
+			    workers[n].id.c_str());
+			workers[n].token = (uint64_t)json_integer_value(
+			    json_object_get(call, "FencingToken"));
+			start_run(workers[n],
+			    json_string_value(json_object_get(call, "Task")),
+			    (uint32_t)json_integer_value(
+				json_object_get(call, "Run")),
+			    json_integer_value(
+				json_object_get(call, "UntilMs")),
+			    "(late)");
+			json_decref(call);
+		}
+		beat(workers[n]);
 	}
 
 	static void
@@ -801,6 +826,13 @@
 		row.work_ms = work_of(task);
 		row.fail_ms = failure_of(task);
 		worker.runs[{task, run}] = row;
+		int at_once = 0;
+
+		for (const Worker &other : workers)
+			for (const auto &entry : other.runs)
+				at_once +=
+				    other.up && entry.first.first == task;
+		most_at_once[task] = std::max(most_at_once[task], at_once);
 		starts[task].push_back(mono_ms());
 		if (!quiet)
 			journal->line(
@@ -909,6 +941,21 @@
 			answer_json(connection, 421, json_object());
 			return;
 		}
+		if (path == "/camphorworks/run-start" && delay_starts > 0 &&
+		    task == delay_task) {
+			delay_starts--;
+			delayed_body = body;
+			delayed_worker = (size_t)(&worker - workers.data());
+			journal->line("disruption: worker %s leaves the start "
+				      "of task %s run %u unanswered",
+			    worker.id.c_str(), task.c_str(), run);
+			guard.unlock();
+			json_decref(call);
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(3000));
+			mg_close_connection(connection);
+			return;
+		}
 		advance(worker);
 		if (token < worker.token)
 			reason = "fence";
