--- a/review/standin/case_flood.cc
+++ b/review/standin/case_flood.cc
@@ -2,7 +2,7 @@
 
 #include "scenario.h"
 
-const int usual_per_s = 70;
+const int usual_per_s = 80;
 const int burst_milli = 2600;
 const int64_t burst_ms = 6000; /* of one burst; they follow on each other */
 const int bursts = 16;
@@ -80,8 +80,14 @@
 				known.push_back(number);
 			}
 		});
+	int64_t told_ms = start_ms;
+
 	while (mono_ms() < end_ms) {
-		sleep_ms(3000);
+		scenario.revive();
+		sleep_ms(50);
+		if (mono_ms() - told_ms < 3000)
+			continue;
+		told_ms = mono_ms();
 		std::lock_guard<std::mutex> guard(platform.lock);
 
 		scenario.journal.line("clients: %d jobs accepted, %d not; "
@@ -92,6 +98,7 @@
 	}
 	for (std::thread &thread : threads)
 		thread.join();
+	scenario.revive();
 	sleep_ms(std::max(visible_ms, contact_ms) + 2000);
 	int unknown = 0;
 	int asked = 0;
--- a/review/standin/scenario.h
+++ b/review/standin/scenario.h
@@ -152,6 +152,8 @@
 	int front_port = 0;
 	pid_t pid = -1;
 	int missed = 2; /* probes without status 200 in a row */
+	int own_ends = 0;
+	int64_t ended_ms = 0; /* time of the latest of them */
 };
 
 struct Scenario {
@@ -224,6 +226,54 @@
 			"\"Gpu\":8}}],\"Limits\":{}}");
 	}
 
+	/* Starts a daemon's process. Call in the main thread, with whose end
+	 * the process is killed. */
+	void
+	launch(Daemon &daemon)
+	{
+		std::string path = folder + "/" + daemon.name + ".json";
+		std::string log = folder + "/" + daemon.name + ".log";
+
+		daemon.pid = fork();
+		if (daemon.pid != 0)
+			return;
+		int fd = open(log.c_str(),
+		    O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		dup2(fd, 1);
+		dup2(fd, 2);
+		setenv("CAMPHORWORKS_SETTINGS", path.c_str(), 1);
+		execl("target/camphord", "target/camphord", "--platform",
+		    (char *)nullptr);
+		_exit(127);
+	}
+
+	/* Notes the daemons that have ended by themselves, and starts them
+	 * again after a short delay, as the platform does. */
+	void
+	revive()
+	{
+		for (Daemon &daemon : daemons) {
+			int status;
+
+			if (daemon.pid > 0 &&
+			    waitpid(daemon.pid, &status, WNOHANG) ==
+				daemon.pid) {
+				daemon.pid = -1;
+				daemon.own_ends++;
+				daemon.ended_ms = mono_ms();
+				journal.line("%s has ended by itself, by "
+					     "signal %d",
+				    daemon.name.c_str(),
+				    WIFSIGNALED(status) ? WTERMSIG(status) : 0);
+			}
+			if (daemon.pid < 0 &&
+			    mono_ms() - daemon.ended_ms >= 500)
+				launch(daemon);
+		}
+	}
+
 	/* Writes the settings of a new daemon and starts it with the command of
 	 * the deploy file. store_port: of the store or of a proxy. */
 	bool
@@ -270,20 +320,7 @@
 		       "20.0,\"ReadMbS\":80.0,\"RecordBytes\":262144,"
 		       "\"RequestBytes\":2097152,\"keep_s\":300,"
 		       "\"PartitionMb\":200,\"MinTtlMs\":1000}}";
-		daemon.pid = fork();
-		if (daemon.pid == 0) {
-			std::string log = folder + "/" + daemon.name + ".log";
-			int fd = open(log.c_str(),
-			    O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-
-			prctl(PR_SET_PDEATHSIG, SIGKILL);
-			dup2(fd, 1);
-			dup2(fd, 2);
-			setenv("CAMPHORWORKS_SETTINGS", path.c_str(), 1);
-			execl("target/camphord", "target/camphord",
-			    "--platform", (char *)nullptr);
-			_exit(127);
-		}
+		launch(daemon);
 		daemons.push_back(daemon);
 		return daemon.pid > 0;
 	}
