--- a/review/standin/case_burst.cc
+++ b/review/standin/case_burst.cc
@@ -3,9 +3,9 @@
 
 #include "scenario.h"
 
-const int usual_per_s = 70;
-const int64_t burst_ms = 6000; /* of one burst; they follow on each other */
-const int bursts = 16;
+const int usual_per_s = 71;
+const int64_t burst_ms = 4000; /* of one burst; they follow on each other */
+const int bursts = 24;
 const int clients = 46;
 const int64_t gap_ms = 250; /* in a burst, all clients call at such a gap */
 const int64_t due_ms = 3600000;
--- a/review/standin/case_flood.cc
+++ b/review/standin/case_flood.cc
@@ -4,8 +4,8 @@
 
 const int usual_per_s = 80;
 const int burst_milli = 2600;
-const int64_t burst_ms = 6000; /* of one burst; they follow on each other */
-const int bursts = 16;
+const int64_t burst_ms = 4000; /* of one burst; they follow on each other */
+const int bursts = 24;
 const int clients = 24;
 const int tries = 4;
 const int64_t retry_ms = 300;
