--- a/lib/flow/answers.c
+++ b/lib/flow/answers.c
@@ -15,12 +15,14 @@
  * acknowledged; the pause avoids polling in a busy loop. */
 #define HOLD_ENDS_PAUSE_MS 500
 
-static void update_liveness(struct fw_placer *placer,
-    struct fw_worker_state *worker, const struct fw_report *report,
-    bool is_hold, int64_t now_ms);
-static void handle_replacement(struct fw_worker_state *worker);
-static void begin_incarnation(
-    struct fw_worker_state *worker, int64_t incarnation_ms);
+static void update_liveness(struct fw_placer *placer, uint32_t handle,
+    const struct fw_report *report, bool is_hold, int64_t now_ms);
+static void handle_replacement(
+    struct fw_placer *placer, uint32_t handle, int64_t now_ms);
+static uint32_t count_late_starts(
+    const struct fw_tables *tables, uint32_t worker, int64_t now_ms);
+static void begin_incarnation(struct fw_placer *placer, uint32_t handle,
+    int64_t incarnation_ms, int64_t now_ms);
 static void handle_start_answer(
     struct fw_run *run, const struct fw_call *call, int64_t now_ms);
 static void handle_hold_answer(
@@ -33,11 +35,13 @@
  * heartbeats, unless the address is wrong. fw_runs_sync ends its runs once no
  * order is in flight, or once their leases have expired. */
 static void
-handle_replacement(struct fw_worker_state *worker)
+handle_replacement(struct fw_placer *placer, uint32_t handle, int64_t now_ms)
 {
+	struct fw_worker_state *worker = &placer->tables.worker_states[handle];
+
 	if (worker->replaced)
 		return;
-	begin_incarnation(worker, 0);
+	begin_incarnation(placer, handle, 0, now_ms);
 	worker->replaced = true;
 	worker->clock_read_ms = 0;
 	/* The last report of the worker may list ends that still count. */
@@ -45,17 +49,39 @@
 		fw_report_free(&worker->report);
 }
 
+/* Returns the number of runs of a worker of which a start may still arrive. */
+static uint32_t
+count_late_starts(
+    const struct fw_tables *tables, uint32_t worker, int64_t now_ms)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = tables->worker_states[worker].first_run; i != FW_NONE;
+	     i = tables->runs[i].worker_next)
+		count += fw_run_may_arrive(&tables->runs[i], now_ms);
+	return count;
+}
+
 /* Discards what belongs to the former incarnation of a worker. Its runs are not
  * ended here: the new one may have accepted their starts, since answers to
  * starts do not name the incarnation. 0: the new incarnation is unknown. */
 static void
-begin_incarnation(struct fw_worker_state *worker, int64_t incarnation_ms)
+begin_incarnation(struct fw_placer *placer, uint32_t handle,
+    int64_t incarnation_ms, int64_t now_ms)
 {
+	struct fw_worker_state *worker = &placer->tables.worker_states[handle];
+
 	if (worker->incarnation_ms != 0)
 		ev_emit(EV_FLOW_HOST_REBORN,
-		    "worker=%s born=%lld before=%lld runs=%u", worker->name,
-		    (long long)incarnation_ms,
-		    (long long)worker->incarnation_ms, worker->run_count);
+		    "worker=%s born=%lld before=%lld runs=%u late_starts=%u "
+		    "grant_unknown_ms_ago=%lld",
+		    worker->name, (long long)incarnation_ms,
+		    (long long)worker->incarnation_ms, worker->run_count,
+		    count_late_starts(&placer->tables, handle, now_ms),
+		    worker->grant_unknown_ms == 0
+			? -1LL
+			: (long long)(now_ms - worker->grant_unknown_ms));
 	worker->incarnation_ms = incarnation_ms;
 	worker->end_ack = worker->end_ack_sent = 0;
 	worker->failed_count = 0;
@@ -65,9 +91,10 @@
  * order may time out on a healthy worker, so time-outs count for holds only; a
  * refused connection counts for any order. */
 static void
-update_liveness(struct fw_placer *placer, struct fw_worker_state *worker,
+update_liveness(struct fw_placer *placer, uint32_t handle,
     const struct fw_report *report, bool is_hold, int64_t now_ms)
 {
+	struct fw_worker_state *worker = &placer->tables.worker_states[handle];
 	bool no_answer = report->answer >= FW_ANSWER_CONN_REFUSED;
 	bool refused = report->answer == FW_ANSWER_CONN_REFUSED;
 
@@ -86,7 +113,7 @@
 		worker->next_hold_ms = 0;
 	}
 	if (fw_address_answered(worker, report))
-		handle_replacement(worker);
+		handle_replacement(placer, handle, now_ms);
 	if (report->answer == FW_ANSWER_RESTARTED)
 		return;
 	if (fw_worker_state_clock_is_back(worker, report)) {
@@ -188,7 +215,8 @@
 	}
 	if (report->incarnation_ms != 0 &&
 	    report->incarnation_ms != worker->incarnation_ms)
-		begin_incarnation(worker, report->incarnation_ms);
+		begin_incarnation(
+		    placer, handle, report->incarnation_ms, report->now_ms);
 	else if (call->end_ack > worker->end_ack_sent)
 		worker->end_ack_sent = call->end_ack;
 	fw_report_free(&worker->report);
@@ -216,7 +244,9 @@
 	if (call->kind != FW_ORDER_HOLD)
 		run_handle = fw_run_find(
 		    &placer->tables, call->flow, call->index, call->run);
-	update_liveness(placer, worker, &call->report,
+	if (call->grants && call->report.answer == FW_ANSWER_UNKNOWN)
+		worker->grant_unknown_ms = call->report.sent_ms;
+	update_liveness(placer, handle, &call->report,
 	    call->kind == FW_ORDER_HOLD && call->hold == worker->hold, now_ms);
 	if (call->kind == FW_ORDER_HOLD) {
 		handle_hold_answer(placer, handle, call);
--- a/lib/flow/audit.c
+++ b/lib/flow/audit.c
@@ -6,7 +6,8 @@
     const struct fw_run *run, int64_t placed_on_ms);
 static bool first_sighting(struct fw_worker_state *worker, uint64_t id);
 static void audit_stray(struct fw_worker_state *worker,
-    const struct fw_listed_run *listed, const char *state, const char *over);
+    const struct fw_listed_run *listed, const struct fw_run *run,
+    const char *state, const char *over);
 static void audit_listed(struct fw_tables *tables, const struct bd_board *board,
     uint32_t handle, const struct fw_listed_run *listed);
 
@@ -47,20 +48,24 @@
 }
 
 /* Reports a run that a worker lists as running though the placer does not have
- * it, or counts it as over. */
+ * it, or counts it as over. run: the placer's run on this worker, or NULL. */
 static void
 audit_stray(struct fw_worker_state *worker, const struct fw_listed_run *listed,
-    const char *state, const char *over)
+    const struct fw_run *run, const char *state, const char *over)
 {
 	uint64_t id = cw_hash(&listed->task, sizeof(listed->task), listed->run);
+	int64_t unknown_ms = run != NULL ? run->uncertain_ms : 0;
 
 	if (!first_sighting(worker, id))
 		return;
 	ev_emit(EV_FLOW_RUN_STRAY,
-	    "task=%s.%u.%u.%u run=%u worker=%s born=%lld state=%s over=%s",
+	    "task=%s.%u.%u.%u run=%u worker=%s born=%lld state=%s over=%s "
+	    "start_unknown_ms_ago=%lld",
 	    listed->task.job, listed->task.occurrence, listed->task.step,
 	    listed->task.index, listed->run, worker->name,
-	    (long long)worker->report.incarnation_ms, state, over);
+	    (long long)worker->report.incarnation_ms, state, over,
+	    unknown_ms == 0 ? -1LL
+			    : (long long)(worker->report.now_ms - unknown_ms));
 }
 
 static void
@@ -75,21 +80,22 @@
 
 	flow = fw_task_lookup(board, &listed->task, &index);
 	if (flow == NULL) {
-		audit_stray(worker, listed, "no_job", "no");
+		audit_stray(worker, listed, NULL, "no_job", "no");
 		return;
 	}
 	found = fw_run_find(tables, flow->id, index, listed->run);
 	if (found == FW_NONE) {
-		audit_stray(worker, listed, "no_run", "no");
+		audit_stray(worker, listed, NULL, "no_run", "no");
 		return;
 	}
 	run = &tables->runs[found];
 	if (run->worker != handle)
-		audit_stray(worker, listed, "other_worker", "no");
+		audit_stray(worker, listed, NULL, "other_worker", "no");
 	else if (run->phase == FW_PHASE_ENDED)
-		audit_stray(worker, listed, "ended", fw_over_name(run->over));
+		audit_stray(
+		    worker, listed, run, "ended", fw_over_name(run->over));
 	else if (run->superseded_since_ms != 0)
-		audit_stray(worker, listed, "superseded", "no");
+		audit_stray(worker, listed, run, "superseded", "no");
 	if (run->worker == handle)
 		audit_incarnation(
 		    worker, run, fw_flow_tasks(flow)[index].incarnation_ms);
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -126,7 +126,8 @@
 		    "job=%016llx task=%u run=%u worker=%s end=%s by=%s "
 		    "born=%lld known=%lld started=%d uncertain=%d "
 		    "stop_answered=%d listed_ms_ago=%lld report_ms_ago=%lld "
-		    "lease_ms_left=%lld",
+		    "lease_ms_left=%lld start_unknown_ms_ago=%lld "
+		    "grant_unknown_ms_ago=%lld",
 		    (unsigned long long)run->flow, run->index, run->run,
 		    worker->name, fw_end_name(end), fw_over_name(run->over),
 		    (long long)run->incarnation_ms,
@@ -138,7 +139,13 @@
 		    worker->report.sent_ms == 0
 			? -1LL
 			: (long long)(now_ms - worker->report.sent_ms),
-		    (long long)(worker->lease_end_ms - now_ms));
+		    (long long)(worker->lease_end_ms - now_ms),
+		    run->uncertain_ms == 0
+			? -1LL
+			: (long long)(now_ms - run->uncertain_ms),
+		    worker->grant_unknown_ms == 0
+			? -1LL
+			: (long long)(now_ms - worker->grant_unknown_ms));
 }
 
 /* Logs the end of a job that has failed by the crashes of a task. */
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -65,7 +65,8 @@
 	int64_t failed_ms;             /* latest failure of a run */
 	uint32_t failed_count;         /* consecutive failed runs */
 	int64_t crashed_ms;            /* latest crash, 0: none */
-	int64_t crash_incarnation_ms;  /* known one when that was found */
+	int64_t grant_unknown_ms; /* latest grant without an answer, 0: none */
+	int64_t crash_incarnation_ms; /* known one when that was found */
 	uint64_t end_ack;      /* ends up to this number may be acknowledged */
 	uint64_t end_ack_sent; /* ends up to this number were acknowledged */
 	int64_t list_from_ms; /* lists asked for later are of its incarnation */
@@ -540,6 +541,7 @@
 	uint64_t end_ack; /* hold: the acknowledged ends */
 	uint64_t hold;    /* hold: its number at this worker */
 	bool sent_before; /* an earlier start may have been carried out */
+	bool grants;      /* grants a lease */
 	struct fw_report report;
 };
 
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -136,6 +136,7 @@
 	call->index = run->index;
 	call->run = run->run;
 	call->sent_before = run->start_sent;
+	call->grants = order->until_ms > 0;
 	if (!send_order(placer, call, order))
 		return;
 	run->order_in_flight = true;
@@ -353,6 +354,7 @@
 	order.last = idle && !worker->reported;
 	order.ctx = call;
 	call->end_ack = order.end_ack;
+	call->grants = order.until_ms > 0;
 	call->hold = worker->hold + 1;
 	if (!send_order(placer, call, &order))
 		return;
