--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -223,3 +223,111 @@
 	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
 	EXPECT_EQ(4, orders);
 }
+
+/* Two workers with room for one job each. Orders to w1 are left unanswered, the
+ * first start is carried out at a given time and the others never. w1 crashes
+ * and is back right before. */
+struct LostStarts : LateStarts {
+	bool silent = false; /* w1 answers nothing */
+
+	explicit LostStarts(int64_t arrive)
+	{
+		sim.workers["w1"].work_ms = sim.add_worker("w2").work_ms =
+		    20000;
+		sim.change_host(vm, "w2", [](struct bd_host &host) {
+			host.accels = 0;
+		});
+		arrive_ms = arrive;
+		late = 1;
+		sim.order_fault = [this](const SimVm *,
+				      const std::string &address,
+				      enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (address != "w1" ||
+			    (!silent && kind != FW_ORDER_START))
+				return fault;
+			if (kind == FW_ORDER_START && late > 0) {
+				late--;
+				fault.late_ms = arrive_ms - sim.now_ms;
+			} else
+				fault.unreachable = true;
+			return fault;
+		};
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+		run_until(1500);
+		sim.update_host(vm, sim.workers["w2"]);
+	}
+
+	void
+	restart_before_arrival()
+	{
+		crash(arrive_ms - 1);
+		run_until(arrive_ms + 100);
+	}
+};
+
+/* A task must not run elsewhere while a start of it may be carried out by a
+ * worker that starts again. */
+TEST(FlowLateStart, TasksAreNotPlacedElsewhereWhileAStartMayArrive)
+{
+	LostStarts play(12500);
+
+	play.run_until(11000);
+	play.restart_before_arrival();
+	play.expect_no_violations(12500);
+	play.run_until(60000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, play.sim.state(play.vm, JOB_A));
+	play.expect_no_violations(12500);
+}
+
+/* The leases of a silent worker do not cover a start that reaches its next
+ * incarnation, and the lease that this one gets. */
+TEST(FlowLateStart, LateStartsOutliveTheLeasesOfASilentWorker)
+{
+	LostStarts play(12500);
+
+	play.silent = true;
+	play.run_until(11000);
+	play.restart_before_arrival();
+	play.expect_no_violations(12500);
+	play.run_until(60000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, play.sim.state(play.vm, JOB_A));
+	play.expect_no_violations(12500);
+}
+
+/* A placer that takes over must know the unanswered starts of the one before.
+ */
+TEST(FlowLateStart, SuccessorsWaitForLateStartsOfTheirPredecessors)
+{
+	LostStarts play(14500);
+
+	play.run_until(10500);
+	play.sim.add_vm("b");
+	play.sim.kill(play.vm);
+	play.run_until(13500);
+	play.restart_before_arrival();
+	play.expect_no_violations(14500);
+}
+
+/* The room of a start that may be carried out by a worker that starts again is
+ * not given to others, whose starts may be late as well. */
+TEST(FlowLateStart, RoomOfStartsThatMayArriveIsNotGivenAway)
+{
+	LateStarts play;
+	FlowSim &sim = play.sim;
+
+	play.late = 1;
+	play.arrive_ms = 9000;
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(5000);
+	ASSERT_EQ(BD_FLOW_COMPLETED, sim.state(play.vm, JOB_A));
+	play.late = 1;
+	play.arrive_ms = 9001;
+	sim.submit(JOB_B, {FlowFixture::make_step(1, 8)});
+	play.run_until(8500);
+	play.crash(8999);
+	play.run_until(40000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(play.vm, JOB_B));
+	play.expect_no_violations(9000);
+}
