Room is kept for starts that a worker may carry out after a restart

Callers saw: a start for which its worker has no room (LIMIT).

Cause: the room of an ended run with an unanswered start was kept until its stop was answered. If the worker starts again under its id after that, the start is carried out all the same, beside others that are late or on their way.

Change: what may be carried out late on a worker has to fit there by itself, beside each new start, both when tasks are placed and when starts are sent. What else runs there does not count, as it ends with the incarnation.

Measured: RoomOfStartsThatMayArriveIsNotGivenAway failed before and passes.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -166,6 +166,7 @@
 	uint32_t rack;         /* index in the view */
 	uint32_t first_victim; /* range in the victims of fw_reclaim */
 	uint32_t victim_count;
+	struct fw_room late;      /* needed by starts that may still arrive */
 	bool schedulable;         /* may be given new runs */
 	bool suspect;             /* a run failed there recently */
 	bool urgent;              /* reserved for jobs of priority 0 */
@@ -451,6 +452,9 @@
 bool fw_room_exceeds(const struct fw_room *used, const struct fw_room *offered);
 void fw_room_used(const struct fw_tables *tables, const struct bd_board *board,
     uint32_t worker, struct fw_room *used);
+void fw_room_late(const struct fw_tables *tables, const struct bd_board *board,
+    const struct fw_run *starting, bool in_flight, int64_t now_ms,
+    struct fw_room *late);
 
 /* Lease arithmetic on a worker's clock. */
 int64_t fw_lease_max_ms(uint32_t lease_ms);
--- a/lib/flow/listed.c
+++ b/lib/flow/listed.c
@@ -5,6 +5,8 @@
 static void subtract_task(struct fw_host_view *host, const struct bd_flow *flow,
     const struct fw_task_ref *ref);
 static void add_alive(struct fw_view *view, uint32_t job, uint32_t index);
+static void subtract_late(struct fw_view *view, const struct fw_tables *tables,
+    const struct fw_run *run);
 static void subtract_stray(struct fw_view *view, struct fw_host_view *host,
     const struct fw_listed_run *listed, bool answers);
 
@@ -77,12 +79,40 @@
 		add_alive(view, fw_view_job_index(view, flow->id), index);
 }
 
+/* Subtracts what a run needs that has ended and may still be started, and notes
+ * what any start needs that may be carried out once its worker has started
+ * again. */
+static void
+subtract_late(struct fw_view *view, const struct fw_tables *tables,
+    const struct fw_run *run)
+{
+	bool pending = fw_run_is_pending_late(run);
+	const struct bd_flow *flow;
+	uint32_t index;
+	uint32_t host;
+
+	if (!pending && !fw_run_may_arrive(run, view->now_ms))
+		return;
+	host =
+	    fw_view_host_index(view, tables->worker_states[run->worker].host);
+	if (host == FW_NONE)
+		return;
+	flow = fw_task_lookup(view->board, &run->task, &index);
+	if (flow == NULL || flow->compacted != 0) {
+		view->hosts[host].schedulable = false;
+		return;
+	}
+	fw_room_add(&view->hosts[host].late, flow, index);
+	if (pending)
+		subtract_task(&view->hosts[host], flow, &run->task);
+}
+
 /*
  * Subtracts what runs need that workers have or may get though no row shows
  * them as placed there: those of the latest reports, and ended ones that may
- * still be started. A worker is not schedulable while it has one whose needs
- * are not known. Notes the waiting tasks that have a listed run. Call right
- * after fw_view_build.
+ * still be started; and what starts need that may be late. A worker is not
+ * schedulable while it has one whose needs are not known. Notes the waiting
+ * tasks that have a listed run. Call right after fw_view_build.
  */
 void
 fw_view_subtract_listed(struct fw_view *view, const struct fw_tables *tables)
@@ -105,21 +135,7 @@
 			    worker->unresponsive_since_ms == 0 &&
 				!worker->replaced);
 	}
-	for (i = 0; i < tables->run_count; i++) {
-		const struct fw_run *run = &tables->runs[i];
-		const struct bd_flow *flow;
-		uint32_t index;
-
-		if (!fw_run_is_pending_late(run))
-			continue;
-		host = fw_view_host_index(
-		    view, tables->worker_states[run->worker].host);
-		flow = fw_task_lookup(view->board, &run->task, &index);
-		if (host == FW_NONE)
-			continue;
-		if (flow == NULL || flow->compacted != 0)
-			view->hosts[host].schedulable = false;
-		else
-			subtract_task(&view->hosts[host], flow, &run->task);
-	}
+	for (i = 0; i < tables->run_count; i++)
+		if (tables->runs[i].used)
+			subtract_late(view, tables, &tables->runs[i]);
 }
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -43,6 +43,9 @@
     struct fw_placer *placer, struct fw_worker_state *worker, int64_t now_ms);
 static bool has_room(struct fw_placer *placer, const struct fw_run *starting,
     const struct bd_flow *flow);
+static bool has_room_beside_late(struct fw_placer *placer,
+    const struct fw_run *starting, const struct bd_flow *flow, bool in_flight,
+    int64_t now_ms);
 static void stop_unwanted(
     struct fw_placer *placer, uint32_t handle, int64_t now_ms);
 static void send_revocation(
@@ -199,6 +202,24 @@
 	return !fw_room_exceeds(&used, &offered);
 }
 
+/* Returns whether a start fits on a worker that has started again, beside all
+ * earlier starts that this incarnation may still carry out. in_flight: also
+ * beside those that are being sent. */
+static bool
+has_room_beside_late(struct fw_placer *placer, const struct fw_run *starting,
+    const struct bd_flow *flow, bool in_flight, int64_t now_ms)
+{
+	const struct bd_board *board = placer->parts.board;
+	struct fw_room offered;
+	struct fw_room late;
+
+	fw_room_offered(&placer->tables, board, starting->worker, &offered);
+	fw_room_late(
+	    &placer->tables, board, starting, in_flight, now_ms, &late);
+	fw_room_add(&late, flow, starting->index);
+	return !fw_room_exceeds(&late, &offered);
+}
+
 /* Stops the listed runs of a worker that must not go on. Each one is considered
  * once in a report, so a stop without an answer is repeated after the next one.
  */
@@ -283,10 +304,11 @@
 	    fw_worker_state_entry_outdated(worker) ||
 	    !fw_jobs_recent(placer, now_ms))
 		return;
-	if (has_room(placer, run, flow))
-		send_start(placer, run, flow, now_ms);
-	else
+	if (!has_room(placer, run, flow) ||
+	    !has_room_beside_late(placer, run, flow, false, now_ms))
 		fw_run_stop(placer, run, "no_room");
+	else if (has_room_beside_late(placer, run, flow, true, now_ms))
+		send_start(placer, run, flow, now_ms);
 }
 
 /* Returns whether a hold to a worker is due: to get its first list of runs, to
--- a/lib/flow/room.c
+++ b/lib/flow/room.c
@@ -117,6 +117,27 @@
 			add_task(used, board, &report->runs[i].task);
 }
 
+/* Sums up what the starts need that a worker may carry out, once it has started
+ * again, though they were sent before: those of other runs than starting
+ * without an answer and, if in_flight, those that are being sent. Call within a
+ * read section. */
+void
+fw_room_late(const struct fw_tables *tables, const struct bd_board *board,
+    const struct fw_run *starting, bool in_flight, int64_t now_ms,
+    struct fw_room *late)
+{
+	uint32_t i = tables->worker_states[starting->worker].first_run;
+
+	*late = (struct fw_room){0};
+	for (; i != FW_NONE; i = tables->runs[i].worker_next) {
+		const struct fw_run *run = &tables->runs[i];
+
+		if (run != starting && fw_run_may_arrive(run, now_ms) &&
+		    (in_flight || !run->start_in_flight))
+			add_task(late, board, &run->task);
+	}
+}
+
 /*
  * Returns whether a run that a worker lists must not go on for certain: its job
  * has ended or was cancelled, its task is done, a later run of its task was
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -15,6 +15,8 @@
 static uint32_t index_of(const struct fw_view *view, enum bd_table_number table,
     const uint32_t *map, uint64_t id);
 static uint32_t *index_map_new(enum bd_table_number table);
+static bool has_free(
+    const struct fw_host_view *host, const struct bd_flow_step *step);
 static int compare_hosts(const void *a, const void *b);
 static int add_hosts(struct fw_view *view, const struct bd_board *board);
 static int add_jobs(struct fw_view *view, const struct bd_board *board);
@@ -52,19 +54,32 @@
 	host->accels += sign * (int64_t)step->accels;
 }
 
-/* Returns whether one more task of a step fits into what is free on a worker.
+static bool
+has_free(const struct fw_host_view *host, const struct bd_flow_step *step)
+{
+	return ((step->flags & BD_STEP_FILLS) != 0 ||
+		   host->cores_milli >= (int64_t)step->cores_milli) &&
+	    host->memory_mb >= (int64_t)step->memory_mb &&
+	    host->accels >= (int64_t)step->accels;
+}
+
+/* Returns whether one more task of a step fits into what is free on a worker,
+ * and beside the starts that the worker may still carry out if it starts again.
  */
 bool
 fw_host_has_room(const struct fw_host_view *host, const struct bd_flow *flow,
     const struct bd_flow_step *step)
 {
 	const struct bd_host *row = host->row;
+	struct fw_host_view late = {.cores_milli = row->cores_milli,
+	    .memory_mb = row->memory_mb,
+	    .accels = row->accels};
 
+	late.cores_milli -= host->late.cores_milli;
+	late.memory_mb -= host->late.memory_mb;
+	late.accels -= host->late.accels;
 	return host->schedulable && row->pool == flow->pool &&
-	    ((step->flags & BD_STEP_FILLS) != 0 ||
-		host->cores_milli >= (int64_t)step->cores_milli) &&
-	    host->memory_mb >= (int64_t)step->memory_mb &&
-	    host->accels >= (int64_t)step->accels &&
+	    has_free(host, step) && has_free(&late, step) &&
 	    (step->label[0] == '\0' || strcmp(step->label, row->kind) == 0 ||
 		strcmp(step->label, row->rack) == 0);
 }
