Late renewals count for the leases of a worker that has started again

Cause: a renewal without an answer names the end of the lease on the clock of the incarnation that it was sent to. The next one under the same id has a clock that starts anew, so the renewal does not look outdated there: it is cut to the longest lease and counts from its arrival. The placer counted it from its sending.

Change: a worker that has started again since a renewal or start without an answer keeps its leases until 13 s after that order and a longest lease. Runs count as lost later only where such a worker falls silent within these 13 s.

--- a/lib/flow/answers.c
+++ b/lib/flow/answers.c
@@ -82,6 +82,10 @@
 		    worker->grant_unknown_ms == 0
 			? -1LL
 			: (long long)(now_ms - worker->grant_unknown_ms));
+	if (worker->incarnation_ms != 0) {
+		worker->reborn_ms = now_ms;
+		fw_worker_state_expect_late_grant(&placer->tables, worker);
+	}
 	worker->incarnation_ms = incarnation_ms;
 	worker->end_ack = worker->end_ack_sent = 0;
 	worker->failed_count = 0;
@@ -244,8 +248,11 @@
 	if (call->kind != FW_ORDER_HOLD)
 		run_handle = fw_run_find(
 		    &placer->tables, call->flow, call->index, call->run);
-	if (call->grants && call->report.answer == FW_ANSWER_UNKNOWN)
+	if (call->grants && call->report.answer == FW_ANSWER_UNKNOWN &&
+	    call->report.sent_ms > worker->grant_unknown_ms) {
 		worker->grant_unknown_ms = call->report.sent_ms;
+		fw_worker_state_expect_late_grant(&placer->tables, worker);
+	}
 	update_liveness(placer, handle, &call->report,
 	    call->kind == FW_ORDER_HOLD && call->hold == worker->hold, now_ms);
 	if (call->kind == FW_ORDER_HOLD) {
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -66,6 +66,7 @@
 	uint32_t failed_count;         /* consecutive failed runs */
 	int64_t crashed_ms;            /* latest crash, 0: none */
 	int64_t unanswered_ms;         /* when a start was given up, 0: never */
+	int64_t reborn_ms; /* when another incarnation was first heard, or 0 */
 	int64_t grant_unknown_ms; /* latest grant without an answer, 0: none */
 	int64_t crash_incarnation_ms; /* known one when that was found */
 	uint64_t end_ack;      /* ends up to this number may be acknowledged */
@@ -464,6 +465,8 @@
     struct fw_worker_state *worker, int64_t clock_ms, int64_t now_ms);
 void fw_worker_state_lease_granted(
     struct fw_worker_state *worker, int64_t until_ms);
+void fw_worker_state_expect_late_grant(
+    const struct fw_tables *tables, struct fw_worker_state *worker);
 bool fw_worker_state_entry_outdated(const struct fw_worker_state *worker);
 bool fw_worker_state_entry_written(
     const struct fw_worker_state *worker, int64_t *written_ms);
--- a/lib/flow/tables.c
+++ b/lib/flow/tables.c
@@ -388,6 +388,24 @@
 		worker->lease_end_ms = end_ms;
 }
 
+/* Extends the leases of a worker that has started again by the one that a late
+ * grant may give it: the order names its end on the clock of the incarnation
+ * before, which tells the present one nothing. */
+void
+fw_worker_state_expect_late_grant(
+    const struct fw_tables *tables, struct fw_worker_state *worker)
+{
+	int64_t end_ms = worker->grant_unknown_ms + FW_ORDER_LATE_MAX_MS +
+	    tables->lease_max_ms;
+
+	if (worker->grant_unknown_ms != 0 &&
+	    worker->grant_unknown_ms <= worker->reborn_ms &&
+	    worker->reborn_ms <
+		worker->grant_unknown_ms + FW_ORDER_LATE_MAX_MS &&
+	    end_ms > worker->lease_end_ms)
+		worker->lease_end_ms = end_ms;
+}
+
 /* Returns whether a worker's entry is of a former incarnation: a list of runs
  * that was asked for after the entry was read names another one. Its room is
  * unknown then. An entry that names no incarnation is taken as it is. */
--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -333,3 +333,43 @@
 	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
 	EXPECT_EQ(0, sim.run_checker.capacity_violations);
 }
+
+/* A renewal that is carried out late by a worker that has started again grants
+ * a lease from then on, as the clock of the order is that of the incarnation
+ * before. */
+TEST(FlowLateStart, LateRenewalsLengthenTheLeasesOfANewIncarnation)
+{
+	FlowSim sim;
+	bool late = false;
+
+	sim.add_worker("w1").work_ms = 20000;
+	SimVm *vm = sim.add_vm("a");
+	sim.run_for(60000); /* its clock is ahead of that of the next one */
+	sim.order_fault = [&late](const SimVm *, const std::string &,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		if (late && kind == FW_ORDER_HOLD) {
+			late = false;
+			fault.late_ms = 11000;
+		}
+		return fault;
+	};
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	sim.run_for(1000);
+	late = true;
+	sim.run_for(1000);
+	ASSERT_FALSE(late);
+	sim.workers["w1"].restart(sim.now_ms);
+	sim.update_host(vm, sim.workers["w1"]);
+	sim.run_for(6000);
+	ASSERT_EQ(2, sim.run_checker.starts);
+	sim.add_worker("w2").work_ms = 20000;
+	sim.unreachable_workers.insert("w1");
+	for (int i = 0; i < 2000; i++) {
+		sim.run_for(10);
+		sim.advance_workers();
+	}
+	EXPECT_EQ(3, sim.run_checker.starts);
+	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+}
