--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -45,6 +45,7 @@
 static void note_crash(struct fw_worker_state *state, int64_t now_ms);
 static bool crashed_under(
     const struct fw_tables *tables, uint32_t worker, uint64_t flow);
+static bool any_ended_run_holds(const struct fw_tables *tables, int64_t now_ms);
 static bool awaits_late_start(struct fw_tables *tables,
     const struct bd_flow *flow, uint32_t index, int64_t now_ms);
 static bool is_undecided(const struct fw_tables *tables,
@@ -206,6 +207,25 @@
 	    now_ms - tables->runs[found].silent_loss_ms < SILENT_LOSS_WAIT_MS;
 }
 
+/* Returns whether any task may have to wait for a late start. The tasks of
+ * other runs do not wait to be placed. */
+static bool
+any_ended_run_holds(const struct fw_tables *tables, int64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < tables->run_count; i++) {
+		const struct fw_run *run = &tables->runs[i];
+
+		if (run->used &&
+		    (run->phase == FW_PHASE_ENDED ||
+			run->superseded_since_ms != 0) &&
+		    fw_run_holds_task(tables, run, now_ms))
+			return true;
+	}
+	return false;
+}
+
 /* Returns whether a task has to wait for a late start of an earlier run, and
  * logs that once. */
 static bool
@@ -235,6 +255,7 @@
 fw_groups_defer(struct fw_groups *groups, const struct fw_view *view,
     struct fw_tables *tables)
 {
+	bool any_late = any_ended_run_holds(tables, view->now_ms);
 	uint32_t kept = 0;
 	uint32_t i;
 	uint32_t n;
@@ -247,7 +268,9 @@
 
 		for (n = group->first; n < group->first + group->count; n++)
 			wait = wait ||
-			    awaits_late_start(tables, flow, n, view->now_ms) ||
+			    (any_late &&
+				awaits_late_start(
+				    tables, flow, n, view->now_ms)) ||
 			    (group->suspect &&
 				is_undecided(tables, flow, n, view->now_ms));
 		if (!wait)
