Jobs that were placed and have not begun count as pending

Cause: a job's state becomes running when it is placed, and was published so.

Change: running is published once a task has begun: a worker has accepted or listed a run of it, or it has ended by itself.

Measured: PlacedJobsThatHaveNotBegunArePending failed before (running, not queued) and passes.

--- a/lib/flow/publish.c
+++ b/lib/flow/publish.c
@@ -10,7 +10,10 @@
 /* Added to the retention period of ended jobs, as clocks differ. */
 #define RETENTION_MARGIN_MS 60000
 
-static bool is_stale(const struct bd_flow *row, bool running);
+static bool has_begun(
+    const struct fw_tables *tables, const struct bd_flow *row);
+static bool is_stale(
+    const struct fw_tables *tables, const struct bd_flow *row, bool running);
 static int add_state(struct fw_writer *writer, const struct bd_flow *row);
 static int add_compacted(struct fw_writer *writer, const struct bd_flow *row);
 static int add_deletion(struct fw_writer *writer, const struct bd_flow *row);
@@ -18,15 +21,43 @@
 static int add_cleanup(struct fw_placer *placer, const struct bd_flow *row,
     int64_t wall_ms, uint32_t *changes_left);
 
+/* Returns whether a task of a job has begun, as far as is known: a worker has
+ * accepted or listed a run of it, or it has ended by itself. */
+static bool
+has_begun(const struct fw_tables *tables, const struct bd_flow *row)
+{
+	const struct bd_step_task *tasks = fw_flow_tasks(row);
+	uint32_t count = fw_flow_task_count(row);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		uint32_t found;
+
+		if (tasks[i].state == BD_STEP_TASK_DONE ||
+		    tasks[i].failures > 0)
+			return true;
+		if (tasks[i].run == 0)
+			continue;
+		found = fw_run_find(tables, row->id, i, tasks[i].run);
+		if (found != FW_NONE &&
+		    (tables->runs[found].phase == FW_PHASE_RUNNING ||
+			tables->runs[found].last_listed_ms != 0))
+			return true;
+	}
+	return false;
+}
+
 /* Returns whether the public state of a job has to be updated to the state that
- * is stored with its progress. running: also if the job has not ended. */
+ * is stored with its progress. A job that was placed is shown as running once a
+ * task has begun. running: also if the job has not ended. */
 static bool
-is_stale(const struct bd_flow *row, bool running)
+is_stale(
+    const struct fw_tables *tables, const struct bd_flow *row, bool running)
 {
 	if (row->cancelled != 0 || row->public_state >= BD_FLOW_COMPLETED ||
 	    row->public_state == row->state)
 		return false;
-	return running || fw_flow_ended(row);
+	return fw_flow_ended(row) || (running && has_begun(tables, row));
 }
 
 static int
@@ -142,7 +173,7 @@
 
 	while (code == CW_OK &&
 	    (row = bd_flow_next(parts->board, &cursor)) != NULL)
-		code = is_stale(row, running)
+		code = is_stale(&placer->tables, row, running)
 		    ? add_state(writer, row)
 		    : add_cleanup(placer, row, wall_ms, &changes_left);
 	if (code != CW_OK)
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -1096,3 +1096,31 @@
 		expect_no_violations(sim);
 	}
 }
+
+/* A job whose tasks were placed and have not begun must count as pending. */
+TEST(FlowPlacer, PlacedJobsThatHaveNotBegunArePending)
+{
+	FlowSim sim;
+
+	sim.add_worker("w1");
+	SimVm *vm = sim.add_vm("a");
+	sim.workers["w1"].work_ms = 3000;
+	sim.run_for(1000);
+	sim.order_fault = [](const SimVm *, const std::string &,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		fault.unreachable = kind == FW_ORDER_START;
+		return fault;
+	};
+	sim.submit(JOB_A, {FlowFixture::make_step(2, 1)});
+	sim.run_for(4000);
+	ASSERT_EQ(BD_STEP_TASK_PLACED, vm->fixture.task(JOB_A, 0).state);
+	EXPECT_EQ(BD_FLOW_QUEUED, sim.state(vm, JOB_A));
+	sim.order_fault = nullptr;
+	sim.run_for(2500);
+	EXPECT_EQ(BD_FLOW_RUNNING, sim.state(vm, JOB_A));
+	sim.run_for(5000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+	expect_no_violations(sim);
+}
