Tests of late starts that fail: listed late runs, unnoted starts, wall clocks

A late start that its worker lists while the job's row shows the task as waiting is known to the placer's memory only: the task is placed again once the worker is silent, or by a successor. A successor assumes that a start which was never noted was sent within 1.7 s of its placement; starts are repeated for 6 s. The room of an assumed start is not kept. A step of the wall clocks by 2 s shortens the wait below the 12 s by which an order may be late.

FlowSim can step its wall clocks. The five tests fail: concurrent runs in four of them, a start without room in SuccessorsKeepTheRoomOfStartsThatMayArrive.

--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -65,6 +65,7 @@
 	std::map<std::string, int> last_orders;  /* by worker */
 	std::vector<std::unique_ptr<SimVm>> vms;
 	int64_t store_latency_ms = 4;
+	int64_t wall_ahead_ms = 0; /* of wall clocks */
 	bool store_down = false;
 	bool drop_append_answers = false;
 	/* Pending reads return at their timeout even if records arrive. */
@@ -273,7 +274,9 @@
 	static int64_t
 	wall_clock(void *ctx)
 	{
-		return ((FlowSim *)ctx)->now_ms;
+		const FlowSim *sim = (const FlowSim *)ctx;
+
+		return sim->now_ms + sim->wall_ahead_ms;
 	}
 
 	SimVm *
--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -373,3 +373,183 @@
 	EXPECT_EQ(3, sim.run_checker.starts);
 	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
 }
+
+/* The last start of a task on w1 that is not answered arrives 12 s later, when
+ * w1 has started again and cannot be reached for another second. */
+struct ListedLateStart {
+	static constexpr int64_t ARRIVE_MS = 19200;
+	LateStarts play;
+
+	ListedLateStart()
+	{
+		FlowSim &sim = play.sim;
+
+		play.worker().work_ms = 60000;
+		sim.order_fault = [&sim](const SimVm *, const std::string &at,
+				      enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (kind != FW_ORDER_START || at != "w1")
+				return fault;
+			fault.late_ms = ARRIVE_MS - sim.now_ms;
+			fault.unreachable = fault.late_ms > 12000;
+			return fault;
+		};
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+		play.run_until(10000);
+		sim.add_worker("w2").work_ms = 60000;
+		sim.unreachable_workers.insert("w1");
+		play.crash(ARRIVE_MS - 1);
+		play.run_until(ARRIVE_MS + 1200);
+		EXPECT_EQ(1, sim.run_checker.starts);
+		sim.unreachable_workers.clear();
+	}
+};
+
+/* A late start that its worker lists is a run of its task, also once that
+ * worker falls silent: its leases are valid. */
+TEST(FlowLateStart, TasksWithAListedLateRunAreNotPlacedOnceItsWorkerIsSilent)
+{
+	ListedLateStart late;
+	LateStarts &play = late.play;
+
+	while (!play.worker().called && play.sim.now_ms < 24000)
+		play.run_until(play.sim.now_ms + 1);
+	play.run_until(play.sim.now_ms + 300);
+	ASSERT_LT(play.sim.now_ms, 25000);
+	play.sim.unreachable_workers.insert("w1");
+	play.run_until(40000);
+	play.expect_no_violations(late.ARRIVE_MS);
+}
+
+/* The same, where a successor has never reached that worker. */
+TEST(FlowLateStart, SuccessorsDoNotPlaceTasksWithALateRunOfTheirPredecessor)
+{
+	ListedLateStart late;
+	LateStarts &play = late.play;
+
+	play.run_until(32000);
+	EXPECT_EQ(1, play.sim.run_checker.starts);
+	play.sim.add_vm("b");
+	play.sim.kill(play.vm);
+	play.sim.unreachable_workers.insert("w1");
+	play.run_until(60000);
+	play.expect_no_violations(late.ARRIVE_MS);
+}
+
+/* Starts that are repeated while appends get no answer are noted nowhere. */
+TEST(FlowLateStart, SuccessorsWaitForStartsThatCouldNotBeNoted)
+{
+	int starts = 0;
+	int64_t sent_ms = 0;
+	LateStarts play;
+	FlowSim &sim = play.sim;
+
+	play.worker().work_ms = 20000;
+	sim.order_fault = [&](const SimVm *vm, const std::string &address,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		if (kind != FW_ORDER_START || address != "w1" ||
+		    vm->name != "a")
+			return fault;
+		starts++;
+		sim.drop_append_answers = true;
+		if (starts >= 4) {
+			fault.late_ms = 12000;
+			sent_ms = sim.now_ms;
+		} else
+			fault.unreachable = true;
+		return fault;
+	};
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	while (starts < 4 && sim.now_ms < 12000)
+		play.run_until(sim.now_ms + 1);
+	ASSERT_EQ(4, starts);
+	sim.kill(play.vm);
+	sim.drop_append_answers = false;
+	SimVm *b = sim.add_vm("b");
+	sim.add_worker("w2").work_ms = 20000;
+	/* The start by the successor is lost with its worker. */
+	while (sim.run_checker.starts == 0 && sim.now_ms < sent_ms + 8000)
+		play.run_until(sim.now_ms + 1);
+	ASSERT_EQ(1, sim.run_checker.starts);
+	play.crash(sim.now_ms + 100);
+	play.run_until(sent_ms + 9000);
+	sim.mark_leaving(b, "w1", 60000); /* w2 is chosen */
+	play.run_until(sent_ms + 11900);
+	play.crash(sent_ms + 11999);
+	play.run_until(sent_ms + 30000);
+	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+}
+
+/* Room of a predecessor's start that may arrive is not given to another one.
+ */
+TEST(FlowLateStart, SuccessorsKeepTheRoomOfStartsThatMayArrive)
+{
+	LateStarts play;
+	FlowSim &sim = play.sim;
+
+	play.late = 1;
+	play.arrive_ms = 13500;
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(3800); /* noted, and answered at the second time */
+	sim.kill(play.vm);
+	SimVm *b = sim.add_vm("b");
+	play.run_until(5000);
+	while (sim.state(b, JOB_A) != BD_FLOW_COMPLETED && sim.now_ms < 11000)
+		play.run_until(sim.now_ms + 1);
+	ASSERT_EQ(BD_FLOW_COMPLETED, sim.state(b, JOB_A));
+	play.run_until(sim.now_ms + 500);
+	ASSERT_LT(sim.now_ms, 12000);
+	play.late = 1;
+	play.arrive_ms = 13501;
+	sim.submit(JOB_B, {FlowFixture::make_step(1, 8)});
+	play.run_until(13000);
+	play.crash(13499);
+	play.run_until(40000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(b, JOB_B));
+	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+	EXPECT_EQ(0, sim.run_checker.capacity_violations);
+}
+
+/* Starts w1 does not answer, while the wall clocks step by 2 s before a
+ * successor reads the note of them. Connections break after the given time. */
+static void
+step_clocks(int64_t broken_after_ms)
+{
+	int64_t last_ms = 0;
+	LateStarts play;
+	FlowSim &sim = play.sim;
+
+	play.worker().work_ms = 20000;
+	sim.order_fault = [&](const SimVm *vm, const std::string &at,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		if (kind != FW_ORDER_START || at != "w1" || vm->name != "a")
+			return fault;
+		last_ms = sim.now_ms;
+		fault.late_ms = 11900;
+		fault.broken_after_ms = broken_after_ms;
+		return fault;
+	};
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(9700);
+	sim.kill(play.vm);
+	sim.wall_ahead_ms = 2000;
+	sim.add_vm("b");
+	sim.add_worker("w2").work_ms = 20000;
+	play.run_until(last_ms + 11850);
+	play.crash(last_ms + 11890);
+	play.run_until(last_ms + 12500);
+	SCOPED_TRACE("broken after " + std::to_string(broken_after_ms));
+	play.expect_no_violations(last_ms + 11900);
+}
+
+TEST(FlowLateStart, SuccessorsWaitForLateStartsWhenWallClocksStep)
+{
+	for (int64_t broken_after_ms = 300; broken_after_ms <= 900;
+	     broken_after_ms += 100)
+		step_clocks(broken_after_ms);
+}
