A test of late acknowledgements that fails

An acknowledgement without an answer that reaches a worker which has started again drops ends of the new incarnation by their numbers.

--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -553,3 +553,53 @@
 	     broken_after_ms += 100)
 		step_clocks(broken_after_ms);
 }
+
+/* An acknowledgement that is carried out late by a worker that has started
+ * again must not drop ends that nobody has seen. */
+TEST(FlowLateStart, LateAcknowledgementsDoNotDropEndsOfANewIncarnation)
+{
+	bool late = false;
+	bool cut = false;
+	size_t stored;
+	LateStarts play;
+	FlowSim &sim = play.sim;
+
+	play.submit(3, 0);
+	play.late = 0;
+	while (sim.unacknowledged_ends() == 0 && sim.now_ms < 5000)
+		play.run_until(sim.now_ms + 1);
+	stored = sim.progress_log.records.size();
+	sim.order_fault = [&](const SimVm *, const std::string &,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		fault.unreachable = cut;
+		if (kind == FW_ORDER_HOLD && !late &&
+		    sim.progress_log.records.size() > stored) {
+			late = true;
+			fault.late_ms = 8000;
+		}
+		return fault;
+	};
+	while (!late && sim.now_ms < 9000)
+		play.run_until(sim.now_ms + 1);
+	ASSERT_TRUE(late);
+	int64_t arrive_ms = sim.now_ms + 8000;
+	play.worker().restart(sim.now_ms);
+	sim.update_host(play.vm, play.worker());
+	play.worker().work_ms = 2000;
+	play.run_until(arrive_ms - 1500);
+	sim.submit(JOB_B, {FlowFixture::make_step(2, 1)});
+	play.run_until(arrive_ms - 1000);
+	ASSERT_EQ(5, sim.run_checker.starts);
+	cut = true;
+	play.worker().work_ms = 100;
+	for (auto &entry : play.worker().runs)
+		entry.second.work_ms = 800;
+	play.run_until(arrive_ms + 100);
+	cut = false;
+	play.run_until(arrive_ms + 20000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(play.vm, JOB_B));
+	EXPECT_EQ(5, sim.run_checker.starts);
+	play.expect_no_violations(arrive_ms);
+}
