--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -603,3 +603,31 @@
 	EXPECT_EQ(5, sim.run_checker.starts);
 	play.expect_no_violations(arrive_ms);
 }
+
+/* A task whose worker dies with its start must run elsewhere in time. */
+TEST(FlowLateStart, TasksOfAWorkerThatDiesWithTheirStartRunElsewhereInTime)
+{
+	LateStarts play;
+	FlowSim &sim = play.sim;
+	int64_t dead_ms = 0;
+
+	sim.order_fault = [&](const SimVm *, const std::string &at,
+			      enum fw_order_kind) {
+		SimOrderFault fault;
+
+		fault.unreachable = at == "w1";
+		return fault;
+	};
+	play.late = 0;
+	dead_ms = sim.now_ms;
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(dead_ms + 200);
+	for (int i = 0; i < 4; i++)
+		sim.add_worker("w" + std::to_string(2 + i)).work_ms = 20000;
+	play.run_until(dead_ms + 4500);
+	sim.remove_host(play.vm, "w1"); /* three heartbeats of silence */
+	while (sim.run_checker.starts == 0 && sim.now_ms < dead_ms + 60000)
+		play.run_until(sim.now_ms + 1);
+	EXPECT_EQ(1, sim.run_checker.starts);
+	EXPECT_LE(sim.now_ms - dead_ms, 14000 + 3000);
+}
