A test of late renewals that fails before a list names the incarnation

A worker that has answered a start after it had started again, and falls silent before it lists its runs, keeps them by a late renewal: the task runs a second time. Without the late renewal there is no such run.

--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -631,3 +631,50 @@
 	EXPECT_EQ(1, sim.run_checker.starts);
 	EXPECT_LE(sim.now_ms - dead_ms, 14000 + 3000);
 }
+
+/* A late renewal counts also where only answers to starts have shown that the
+ * worker has started again. */
+TEST(FlowLateStart, LateRenewalsCountBeforeANewIncarnationHasListedItsRuns)
+{
+	bool late = false;
+	bool cut = false;
+	int sent = 0;
+	FlowSim sim;
+
+	sim.add_worker("w1").work_ms = 20000;
+	sim.add_vm("a");
+	sim.run_for(60000); /* its clock is ahead of that of the next one */
+	sim.order_fault = [&](const SimVm *, const std::string &at,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		fault.unreachable = cut && at == "w1";
+		if (late && kind == FW_ORDER_HOLD) {
+			late = false;
+			fault.late_ms = 5000;
+		}
+		if (kind == FW_ORDER_START && ++sent == 2)
+			cut = true;
+		return fault;
+	};
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
+	sim.run_for(1000);
+	late = true;
+	for (int i = 0; late && i < 3000; i++)
+		sim.run_for(1);
+	ASSERT_FALSE(late);
+	sim.workers["w1"].restart(sim.now_ms);
+	sim.submit(JOB_B, {FlowFixture::make_step(1, 1)});
+	for (int i = 0; !cut && i < 1000; i++)
+		sim.run_for(1);
+	ASSERT_TRUE(cut);
+	sim.run_for(100);
+	ASSERT_EQ(2, sim.run_checker.starts);
+	sim.add_worker("w2").work_ms = 20000;
+	for (int i = 0; i < 2000; i++) {
+		sim.run_for(10);
+		sim.advance_workers();
+	}
+	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+	sim.order_fault = nullptr;
+}
