Two tests of late starts that fail: repeated by successors, unseen restarts

A successor repeats a start for 6 s from its own beginning, the one after it assumes 6 s from the placement: the task runs twice.

--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -678,3 +678,87 @@
 	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
 	sim.order_fault = nullptr;
 }
+
+/* A successor repeats the starts of its predecessor for as long again, which
+ * the one after it must know. */
+TEST(FlowLateStart, StartsThatASuccessorRepeatsAreAwaitedByTheNextOne)
+{
+	int64_t sent_ms = 0;
+	LateStarts play;
+	FlowSim &sim = play.sim;
+
+	play.worker().work_ms = 20000;
+	sim.order_fault = [&](const SimVm *vm, const std::string &at,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		if (kind != FW_ORDER_START || at != "w1" || vm->name == "c")
+			return fault;
+		fault.unreachable = sim.now_ms < 9500;
+		fault.late_ms = 12000;
+		sent_ms = sim.now_ms;
+		return fault;
+	};
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(2100);
+	sim.kill(play.vm);
+	play.run_until(6000);
+	sim.add_vm("b");
+	while (sent_ms < 9500 && sim.now_ms < 14000)
+		play.run_until(sim.now_ms + 1);
+	ASSERT_LE(9500, sent_ms);
+	play.run_until(sent_ms + 1500); /* its note is stored */
+	sim.kill(sim.vms.back().get());
+	SimVm *c = sim.add_vm("c");
+	sim.add_worker("w2").work_ms = 20000;
+	while (sim.run_checker.starts == 0 && sim.now_ms < sent_ms + 9000)
+		play.run_until(sim.now_ms + 1);
+	ASSERT_EQ(1, sim.run_checker.starts);
+	play.crash(sim.now_ms + 100);
+	play.run_until(sent_ms + 10000);
+	sim.mark_leaving(c, "w1", 60000); /* w2 is chosen */
+	play.run_until(sent_ms + 11900);
+	play.crash(sent_ms + 11999);
+	play.run_until(sent_ms + 30000);
+	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+}
+
+/* Lets a late start arrive between two starts and the first list of the
+ * incarnation that has accepted them. Returns when it has accepted them. */
+static int64_t
+accept_beside_late_start(int64_t arrive_ms, int64_t restart_ms)
+{
+	LateStarts play;
+	FlowSim &sim = play.sim;
+
+	play.late = 1;
+	play.arrive_ms = arrive_ms;
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 4)});
+	play.run_until(9000);
+	EXPECT_EQ(1, sim.run_checker.starts);
+	play.worker().work_ms = 5000;
+	sim.submit(JOB_B, {FlowFixture::make_step(2, 4)});
+	if (restart_ms > 0) {
+		play.run_until(restart_ms);
+		play.worker().restart(sim.now_ms);
+	}
+	while (sim.run_checker.starts < 3 && sim.now_ms < 12000)
+		play.run_until(sim.now_ms + 1);
+	int64_t accepted_ms = sim.now_ms;
+	play.run_until(accepted_ms + 1000);
+	if (restart_ms > 0)
+		play.expect_no_violations(arrive_ms - accepted_ms);
+	return accepted_ms;
+}
+
+/* Starts that a new incarnation has accepted run there, beside a late one that
+ * it has not been told to refuse. */
+TEST(FlowLateStart, AcceptedStartsLeaveRoomForALateOneAfterAnUnseenRestart)
+{
+	int64_t accepted_ms = accept_beside_late_start(14000, 0);
+
+	ASSERT_LT(accepted_ms, 12000);
+	for (int64_t after_ms = 1; after_ms <= 12; after_ms++)
+		accept_beside_late_start(
+		    accepted_ms + after_ms, accepted_ms - 5);
+}
