Crashes of its workers no longer fail a job that lasts

Callers saw: a job that runs until it is cancelled was shown as failed, and not restarted, after its worker had crashed three times behind cuts; none of its runs had ended as failed (LOST).

Cause: crash.c charged crashes to the tasks of lasting steps like to others, and ended the job at the third clear one or the fourth of any kind.

Change: a crash never ends a job by a task that lasts. It still makes the job suspect, so its next run is tried apart from others. A crash that is clear (apart, without a common cause, not presumed, within 20 s of the placement) counts against the task: from the third one on it pauses, for 0.5 s, then twice as long each time, 30 s at most; a run of 20 s clears the count. Other crashes are stored as presumed, so the record is unchanged.

The simulation wrote a cancellation with the time 1, so a job that had begun long before was removed as soon as it was cancelled; it now writes its time.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -121,15 +121,17 @@
 };
 
 struct bd_step_task {
-	uint64_t host;             /* id of the worker of the latest run */
-	int64_t incarnation_ms;    /* of that worker when it was placed there */
-	int64_t changed_ms;        /* wall time of the latest change of state */
-	uint32_t run;              /* number of the latest run, 0: none */
-	uint16_t state;            /* enum bd_step_task_state */
-	uint16_t failures;         /* runs that ended as failed */
-	uint32_t failed_run;       /* latest run that was counted as failed */
-	uint16_t crashes;          /* workers that crashed under it */
-	uint16_t presumed_crashes; /* of these: may have been cut off */
+	uint64_t host;          /* id of the worker of the latest run */
+	int64_t incarnation_ms; /* of that worker when it was placed there */
+	int64_t changed_ms;     /* wall time of the latest change of state */
+	uint32_t run;           /* number of the latest run, 0: none */
+	uint16_t state;         /* enum bd_step_task_state */
+	uint16_t failures;      /* runs that ended as failed */
+	uint32_t failed_run;    /* latest run that was counted as failed */
+	uint16_t crashes;       /* workers that crashed under it */
+	/* Of these: the worker may have been cut off, or if the task lasts it
+	 * is not the likely cause. */
+	uint16_t presumed_crashes;
 	char checkpoint[BD_CHECKPOINT_BYTES];
 };
 
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -18,8 +18,18 @@
  * that was set back. */
 #define CLOCK_SKEW_MS 1000
 /* Crashes before a run of this length have nothing to do with the one that
- * ended it. Tasks of a step that lasts outlive many crashes of workers. */
+ * ended it. */
 #define CRASH_FORGET_MS 600000
+/* The same for a task that lasts: a crash that is presumed is found later. */
+#define LASTING_FORGET_MS CONCLUSIVE_RUN_MS
+#define LASTING_FORGET_PRESUMED_MS 60000
+/* A task that lasts waits after this many crashes of which it is the likely
+ * cause, twice as long after each further one. Its worker may be the cause all
+ * the same, so the first pauses are shorter than the 3 s within which a task
+ * that is ready has to be started. */
+#define LASTING_PAUSE_CRASHES 3
+#define LASTING_PAUSE_MIN_MS 500
+#define LASTING_PAUSE_MAX_MS 30000
 /* Workers that crash within this time of each other may have a common cause,
  * such as the power of a rack, if there are this many besides those of the
  * job. */
@@ -42,6 +52,10 @@
  * ready has to be started within 3 s. */
 #define SILENT_LOSS_WAIT_MS 2000
 
+static bool task_lasts(const struct bd_flow *flow, uint32_t index);
+static int64_t lasting_pause_ms(const struct bd_step_task *task);
+static void lasting_task_crashed(
+    struct bd_step_task *task, const struct fw_crash *crash, bool conclusive);
 static void note_crash(struct fw_worker_state *state, int64_t now_ms);
 static bool crashed_under(
     const struct fw_tables *tables, uint32_t worker, uint64_t flow);
@@ -80,11 +94,74 @@
 	return false;
 }
 
+/* Returns whether a task runs until its job is cancelled. */
+static bool
+task_lasts(const struct bd_flow *flow, uint32_t index)
+{
+	struct fw_task_ref ref;
+
+	fw_task_ref_of(flow, index, &ref);
+	return (fw_flow_steps(flow)[ref.step].flags & BD_STEP_LONG_RUNNING) !=
+	    0;
+}
+
+/* Returns for how long a task that lasts waits after its latest run. */
+static int64_t
+lasting_pause_ms(const struct bd_step_task *task)
+{
+	int64_t pause_ms = LASTING_PAUSE_MIN_MS;
+	int clear = task->crashes - task->presumed_crashes;
+
+	if (clear < LASTING_PAUSE_CRASHES)
+		return 0;
+	for (; clear > LASTING_PAUSE_CRASHES && pause_ms < LASTING_PAUSE_MAX_MS;
+	     clear--)
+		pause_ms *= 2;
+	return pause_ms < LASTING_PAUSE_MAX_MS ? pause_ms
+					       : LASTING_PAUSE_MAX_MS;
+}
+
+/* Returns whether a task of a group that waits is one that lasts and pauses
+ * after crashes of its workers. */
+bool
+fw_tasks_pause(
+    const struct bd_flow *flow, uint32_t first, uint32_t count, int64_t wall_ms)
+{
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t i;
+
+	for (i = first; i < first + count; i++) {
+		int64_t waited_ms = wall_ms - tasks[i].changed_ms;
+
+		if (tasks[i].crashes > 0 && waited_ms > -CLOCK_SKEW_MS &&
+		    task_lasts(flow, i) &&
+		    waited_ms < lasting_pause_ms(&tasks[i]))
+			return true;
+	}
+	return false;
+}
+
+/* Counts a crash of a task that lasts. Unless the task is the likely cause it
+ * counts as presumed, and only makes the job suspect. */
+static void
+lasting_task_crashed(
+    struct bd_step_task *task, const struct fw_crash *crash, bool conclusive)
+{
+	if (crash->run_ms >
+	    (crash->presumed ? LASTING_FORGET_PRESUMED_MS : LASTING_FORGET_MS))
+		task->crashes = task->presumed_crashes = 0;
+	if (task->crashes < FW_CRASHES_MAX) {
+		task->crashes++;
+		task->presumed_crashes += !conclusive;
+	}
+}
+
 /*
  * Charges the crash of a worker to a task that ran there, in a copy of its
  * job's row. The job fails once it is clear that the task is the cause, or
  * after CRASHES_ANY_MAX crashes. A single crash only makes the job suspect:
- * each run on the worker is charged with it, and all but one are innocent.
+ * each run on the worker is charged with it, and all but one are innocent. A
+ * task that lasts does not fail its job: it pauses.
  */
 void
 fw_task_crashed(struct bd_flow *flow, uint32_t index,
@@ -94,6 +171,10 @@
 	bool conclusive = crash->apart && !crash->common_cause &&
 	    !crash->presumed && crash->run_ms <= CONCLUSIVE_RUN_MS;
 
+	if (task_lasts(flow, index)) {
+		lasting_task_crashed(task, crash, conclusive);
+		return;
+	}
 	if (crash->run_ms > CRASH_FORGET_MS)
 		task->crashes = task->presumed_crashes = 0;
 	if (task->crashes < FW_CRASHES_MAX) {
@@ -115,7 +196,8 @@
 fw_task_lost(
     struct bd_flow *flow, uint32_t index, int64_t run_ms, int64_t wall_ms)
 {
-	if (fw_flow_tasks(flow)[index].crashes >= CRASHES_ANY_MAX &&
+	if (!task_lasts(flow, index) &&
+	    fw_flow_tasks(flow)[index].crashes >= CRASHES_ANY_MAX &&
 	    run_ms <= CONCLUSIVE_RUN_MS)
 		fw_flow_end(flow, BD_FLOW_FAILED, wall_ms);
 }
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -387,6 +387,8 @@
 
 bool fw_task_in_trial(const struct bd_step_task *task, int64_t wall_ms);
 bool fw_flow_suspect(const struct bd_flow *flow, int64_t wall_ms);
+bool fw_tasks_pause(const struct bd_flow *flow, uint32_t first, uint32_t count,
+    int64_t wall_ms);
 void fw_task_crashed(struct bd_flow *flow, uint32_t index,
     const struct fw_crash *crash, int64_t wall_ms);
 void fw_task_lost(
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -101,8 +101,8 @@
 	    group->age_ms > (int64_t)settings->reclaim_ms * 2;
 }
 
-/* Adds the groups of one step of an occurrence whose tasks all wait and have no
- * run that a worker lists. */
+/* Adds the groups of one step of an occurrence whose tasks all wait, do not
+ * pause and have no run that a worker lists. */
 static int
 add_step(struct fw_groups *groups, const struct fw_view *view, uint32_t job,
     uint32_t occurrence, uint32_t step, bool suspect)
@@ -127,6 +127,8 @@
 			waiting += tasks[group.first + n].state ==
 			    BD_STEP_TASK_WAITING;
 		if (waiting < group.count ||
+		    fw_tasks_pause(
+			flow, group.first, group.count, view->wall_ms) ||
 		    fw_view_any_alive(view, job, group.first, group.count))
 			continue;
 		if (groups->count == groups->capacity) {
--- a/lib/flow/trials.c
+++ b/lib/flow/trials.c
@@ -9,7 +9,7 @@
  * started within 3 s. */
 #define TRIAL_WAIT_MAX_MS 1500
 /* A task with more crashes than this is tried apart only: its next crash in
- * any company fails its job. */
+ * any company fails its job, or tells nothing if the task lasts. */
 #define SHARING_CRASHES_MAX 2
 
 static uint32_t best_to_hold(const struct fw_view *view,
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -447,7 +447,7 @@
 		uint64_t end;
 
 		fw_record_key(key, FW_RECORD_CANCEL, name);
-		job_log.append({{key, "1"}}, 0, 0, &end);
+		job_log.append({{key, std::to_string(now_ms)}}, 0, 0, &end);
 	}
 
 	uint32_t
--- a/tests/test_flow_crash.cc
+++ b/tests/test_flow_crash.cc
@@ -121,6 +121,66 @@
 	EXPECT_EQ(BD_FLOW_RUNNING, state(fixture, DEADLY));
 }
 
+/* A lasting job must not be given up by crashes of its workers, whatever their
+ * circumstances. */
+TEST(FlowCrash, LastingTaskIsNotFailedByCrashesOfItsWorkers)
+{
+	for (const struct fw_crash &circumstances :
+	    {APART, BESIDE_OTHERS, COMMON_CAUSE, PRESUMED}) {
+		FlowFixture fixture;
+		int64_t wall_ms = 100000;
+
+		add_hosts(fixture, 3);
+		fixture.submit(DEADLY,
+		    {FlowFixture::make_step(1, 1, BD_STEP_LONG_RUNNING)});
+		for (int i = 0; i < 20; i++, wall_ms += 100000) {
+			ASSERT_EQ(1U, fixture.place_ready(wall_ms)) << i;
+			crash(fixture, DEADLY, 0, circumstances);
+		}
+		EXPECT_EQ(BD_FLOW_RUNNING, state(fixture, DEADLY));
+	}
+}
+
+/* Returns how long a task waits after a crash until it is placed, in steps. */
+static int64_t
+pause_after_crash(FlowFixture &fixture, const struct fw_crash &circumstances)
+{
+	int64_t pause_ms = 0;
+
+	crash(fixture, DEADLY, 0, circumstances); /* at 3000 */
+	while (pause_ms < 100000 && fixture.place_ready(3000 + pause_ms) == 0)
+		pause_ms += 250;
+	return pause_ms;
+}
+
+/* A lasting task that crashes its workers by itself must not do so all the
+ * time; one whose workers are the cause must run again within 3 s. */
+TEST(FlowCrash, LastingTaskThatCrashesItsWorkersIsSlowedDown)
+{
+	static const struct fw_crash after_trial = {true, false, false, 25000};
+	FlowFixture fixture;
+	int64_t last_ms = 0;
+
+	add_hosts(fixture, 3);
+	fixture.submit(
+	    DEADLY, {FlowFixture::make_step(1, 1, BD_STEP_LONG_RUNNING)});
+	EXPECT_EQ(1U, fixture.place_ready());
+	for (int i = 0; i < 12; i++) {
+		int64_t pause_ms = pause_after_crash(fixture, APART);
+
+		EXPECT_GE(pause_ms, last_ms);
+		ASSERT_LE(pause_ms, i < 2 ? 0 : i < 5 ? 2000 : 30000) << i;
+		EXPECT_TRUE(i < 2 || pause_ms > 0) << i;
+		last_ms = pause_ms;
+	}
+	EXPECT_EQ(30000, last_ms);
+	ASSERT_EQ(0, pause_after_crash(fixture, after_trial));
+	for (int i = 0; i < 12; i++)
+		ASSERT_EQ(0,
+		    pause_after_crash(
+			fixture, i % 2 == 0 ? BESIDE_OTHERS : PRESUMED));
+}
+
 /* A task that is done must not leave its job suspect. */
 TEST(FlowCrash, DoneTaskIsNoLongerSuspect)
 {
