A task that takes far longer than its estimate goes on

Callers saw: tasks of 800 s with an estimate of 10 s were stopped every 6 s and begun again from nothing; their workers got no runs for 8 s each time, so the job had nothing running for 7.8 s with all capacity free (LOST).

Cause: sync.c took a run for stalled when its percentage had not changed for 2.5 s and a quarter of its estimate. Percentages are whole numbers: at 800 s one takes 8 s. Without an estimate the limit was 2.5 s.

Change: stall.c asks for evidence that the worker is the cause. The run has moved before and stands still for ten times as long as it took for a percent; or it has not moved, but others of its step have elsewhere; or the worker was found to stand still less than 30 s ago and nothing has moved there since. A run beside which another one moves goes on.

What is lost: the first run on a worker that stood still before it came is not found if it is alone of its step there; it cannot be told from a long task.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -67,6 +67,8 @@
 	int64_t crashed_ms;            /* latest crash, 0: none */
 	int64_t unanswered_ms;         /* when a start was given up, 0: never */
 	int64_t reborn_ms; /* when another incarnation was first heard, or 0 */
+	int64_t moved_ms;   /* latest progress of a run there, 0: none */
+	int64_t stalled_ms; /* when it was found to stand still, 0: never */
 	int64_t grant_unknown_ms; /* latest grant without an answer, 0: none */
 	int64_t crash_incarnation_ms; /* known one when that was found */
 	uint64_t end_ack;      /* ends up to this number may be acknowledged */
@@ -127,6 +129,9 @@
 	int64_t listed_from_ms; /* reports sent later list it until it ends */
 	int64_t uncertain_ms;   /* latest time at which such a start was sent */
 	int64_t progressed_ms;  /* time of the latest change of percent */
+	int64_t pace_from_ms;   /* its pace is measured since, 0: not yet */
+	uint32_t pace_from_percent; /* its percentage at that time */
+	uint32_t pace_percent;      /* its percentage when last looked at */
 	int64_t end_listed_ms;  /* time at which its end was first listed, 0 */
 	int64_t last_listed_ms; /* send time of the last report listing it */
 	int64_t
@@ -134,6 +139,7 @@
 	bool used;
 	bool order_in_flight;
 	bool start_in_flight; /* that order is a start */
+	bool taken_over;      /* an earlier placer has placed it */
 	bool start_sent;      /* a start may have been carried out */
 	bool start_uncertain; /* an unanswered start may still be carried out */
 	bool start_assumed;   /* by an earlier placer, as far as rows tell */
@@ -605,6 +611,10 @@
 void fw_orders_send(
     struct fw_placer *placer, int64_t now_ms, int64_t duty_confirmed_ms);
 void fw_answers_handle(struct fw_placer *placer, int64_t now_ms);
+void fw_run_note_pace(
+    struct fw_tables *tables, const struct bd_flow *flow, struct fw_run *run);
+bool fw_run_stalled(struct fw_tables *tables, const struct bd_flow *flow,
+    const struct fw_run *run);
 void fw_run_stop(
     struct fw_placer *placer, struct fw_run *run, const char *reason);
 bool fw_runs_sync(struct fw_placer *placer, int64_t now_ms);
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -9,11 +9,6 @@
 /* A gang that is not complete within this part of gang_timeout_ms is stopped as
  * a whole, before its workers give up on it. */
 #define GANG_START_MILLI 600
-/* A run is stalled when its percentage has not changed for the longer of a time
- * and a part of its estimated run time. The time exceeds the pauses of a
- * worker; the part corresponds to several percent. */
-#define STALL_MIN_MS 2500
-#define STALL_ESTIMATE_MILLI 250
 /* The entry of a silent worker is deleted after three heartbeats; a draining
  * worker writes its entry with each one. */
 #define LEFT_HEARTBEATS_MAX 2
@@ -33,7 +28,6 @@
     struct fw_placer *placer, struct fw_run *run, int64_t now_ms);
 static bool gang_intact(struct fw_placer *placer, const struct bd_flow *flow,
     const struct fw_run *run, int64_t now_ms);
-static bool stalled(const struct bd_flow *flow, const struct fw_run *run);
 static bool may_start_late(const struct fw_run *run, int64_t incarnation_ms);
 static bool revoke_late_start(
     struct fw_run *run, const struct fw_worker_state *worker, int64_t now_ms);
@@ -139,7 +133,7 @@
 	run = &placer->tables.runs[handle];
 	fw_task_ref_of(flow, index, &run->task);
 	run->phase = adopted ? FW_PHASE_ADOPTED : FW_PHASE_STARTING;
-	run->start_sent = adopted;
+	run->start_sent = run->taken_over = adopted;
 	run->start_incarnation_ms = task->incarnation_ms;
 	run->placed_ms = now_ms;
 	run->listed_from_ms = INT64_MAX;
@@ -230,27 +224,6 @@
 	return intact;
 }
 
-/* Returns whether a run makes no progress. Steps that run until the job is
- * cancelled are exempt. */
-static bool
-stalled(const struct bd_flow *flow, const struct fw_run *run)
-{
-	struct fw_task_ref ref;
-	const struct bd_flow_step *step;
-	int64_t limit_ms;
-
-	if (run->phase != FW_PHASE_RUNNING || run->percent >= 100)
-		return false;
-	fw_task_ref_of(flow, run->index, &ref);
-	step = &fw_flow_steps(flow)[ref.step];
-	if ((step->flags & BD_STEP_LONG_RUNNING) != 0)
-		return false;
-	limit_ms = (int64_t)step->estimate_ms * STALL_ESTIMATE_MILLI / 1000;
-	if (limit_ms < STALL_MIN_MS)
-		limit_ms = STALL_MIN_MS;
-	return run->last_listed_ms - run->progressed_ms > limit_ms;
-}
-
 /* Returns whether a run is to continue; requests its stop if not. */
 static bool
 continue_or_stop(struct fw_placer *placer, struct fw_run *run, int64_t now_ms)
@@ -264,6 +237,7 @@
 
 	if (flow == NULL || run->stop_requested)
 		return false;
+	fw_run_note_pace(&placer->tables, flow, run);
 	if (fw_flow_ended(flow) || flow->cancelled != 0)
 		fw_run_stop(placer, run, "job_ended");
 	else if (!gang_intact(placer, flow, run, now_ms))
@@ -279,7 +253,7 @@
 	else if (run->phase == FW_PHASE_STARTING && !run->start_sent &&
 	    (worker->unresponsive_since_ms != 0 || worker->misaddressed))
 		fw_run_stop(placer, run, "worker_silent");
-	else if (stalled(flow, run)) {
+	else if (fw_run_stalled(&placer->tables, flow, run)) {
 		fw_run_stop(placer, run, "no_progress");
 		worker->failed_count += 2;
 		worker->failed_ms = now_ms;
--- a/tests/sim/worker_sim.h
+++ b/tests/sim/worker_sim.h
@@ -44,8 +44,9 @@
 	uint64_t token = 0;
 	int64_t until_ms = 0; /* end of the lease on its clock */
 	uint64_t next_end = 1;
-	bool failing = false;  /* all runs fail */
-	bool stalled = false;  /* no run makes progress */
+	bool failing = false; /* all runs fail */
+	bool stalled = false; /* no run makes progress */
+	int64_t still_ms = 0; /* no run makes progress from then on, 0: never */
 	bool keeps_id = false; /* is back under the same id after a crash */
 	int64_t crash_ms = 0;  /* time at which it will crash, 0: none */
 	int64_t back_ms = 0;   /* crashed: time at which it is back, 0: is up */
@@ -92,6 +93,15 @@
 		run_checker->end(run.task, run.run, this);
 	}
 
+	/* Returns for how long a run has worked. */
+	int64_t
+	worked_ms(const SimRun &run, int64_t now_ms) const
+	{
+		if (still_ms != 0)
+			now_ms = std::min(now_ms, still_ms);
+		return std::max<int64_t>(0, now_ms - run.started_ms);
+	}
+
 	/* Returns whether a run has done its work. */
 	bool
 	has_worked(const SimRun &run, int64_t now_ms) const
@@ -99,7 +109,7 @@
 		SimGang *gang = run_checker->gang(run.task, run.run);
 
 		if (gang == nullptr)
-			return now_ms - run.started_ms >= run.work_ms;
+			return worked_ms(run, now_ms) >= run.work_ms;
 		if (gang->complete_ms != 0 &&
 		    now_ms - gang->complete_ms >= run.work_ms)
 			gang->done = true;
@@ -326,7 +336,7 @@
 	{
 		return stalled ? 7
 			       : (uint32_t)std::min<int64_t>(99,
-				     (now_ms - run.started_ms) * 100 /
+				     worked_ms(run, now_ms) * 100 /
 					 std::max<int64_t>(1, run.work_ms));
 	}
 
