An end that lost its run its place holds up later ends no longer

Cause: the end `done` of a run that was replaced was never acknowledged unless a `lapsed` end followed, nor was any end behind it, as AckedSeq is cumulative. Its leases had lapsed behind the cut, which voids it by the platform's rule, but on an idle worker a lapse leaves no end. The run stayed in the table while it was listed, and for its sake the lease was renewed for good.

Change: an end is void, and acknowledged, once the lease is certain to have lapsed after it: a run that was over as all leases had expired is listed by the incarnation that it was started on, and all ends before it; or all leases that may have been granted are over, and the first list of the incarnation is older than a late order and a lease. A worker on which no run is alive gets no renewals, so such a lapse always comes: one that lists more than 250 ends gets no runs, becomes idle, and gets runs again after a lease. This holds for successors too. Each such acknowledgement is logged (1136). The table of ends is in docs/design.md, 18.4.

--- a/lib/flow/answers.c
+++ b/lib/flow/answers.c
@@ -85,7 +85,8 @@
 	if (worker->incarnation_ms != 0)
 		fw_worker_state_reborn(&placer->tables, worker, now_ms);
 	worker->incarnation_ms = incarnation_ms;
-	worker->end_ack = worker->end_ack_sent = 0;
+	worker->end_ack = worker->end_ack_sent = worker->void_end = 0;
+	worker->first_list_ms = 0;
 	worker->failed_count = 0;
 }
 
@@ -224,6 +225,8 @@
 		worker->end_ack_sent = call->end_ack;
 	fw_report_free(&worker->report);
 	worker->report = *report;
+	if (worker->first_list_ms == 0)
+		worker->first_list_ms = report->now_ms;
 	worker->report_unread = true;
 	worker->listed_checked = 0;
 	memset(&call->report, 0, sizeof(call->report));
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -73,6 +73,8 @@
 	int64_t crash_incarnation_ms; /* known one when that was found */
 	uint64_t end_ack;      /* ends up to this number may be acknowledged */
 	uint64_t end_ack_sent; /* ends up to this number were acknowledged */
+	uint64_t void_end;     /* the lease has lapsed after these ends */
+	int64_t first_list_ms; /* first list of this incarnation, 0: none */
 	int64_t list_from_ms; /* lists asked for later are of its incarnation */
 	uint32_t run_count;
 	uint32_t first_run;       /* of its runs, or FW_NONE */
@@ -494,6 +496,15 @@
 /* Applies the latest report of a worker to its runs. */
 void fw_report_apply(struct fw_tables *tables, const struct bd_board *board,
     uint32_t handle, int64_t now_ms);
+bool fw_worker_renews(const struct fw_tables *tables, uint32_t handle);
+bool fw_lapse_is_certain(const struct fw_tables *tables,
+    const struct fw_worker_state *worker, int64_t now_ms);
+bool fw_ends_become_void(const struct fw_tables *tables,
+    const struct fw_worker_state *worker, int64_t now_ms);
+void fw_void_end_note(struct fw_worker_state *worker, const struct fw_run *run,
+    const struct fw_listed_end *end);
+void fw_void_ends_find(const struct fw_tables *tables,
+    struct fw_worker_state *worker, int64_t now_ms);
 bool fw_worker_state_clock_is_back(
     const struct fw_worker_state *worker, const struct fw_report *report);
 int64_t fw_worker_state_latest_ms(const struct fw_worker_state *worker);
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -367,8 +367,8 @@
 	/* Holds to a worker that does not answer grant no lease: each lease
 	 * that may have been granted delays the time at which its runs count as
 	 * lost. */
-	if (worker->run_count > 0 && worker->clock_read_ms != 0 &&
-	    worker->unresponsive_since_ms == 0)
+	if (fw_worker_renews(&placer->tables,
+		(uint32_t)(worker - placer->tables.worker_states)))
 		order.until_ms = fw_worker_state_lease_until(
 		    worker, now_ms, placer->parts.settings.lease_ms);
 	if (worker->end_ack_sent < worker->end_ack && list_is_current(worker))
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -16,10 +16,13 @@
     const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms);
 static bool failure_in_row(
     const struct bd_board *board, const struct fw_listed_end *end);
+static void apply_end(struct fw_tables *tables, const struct bd_board *board,
+    uint32_t handle, const struct fw_listed_end *end, int64_t now_ms);
+static void advance_end_ack(struct fw_tables *tables,
+    const struct bd_board *board, uint32_t handle, int64_t now_ms);
 static bool may_acknowledge(const struct fw_tables *tables,
     const struct bd_board *board, const struct fw_listed_end *end,
-    uint32_t worker, bool lease_expired, int64_t now_ms);
-static uint64_t last_lease_expired_end(const struct fw_report *report);
+    uint32_t worker, bool is_void, int64_t now_ms);
 
 /* Makes a deep copy of a report. Returns FW_ENOMEM. */
 int
@@ -173,19 +176,19 @@
  * Returns whether an end may be acknowledged: its run is no longer the current
  * one of its task, and the job's row reflects this end. The end of a run that
  * counted as lost and was replaced, but is listed as done or failed later, is
- * never acknowledged: its task would then count as started again after its end.
- * lease_expired: a lease of the worker has expired since, which voids the end.
+ * acknowledged once it is void only: its task would count as started again
+ * after its end. is_void: the lease of the worker has lapsed since.
  */
 static bool
 may_acknowledge(const struct fw_tables *tables, const struct bd_board *board,
-    const struct fw_listed_end *end, uint32_t worker, bool lease_expired,
+    const struct fw_listed_end *end, uint32_t worker, bool is_void,
     int64_t now_ms)
 {
 	uint32_t found = find_run(tables, board, &end->task, end->run, worker);
 	const struct fw_run *run;
 
 	if (found == FW_NONE)
-		return lease_expired ||
+		return is_void ||
 		    (end->end == FW_END_DONE ? done_in_row(board, end, true)
 			    : end->end == FW_END_FAILED
 			    ? failure_in_row(board, end)
@@ -193,7 +196,7 @@
 	run = &tables->runs[found];
 	if (fw_run_is_current(board, run))
 		return false;
-	if (lease_expired)
+	if (is_void)
 		return true;
 	if (start_may_follow(tables, run, now_ms))
 		return false;
@@ -204,24 +207,67 @@
 	    failure_in_row(board, end);
 }
 
-/* Returns the number of the latest listed end by an expired lease, 0 if there
- * is none. */
-static uint64_t
-last_lease_expired_end(const struct fw_report *report)
+/* Applies a listed end to its run, if the placer has it. */
+static void
+apply_end(struct fw_tables *tables, const struct bd_board *board,
+    uint32_t handle, const struct fw_listed_end *end, int64_t now_ms)
 {
-	uint32_t i = report->end_count;
+	struct fw_worker_state *worker = &tables->worker_states[handle];
+	uint32_t found = find_run(tables, board, &end->task, end->run, handle);
+	struct fw_run *run;
+
+	if (found == FW_NONE)
+		return;
+	run = &tables->runs[found];
+	if (end->checkpoint[0] != '\0')
+		memcpy(
+		    run->checkpoint, end->checkpoint, sizeof(run->checkpoint));
+	if (run->end_listed_ms == 0)
+		run->end_listed_ms = now_ms;
+	run->last_listed_ms = worker->report.sent_ms;
+	run->incarnation_ms = worker->report.incarnation_ms;
+	run->done_late = run->phase == FW_PHASE_ENDED &&
+	    run->end != FW_END_DONE && end->end == FW_END_DONE;
+	fw_run_mark_ended(run, end->end, FW_OVER_LISTED);
+	fw_void_end_note(worker, run, end);
+}
+
+/* Advances end_ack up to the first listed end that must not be acknowledged. */
+static void
+advance_end_ack(struct fw_tables *tables, const struct bd_board *board,
+    uint32_t handle, int64_t now_ms)
+{
+	struct fw_worker_state *worker = &tables->worker_states[handle];
+	const struct fw_report *report = &worker->report;
+	uint32_t i;
 
-	while (i > 0)
-		if (report->ends[--i].end == FW_END_LEASE_EXPIRED)
-			return report->ends[i].number;
-	return 0;
+	for (i = 0; i < report->end_count; i++) {
+		const struct fw_listed_end *end = &report->ends[i];
+		bool counts =
+		    may_acknowledge(tables, board, end, handle, false, now_ms);
+
+		if (!counts &&
+		    (end->number > worker->void_end ||
+			!may_acknowledge(
+			    tables, board, end, handle, true, now_ms)))
+			return;
+		if (end->number <= worker->end_ack)
+			continue;
+		worker->end_ack = end->number;
+		if (!counts)
+			ev_emit(EV_FLOW_END_VOID,
+			    "job=%s task=%u.%u.%u run=%u worker=%s number=%llu",
+			    end->task.job, end->task.occurrence, end->task.step,
+			    end->task.index, end->run, worker->name,
+			    (unsigned long long)end->number);
+	}
 }
 
 /*
  * Applies the latest report of a worker to the placer's runs: listed runs are
  * running, listed ends end their runs. Advances end_ack, the number up to which
  * all listed ends may be acknowledged. Call again after the jobs' rows have
- * changed. Call within a read section.
+ * changed, or ends have become void. Call within a read section.
  */
 void
 fw_report_apply(struct fw_tables *tables, const struct bd_board *board,
@@ -229,8 +275,6 @@
 {
 	struct fw_worker_state *worker = &tables->worker_states[handle];
 	const struct fw_report *report = &worker->report;
-	uint64_t last_expired = last_lease_expired_end(report);
-	bool acknowledgeable = true;
 	uint32_t i;
 
 	for (i = 0; i < report->run_count; i++) {
@@ -244,29 +288,8 @@
 		tables->runs[found].listed_from_ms = report->sent_ms;
 		tables->runs[found].last_listed_ms = report->sent_ms;
 	}
-	for (i = 0; i < report->end_count; i++) {
-		const struct fw_listed_end *end = &report->ends[i];
-		uint32_t found =
-		    find_run(tables, board, &end->task, end->run, handle);
-
-		if (found != FW_NONE) {
-			struct fw_run *run = &tables->runs[found];
-
-			if (end->checkpoint[0] != '\0')
-				memcpy(run->checkpoint, end->checkpoint,
-				    sizeof(run->checkpoint));
-			if (run->end_listed_ms == 0)
-				run->end_listed_ms = now_ms;
-			run->last_listed_ms = report->sent_ms;
-			run->incarnation_ms = report->incarnation_ms;
-			run->done_late = run->phase == FW_PHASE_ENDED &&
-			    run->end != FW_END_DONE && end->end == FW_END_DONE;
-			fw_run_mark_ended(run, end->end, FW_OVER_LISTED);
-		}
-		acknowledgeable = acknowledgeable &&
-		    may_acknowledge(tables, board, end, handle,
-			end->number < last_expired, now_ms);
-		if (acknowledgeable && end->number > worker->end_ack)
-			worker->end_ack = end->number;
-	}
+	for (i = 0; i < report->end_count; i++)
+		apply_end(tables, board, handle, &report->ends[i], now_ms);
+	fw_void_ends_find(tables, worker, now_ms);
+	advance_end_ack(tables, board, handle, now_ms);
 }
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -542,7 +542,8 @@
 
 		worker->unresolved_runs = 0;
 		if (!worker->report_unread &&
-		    (!jobs_changed || report->end_count == 0))
+		    (!jobs_changed || report->end_count == 0) &&
+		    !fw_ends_become_void(tables, worker, now_ms))
 			continue;
 		changed = true;
 		if (worker->report_unread)
--- a/tests/sim/run_checker.h
+++ b/tests/sim/run_checker.h
@@ -33,6 +33,7 @@
 	std::string how;
 	std::string checkpoint;
 	int starts_at_end = 0; /* of the task, on all workers */
+	int64_t clock_ms = 0;  /* at the end, on the worker's clock */
 };
 
 /* One run of a gang. Its members work from when all of them are present, and
--- a/tests/test_flow_report.cc
+++ b/tests/test_flow_report.cc
@@ -71,6 +71,24 @@
 		end_run(JOB, 0, FW_END_LOST);
 		EXPECT_EQ(1U, place_ready());
 	}
+
+	/* The worker's first list and the end of its leases. */
+	void
+	set_lease(int64_t first_list_ms, int64_t lease_end_ms)
+	{
+		tables.lease_max_ms = 6000;
+		tables.worker_states[worker].first_list_ms = first_list_ms;
+		tables.worker_states[worker].lease_end_ms = lease_end_ms;
+	}
+
+	/* By which rule the first run is over, and where it was started. */
+	void
+	set_over(enum fw_over over, int64_t started, int64_t listed)
+	{
+		tables.runs[runs[0]].over = over;
+		tables.runs[runs[0]].start_incarnation_ms = started;
+		tables.worker_states[worker].report.incarnation_ms = listed;
+	}
 };
 
 } // namespace
@@ -112,6 +130,66 @@
 	EXPECT_EQ(2U, fixture.report_ends(FW_END_DONE, FW_END_LEASE_EXPIRED));
 }
 
+/* Ends are void once all leases are over that may have been granted, by this
+ * placer, by earlier ones, or late to a worker that has started again. */
+TEST(FlowReport, LapsedLeasesVoidAllListedEnds)
+{
+	for (bool in_table : {true, false}) {
+		ReportFixture fixture;
+
+		fixture.replace_first_run();
+		if (!in_table)
+			fw_run_remove(&fixture.tables, fixture.runs[0]);
+		fixture.set_lease(0, 4999);
+		EXPECT_EQ(0U, fixture.report_ends(FW_END_DONE));
+		fixture.set_lease(5000 - FW_ORDER_LATE_MAX_MS - 6000, 4999);
+		EXPECT_EQ(0U, fixture.report_ends(FW_END_DONE));
+		fixture.set_lease(4999 - FW_ORDER_LATE_MAX_MS - 6000, 5000);
+		EXPECT_EQ(0U, fixture.report_ends(FW_END_DONE));
+		fixture.set_lease(4999 - FW_ORDER_LATE_MAX_MS - 6000, 4999);
+		EXPECT_EQ(1U, fixture.report_ends(FW_END_DONE));
+	}
+}
+
+/* The lease of a run that was over by it has lapsed, whatever was granted
+ * since. Any other rule, or another incarnation, tells nothing of the lease. */
+TEST(FlowReport, RunsThatWereOverByTheLeaseHaveVoidEnds)
+{
+	const struct {
+		enum fw_over over;
+		int64_t started;
+		int64_t listed;
+		uint64_t acknowledged;
+	} cases[] = {
+	    {FW_OVER_LEASE_EXPIRED, 7, 7, 1},
+	    {FW_OVER_LEASE_EXPIRED, 7, 8, 0},
+	    {FW_OVER_LEASE_EXPIRED, 0, 0, 0},
+	    {FW_OVER_NOT_LISTED, 7, 7, 0},
+	    {FW_OVER_WORKER_GONE, 7, 7, 0},
+	    {FW_OVER_RESTARTED, 7, 7, 0},
+	};
+
+	for (const auto &one : cases) {
+		ReportFixture fixture;
+
+		fixture.replace_first_run();
+		fixture.set_lease(4000, 90000);
+		fixture.set_over(one.over, one.started, one.listed);
+		EXPECT_EQ(one.acknowledged, fixture.report_ends(FW_END_DONE));
+	}
+}
+
+/* A lapse does not stand in for storing the end of a run that counts. */
+TEST(FlowReport, LapsedLeasesDoNotAcknowledgeCurrentRuns)
+{
+	ReportFixture fixture;
+
+	fixture.set_lease(-90000, 1);
+	EXPECT_EQ(0U, fixture.report_ends(FW_END_DONE));
+	fixture.end_run(JOB, 0, FW_END_DONE);
+	EXPECT_EQ(1U, fixture.report_ends(FW_END_DONE));
+}
+
 /* A new placer does not know a run that its predecessor replaced and must not
  * acknowledge the end of that run. */
 TEST(FlowReport, SuccessorsDoNotAcknowledgeReplacedRuns)
