--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -66,7 +66,7 @@
 	uint32_t failed_count;         /* consecutive failed runs */
 	int64_t crashed_ms;            /* latest crash, 0: none */
 	int64_t unanswered_ms;         /* when a start was given up, 0: never */
-	int64_t reborn_ms; /* when another incarnation was first heard, or 0 */
+	int64_t reborn_ms;  /* when another incarnation was first heard, or 0 */
 	int64_t moved_ms;   /* latest progress of a run there, 0: none */
 	int64_t stalled_ms; /* when it was found to stand still, 0: never */
 	int64_t grant_unknown_ms; /* latest grant without an answer, 0: none */
@@ -529,131 +529,10 @@
 void fw_audit_entry(struct fw_tables *tables, const struct bd_board *board,
     uint32_t handle, const struct bd_host *row);
 
-/*
- * 4. The placer.
- */
-enum fw_placer_state {
-	FW_PLACER_IDLE,      /* does not hold the duty */
-	FW_PLACER_FENCING,   /* appends fences with its term to both topics */
-	FW_PLACER_READ_JOBS, /* reads the jobs topic up to the fence */
-	FW_PLACER_READ_PROGRESS, /* reads the progress topic up to the fence */
-	FW_PLACER_ACTIVE,        /* places jobs */
-};
-
-/* Writes the placer's records to one topic. At most one batch is in flight: it
- * stays open from the decision until its records have been read back. */
-struct fw_writer {
-	struct fw_placer *placer;
-	enum fw_topic topic;
-	struct fw_follower *follower; /* of the same topic */
-	struct fw_record *records;
-	size_t count;
-	size_t capacity;
-	uint64_t sequence;
-	uint64_t end;       /* offset after the batch, 0: not stored yet */
-	bool fenced;        /* the store rejects earlier terms */
-	uint64_t fence_end; /* offset after the fence */
-	int64_t sent_ms;
-	int64_t retry_ms; /* time of the next attempt, INT64_MAX: in flight */
-	/* Protected by the placer's lock: */
-	bool answered;
-	uint64_t ticket; /* of the latest append; ignores older answers */
-	enum fw_result answer_result;
-	uint64_t answer_end;
-};
-
-/* Time-out of an order. A worker answers within a few ms, plus 60 ms between
- * regions, but a start carries the text of its job: repeated each 450 ms,
- * starts kept a link of 2 Mbit/s full. An order that has timed out may still be
- * carried out. */
-#define FW_ORDER_TIMEOUT_MS 1200
-/* An order without an answer is carried out within this time, or never. */
-#define FW_ORDER_LATE_MAX_MS 13000
-/* A start is repeated for this long while its worker answers other calls. */
-#define FW_START_REPEATED_MS 6000
-
-/* Context of an order in flight; its callback adds it to the placer's inbox. */
-struct fw_call {
-	struct fw_call *next;
-	struct fw_placer *placer;
-	enum fw_order_kind kind;
-	uint64_t term;
-	uint64_t host;  /* id of the worker */
-	uint64_t flow;  /* start, stop: id of the job */
-	uint32_t index; /* of the task in the job's row */
-	uint32_t run;
-	uint64_t end_ack; /* hold: the acknowledged ends */
-	uint64_t hold;    /* hold: its number at this worker */
-	bool sent_before; /* an earlier start may have been carried out */
-	bool grants;      /* grants a lease */
-	struct fw_report report;
-};
-
-struct fw_placer {
-	struct fw_placer_parts parts;
-	struct fw_tables tables;
-	CW_ATOMIC(uint32_t) state; /* enum fw_placer_state */
-	uint64_t term;
-	int64_t active_since_ms;
-	int64_t last_placed_ms; /* wall time, by earlier placers */
-	int64_t last_step_ms;   /* time of the last step while active */
-	uint64_t jobs_position; /* positions of the topics at the last sync */
-	uint64_t progress_position;
-	uint64_t hosts_position;
-	int64_t hosts_synced_ms; /* time of the last sync of the workers */
-	int64_t last_decision_ms;
-	bool decision_due; /* something has changed since the last decision */
-	int64_t published_ms; /* time of the last publication of running jobs */
-	struct fw_writer progress;
-	struct fw_writer job_states; /* jobs topic: public states, clean-up */
-	struct fw_reservation *reservations;
-	/* Average demand of priority 0, in thousandths of an accelerator, and
-	 * the time of its last update. */
-	uint64_t urgent_average_milli;
-	int64_t urgent_average_ms;
-	pthread_mutex_t lock; /* of the fields below and writers' answers */
-	struct fw_call *inbox;
-	struct fw_call **inbox_last;
-	uint32_t callbacks_pending; /* of calls to the store and to workers */
-};
-
-bool fw_jobs_recent(const struct fw_placer *placer, int64_t now_ms);
-void fw_callbacks_add(struct fw_placer *placer, int added);
-void fw_orders_send(
-    struct fw_placer *placer, int64_t now_ms, int64_t duty_confirmed_ms);
-void fw_answers_handle(struct fw_placer *placer, int64_t now_ms);
-void fw_run_note_pace(
-    struct fw_tables *tables, const struct bd_flow *flow, struct fw_run *run);
-bool fw_run_stalled(struct fw_tables *tables, const struct bd_flow *flow,
-    const struct fw_run *run);
-void fw_run_stop(
-    struct fw_placer *placer, struct fw_run *run, const char *reason);
-bool fw_runs_sync(struct fw_placer *placer, int64_t now_ms);
-uint32_t fw_add_run(struct fw_placer *placer, const struct bd_flow *flow,
-    uint32_t index, int64_t now_ms);
-
-/* What a successor takes over from earlier placers by the jobs' rows. */
-int64_t fw_last_placed_ms(const struct bd_board *board);
-bool fw_start_is_covered(
-    const struct bd_flow *flow, const struct fw_run *run, int64_t wall_ms);
-void fw_assume_late_start(struct fw_placer *placer, struct fw_run *run,
-    const struct bd_flow *flow, int64_t now_ms);
-void fw_add_ended_run(struct fw_placer *placer, const struct bd_flow *flow,
-    uint32_t index, int64_t now_ms);
-bool fw_decide(struct fw_placer *placer, int64_t now_ms);
-void fw_publish_states(struct fw_placer *placer, int64_t now_ms);
-
-void fw_writer_reset(struct fw_writer *writer);
-bool fw_writer_fence(struct fw_writer *writer, int64_t now_ms);
-int fw_writer_add(struct fw_writer *writer, enum fw_record_kind kind,
-    const char *name, void *value, size_t bytes);
-void fw_writer_clear(struct fw_writer *writer);
-void fw_writer_send(struct fw_writer *writer, int64_t now_ms);
-bool fw_writer_idle(struct fw_writer *writer, int64_t now_ms);
-void fw_writer_free(struct fw_writer *writer);
-
 #ifdef __cplusplus
 }
 #endif
 
+#include "flow_placer.h"
+
 #endif
