A worker gets work again within 2 s of the end of a short cut

Callers saw: a worker that was cut off for 5.5 s is idle for up to 3.2 s more.

Cause: a run is lost with the answer of a probe that was sent before the leases expired. The next probe was chosen just before that, when no run's fate was open yet, so it came after 2 s, and the last one had been under way for up to 1.2 s.

Change: probes are 400 ms apart until the worker has been silent for 15 s.

--- a/lib/flow/answers.c
+++ b/lib/flow/answers.c
@@ -7,10 +7,11 @@
 /* Pause before an order that was not carried out is repeated. */
 #define RETRY_MS 50
 /* Interval between holds to a worker that does not answer: short while one of
- * its leases may still be valid or its answer decides about runs, longer once
- * all of its leases have expired. */
+ * its leases may still be valid, its answer decides about runs, or it may be
+ * cut off and is wanted back soon; longer once it has been silent for long. */
 #define SILENT_RETRY_MS 400
 #define SILENT_EXPIRED_RETRY_MS 2000
+#define SILENT_LONG_MS 15000
 /* A hold returns at once while the worker lists ends that have not been
  * acknowledged; the pause avoids polling in a busy loop. */
 #define HOLD_ENDS_PAUSE_MS 500
@@ -201,7 +202,9 @@
 		worker->list_from_ms = report->now_ms;
 		worker->next_hold_ms = report->now_ms +
 		    (report->now_ms > worker->lease_end_ms &&
-				worker->unresolved_runs == 0
+				worker->unresolved_runs == 0 &&
+				report->now_ms - worker->unresponsive_since_ms >
+				    SILENT_LONG_MS
 			    ? SILENT_EXPIRED_RETRY_MS
 			    : SILENT_RETRY_MS);
 		return;
--- a/tests/test_flow_void_ends.cc
+++ b/tests/test_flow_void_ends.cc
@@ -13,14 +13,14 @@
 	SimVm *a;
 	SimVm *b;
 
-	explicit LostRun(int64_t work_ms)
+	explicit LostRun(int64_t work_ms, int64_t phase_ms = 0)
 	{
 		sim.add_worker("w1").work_ms = work_ms;
 		a = sim.add_vm("a");
 		b = sim.add_vm("b");
 		sim.run_for(30000);
 		sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
-		sim.run_for(500);
+		sim.run_for(500 + phase_ms);
 		sim.add_worker("w2").room.accels = 1;
 		sim.set_room("w2", sim.workers["w2"].room);
 		sim.unreachable_workers.insert("w1");
@@ -40,6 +40,15 @@
 		sim.run_for(100); /* until the job is read */
 	}
 
+	bool
+	runs_on_w1(const std::string &job)
+	{
+		for (const auto &entry : sim.workers["w1"].runs)
+			if (entry.second.task.compare(0, job.size(), job) == 0)
+				return true;
+		return false;
+	}
+
 	/* Returns the longest time for which w1 had nothing to run until the
 	 * job was completed, -1 if it was not within limit_ms. */
 	int64_t
@@ -134,3 +143,24 @@
 	EXPECT_EQ(0U, play.sim.unacknowledged_ends());
 	play.expect_no_violations();
 }
+
+/* A worker behind a cut is asked so often that it has work again within 2 s. */
+TEST(FlowVoidEnds, WorkersGetWorkSoonAfterACut)
+{
+	for (int64_t phase_ms = 0; phase_ms < 1500; phase_ms += 500) {
+		for (int64_t cut_ms = 5500; cut_ms <= 8500; cut_ms += 250) {
+			LostRun play(4000, phase_ms);
+			int64_t waited_ms = 0;
+
+			play.sim.run_for(cut_ms);
+			play.submit_for_w1(JOB_B, 4);
+			play.end_cut();
+			for (; waited_ms < 4000 && !play.runs_on_w1(JOB_B);
+			     waited_ms += 10)
+				play.sim.run_for(10);
+			EXPECT_LE(waited_ms, 2000)
+			    << cut_ms << " at " << phase_ms;
+			play.expect_no_violations();
+		}
+	}
+}
