A run that lasts does not keep a held-up worker from new runs for good

Callers saw: nothing yet; found by reading. A worker that lists more than 250 ends behind one that is not certain to be void gets new runs after its lease has lapsed. A run that lasts has the lease renewed, so this never comes.

Change: such a run is stopped there (1114, ends_held_up) and goes on elsewhere or after the lapse. Ends that only wait to be stored, as in an outage of the store, stop nothing.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -15,9 +15,6 @@
 /* A worker that has not answered the repeated start of a run is used only as a
  * last resort for this long. The task itself waits for a part of that. */
 #define UNANSWERED_AVOID_MS 30000
-/* A worker that lists more ends than this gets no runs: an end that must not be
- * acknowledged holds up those behind it, and a list has room for 500. */
-#define ENDS_WAITING_MAX 250
 /* A new placer preempts nothing while it still waits for the first lists of
  * more than one worker in this many, which takes up to this time: urgent jobs
  * would find only the first workers, and stop what runs there. */
@@ -79,7 +76,7 @@
 		    !worker->reported && worker->unresponsive_since_ms == 0;
 		if (!worker->reported || worker->unresponsive_since_ms != 0 ||
 		    worker->misaddressed ||
-		    worker->report.end_count > ENDS_WAITING_MAX ||
+		    worker->report.end_count > FW_ENDS_WAITING_MAX ||
 		    fw_worker_state_entry_outdated(worker) ||
 		    worker->clock_read_ms == 0)
 			host->schedulable = false;
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -28,6 +28,10 @@
 /* Runs whose sighting a worker's state remembers, see audit.c. */
 #define FW_STRAYS_MAX 16
 
+/* A worker that lists more ends than this gets no runs: an end that must not be
+ * acknowledged holds up those behind it, and a list has room for 500. */
+#define FW_ENDS_WAITING_MAX 250
+
 /* What a worker's entry in the store said when it was last read. */
 struct fw_entry {
 	bool known;
@@ -95,6 +99,7 @@
 	bool probe_due;       /* its entry names another incarnation */
 	bool revoking;        /* late starts of ended runs are being stopped */
 	bool report_unread;   /* the report has not been processed */
+	bool held_up;         /* by an end that may not be acknowledged */
 	bool overfull;        /* the last report lists more than its capacity */
 	uint32_t listed_checked; /* runs of the report checked for stops */
 	uint32_t stray_next;
@@ -501,6 +506,7 @@
     const struct fw_worker_state *worker, int64_t now_ms);
 bool fw_ends_become_void(const struct fw_tables *tables,
     const struct fw_worker_state *worker, int64_t now_ms);
+bool fw_ends_need_lapse(const struct fw_worker_state *worker);
 void fw_void_end_note(struct fw_worker_state *worker, const struct fw_run *run,
     const struct fw_listed_end *end);
 void fw_void_ends_find(const struct fw_tables *tables,
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -18,6 +18,9 @@
     const struct bd_board *board, const struct fw_listed_end *end);
 static void apply_end(struct fw_tables *tables, const struct bd_board *board,
     uint32_t handle, const struct fw_listed_end *end, int64_t now_ms);
+static bool holds_up(const struct fw_tables *tables,
+    const struct bd_board *board, uint32_t handle,
+    const struct fw_listed_end *end, int64_t now_ms);
 static void advance_end_ack(struct fw_tables *tables,
     const struct bd_board *board, uint32_t handle, int64_t now_ms);
 static bool may_acknowledge(const struct fw_tables *tables,
@@ -232,6 +235,19 @@
 	fw_void_end_note(worker, run, end);
 }
 
+/* Returns whether an end that may not be acknowledged may remain so for good:
+ * its run is neither current nor may start late. */
+static bool
+holds_up(const struct fw_tables *tables, const struct bd_board *board,
+    uint32_t handle, const struct fw_listed_end *end, int64_t now_ms)
+{
+	uint32_t found = find_run(tables, board, &end->task, end->run, handle);
+
+	return found == FW_NONE ||
+	    (!fw_run_is_current(board, &tables->runs[found]) &&
+		!start_may_follow(tables, &tables->runs[found], now_ms));
+}
+
 /* Advances end_ack up to the first listed end that must not be acknowledged. */
 static void
 advance_end_ack(struct fw_tables *tables, const struct bd_board *board,
@@ -241,6 +257,7 @@
 	const struct fw_report *report = &worker->report;
 	uint32_t i;
 
+	worker->held_up = false;
 	for (i = 0; i < report->end_count; i++) {
 		const struct fw_listed_end *end = &report->ends[i];
 		bool counts =
@@ -249,8 +266,11 @@
 		if (!counts &&
 		    (end->number > worker->void_end ||
 			!may_acknowledge(
-			    tables, board, end, handle, true, now_ms)))
+			    tables, board, end, handle, true, now_ms))) {
+			worker->held_up =
+			    holds_up(tables, board, handle, end, now_ms);
 			return;
+		}
 		if (end->number <= worker->end_ack)
 			continue;
 		worker->end_ack = end->number;
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -28,6 +28,7 @@
     struct fw_placer *placer, struct fw_run *run, int64_t now_ms);
 static bool gang_intact(struct fw_placer *placer, const struct bd_flow *flow,
     const struct fw_run *run, int64_t now_ms);
+static bool lasts(const struct bd_flow *flow, const struct fw_run *run);
 static bool may_start_late(const struct fw_run *run, int64_t incarnation_ms);
 static bool revoke_late_start(
     struct fw_run *run, const struct fw_worker_state *worker, int64_t now_ms);
@@ -224,6 +225,17 @@
 	return intact;
 }
 
+/* Returns whether a run is of a step that runs until its job is cancelled. */
+static bool
+lasts(const struct bd_flow *flow, const struct fw_run *run)
+{
+	struct fw_task_ref ref;
+
+	fw_task_ref_of(flow, run->index, &ref);
+	return (fw_flow_steps(flow)[ref.step].flags & BD_STEP_LONG_RUNNING) !=
+	    0;
+}
+
 /* Returns whether a run is to continue; requests its stop if not. */
 static bool
 continue_or_stop(struct fw_placer *placer, struct fw_run *run, int64_t now_ms)
@@ -253,6 +265,8 @@
 	else if (run->phase == FW_PHASE_STARTING && !run->start_sent &&
 	    (worker->unresponsive_since_ms != 0 || worker->misaddressed))
 		fw_run_stop(placer, run, "worker_silent");
+	else if (fw_ends_need_lapse(worker) && lasts(flow, run))
+		fw_run_stop(placer, run, "ends_held_up");
 	else if (fw_run_stalled(&placer->tables, flow, run)) {
 		fw_run_stop(placer, run, "no_progress");
 		worker->failed_count += 2;
--- a/lib/flow/void_ends.c
+++ b/lib/flow/void_ends.c
@@ -55,6 +55,15 @@
 	    fw_lapse_is_certain(tables, worker, now_ms);
 }
 
+/* Returns whether a worker gets no runs until its lease has lapsed: it lists
+ * too many ends behind one that is held up, not just by being stored. */
+bool
+fw_ends_need_lapse(const struct fw_worker_state *worker)
+{
+	return worker->held_up &&
+	    worker->report.end_count > FW_ENDS_WAITING_MAX;
+}
+
 /* Returns whether a run counted as over because all leases had expired, on the
  * incarnation that lists its end now: it ended before they did. Another
  * incarnation may have carried out a late start of it. */
--- a/tests/sim/worker_sim.h
+++ b/tests/sim/worker_sim.h
@@ -34,7 +34,8 @@
 	int64_t start_ms = 0; /* of this incarnation */
 	int64_t max_lease_ms = 6000;
 	int64_t stop_timeout_ms = 200;
-	int64_t work_ms = 500; /* of each task */
+	int64_t work_ms = 500;                      /* of each task */
+	std::map<std::string, int64_t> job_work_ms; /* instead, by job */
 	SimRoom room = {128000, 524288, 8};
 	std::vector<FormerRoom> former_rooms;
 	/* An order has reached this incarnation in time. A late order that
@@ -296,6 +297,8 @@
 		row.run = run;
 		row.started_ms = now_ms;
 		row.work_ms = work_ms;
+		if (job_work_ms.count(run_checker->job_of(task)) != 0)
+			row.work_ms = job_work_ms[run_checker->job_of(task)];
 		runs[{task, run}] = row;
 		note_start(task, run, now_ms, refusable);
 		if (run_checker->is_deadly(task) && crash_ms == 0)
--- a/tests/test_flow_void_ends.cc
+++ b/tests/test_flow_void_ends.cc
@@ -144,6 +144,57 @@
 	play.expect_no_violations();
 }
 
+/* A run that lasts would keep its worker's lease from lapsing. */
+TEST(FlowVoidEnds, RunsThatLastDoNotKeepAWorkerFromNewRuns)
+{
+	LostRun play(4000);
+
+	play.sim.run_for(9500);
+	play.sim.kill(play.a);
+	play.sim.run_for(16500);
+	ASSERT_EQ(2, play.sim.run_checker.starts);
+	play.end_cut();
+	play.sim.set_room("w1", {100000, 100000, 64});
+	play.sim.workers["w1"].job_work_ms[JOB_B] = 3600000;
+	play.sim.submit(
+	    JOB_B, {FlowFixture::make_step(1, 2, BD_STEP_LONG_RUNNING)});
+	play.sim.run_for(5000);
+	ASSERT_EQ(1U, play.sim.workers["w1"].runs.size());
+	play.submit_for_w1(JOB_C, 600);
+	EXPECT_GE(play.play_until_completed(play.b, JOB_C, 32000), 0);
+	play.sim.run_for(10000);
+	EXPECT_EQ(0U, play.sim.unacknowledged_ends());
+	EXPECT_EQ(1U, play.sim.workers["w1"].runs.size());
+	play.expect_no_violations();
+}
+
+/* Ends that cannot be stored are no reason to stop a run that lasts. */
+TEST(FlowVoidEnds, RunsThatLastOutliveAnOutageOfTheStore)
+{
+	LostRun play(4000);
+	SimWorker &worker = play.sim.workers["w1"];
+
+	play.sim.unreachable_workers.clear();
+	play.sim.run_for(5000);
+	play.sim.set_room("w1", {1000000, 1000000, 1000});
+	worker.job_work_ms[JOB_B] = 3600000;
+	play.sim.submit(
+	    JOB_B, {FlowFixture::make_step(1, 2, BD_STEP_LONG_RUNNING)});
+	play.sim.run_for(1000);
+	worker.work_ms = 4000;
+	play.submit_for_w1(JOB_C, 400);
+	for (int i = 0; i < 300 && worker.runs.size() < 300; i++)
+		play.sim.run_for(10);
+	ASSERT_GE(worker.runs.size(), 300U);
+	play.sim.store_down = true;
+	play.sim.run_for(6000);
+	EXPECT_GE(worker.ends.size(), 251U);
+	play.sim.store_down = false;
+	play.sim.run_for(10000);
+	EXPECT_EQ(1U, worker.runs.size());
+	EXPECT_EQ(0U, play.sim.run_checker.stopped.size());
+}
+
 /* A worker behind a cut is asked so often that it has work again within 2 s. */
 TEST(FlowVoidEnds, WorkersGetWorkSoonAfterACut)
 {
