A record that finds no room is read again, not passed over

Cause: the callback that applies a record had no result. Where the table of jobs was full or memory was short, the follower logged the record as a bad one and moved on past it: an accepted job was lost on that VM, which then answered 410 for it.

Change: the callback returns whether the record was applied.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -342,10 +342,11 @@
 	bool newest_suffices;
 	uint32_t read_interval_ms; /* minimum time between two reads */
 	uint32_t wait_ms; /* longest time for which a read waits for a record */
-	/* record applies a record; first is called before the records of a
-	 * snapshot are applied, and last afterwards. */
+	/* record applies a record and returns CW_OK, or another status code
+	 * if it has to be applied later; first is called before the records of
+	 * a snapshot are applied, and last after all of them are. */
 	void (*first)(void *ctx);
-	void (*record)(
+	int (*record)(
 	    void *ctx, const struct fw_record *record, int64_t now_ms);
 	void (*last)(void *ctx);
 	void *ctx;
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "flow_internal.h"
+#include "record_buffer.h"
 
 /* Delay after a failed read; doubles up to the maximum. */
 #define RETRY_FIRST_MS 100
@@ -13,13 +14,6 @@
  * answers within a few ms, or within a few hundred ms while it is slow. */
 #define ANSWER_OVERDUE_MS 700
 
-/* A record of a snapshot, which is not applied before all pages have been read.
- */
-struct buffered_record {
-	struct fw_record record;
-	char *value;
-};
-
 struct fw_follower {
 	struct bd_board *board;
 	struct fw_store store;
@@ -46,9 +40,8 @@
 	int64_t load_sent_ms; /* send time of the first page's read */
 	uint64_t read_from;   /* position when the pending read was sent */
 	bool unanswered;      /* the read before the pending one */
-	struct buffered_record *buffered;
-	size_t buffered_count;
-	size_t buffered_capacity;
+	bool held;            /* a record of this read could not be applied */
+	struct fw_record_buffer buffered; /* records of the pages so far */
 	uint32_t retry_ms;
 	int64_t now_ms;
 };
@@ -71,11 +64,8 @@
 static void note_synced(struct fw_follower *follower, int64_t sent_ms);
 static void note_answer(struct fw_follower *follower, uint64_t end);
 static void ignore_record(void *ctx, const struct fw_record *record);
-static void buffer_record(
-    struct fw_follower *follower, const struct fw_record *record);
 static void clear_buffered(struct fw_follower *follower);
-static int compare_buffered(const void *a, const void *b);
-static void apply_buffered(struct fw_follower *follower, int64_t now_ms);
+static bool apply_buffered(struct fw_follower *follower, int64_t now_ms);
 static void handle_failure(struct fw_follower *follower, enum fw_result result);
 
 /* Sends the next read: of the next page during a load, of the end of the log
@@ -167,6 +157,7 @@
 
 	(void)more;
 	(void)now_ms;
+	follower->held = false;
 	if (result != FW_RESULT_DONE)
 		return;
 	if (atomic_load(&follower->position) >= end)
@@ -204,48 +195,18 @@
 		    (int)follower->spec.topic, cw_error_last());
 }
 
-/* Keeps a copy of a record until the load is complete. Without memory the page
- * counts as unread. */
-static void
-buffer_record(struct fw_follower *follower, const struct fw_record *record)
-{
-	struct buffered_record *buffered;
-
-	if (follower->buffered_count == follower->buffered_capacity) {
-		size_t capacity = follower->buffered_capacity == 0
-		    ? 64
-		    : follower->buffered_capacity * 2;
-		struct buffered_record *grown =
-		    realloc(follower->buffered, capacity * sizeof(*grown));
-
-		if (grown == NULL) {
-			follower->page_incomplete = true;
-			return;
-		}
-		follower->buffered = grown;
-		follower->buffered_capacity = capacity;
-	}
-	buffered = &follower->buffered[follower->buffered_count];
-	buffered->record = *record;
-	buffered->record.cursor = NULL;
-	buffered->value = malloc(record->value_bytes + 1);
-	if (buffered->value == NULL) {
-		follower->page_incomplete = true;
-		return;
-	}
-	memcpy(buffered->value, record->value, record->value_bytes);
-	buffered->record.value = buffered->value;
-	follower->buffered_count++;
-}
-
-/* Applies a record of the log unless it was applied before. */
+/* Applies a record of the log unless it was applied before. If that fails, the
+ * position stays, and no later record is applied before it. */
 static void
 apply_next(struct fw_follower *follower, const struct fw_record *record)
 {
 	/* The waiting read and a catch-up read may return the same records. */
-	if (record->offset < atomic_load(&follower->position))
+	if (follower->held || record->offset < atomic_load(&follower->position))
+		return;
+	follower->held = follower->spec.record(follower->spec.ctx, record,
+			     follower->now_ms) != CW_OK;
+	if (follower->held)
 		return;
-	follower->spec.record(follower->spec.ctx, record, follower->now_ms);
 	atomic_store(&follower->position, record->offset + 1);
 }
 
@@ -260,8 +221,10 @@
 	}
 	snprintf(follower->cursor, sizeof(follower->cursor), "%s",
 	    record->cursor != NULL ? record->cursor : record->key);
-	if (record->value != NULL)
-		buffer_record(follower, record);
+	/* Without memory the page counts as unread. */
+	if (record->value != NULL &&
+	    !fw_record_buffer_add(&follower->buffered, record))
+		follower->page_incomplete = true;
 }
 
 /* Ignores the records if a load has begun since the read was sent: the load
@@ -278,51 +241,31 @@
 static void
 clear_buffered(struct fw_follower *follower)
 {
-	size_t i;
-
-	for (i = 0; i < follower->buffered_count; i++)
-		free(follower->buffered[i].value);
-	follower->buffered_count = 0;
+	fw_record_buffer_clear(&follower->buffered);
 	follower->cursor[0] = '\0';
 }
 
-/* Orders the records of jobs before the records that refer to them, and
- * otherwise by offset. */
-static int
-compare_buffered(const void *a, const void *b)
-{
-	const struct fw_record *x =
-	    &((const struct buffered_record *)a)->record;
-	const struct fw_record *y =
-	    &((const struct buffered_record *)b)->record;
-	bool x_job = x->key[0] == FW_RECORD_JOB;
-	bool y_job = y->key[0] == FW_RECORD_JOB;
-
-	if (x_job != y_job)
-		return x_job ? -1 : 1;
-	return (x->offset > y->offset) - (x->offset < y->offset);
-}
-
 /* Applies the records of a complete snapshot. Reading continues at the end that
  * the log had at the first page, so that no record written between two pages is
- * missed; some records are applied twice. */
-static void
+ * missed; some records are applied twice. Returns false if a record could not
+ * be applied; the load has then failed. */
+static bool
 apply_buffered(struct fw_follower *follower, int64_t now_ms)
 {
 	const struct fw_follow_spec *spec = &follower->spec;
 	size_t i;
 
-	if (follower->buffered_count > 0)
-		qsort(follower->buffered, follower->buffered_count,
-		    sizeof(*follower->buffered), compare_buffered);
+	fw_record_buffer_sort(&follower->buffered);
 	if (spec->first != NULL)
 		spec->first(spec->ctx);
-	for (i = 0; i < follower->buffered_count; i++)
-		spec->record(spec->ctx, &follower->buffered[i].record, now_ms);
+	for (i = 0; i < follower->buffered.count; i++)
+		if (spec->record(spec->ctx, &follower->buffered.records[i],
+			now_ms) != CW_OK)
+			return false;
 	if (spec->last != NULL)
 		spec->last(spec->ctx);
 	ev_emit(EV_FLOW_LOADED, "topic=%d keys=%zu end=%llu", (int)spec->topic,
-	    follower->buffered_count, (unsigned long long)follower->first_end);
+	    follower->buffered.count, (unsigned long long)follower->first_end);
 	clear_buffered(follower);
 	follower->loading = false;
 	follower->behind = true;
@@ -331,6 +274,7 @@
 	if (spec->newest_suffices)
 		note_synced(follower, follower->load_sent_ms);
 	atomic_store(&follower->loaded, true);
+	return true;
 }
 
 /* Handles a read that has failed: reads again after a delay, or loads again if
@@ -419,7 +363,9 @@
 	int64_t elapsed_ms = now_ms - sent_ms;
 	bool was_loading = follower->loading;
 	uint64_t before = follower->read_from;
+	bool held = follower->held;
 
+	follower->held = false;
 	if (follower->reload_pending) {
 		reset_load(follower);
 		schedule(follower, 0);
@@ -445,7 +391,14 @@
 			schedule(follower, 0);
 			return;
 		}
-		apply_buffered(follower, now_ms);
+		if (!apply_buffered(follower, now_ms)) {
+			handle_failure(follower, FW_RESULT_NOT_DONE);
+			return;
+		}
+	}
+	if (held) {
+		schedule(follower, RETRY_MAX_MS);
+		return;
 	}
 	/* The board is as recent as this read only if the read has reached the
 	 * end of the log. */
@@ -532,7 +485,7 @@
 	if (follower == NULL)
 		return;
 	clear_buffered(follower);
-	free(follower->buffered);
+	fw_record_buffer_free(&follower->buffered);
 	free(follower);
 }
 
--- /dev/null
+++ b/lib/flow/record_buffer.h
@@ -0,0 +1,20 @@
+#ifndef CAMPHOR_RECORD_BUFFER_H
+#define CAMPHOR_RECORD_BUFFER_H
+
+#include "flow.h"
+
+/* Copies of the records of a snapshot, which are not applied before all of its
+ * pages have been read. */
+struct fw_record_buffer {
+	struct fw_record *records;
+	size_t count;
+	size_t capacity;
+};
+
+bool fw_record_buffer_add(
+    struct fw_record_buffer *buffer, const struct fw_record *record);
+void fw_record_buffer_sort(struct fw_record_buffer *buffer);
+void fw_record_buffer_clear(struct fw_record_buffer *buffer);
+void fw_record_buffer_free(struct fw_record_buffer *buffer);
+
+#endif
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -234,10 +234,11 @@
 	    struct fw_report *report, std::vector<struct fw_listed_run> *runs,
 	    std::vector<struct fw_listed_end> *ends);
 
-	static void
+	static int
 	on_record(void *ctx, const struct fw_record *record, int64_t)
 	{
 		fw_record_apply(((SimVm *)ctx)->fixture.board, record);
+		return CW_OK;
 	}
 
 	static void
@@ -246,14 +247,14 @@
 		fw_snapshot_ids_begin(&((SimVm *)ctx)->seen_progress);
 	}
 
-	static void
+	static int
 	on_progress(void *ctx, const struct fw_record *record, int64_t now_ms)
 	{
 		uint64_t id;
 
 		fw_flow_id_parse(record->key + 2, &id);
 		fw_snapshot_ids_add(&((SimVm *)ctx)->seen_progress, id);
-		on_record(ctx, record, now_ms);
+		return on_record(ctx, record, now_ms);
 	}
 
 	static void
@@ -266,9 +267,10 @@
 		    vm->fixture.board, &vm->seen_progress);
 	}
 
-	static void
+	static int
 	ignore_host(void *, const struct fw_record *, int64_t)
 	{
+		return CW_OK;
 	}
 
 	static int64_t
--- a/tests/test_flow_follow.cc
+++ b/tests/test_flow_follow.cc
@@ -11,6 +11,7 @@
 	std::vector<struct fw_read> reads;
 	std::vector<std::pair<void (*)(void *, int64_t), void *>> timers;
 	std::vector<std::string> applied;
+	std::string no_room_for; /* key of a record that is not applied */
 	int64_t now_ms = 100000;
 
 	static int
@@ -27,10 +28,15 @@
 		return CW_OK;
 	}
 
-	static void
+	static int
 	on_record(void *ctx, const struct fw_record *row, int64_t)
 	{
-		((ManualStore *)ctx)->applied.push_back(row->key);
+		ManualStore *store = (ManualStore *)ctx;
+
+		if (row->key == store->no_room_for)
+			return BD_EFULL;
+		store->applied.push_back(row->key);
+		return CW_OK;
 	}
 
 	explicit ManualStore(bool paused = false, bool newest_suffices = false)
@@ -305,3 +311,40 @@
 	EXPECT_EQ(
 	    FW_ESTALE, fw_pending_jobs(&front, 1, store.now_ms + 3000, &count));
 }
+
+/* A record that finds no room is an accepted job. It must not be passed over:
+ * later records wait, and it is read again. */
+TEST(FlowFollow, RecordWithoutRoomIsReadAgain)
+{
+	ManualStore store;
+
+	store.reply(FW_RESULT_DONE, 0, {"j/1"}, 1);
+	store.no_room_for = "j/2";
+	store.reply(FW_RESULT_DONE, 1, {"j/2", "j/3"}, 3);
+	EXPECT_EQ((std::vector<std::string>{"j/1"}), store.applied);
+	EXPECT_EQ(1U, fw_follower_position(store.follower));
+	EXPECT_GT(fw_follower_age_ms(store.follower, store.now_ms), 100000);
+	store.no_room_for = "";
+	EXPECT_EQ(1U, store.reads.back().from);
+	store.reply(FW_RESULT_DONE, 1, {"j/2", "j/3"}, 3);
+	EXPECT_EQ(
+	    (std::vector<std::string>{"j/1", "j/2", "j/3"}), store.applied);
+	EXPECT_EQ(0, fw_follower_age_ms(store.follower, store.now_ms));
+}
+
+/* The same for the records of a snapshot: a VM that has not applied all of them
+ * would answer that an accepted job is not there. */
+TEST(FlowFollow, LoadWithoutRoomIsRepeated)
+{
+	ManualStore store;
+
+	store.no_room_for = "j/2";
+	store.reply(FW_RESULT_DONE, 0, {"j/1", "j/2", "j/3"}, 3);
+	EXPECT_FALSE(fw_follower_loaded(store.follower));
+	store.no_room_for = "";
+	EXPECT_TRUE(store.reads.back().newest);
+	store.reply(FW_RESULT_DONE, 0, {"j/1", "j/2", "j/3"}, 3);
+	EXPECT_TRUE(fw_follower_loaded(store.follower));
+	EXPECT_EQ((std::vector<std::string>{"j/1", "j/1", "j/2", "j/3"}),
+	    store.applied);
+}
