Jobs are accepted only if every VM has a row for them

Cause: fw_submit appended a job without looking at the room that is left in the table flow, and the record found no row when it was read back.

Change: a VM reserves a row before it appends a job (admission.c). The reservation lasts until the job is read back, or, after an append without an answer, until what was stored 10 s later is read. A VM accepts while rows and reservations are below 32,768, and holds at most 256 reservations; the table has 98,304 rows, so that what 256 VMs accept before they have read of each other's jobs fits (the argument is in design.md, 18.1). Unused rows take no memory now: indexes that were never used are no longer kept in a list. Without room the answer is a 503 at once, with nothing sent, that says that nothing was run; Retry-After is the time by which as many ended jobs are deleted as callers were refused lately, 60 s at most.

--- a/lib/board/board.c
+++ b/lib/board/board.c
@@ -28,7 +28,6 @@
 table_init(struct bd_table *table, const struct table_spec *spec)
 {
 	unsigned long buckets = BUCKETS_MIN;
-	uint32_t i;
 
 	table->name = spec->name;
 	table->writer = spec->writer;
@@ -45,11 +44,6 @@
 	if (table->entries == NULL || table->free_list == NULL ||
 	    table->by_id == NULL)
 		return BD_ENOMEM;
-	/* The lowest free index is allocated first, which keeps iteration
-	 * short. */
-	for (i = 0; i < spec->capacity; i++)
-		table->free_list[i] = spec->capacity - 1 - i;
-	table->free_count = spec->capacity;
 	return CW_OK;
 }
 
--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -446,7 +446,8 @@
 struct bd_board;
 
 /* The tables: BD_TABLE(name, row type, writer, capacity in rows). The
- * capacities are at least twice the target size. */
+ * capacities are at least twice the target size; unused rows take no memory.
+ * What happens when a table is full: docs/design.md, 6.1. */
 #define BD_TABLES(BD_TABLE)                                               \
 	BD_TABLE(config, struct bd_config, BD_WRITER_STATE, 1)            \
 	BD_TABLE(account, struct bd_account, BD_WRITER_STATE, 256)        \
@@ -467,7 +468,7 @@
 	BD_TABLE(lease, struct bd_lease, BD_WRITER_GANG, 32768)           \
 	BD_TABLE(setup, struct bd_setup, BD_WRITER_FLOW, 1)               \
 	BD_TABLE(host, struct bd_host, BD_WRITER_FLOW, 4096)              \
-	BD_TABLE(flow, struct bd_flow, BD_WRITER_FLOW, 16384)
+	BD_TABLE(flow, struct bd_flow, BD_WRITER_FLOW, 98304)
 
 enum bd_table_number {
 #define BD_TABLE(name, type, writer, capacity) BD_TABLE_##name,
--- a/lib/board/board_internal.h
+++ b/lib/board/board_internal.h
@@ -33,7 +33,7 @@
 	size_t row_bytes; /* of the fixed part */
 	struct bd_entry *entries;
 	struct cds_lfht *by_id;
-	uint32_t *free_list; /* stack of free indexes */
+	uint32_t *free_list; /* stack of indexes that were freed */
 	uint32_t free_count;
 	atomic_uint row_count;
 	atomic_uint index_end; /* one above the highest index ever used */
--- a/lib/board/table.c
+++ b/lib/board/table.c
@@ -107,10 +107,15 @@
 	struct bd_entry *entry;
 	uint32_t index;
 
-	if (table->free_count == 0)
+	/* Indexes that were never used come last: iteration stays short, and
+	 * unused entries take no memory. */
+	if (table->free_count > 0)
+		index = table->free_list[--table->free_count];
+	else if (atomic_load(&table->index_end) < table->capacity)
+		index = atomic_load(&table->index_end);
+	else
 		return cw_error_set(BD_EFULL, "table %s is full at %u rows",
 		    table->name, table->capacity);
-	index = table->free_list[--table->free_count];
 	entry = &table->entries[index];
 	stored->handle.index = index;
 	stored->handle.generation = atomic_load(&entry->generation);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -22,6 +22,7 @@
 	FW_EUNKNOWN = CW_BASE_FLOW - 5, /* no answer: may be stored */
 	FW_ENOJOB = CW_BASE_FLOW - 6,   /* the queue has no such job */
 	FW_ESTALE = CW_BASE_FLOW - 7,   /* this VM's copy is out of date */
+	FW_EFULL = CW_BASE_FLOW - 8,    /* no room for another job */
 };
 
 const char *fw_status_name(int code);
@@ -400,9 +401,30 @@
  * 5. Requests of callers. These functions block until the outcome is known or
  * the deadline (monotonic ms) has passed.
  */
+
+/* Rows of the table of jobs up to which VMs accept jobs. The rest of the table
+ * is for what all VMs accept before they have read of each other's jobs: up to
+ * FW_PENDING_MAX jobs each. */
+#define FW_ROWS_MAX 32768
+#define FW_PENDING_MAX 256
+
+struct fw_admission;
+
+int fw_admission_create(struct fw_admission **out, const struct bd_board *board,
+    const struct fw_follower *jobs, uint32_t rows_max, uint32_t copy_age_max_ms,
+    uint32_t retention_ms);
+void fw_admission_free(struct fw_admission *admission);
+int fw_admission_reserve(
+    struct fw_admission *admission, uint64_t id, int64_t now_ms);
+void fw_admission_settle(
+    struct fw_admission *admission, uint64_t id, int code, int64_t now_ms);
+uint32_t fw_admission_retry_after_s(
+    struct fw_admission *admission, int64_t wall_ms);
+
 /* What the functions below work on. */
 struct fw_front {
 	struct bd_board *board;
+	struct fw_admission *admission;
 	struct fw_store store;
 	struct fw_follower *jobs;
 	struct fw_follower *config;
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -95,6 +95,9 @@
 	uint32_t callbacks_pending; /* of calls to the store and to workers */
 };
 
+/* Added to the retention period of ended jobs, as clocks differ. */
+#define FW_RETENTION_MARGIN_MS 60000
+
 bool fw_jobs_recent(const struct fw_placer *placer, int64_t now_ms);
 void fw_callbacks_add(struct fw_placer *placer, int added);
 void fw_orders_send(
--- a/lib/flow/names.c
+++ b/lib/flow/names.c
@@ -21,6 +21,8 @@
 		return "no such job";
 	case FW_ESTALE:
 		return "store not heard";
+	case FW_EFULL:
+		return "no room for another job";
 	default:
 		return cw_status_name(code);
 	}
--- a/lib/flow/publish.c
+++ b/lib/flow/publish.c
@@ -7,8 +7,6 @@
 #define RUNNING_PUBLISH_MS 300
 /* Largest number of ended jobs that one batch compacts or deletes. */
 #define CLEANUP_MAX 16
-/* Added to the retention period of ended jobs, as clocks differ. */
-#define RETENTION_MARGIN_MS 60000
 
 static bool has_begun(
     const struct fw_tables *tables, const struct bd_flow *row);
@@ -147,7 +145,7 @@
 	}
 	if (row->epoch != 0 ||
 	    wall_ms - row->changed_ms <=
-		(int64_t)retention_ms + RETENTION_MARGIN_MS)
+		(int64_t)retention_ms + FW_RETENTION_MARGIN_MS)
 		return CW_OK;
 	--*changes_left;
 	return add_deletion(writer, row);
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -47,6 +47,8 @@
 static bool lookup_state(
     const struct fw_front *front, uint64_t queue, uint64_t id, uint32_t *state);
 static bool jobs_recent(const struct fw_front *front, int64_t now_ms);
+static int append_job(const struct fw_front *front,
+    const struct fw_record *record, int64_t deadline_ms);
 static int await_job(const struct fw_front *front, uint64_t queue,
     const char *name, int64_t deadline_ms, uint32_t *state);
 
@@ -175,10 +177,28 @@
 		       : cw_error_set(FW_ESTORE, "the store refuses");
 }
 
+/* Stores the record of a job that is not on the board. The row that it will
+ * take is reserved before anything is sent. */
+static int
+append_job(const struct fw_front *front, const struct fw_record *record,
+    int64_t deadline_ms)
+{
+	uint64_t id = 0;
+	int code;
+
+	fw_flow_id_parse(record->key + 2, &id);
+	code = fw_admission_reserve(front->admission, id, cw_clock_mono_ms());
+	if (code != CW_OK)
+		return code;
+	code = append_with_retry(front, record, deadline_ms);
+	fw_admission_settle(front->admission, id, code, cw_clock_mono_ms());
+	return code;
+}
+
 /*
  * Submits a job. It is durable when this returns CW_OK; submitting it again is
- * idempotent. Returns FW_EBADJOB, FW_ENOMEM or FW_ESTORE, after which the job
- * never runs, or FW_EUNKNOWN.
+ * idempotent and needs no room. Returns FW_EBADJOB, FW_ENOMEM, FW_EFULL or
+ * FW_ESTORE, after which the job never runs, or FW_EUNKNOWN.
  */
 int
 fw_submit(const struct fw_front *front, const struct fw_job_spec *spec,
@@ -201,7 +221,7 @@
 	record.value_bytes = bytes;
 	code = is_applied(front, &record)
 	    ? CW_OK
-	    : append_with_retry(front, &record, deadline_ms);
+	    : append_job(front, &record, deadline_ms);
 	free(value);
 	return code;
 }
