A view of the jobs and workers grows with the tables

Cause: add_jobs and add_hosts of lib/flow/view.c sized their arrays by bd_row_count and then copied all rows of bd_next; the thread that reads the store inserts rows in between. A worker that was removed and added again, in another entry, was copied twice, with its capacity.

Change: bd_rows_collect lists the rows of a table in an array that grows, each id once: the handle of a row that has been removed since is stale, and such a row is left out. The view is sized by that list.

--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -492,6 +492,21 @@
     uint32_t *cursor, struct bd_handle *handle);
 uint32_t bd_row_count(
     const struct bd_board *board, enum bd_table_number number);
+
+/* The rows of a table at one moment, each id once. */
+struct bd_found_row {
+	const void *row;
+	struct bd_handle handle;
+};
+
+struct bd_rows {
+	struct bd_found_row *items;
+	uint32_t count;
+};
+
+int bd_rows_collect(const struct bd_board *board, enum bd_table_number number,
+    struct bd_rows *out);
+void bd_rows_free(struct bd_rows *rows);
 uint32_t bd_table_capacity(enum bd_table_number number);
 size_t bd_row_bytes(const void *row);
 const char *bd_table_name(enum bd_table_number number);
--- a/lib/board/table.c
+++ b/lib/board/table.c
@@ -16,6 +16,8 @@
     struct bd_stored_row *stored);
 static int insert_stored(struct bd_table *table, struct bd_stored_row *stored);
 static void remove_stored(struct bd_table *table, struct bd_stored_row *stored);
+static int add_found(struct bd_rows *rows, uint32_t *capacity, const void *row,
+    struct bd_handle handle);
 
 /* Annotation for ThreadSanitizer that stands for all grace periods: the end
  * of a read section releases it, code that runs after a grace period
@@ -237,7 +239,75 @@
 	return NULL;
 }
 
-/* Returns the number of rows in a table. */
+static int
+add_found(struct bd_rows *rows, uint32_t *capacity, const void *row,
+    struct bd_handle handle)
+{
+	if (rows->count == *capacity) {
+		struct bd_found_row *items = realloc(
+		    rows->items, 2 * (size_t)*capacity * sizeof(*items));
+
+		if (items == NULL)
+			return BD_ENOMEM;
+		rows->items = items;
+		*capacity *= 2;
+	}
+	rows->items[rows->count++] =
+	    (struct bd_found_row){.row = row, .handle = handle};
+	return CW_OK;
+}
+
+/*
+ * Collects the rows of a table in the order of its entries, for readers that
+ * need as many elements as there are rows: other threads may add and remove
+ * rows meanwhile. A row that is added or removed during the call may be missed;
+ * one that is removed and added again is found at most once. Must be called in
+ * a read section, in which the rows stay valid; the caller frees the list with
+ * bd_rows_free. Returns BD_ENOMEM, with an empty list.
+ */
+int
+bd_rows_collect(const struct bd_board *board, enum bd_table_number number,
+    struct bd_rows *out)
+{
+	uint32_t capacity = bd_row_count(board, number) + 1;
+	struct bd_handle handle;
+	uint32_t cursor = 0;
+	uint32_t kept = 0;
+	uint32_t i;
+	const void *row;
+	int code = CW_OK;
+
+	out->count = 0;
+	out->items = malloc(capacity * sizeof(*out->items));
+	if (out->items == NULL)
+		return BD_ENOMEM;
+	while (code == CW_OK &&
+	    (row = bd_next(board, number, &cursor, &handle)) != NULL)
+		code = add_found(out, &capacity, row, handle);
+	if (code != CW_OK) {
+		bd_rows_free(out);
+		return code;
+	}
+	/* The handle of a row that was removed and added again has become
+	 * stale. */
+	for (i = 0; i < out->count; i++)
+		if (bd_get(board, number, out->items[i].handle, NULL) != NULL)
+			out->items[kept++] = out->items[i];
+	out->count = kept;
+	return CW_OK;
+}
+
+/* Frees a list of rows. May be called again. */
+void
+bd_rows_free(struct bd_rows *rows)
+{
+	free(rows->items);
+	rows->items = NULL;
+	rows->count = 0;
+}
+
+/* Returns the number of rows in a table. Other threads may change it at any
+ * time: an array for the rows is sized by bd_rows_collect. */
 uint32_t
 bd_row_count(const struct bd_board *board, enum bd_table_number number)
 {
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -18,6 +18,7 @@
 static bool has_free(
     const struct fw_host_view *host, const struct bd_flow_step *step);
 static int compare_hosts(const void *a, const void *b);
+static int copy_hosts(struct fw_view *view, const struct bd_board *board);
 static int add_hosts(struct fw_view *view, const struct bd_board *board);
 static int add_jobs(struct fw_view *view, const struct bd_board *board);
 static void note_prunable(struct fw_view *view, const struct bd_flow *row);
@@ -139,26 +140,27 @@
 	return order != 0 ? order : (x->id > y->id) - (x->id < y->id);
 }
 
+/* Allocates the arrays that depend on the number of workers and copies the
+ * rows. */
 static int
-add_hosts(struct fw_view *view, const struct bd_board *board)
+copy_hosts(struct fw_view *view, const struct bd_board *board)
 {
-	const struct bd_host *row;
-	struct bd_handle handle;
-	uint32_t cursor = 0;
+	struct bd_rows rows;
 	uint32_t i;
 
-	view->hosts = calloc(
-	    bd_row_count(board, BD_TABLE_host) + 1, sizeof(*view->hosts));
-	view->host_positions = index_map_new(BD_TABLE_host);
-	view->racks = calloc(
-	    bd_row_count(board, BD_TABLE_host) + 1, sizeof(*view->racks));
-	view->rack_first = calloc(
-	    bd_row_count(board, BD_TABLE_host) + 2, sizeof(*view->rack_first));
-	if (view->hosts == NULL || view->host_positions == NULL ||
-	    view->racks == NULL || view->rack_first == NULL)
+	if (bd_rows_collect(board, BD_TABLE_host, &rows) != CW_OK)
+		return FW_ENOMEM;
+	view->hosts = calloc(rows.count + 1, sizeof(*view->hosts));
+	view->racks = calloc(rows.count + 1, sizeof(*view->racks));
+	view->rack_first = calloc(rows.count + 2, sizeof(*view->rack_first));
+	if (view->hosts == NULL || view->racks == NULL ||
+	    view->rack_first == NULL) {
+		bd_rows_free(&rows);
 		return FW_ENOMEM;
-	while ((row = bd_host_next(board, &cursor)) != NULL) {
-		struct fw_host_view *host = &view->hosts[view->host_count++];
+	}
+	for (i = 0; i < rows.count; i++) {
+		const struct bd_host *row = rows.items[i].row;
+		struct fw_host_view *host = &view->hosts[i];
 
 		host->row = row;
 		host->cores_milli = row->cores_milli;
@@ -166,6 +168,21 @@
 		host->accels = row->accels;
 		host->schedulable = row->leaving == 0;
 	}
+	view->host_count = rows.count;
+	bd_rows_free(&rows);
+	return CW_OK;
+}
+
+static int
+add_hosts(struct fw_view *view, const struct bd_board *board)
+{
+	const struct bd_host *row;
+	struct bd_handle handle;
+	uint32_t i;
+
+	view->host_positions = index_map_new(BD_TABLE_host);
+	if (view->host_positions == NULL || copy_hosts(view, board) != CW_OK)
+		return FW_ENOMEM;
 	if (view->host_count > 1)
 		qsort(view->hosts, view->host_count, sizeof(*view->hosts),
 		    compare_hosts);
@@ -285,27 +302,32 @@
 static int
 add_jobs(struct fw_view *view, const struct bd_board *board)
 {
-	const struct bd_flow *row;
-	struct bd_handle handle;
-	uint32_t cursor = 0;
+	struct bd_rows rows;
 	uint32_t i;
 
-	view->jobs =
-	    calloc(bd_row_count(board, BD_TABLE_flow) + 1, sizeof(*view->jobs));
 	view->job_positions = index_map_new(BD_TABLE_flow);
-	if (view->jobs == NULL || view->job_positions == NULL)
+	if (view->job_positions == NULL ||
+	    bd_rows_collect(board, BD_TABLE_flow, &rows) != CW_OK)
+		return FW_ENOMEM;
+	view->jobs = calloc(rows.count + 1, sizeof(*view->jobs));
+	if (view->jobs == NULL) {
+		bd_rows_free(&rows);
 		return FW_ENOMEM;
-	while (
-	    (row = bd_next(board, BD_TABLE_flow, &cursor, &handle)) != NULL) {
+	}
+	for (i = 0; i < rows.count; i++) {
+		const struct bd_flow *row = rows.items[i].row;
+
 		if (fw_flow_drained(row)) {
 			note_prunable(view, row);
 			continue;
 		}
-		view->job_positions[handle.index] = view->job_count;
+		view->job_positions[rows.items[i].handle.index] =
+		    view->job_count;
 		view->jobs[view->job_count].row = row;
 		view->jobs[view->job_count].trial_host = FW_NONE;
 		subtract_placed(view, view->job_count++);
 	}
+	bd_rows_free(&rows);
 	for (i = 0; i < view->job_count; i++)
 		if (view->jobs[i].in_trial)
 			keep_trial_hosts(view, i);
