A new worker is not mistaken for the one whose entry it has got

Cause: a view finds its worker or job by the entry in which the id is now. A row that was removed since the view was built leaves its entry to the next one, whose tasks then count on the former row.

Change: the id of the row in the view has to be the same, else there is none.

Measured: FlowView.EntriesThatAreUsedAnewAreNotMistaken failed before (0 in place of FW_NONE) and passes. Found while the readers of growing tables were looked through.

--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -383,7 +383,8 @@
 	view->job_count = view->host_count = 0;
 }
 
-/* Returns the view index of the row with an id, or FW_NONE. */
+/* Returns the view index of the entry in which the row with an id is now, or
+ * FW_NONE. The entry may have been another row's when the view was built. */
 static uint32_t
 index_of(const struct fw_view *view, enum bd_table_number table,
     const uint32_t *map, uint64_t id)
@@ -399,14 +400,25 @@
 uint32_t
 fw_view_host_index(const struct fw_view *view, uint64_t id)
 {
-	return index_of(view, BD_TABLE_host, view->host_positions, id);
+	uint32_t index =
+	    index_of(view, BD_TABLE_host, view->host_positions, id);
+
+	if (index == FW_NONE)
+		return FW_NONE;
+	assert(index < view->host_count);
+	return view->hosts[index].row->id == id ? index : FW_NONE;
 }
 
 /* Returns the index of a job in the view, or FW_NONE. */
 uint32_t
 fw_view_job_index(const struct fw_view *view, uint64_t id)
 {
-	return index_of(view, BD_TABLE_flow, view->job_positions, id);
+	uint32_t index = index_of(view, BD_TABLE_flow, view->job_positions, id);
+
+	if (index == FW_NONE)
+		return FW_NONE;
+	assert(index < view->job_count);
+	return view->jobs[index].row->id == id ? index : FW_NONE;
 }
 
 /* Returns the index of a rack in the view, or FW_NO_RACK if it has no workers.
--- a/tests/test_flow_view.cc
+++ b/tests/test_flow_view.cc
@@ -102,3 +102,20 @@
 		}
 	});
 }
+
+/* Guards against tasks of a new worker that count as those of the one whose
+ * entry it has got since the view was built. */
+TEST(FlowView, EntriesThatAreUsedAnewAreNotMistaken)
+{
+	FlowFixture fx;
+	struct fw_view view;
+	uint64_t former = fx.add_host("former", "r");
+
+	bd_read_begin();
+	ASSERT_EQ(CW_OK, fw_view_build(&view, fx.board, &fx.settings, 1, 1));
+	EXPECT_EQ(0u, fw_view_host_index(&view, former));
+	bd_remove(fx.board, BD_TABLE_host, BD_WRITER_FLOW, former);
+	EXPECT_EQ(FW_NONE, fw_view_host_index(&view, fx.add_host("next", "r")));
+	fw_view_free(&view);
+	bd_read_end();
+}
