No array is sized by a count that another thread raises

Cause: the form that made the placer die, in other readers. The VMs that leave (lib/route/index.c) were counted anew while they were copied, so that the bound could exceed what had been allocated: a write behind the array. The other readers ended at the earlier count, so that rows at the end of a table were left out while others were added.

Change: they use bd_rows_collect. Every use of bd_row_count: - lib/route/index.c, VMs and upstreams: sized by the list now. - lib/front/placement.c, guarantee_check.c, account_usage.c, objectives.c: likewise. - lib/state/promises.c: was safe, as the thread that applies records is the only writer of the table; uses the list all the same. - lib/state/apply_place.c: sizes nothing, on the thread that writes the table. - lib/sched/guarantee.c: sch_view_load ends at the limits, and only tests and benches call it, without another writer; its comment says so now. - lib/flow/placer.c, submit.c, lib/front/metrics.c, platform/front.c: numbers that are shown or compared with 0. - lib/front/api_job.c, lib/route/index.c (services), lib/flow/view.c (maps by entry): sized by bd_table_capacity, which is fixed, and they end there. - The other loops over bd_next allocate nothing by a count.

--- a/lib/front/account_usage.c
+++ b/lib/front/account_usage.c
@@ -8,7 +8,7 @@
 static struct fr_account_usage *find_usage(
     struct fr_account_usage *usage, size_t count, uint64_t id);
 static size_t copy_accounts(const struct bd_board *board, uint64_t account,
-    struct fr_account_usage *usage, size_t capacity);
+    const struct bd_rows *rows, struct fr_account_usage *usage);
 static void add_guarantees(
     const struct bd_board *board, struct fr_account_usage *usage, size_t count);
 static void add_jobs(
@@ -36,16 +36,16 @@
 
 static size_t
 copy_accounts(const struct bd_board *board, uint64_t account,
-    struct fr_account_usage *usage, size_t capacity)
+    const struct bd_rows *rows, struct fr_account_usage *usage)
 {
-	const struct bd_account *row;
 	const struct bd_share *share;
 	struct fr_account_usage *usage_row;
-	uint32_t cursor = 0;
 	size_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < rows->count; i++) {
+		const struct bd_account *row = rows->items[i].row;
 
-	while (count < capacity &&
-	    (row = bd_account_next(board, &cursor)) != NULL) {
 		if (account != 0 && row->id != account)
 			continue;
 		usage_row = &usage[count++];
@@ -146,19 +146,20 @@
     const struct fr_placement *placement, uint64_t account,
     struct fr_account_usage **out, size_t *count)
 {
-	struct fr_account_usage *usage;
-	size_t capacity;
+	struct fr_account_usage *usage = NULL;
+	struct bd_rows rows;
 
 	assert(board != NULL && placement != NULL);
 	bd_read_begin();
-	capacity = (size_t)bd_row_count(board, BD_TABLE_account) + 1;
-	usage = calloc(capacity, sizeof(*usage));
+	if (bd_rows_collect(board, BD_TABLE_account, &rows) == CW_OK)
+		usage = calloc((size_t)rows.count + 1, sizeof(*usage));
 	*count = 0;
 	if (usage != NULL) {
-		*count = copy_accounts(board, account, usage, capacity);
+		*count = copy_accounts(board, account, &rows, usage);
 		add_guarantees(board, usage, *count);
 		add_jobs(board, usage, *count);
 	}
+	bd_rows_free(&rows);
 	bd_read_end();
 	if (usage == NULL)
 		return FR_ENOMEM;
--- a/lib/front/guarantee_check.c
+++ b/lib/front/guarantee_check.c
@@ -10,18 +10,17 @@
 static struct bd_worker *
 copy_workers(const struct bd_board *board, size_t *count)
 {
-	const struct bd_worker *row;
-	struct bd_worker *workers;
-	uint32_t cursor = 0;
-	size_t capacity;
+	struct bd_worker *workers = NULL;
+	struct bd_rows rows;
 
-	bd_read_begin();
-	capacity = (size_t)bd_row_count(board, BD_TABLE_worker) + 1;
-	workers = calloc(capacity, sizeof(*workers));
 	*count = 0;
-	while (workers != NULL && *count < capacity &&
-	    (row = bd_worker_next(board, &cursor)) != NULL)
-		workers[(*count)++] = *row;
+	bd_read_begin();
+	if (bd_rows_collect(board, BD_TABLE_worker, &rows) == CW_OK)
+		workers = calloc((size_t)rows.count + 1, sizeof(*workers));
+	for (; workers != NULL && *count < rows.count; (*count)++)
+		workers[*count] =
+		    *(const struct bd_worker *)rows.items[*count].row;
+	bd_rows_free(&rows);
 	bd_read_end();
 	return workers;
 }
--- a/lib/front/objectives.c
+++ b/lib/front/objectives.c
@@ -5,8 +5,8 @@
 #include "front_internal.h"
 
 static int compare_durations(const void *a, const void *b);
-static size_t read_completion_times(
-    const struct bd_board *board, int64_t *durations_ms, size_t capacity);
+static int64_t *read_completion_times(
+    const struct bd_board *board, size_t *count);
 
 static int
 compare_durations(const void *a, const void *b)
@@ -17,21 +17,28 @@
 	return left < right ? -1 : left > right;
 }
 
-/* Reads the completion times of the jobs that are done and returns their
- * number. */
-static size_t
-read_completion_times(
-    const struct bd_board *board, int64_t *durations_ms, size_t capacity)
+/* Reads the completion times of the jobs that are done. Returns NULL if out of
+ * memory. */
+static int64_t *
+read_completion_times(const struct bd_board *board, size_t *count)
 {
-	const struct bd_job *row;
-	uint32_t cursor = 0;
-	size_t count = 0;
+	int64_t *durations_ms;
+	struct bd_rows rows;
+	uint32_t i;
+
+	*count = 0;
+	if (bd_rows_collect(board, BD_TABLE_job, &rows) != CW_OK)
+		return NULL;
+	durations_ms = malloc((rows.count + 1) * sizeof(*durations_ms));
+	for (i = 0; durations_ms != NULL && i < rows.count; i++) {
+		const struct bd_job *row = rows.items[i].row;
 
-	while (count < capacity && (row = bd_job_next(board, &cursor)) != NULL)
 		if (row->state == BD_JOB_DONE)
-			durations_ms[count++] =
+			durations_ms[(*count)++] =
 			    row->ended_ms - row->submitted_ms;
-	return count;
+	}
+	bd_rows_free(&rows);
+	return durations_ms;
 }
 
 /*
@@ -45,7 +52,6 @@
 {
 	int64_t *durations_ms;
 	size_t count;
-	size_t capacity;
 	double sum = 0;
 	size_t i;
 
@@ -54,11 +60,7 @@
 	out->fragmentation = fr_fragmentation(
 	    placement, &out->free_accels, &out->largest_free_in_rack);
 	bd_read_begin();
-	capacity = (size_t)bd_row_count(board, BD_TABLE_job) + 1;
-	durations_ms = malloc(capacity * sizeof(*durations_ms));
-	count = durations_ms == NULL
-	    ? 0
-	    : read_completion_times(board, durations_ms, capacity);
+	durations_ms = read_completion_times(board, &count);
 	bd_read_end();
 	if (durations_ms == NULL)
 		return FR_ENOMEM;
--- a/lib/front/placement.c
+++ b/lib/front/placement.c
@@ -8,8 +8,7 @@
 static int compare_locations(const void *a, const void *b);
 static struct fr_worker_placement *find_worker(
     struct fr_placement *placement, uint64_t id);
-static size_t copy_workers(const struct bd_board *board,
-    struct fr_worker_placement *out, size_t capacity);
+static int copy_workers(const struct bd_board *board, struct fr_placement *out);
 static void mark_reserved(
     const struct bd_board *board, struct fr_placement *placement);
 static void mark_tasks(
@@ -51,18 +50,20 @@
 	    sizeof(*placement->workers), compare_ids);
 }
 
-static size_t
-copy_workers(const struct bd_board *board, struct fr_worker_placement *out,
-    size_t capacity)
+/* Returns FR_ENOMEM. */
+static int
+copy_workers(const struct bd_board *board, struct fr_placement *out)
 {
-	const struct bd_worker *row;
-	uint32_t cursor = 0;
-	size_t count = 0;
-
-	while (
-	    count < capacity && (row = bd_worker_next(board, &cursor)) != NULL)
-		out[count++].row = *row;
-	return count;
+	struct bd_rows rows;
+
+	if (bd_rows_collect(board, BD_TABLE_worker, &rows) != CW_OK)
+		return FR_ENOMEM;
+	out->workers = calloc((size_t)rows.count + 1, sizeof(*out->workers));
+	for (; out->workers != NULL && out->count < rows.count; out->count++)
+		out->workers[out->count].row =
+		    *(const struct bd_worker *)rows.items[out->count].row;
+	bd_rows_free(&rows);
+	return out->workers == NULL ? FR_ENOMEM : CW_OK;
 }
 
 static void
@@ -119,15 +120,13 @@
 int
 fr_placement_build(const struct bd_board *board, struct fr_placement *out)
 {
-	size_t capacity;
+	int code;
 
 	assert(board != NULL && out != NULL);
 	memset(out, 0, sizeof(*out));
 	bd_read_begin();
-	capacity = (size_t)bd_row_count(board, BD_TABLE_worker) + 1;
-	out->workers = calloc(capacity, sizeof(*out->workers));
-	if (out->workers != NULL) {
-		out->count = copy_workers(board, out->workers, capacity);
+	code = copy_workers(board, out);
+	if (code == CW_OK) {
 		qsort(out->workers, out->count, sizeof(*out->workers),
 		    compare_ids);
 		mark_reserved(board, out);
@@ -136,7 +135,7 @@
 		    compare_locations);
 	}
 	bd_read_end();
-	return out->workers == NULL ? FR_ENOMEM : CW_OK;
+	return code;
 }
 
 /* Frees the workers. May be called again, and on a zeroed struct. */
--- a/lib/route/index.c
+++ b/lib/route/index.c
@@ -8,7 +8,6 @@
  * largest tables costs 0.1 ms, so 20 scans a second stay below 1% of a core. A
  * leaving upstream must get no new requests after 3 s. */
 #define SCAN_INTERVAL_MS 50
-#define ADDED_ROWS_MAX 64 /* rows that may be added during a scan */
 
 /* Sorted ids for binary search. */
 struct id_set {
@@ -77,19 +76,24 @@
 static int
 collect_leaving_vms(const struct bd_board *board, struct id_set *set)
 {
-	const struct bd_vm *vm;
-	uint32_t cursor = 0;
+	struct bd_rows rows;
+	uint32_t i;
 
 	set->count = 0;
-	set->ids = malloc((bd_row_count(board, BD_TABLE_vm) + ADDED_ROWS_MAX) *
-	    sizeof(*set->ids));
-	if (set->ids == NULL)
+	if (bd_rows_collect(board, BD_TABLE_vm, &rows) != CW_OK)
+		return RT_ENOMEM;
+	set->ids = malloc((rows.count + 1) * sizeof(*set->ids));
+	if (set->ids == NULL) {
+		bd_rows_free(&rows);
 		return RT_ENOMEM;
-	while ((vm = bd_vm_next(board, &cursor)) != NULL)
-		if (vm->kind == BD_VM_UPSTREAM && vm->state != BD_VM_LIVE &&
-		    set->count <
-			bd_row_count(board, BD_TABLE_vm) + ADDED_ROWS_MAX)
+	}
+	for (i = 0; i < rows.count; i++) {
+		const struct bd_vm *vm = rows.items[i].row;
+
+		if (vm->kind == BD_VM_UPSTREAM && vm->state != BD_VM_LIVE)
 			set->ids[set->count++] = cw_id_from_name(vm->address);
+	}
+	bd_rows_free(&rows);
 	qsort(set->ids, set->count, sizeof(*set->ids), compare_ids);
 	return CW_OK;
 }
@@ -121,27 +125,27 @@
 scan_upstreams(
     struct rt_router *route, int64_t now_ms, struct upstream_scan *scan)
 {
-	uint32_t capacity =
-	    bd_row_count(route->board, BD_TABLE_runner) + ADDED_ROWS_MAX;
-	const struct bd_runner *row;
-	struct bd_handle handle;
-	uint32_t cursor = 0;
+	struct bd_rows rows;
 
 	memset(scan, 0, sizeof(*scan));
 	if (collect_leaving_vms(route->board, &scan->leaving) != CW_OK)
 		return RT_ENOMEM;
-	scan->upstreams = malloc(capacity * sizeof(*scan->upstreams));
-	if (scan->upstreams == NULL)
+	if (bd_rows_collect(route->board, BD_TABLE_runner, &rows) != CW_OK)
 		return RT_ENOMEM;
-	while (scan->count < capacity &&
-	    (row = bd_next(route->board, BD_TABLE_runner, &cursor, &handle)) !=
-		NULL) {
-		struct upstream_view *view = &scan->upstreams[scan->count++];
+	scan->upstreams = malloc((rows.count + 1) * sizeof(*scan->upstreams));
+	if (scan->upstreams == NULL) {
+		bd_rows_free(&rows);
+		return RT_ENOMEM;
+	}
+	for (; scan->count < rows.count; scan->count++) {
+		struct upstream_view *view = &scan->upstreams[scan->count];
 
-		view->row = *row;
-		view->handle = handle;
+		view->row =
+		    *(const struct bd_runner *)rows.items[scan->count].row;
+		view->handle = rows.items[scan->count].handle;
 		inspect_upstream(route, scan, now_ms, view);
 	}
+	bd_rows_free(&rows);
 	return CW_OK;
 }
 
--- a/lib/sched/guarantee.c
+++ b/lib/sched/guarantee.c
@@ -143,7 +143,8 @@
  * two tasks, plans are disjoint and within the size of their workers,
  * guaranteed jobs belong to the account of their plan and fit in it, and every
  * gang is complete. Returns CW_OK, SCH_EGUARANTEE with a message that names the
- * first violation, or SCH_ENOMEM.
+ * first violation, or SCH_ENOMEM. Must not be called while another thread
+ * changes the tables.
  */
 int
 sch_guarantee_check(const struct bd_board *board)
--- a/lib/state/promises.c
+++ b/lib/state/promises.c
@@ -38,18 +38,20 @@
 static struct old_promise *
 collect_promises(struct st_state *state, size_t *count)
 {
-	const struct bd_promise *row;
-	struct old_promise *old = calloc(
-	    bd_row_count(state->board, BD_TABLE_promise) + 1, sizeof(*old));
-	uint32_t cursor = 0;
+	struct old_promise *old = NULL;
+	struct bd_rows rows;
 
 	*count = 0;
-	if (old == NULL)
-		return NULL;
 	bd_read_begin();
-	while ((row = bd_promise_next(state->board, &cursor)) != NULL)
-		old[(*count)++].row = *row;
+	if (bd_rows_collect(state->board, BD_TABLE_promise, &rows) == CW_OK)
+		old = calloc((size_t)rows.count + 1, sizeof(*old));
+	for (; old != NULL && *count < rows.count; (*count)++)
+		old[*count].row =
+		    *(const struct bd_promise *)rows.items[*count].row;
+	bd_rows_free(&rows);
 	bd_read_end();
+	if (old == NULL)
+		return NULL;
 	qsort(old, *count, sizeof(*old), compare_old_promises);
 	return old;
 }
