Tasks wait only for starts that may still arrive, and not longer

Change: the only start of a run that its worker has listed as begun has been carried out, so nothing waits for it; a successor knows that of a run that was not noted. A list is asked for at once when a start can no longer arrive.

Measured: TasksDoNotWaitForAStartThatWasCarriedOut failed before (1 start, the job running after 5.5 s) and passes. The earlier list has no test: the simulated workers answer long polls after a tenth of their time.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -291,7 +291,9 @@
 		if (is_late_run(&placer->tables, run) ||
 		    (run->note_due && run->phase != FW_PHASE_ENDED))
 			note_late_start(view, run, latest_ms, START_COVER_MS);
-		else if (run->start_uncertain && ago_ms < FW_ORDER_LATE_MAX_MS)
+		else if (run->start_uncertain &&
+		    fw_run_has_unknown_start(run) &&
+		    ago_ms < FW_ORDER_LATE_MAX_MS)
 			note_late_start(view, run,
 			    latest_ms - ago_ms - CLOCK_NOISE_MS,
 			    CLOCK_NOISE_MS);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -134,6 +134,8 @@
 	int64_t placed_ms;
 	int64_t retry_ms;       /* earliest time of the next order */
 	int64_t listed_from_ms; /* reports sent later list it until it ends */
+	uint32_t starts;        /* sent, 2: or more */
+	bool began;             /* listed by its worker, not only as stopped */
 	int64_t uncertain_ms;   /* latest time at which such a start was sent */
 	int64_t progressed_ms;  /* time of the latest change of percent */
 	int64_t pace_from_ms;   /* its pace is measured since, 0: not yet */
@@ -514,6 +516,7 @@
 bool fw_worker_state_clock_is_back(
     const struct fw_worker_state *worker, const struct fw_report *report);
 int64_t fw_worker_state_latest_ms(const struct fw_worker_state *worker);
+bool fw_run_has_unknown_start(const struct fw_run *run);
 bool fw_run_may_arrive(const struct fw_run *run, int64_t now_ms);
 bool fw_run_holds_task(
     const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms);
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -164,6 +164,7 @@
 	if (!run->order_in_flight)
 		return;
 	run->start_in_flight = true;
+	run->starts += run->starts < 2;
 	fw_worker_state_lease_granted(worker, order.until_ms);
 	if (!run->start_sent && worker->incarnation_ms != 0)
 		run->start_incarnation_ms = worker->incarnation_ms;
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -228,6 +228,7 @@
 	if (run->end_listed_ms == 0)
 		run->end_listed_ms = now_ms;
 	run->last_listed_ms = worker->report.sent_ms;
+	run->began = run->began || end->end != FW_END_STOPPED;
 	run->incarnation_ms = worker->report.incarnation_ms;
 	run->done_late = run->phase == FW_PHASE_ENDED &&
 	    run->end != FW_END_DONE && end->end == FW_END_DONE;
@@ -307,6 +308,7 @@
 		tables->runs[found].incarnation_ms = report->incarnation_ms;
 		tables->runs[found].listed_from_ms = report->sent_ms;
 		tables->runs[found].last_listed_ms = report->sent_ms;
+		tables->runs[found].began = true;
 	}
 	for (i = 0; i < report->end_count; i++)
 		apply_end(tables, board, handle, &report->ends[i], now_ms);
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -39,6 +39,8 @@
 static bool should_migrate(const struct bd_flow *flow, const struct fw_run *run,
     const struct bd_host *host, int64_t now_ms);
 static bool is_listed(const struct fw_run *run, const struct fw_report *report);
+static void probe_after_late_start(
+    struct fw_worker_state *worker, const struct fw_run *run, int64_t now_ms);
 static void check_superseded(
     struct fw_placer *placer, uint32_t handle, int64_t now_ms);
 static void settle_adopted(
@@ -291,7 +293,7 @@
 static bool
 may_start_late(const struct fw_run *run, int64_t incarnation_ms)
 {
-	if ((!run->start_uncertain && !run->start_assumed) ||
+	if (!fw_run_has_unknown_start(run) ||
 	    run->incarnation_ms == incarnation_ms)
 		return false;
 	return !run->stop_acked || run->stop_incarnation_ms != incarnation_ms;
@@ -366,6 +368,19 @@
 	    remaining_ms;
 }
 
+/* Asks a worker for a list as soon as a late start can no longer arrive there.
+ * The answer to a long poll may take some seconds more. */
+static void
+probe_after_late_start(
+    struct fw_worker_state *worker, const struct fw_run *run, int64_t now_ms)
+{
+	int64_t arrived_ms = run->uncertain_ms + FW_ORDER_LATE_MAX_MS;
+
+	if (now_ms > arrived_ms && worker->hold_sent_ms <= arrived_ms &&
+	    worker->unresponsive_since_ms == 0)
+		worker->probe_due = true;
+}
+
 /* Removes a run that is no longer current once its worker has it no longer. */
 static void
 check_superseded(struct fw_placer *placer, uint32_t handle, int64_t now_ms)
@@ -380,8 +395,11 @@
 
 	if (run->superseded_since_ms == 0)
 		run->superseded_since_ms = now_ms;
-	keep = revoke_late_start(run, worker, now_ms) ||
-	    fw_run_holds_task(&placer->tables, run, now_ms);
+	keep = revoke_late_start(run, worker, now_ms);
+	if (fw_run_holds_task(&placer->tables, run, now_ms)) {
+		keep = true;
+		probe_after_late_start(worker, run, now_ms);
+	}
 	if (fw_silent_loss_decide(&placer->tables, run, now_ms)) {
 		worker->unresolved_runs++;
 		keep = true;
--- a/lib/flow/tables.c
+++ b/lib/flow/tables.c
@@ -236,12 +236,24 @@
 	    : worker->incarnation_ms;
 }
 
+/* Returns whether a start of a run has or may have had no answer, so that it
+ * may not have been carried out yet. The only start of a run that has begun
+ * has. */
+bool
+fw_run_has_unknown_start(const struct fw_run *run)
+{
+	if (run->starts == 1 && run->began)
+		return false;
+	return run->start_in_flight || run->start_uncertain ||
+	    run->start_assumed;
+}
+
 /* Returns whether an unanswered start of a run may still reach its worker. */
 bool
 fw_run_may_arrive(const struct fw_run *run, int64_t now_ms)
 {
-	return run->start_in_flight ||
-	    ((run->start_uncertain || run->start_assumed) &&
+	return fw_run_has_unknown_start(run) &&
+	    (run->start_in_flight ||
 		now_ms - run->uncertain_ms < FW_ORDER_LATE_MAX_MS);
 }
 
@@ -262,8 +274,7 @@
 	int64_t arrived_ms = run->uncertain_ms + FW_ORDER_LATE_MAX_MS;
 	int64_t granted_ms = worker->grant_unknown_ms + FW_ORDER_LATE_MAX_MS;
 
-	if (!run->start_in_flight && !run->start_uncertain &&
-	    !run->start_assumed)
+	if (!fw_run_has_unknown_start(run))
 		return false;
 	if (fw_address_taken_over(worker, run) ||
 	    (run->phase == FW_PHASE_ENDED && run->over == FW_OVER_WORKER_GONE))
--- a/lib/flow/takeover.c
+++ b/lib/flow/takeover.c
@@ -7,7 +7,7 @@
  * after the placement. */
 #define START_NOTED_MS (FIRST_START_MAX_MS + FW_ORDER_TIMEOUT_MS + 500)
 /* Wall clocks of VMs differ by less. */
-#define CLOCK_SKEW_MAX_MS 2500
+#define CLOCK_SKEW_MAX_MS 4000
 
 /* Returns whether a successor would know of a start of a run that is sent now
  * and not answered: from the end of late starts in the job's row, or from the
@@ -28,7 +28,7 @@
  * Notes that an earlier placer may have had no answer to a start of a run, as
  * far as its job's row tells: late starts were stored after the placement, or
  * the run was placed so soon before the latest record that its first start may
- * not have been noted.
+ * not have been noted. It was sent once in that case.
  */
 void
 fw_assume_late_start(struct fw_placer *placer, struct fw_run *run,
@@ -37,9 +37,11 @@
 	const struct bd_step_task *task = &fw_flow_tasks(flow)[run->index];
 	bool placed = task->state == BD_STEP_TASK_PLACED;
 	int64_t sent_ms = flow->late_until_ms - FW_ORDER_LATE_MAX_MS;
+	bool noted = !placed || sent_ms >= task->changed_ms;
 	int64_t ago_ms;
 
-	if (placed && sent_ms < task->changed_ms)
+	run->starts = noted ? 2 : 1;
+	if (!noted)
 		sent_ms =
 		    placer->last_placed_ms - task->changed_ms < START_NOTED_MS
 		    ? task->changed_ms + FIRST_START_MAX_MS
--- a/tests/test_flow_late_start.cc
+++ b/tests/test_flow_late_start.cc
@@ -301,3 +301,28 @@
 	EXPECT_EQ(3, sim.run_checker.starts);
 	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
 }
+
+/* The only start of a run that has begun cannot arrive any more, so its task
+ * must not wait for it. */
+TEST(FlowLateStart, TasksDoNotWaitForAStartThatWasCarriedOut)
+{
+	LateStarts play;
+	FlowSim &sim = play.sim;
+	bool lost = false;
+
+	sim.order_fault = [&lost](const SimVm *, const std::string &,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		fault.answer_lost = kind == FW_ORDER_START && !lost;
+		lost = lost || kind == FW_ORDER_START;
+		return fault;
+	};
+	play.worker().failing = true;
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(2550);
+	play.worker().failing = false;
+	play.run_until(8000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(play.vm, JOB_A));
+	EXPECT_EQ(2, sim.run_checker.starts);
+}
