--- a/tests/test_flow_scale.cc
+++ b/tests/test_flow_scale.cc
@@ -27,8 +27,8 @@
  * silent, and nothing was placed any more. */
 TEST(FlowScale, SuccessorOfManyWorkersPlacesSoon)
 {
+	int64_t busy_until_ms = 0; /* used by the destructor of sim */
 	FlowSim sim;
-	int64_t busy_until_ms = 0;
 	uint64_t silent;
 
 	for (int i = 0; i < 2000; i++)
