--- a/lib/flow/takeover.c
+++ b/lib/flow/takeover.c
@@ -7,7 +7,7 @@
  * after the placement. */
 #define START_NOTED_MS (FIRST_START_MAX_MS + FW_ORDER_TIMEOUT_MS + 500)
 /* Wall clocks of VMs differ by less. */
-#define CLOCK_SKEW_MAX_MS 4000
+#define CLOCK_SKEW_MAX_MS 2500
 
 /* Returns whether a successor would know of a start of a run that is sent now
  * and not answered: from the end of late starts in the job's row, or from the
