The delay before a retry ends with the proxy

Cause: the thread of a request slept through the delay before its next attempt, and a shutdown waited for it.

Change: it waits on a condition that the stop of the proxy signals. The 9 tests of test_front_proxy pass as before; the end of a delay by a stop has no test.

--- a/lib/front/proxy_async.c
+++ b/lib/front/proxy_async.c
@@ -1,4 +1,5 @@
 #include <assert.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -73,10 +74,15 @@
 int
 fr_async_start(struct fr_proxy *proxy)
 {
+	pthread_condattr_t monotonic;
 	uint32_t i;
 
 	pthread_mutex_init(&proxy->lock, NULL);
 	pthread_cond_init(&proxy->changed, NULL);
+	pthread_condattr_init(&monotonic);
+	pthread_condattr_setclock(&monotonic, CLOCK_MONOTONIC);
+	pthread_cond_init(&proxy->stopped, &monotonic);
+	pthread_condattr_destroy(&monotonic);
 	proxy->tail = &proxy->head;
 	proxy->threads =
 	    calloc(proxy->config.async_threads + 1, sizeof(*proxy->threads));
@@ -100,14 +106,31 @@
 	pthread_mutex_lock(&proxy->lock);
 	proxy->stop = true;
 	pthread_cond_broadcast(&proxy->changed);
+	pthread_cond_broadcast(&proxy->stopped);
 	pthread_mutex_unlock(&proxy->lock);
 	for (i = 0; i < proxy->thread_count; i++)
 		pthread_join(proxy->threads[i], NULL);
 	free(proxy->threads);
 	pthread_cond_destroy(&proxy->changed);
+	pthread_cond_destroy(&proxy->stopped);
 	pthread_mutex_destroy(&proxy->lock);
 }
 
+/* Waits until until_us (monotonic), or until the proxy is being stopped: the
+ * delay before a retry must not hold up a shutdown. */
+void
+fr_async_pause(struct fr_proxy *proxy, int64_t until_us)
+{
+	struct timespec until = {until_us / 1000000, until_us % 1000000 * 1000};
+	int code = 0;
+
+	pthread_mutex_lock(&proxy->lock);
+	while (!proxy->stop && code != ETIMEDOUT)
+		code = pthread_cond_timedwait(
+		    &proxy->stopped, &proxy->lock, &until);
+	pthread_mutex_unlock(&proxy->lock);
+}
+
 /* Reserves a slot for a task. Returns false if none is free. */
 bool
 fr_async_reserve(struct fr_proxy *proxy)
--- a/lib/front/proxy_attempt.c
+++ b/lib/front/proxy_attempt.c
@@ -2,7 +2,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "proxy_internal.h"
 
@@ -30,7 +29,6 @@
 static enum rt_outcome_kind outcome_kind(const struct lk_http_answer *received);
 static bool call_upstream(struct fr_proxy_task *task,
     struct attempt_state *state, struct lk_http_answer *received);
-static void sleep_us(int64_t us);
 static bool prepare_retry(struct fr_proxy_task *task,
     struct attempt_state *state, const struct lk_http_answer *received);
 static void set_answer(const struct fr_proxy_task *task,
@@ -158,14 +156,6 @@
 	return code == CW_OK;
 }
 
-static void
-sleep_us(int64_t us)
-{
-	struct timespec time = {us / 1000000, us % 1000000 * 1000};
-
-	nanosleep(&time, NULL);
-}
-
 /* Decides whether to retry, waits for the delay and picks an upstream for the
  * next attempt. Returns false if there is no next attempt. */
 static bool
@@ -191,7 +181,8 @@
 	if (retry.verdict != RT_VERDICT_RETRY)
 		return false;
 	if (retry.delay_us > 0)
-		sleep_us(retry.delay_us);
+		fr_async_pause(
+		    task->proxy, cw_clock_mono_us() + retry.delay_us);
 	state->tried[(state->attempts - 1) % RT_TRIED_MAX] =
 	    task->pick.upstream_handle;
 	pick.tried_count =
--- a/lib/front/proxy_internal.h
+++ b/lib/front/proxy_internal.h
@@ -32,6 +32,7 @@
 	struct fr_proxy_config config;
 	pthread_mutex_t lock;
 	pthread_cond_t changed; /* head or stop */
+	pthread_cond_t stopped; /* stop */
 	struct fr_proxy_task *head;
 	struct fr_proxy_task **tail;
 	uint32_t queued; /* tasks queued or running, and reserved slots */
@@ -47,6 +48,7 @@
 /* proxy_async.c: threads for requests with respond_async. */
 int fr_async_start(struct fr_proxy *proxy);
 void fr_async_stop(struct fr_proxy *proxy);
+void fr_async_pause(struct fr_proxy *proxy, int64_t until_us);
 bool fr_async_reserve(struct fr_proxy *proxy);
 void fr_async_release(struct fr_proxy *proxy);
 void fr_async_push(struct fr_proxy *proxy, struct fr_proxy_task *task);
