Functions with two jobs are split: late needs, and lists of rows

subtract_late subtracted what ended runs need and noted what late starts need; bd_rows_collect collected and dropped stale rows. No change of behaviour.

--- a/lib/board/table.c
+++ b/lib/board/table.c
@@ -18,6 +18,8 @@
 static void remove_stored(struct bd_table *table, struct bd_stored_row *stored);
 static int add_found(struct bd_rows *rows, uint32_t *capacity, const void *row,
     struct bd_handle handle);
+static void drop_stale(const struct bd_board *board,
+    enum bd_table_number number, struct bd_rows *rows);
 
 /* Annotation for ThreadSanitizer that stands for all grace periods: the end
  * of a read section releases it, code that runs after a grace period
@@ -239,6 +241,7 @@
 	return NULL;
 }
 
+/* Adds a row to a list, which grows as needed. Returns BD_ENOMEM. */
 static int
 add_found(struct bd_rows *rows, uint32_t *capacity, const void *row,
     struct bd_handle handle)
@@ -257,6 +260,21 @@
 	return CW_OK;
 }
 
+/* Drops the rows of a list that were removed meanwhile: one that was added
+ * again is in the list twice, and its former handle is stale. */
+static void
+drop_stale(const struct bd_board *board, enum bd_table_number number,
+    struct bd_rows *rows)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < rows->count; i++)
+		if (bd_get(board, number, rows->items[i].handle, NULL) != NULL)
+			rows->items[kept++] = rows->items[i];
+	rows->count = kept;
+}
+
 /*
  * Collects the rows of a table in the order of its entries, for readers that
  * need as many elements as there are rows: other threads may add and remove
@@ -272,8 +290,6 @@
 	uint32_t capacity = bd_row_count(board, number) + 1;
 	struct bd_handle handle;
 	uint32_t cursor = 0;
-	uint32_t kept = 0;
-	uint32_t i;
 	const void *row;
 	int code = CW_OK;
 
@@ -288,12 +304,7 @@
 		bd_rows_free(out);
 		return code;
 	}
-	/* The handle of a row that was removed and added again has become
-	 * stale. */
-	for (i = 0; i < out->count; i++)
-		if (bd_get(board, number, out->items[i].handle, NULL) != NULL)
-			out->items[kept++] = out->items[i];
-	out->count = kept;
+	drop_stale(board, number, out);
 	return CW_OK;
 }
 
--- a/lib/flow/listed.c
+++ b/lib/flow/listed.c
@@ -7,8 +7,13 @@
 static void add_alive(struct fw_view *view, uint32_t job, uint32_t index);
 static bool listed_may_run(const struct fw_tables *tables,
     const struct fw_worker_state *worker, int64_t now_ms);
-static void subtract_late(struct fw_view *view, const struct fw_tables *tables,
-    const struct fw_run *run);
+static const struct bd_flow *find_needs(struct fw_view *view,
+    const struct fw_tables *tables, const struct fw_run *run,
+    struct fw_host_view **host, uint32_t *index);
+static void subtract_pending(struct fw_view *view,
+    const struct fw_tables *tables, const struct fw_run *run);
+static void note_late_needs(struct fw_view *view,
+    const struct fw_tables *tables, const struct fw_run *run);
 static void subtract_stray(struct fw_view *view, struct fw_host_view *host,
     const struct fw_listed_run *listed, bool may_run);
 
@@ -81,34 +86,58 @@
 		add_alive(view, fw_view_job_index(view, flow->id), index);
 }
 
-/* Subtracts what a run needs that has ended and may still be started, and notes
- * what any start needs that may be carried out once its worker has started
- * again. */
+/* Returns the row of a run's job and sets *host and *index to its worker in the
+ * view and its task. Returns NULL if the worker is not in the view, or if the
+ * needs of the run are not known: its worker gets no runs then. */
+static const struct bd_flow *
+find_needs(struct fw_view *view, const struct fw_tables *tables,
+    const struct fw_run *run, struct fw_host_view **host, uint32_t *index)
+{
+	uint32_t found =
+	    fw_view_host_index(view, tables->worker_states[run->worker].host);
+	const struct bd_flow *flow;
+
+	if (found == FW_NONE)
+		return NULL;
+	*host = &view->hosts[found];
+	flow = fw_task_lookup(view->board, &run->task, index);
+	if (flow != NULL && flow->compacted == 0)
+		return flow;
+	(*host)->schedulable = false;
+	return NULL;
+}
+
+/* Subtracts what an ended run needs that may still be started. */
 static void
-subtract_late(struct fw_view *view, const struct fw_tables *tables,
+subtract_pending(struct fw_view *view, const struct fw_tables *tables,
     const struct fw_run *run)
 {
-	bool pending = fw_run_is_pending_late(run);
-	bool meets_late = fw_run_meets_late(run, view->now_ms);
 	const struct bd_flow *flow;
+	struct fw_host_view *host;
 	uint32_t index;
-	uint32_t host;
 
-	if (!pending && !meets_late)
+	if (!fw_run_is_pending_late(run))
 		return;
-	host =
-	    fw_view_host_index(view, tables->worker_states[run->worker].host);
-	if (host == FW_NONE)
-		return;
-	flow = fw_task_lookup(view->board, &run->task, &index);
-	if (flow == NULL || flow->compacted != 0) {
-		view->hosts[host].schedulable = false;
+	flow = find_needs(view, tables, run, &host, &index);
+	if (flow != NULL)
+		subtract_task(host, flow, &run->task);
+}
+
+/* Notes what a start needs that may be carried out once its worker has started
+ * again. */
+static void
+note_late_needs(struct fw_view *view, const struct fw_tables *tables,
+    const struct fw_run *run)
+{
+	const struct bd_flow *flow;
+	struct fw_host_view *host;
+	uint32_t index;
+
+	if (!fw_run_meets_late(run, view->now_ms))
 		return;
-	}
-	if (meets_late)
-		fw_room_add(&view->hosts[host].late, flow, index);
-	if (pending)
-		subtract_task(&view->hosts[host], flow, &run->task);
+	flow = find_needs(view, tables, run, &host, &index);
+	if (flow != NULL)
+		fw_room_add(&host->late, flow, index);
 }
 
 /* Returns whether the runs of a worker's latest list may go on: it answers, or
@@ -155,6 +184,8 @@
 			    listed_may_run(tables, worker, view->now_ms));
 	}
 	for (i = 0; i < tables->run_count; i++)
-		if (tables->runs[i].used)
-			subtract_late(view, tables, &tables->runs[i]);
+		if (tables->runs[i].used) {
+			subtract_pending(view, tables, &tables->runs[i]);
+			note_late_needs(view, tables, &tables->runs[i]);
+		}
 }
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -55,6 +55,7 @@
 	host->accels += sign * (int64_t)step->accels;
 }
 
+/* Returns whether what is free on a worker is enough for a task of a step. */
 static bool
 has_free(const struct fw_host_view *host, const struct bd_flow_step *step)
 {
