A list that was made before a start does not end the run

Callers: a task ran twice at a time (TWICE).

Cause: a list of runs is made when a long poll ends. One that was asked for later, by a probe, may have been made earlier, and its answer may be late. The placer took the time at which a list with the run was asked for as the time from which all lists have the run. A later request with an earlier list then ended a run that was alive (1112 by=not_listed, 1131 in the next list), and its task was placed again.

Change: lists have the run from the time at which a list with it has arrived.

Evidence: FlowLate.ListsMadeBeforeAStartDoNotEndTheRun fails before (3 starts, 1 of them beside another run).

--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -306,7 +306,9 @@
 			continue;
 		update_run(&tables->runs[found], &report->runs[i], now_ms);
 		tables->runs[found].incarnation_ms = report->incarnation_ms;
-		tables->runs[found].listed_from_ms = report->sent_ms;
+		/* A list is made when a long poll ends: one that was asked for
+		 * later may have been made earlier. */
+		tables->runs[found].listed_from_ms = report->now_ms - 1;
 		tables->runs[found].last_listed_ms = report->sent_ms;
 		tables->runs[found].began = true;
 	}
--- /dev/null
+++ b/tests/test_flow_late.cc
@@ -0,0 +1,100 @@
+#include <gtest/gtest.h>
+
+#include "sim/late_starts.h"
+
+/* A job whose task is on a worker that holds its start back, and room for it
+ * elsewhere. */
+struct Standing {
+	FlowSim sim;
+	SimVm *vm;
+	bool lose_starts = true; /* to w1: carried out late_ms later */
+	int64_t late_ms = 11000;
+
+	Standing()
+	{
+		sim.add_worker("w1").work_ms = 1000;
+		vm = sim.add_vm("a");
+		sim.order_fault = [this](const SimVm *, const std::string &at,
+				      enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (lose_starts && kind == FW_ORDER_START && at == "w1")
+				fault.late_ms = late_ms;
+			return fault;
+		};
+		run_until(1000);
+	}
+
+	SimWorker &
+	worker()
+	{
+		return sim.workers["w1"];
+	}
+
+	void
+	run_until(int64_t end_ms)
+	{
+		while (sim.now_ms < end_ms) {
+			sim.run_for(1);
+			sim.advance_workers();
+		}
+	}
+
+	/* Returns after how many ms a task of the job runs, at most 60,000. */
+	int64_t
+	start_after_ms(const std::string &task)
+	{
+		int64_t since_ms = sim.now_ms;
+
+		while (sim.run_checker.running[task].empty() &&
+		    sim.now_ms < since_ms + 60000)
+			run_until(sim.now_ms + 1);
+		return sim.now_ms - since_ms;
+	}
+
+	void
+	expect_no_violations()
+	{
+		EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+		EXPECT_EQ(0, sim.run_checker.starts_after_done);
+		EXPECT_EQ(0, sim.run_checker.capacity_violations);
+	}
+};
+
+/* Guards against a run that counts as lost because a list that was asked for
+ * later than one with the run was made before the run had started. */
+TEST(FlowLate, ListsMadeBeforeAStartDoNotEndTheRun)
+{
+	Standing play;
+	FlowSim &sim = play.sim;
+	bool delayed = false;
+
+	play.lose_starts = false;
+	play.worker().work_ms = 20000;
+	sim.submit(JOB_B, {FlowFixture::make_step(1, 1)});
+	play.run_until(2000);
+	struct fw_tables *tables = &play.vm->placer->tables;
+	struct fw_worker_state *state =
+	    &tables->worker_states[fw_worker_state_get(
+		tables, cw_id_from_name("w1"))];
+
+	while (state->hold_sent_ms != sim.now_ms)
+		play.run_until(sim.now_ms + 1);
+	play.run_until(sim.now_ms + 20);
+	sim.order_fault = [&delayed](const SimVm *, const std::string &,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		if (kind == FW_ORDER_HOLD && !delayed) {
+			delayed = true;
+			fault.answer_delay_ms = 400;
+		}
+		return fault;
+	};
+	state->probe_due = true;
+	sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
+	play.run_until(8000);
+	EXPECT_TRUE(delayed);
+	EXPECT_EQ(2, sim.run_checker.starts);
+	play.expect_no_violations();
+}
