Successors know the place of each task's run and of its late starts

Callers: jobs stood for 11 to 16 s after a change of the placer (LOST).

Cause: the rows told a successor one time for all tasks of a job, until which a start of any of them may be carried out late, and no address. It held back all waiting tasks of the job for the unanswered start of one. A worker without an entry could not be asked; its runs counted as over 10 s and a lease after the takeover, even if another worker had its address since.

Change: progress has the places of tasks: until when a start of the task may be late, and the worker's address (an id of it). They are left out of a record that would be too large; the time of the job then counts for all of its tasks, as in records of earlier versions. Earlier versions read the time of the job, which is still there. A run whose worker has no entry is over once another worker has answered at its address.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -132,6 +132,10 @@
 	/* Of these: the worker may have been cut off, or if the task lasts it
 	 * is not the likely cause. */
 	uint16_t presumed_crashes;
+	/* Wall time until which an unanswered start of its runs may be carried
+	 * out by that worker, 0: there is none. */
+	int64_t late_until_ms;
+	uint64_t address; /* id of that worker's address, 0: unknown */
 	char checkpoint[BD_CHECKPOINT_BYTES];
 };
 
@@ -147,9 +151,6 @@
 	int64_t changed_ms;   /* wall time of the latest change of state */
 	int64_t first_due_ms; /* wall time, 0: due at once */
 	int64_t interval_ms;  /* between the due times of occurrences */
-	/* Wall time until which unanswered starts of its runs may be carried
-	 * out, 0: there are none. */
-	int64_t late_until_ms;
 	char name[BD_FLOW_NAME_BYTES];
 	uint32_t state; /* enum bd_flow_state, as stored with its progress */
 	uint32_t cancelled; /* 1: a cancellation was stored */
--- a/lib/flow/answers.c
+++ b/lib/flow/answers.c
@@ -175,6 +175,7 @@
 	default:
 		run->retry_ms = now_ms + RETRY_MS;
 		run->start_uncertain = true;
+		run->start_assumed = false;
 		run->start_silent =
 		    report->now_ms - report->sent_ms >= FW_ORDER_TIMEOUT_MS;
 		run->uncertain_ms = report->sent_ms;
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -254,8 +254,8 @@
 	    tables->worker_states[run->worker].report.sent_ms;
 }
 
-/* Notes in a job's row that a start of it may be carried out until until_ms
- * (wall time), and for cover_ms longer if that is not noted yet. */
+/* Notes in the row of a run's task that a start of it may be carried out until
+ * until_ms (wall time), and for cover_ms longer if that is not noted yet. */
 static void
 note_late_start(struct fw_view *view, const struct fw_run *run,
     int64_t until_ms, int64_t cover_ms)
@@ -264,13 +264,15 @@
 	struct bd_flow *copy;
 
 	if (job == FW_NONE ||
-	    fw_job_current(&view->jobs[job])->late_until_ms >= until_ms)
+	    fw_flow_tasks(fw_job_current(&view->jobs[job]))[run->index]
+		    .late_until_ms >= until_ms)
 		return;
 	copy = fw_job_writable(&view->jobs[job]);
 	if (copy == NULL)
 		ev_emit(EV_FLOW_NO_MEMORY, "what=job");
 	else
-		copy->late_until_ms = until_ms + cover_ms;
+		fw_flow_tasks(copy)[run->index].late_until_ms =
+		    until_ms + cover_ms;
 }
 
 /* Notes in the jobs' rows until when successors have to expect a late start: an
@@ -291,7 +293,7 @@
 		if (is_late_run(&placer->tables, run) ||
 		    (run->note_due && run->phase != FW_PHASE_ENDED))
 			note_late_start(view, run, latest_ms, START_COVER_MS);
-		else if (run->start_uncertain &&
+		else if (run->start_uncertain && !run->start_assumed &&
 		    fw_run_has_unknown_start(run) &&
 		    ago_ms < FW_ORDER_LATE_MAX_MS)
 			note_late_start(view, run,
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -92,6 +92,7 @@
 	uint32_t refusals;    /* consecutive refused connections */
 	bool replaced;        /* another worker has its address */
 	bool misaddressed;    /* it had once, and this one has not answered */
+	uint64_t address_id;  /* of the address that a row tells, 0: unknown */
 	bool confirmed;       /* has answered at its address */
 	int64_t address_ms;   /* when its address changed */
 	bool reported;        /* has answered a hold in this term */
@@ -497,6 +498,9 @@
     struct fw_worker_state *worker, const struct bd_host *row, int64_t now_ms);
 bool fw_address_answered(
     struct fw_worker_state *worker, const struct fw_report *report);
+void fw_address_expect(
+    struct fw_worker_state *worker, uint64_t address_id, int64_t now_ms);
+void fw_addresses_find_taken(struct fw_tables *tables);
 bool fw_address_taken_over(
     const struct fw_worker_state *worker, const struct fw_run *run);
 
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -111,7 +111,7 @@
     struct fw_placer *placer, struct fw_run *run, const char *reason);
 bool fw_runs_sync(struct fw_placer *placer, int64_t now_ms);
 uint32_t fw_add_run(struct fw_placer *placer, const struct bd_flow *flow,
-    uint32_t index, int64_t now_ms);
+    uint32_t index, uint32_t number, int64_t now_ms);
 
 /* What a successor takes over from earlier placers by the jobs' rows. */
 int64_t fw_last_placed_ms(const struct bd_board *board);
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -367,6 +367,7 @@
 		tasks[n].run = run + 1;
 		tasks[n].host = host->id;
 		tasks[n].incarnation_ms = host->incarnation_ms;
+		tasks[n].address = cw_id_from_name(host->address);
 		tasks[n].changed_ms = view->wall_ms;
 		fw_view_add_tenant(view, group->job, hosts[n]);
 		if (group->suspect && !view->hosts[hosts[n]].shared)
--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -10,9 +10,11 @@
 #define LAYOUT_VERSION 1
 #define JOB_FIELDS 15
 #define STEP_FIELDS 10
-/* The last field is the end of late starts; it follows the tasks, as versions
- * that do not know it ignore what follows them. */
+/* The fifth field is the latest end of the late starts of all tasks, for
+ * versions that do not read the sixth: that of each task, and its worker's
+ * address. */
 #define PROGRESS_FIELDS 5
+#define PROGRESS_FIELDS_PLACES 6
 #define STATE_FIELDS 3
 /* A task under which workers have crashed has two more fields: their number,
  * and how many of them are presumed. They come last, as versions that do not
@@ -20,6 +22,9 @@
 #define TASK_FIELDS 9
 /* Largest encoded size of a task with a run: its numbers and its checkpoint. */
 #define TASK_BYTES_MAX 87
+/* Numbers of a task among the places, and their largest encoded size. */
+#define PLACE_FIELDS 3
+#define PLACE_BYTES_MAX 21
 
 _Static_assert(FW_TASKS_MAX *TASK_BYTES_MAX < FW_RECORD_BYTES_MAX,
     "the progress of the largest job fits into one record");
@@ -116,10 +121,56 @@
 			    : cw_error_set(FW_ENOMEM, "no memory for a record");
 }
 
+static void
+pack_task(
+    msgpack_packer *packer, uint32_t index, const struct bd_step_task *task)
+{
+	msgpack_pack_array(packer, TASK_FIELDS + (task->crashes > 0 ? 2 : 0));
+	msgpack_pack_uint32(packer, index);
+	msgpack_pack_uint32(packer, task->run);
+	msgpack_pack_uint32(packer, task->state);
+	msgpack_pack_uint32(packer, task->failures);
+	msgpack_pack_uint32(packer, task->failed_run);
+	msgpack_pack_uint64(packer, task->host);
+	msgpack_pack_int64(packer, task->incarnation_ms);
+	msgpack_pack_int64(packer, task->changed_ms);
+	pack_text(packer, task->checkpoint, strlen(task->checkpoint));
+	if (task->crashes > 0) {
+		msgpack_pack_uint16(packer, task->crashes);
+		msgpack_pack_uint16(packer, task->presumed_crashes);
+	}
+}
+
+/* Returns whether a task's place is stored: the worker that may run it, or that
+ * may carry out a start of it. */
+static bool
+has_place(const struct bd_step_task *task)
+{
+	return task->run > 0 &&
+	    ((task->state == BD_STEP_TASK_PLACED && task->address != 0) ||
+		task->late_until_ms > 0);
+}
+
+static void
+pack_places(msgpack_packer *packer, const struct bd_step_task *tasks,
+    uint32_t count, uint32_t places)
+{
+	uint32_t i;
+
+	msgpack_pack_array(packer, (size_t)places * PLACE_FIELDS);
+	for (i = 0; i < count; i++) {
+		if (!has_place(&tasks[i]))
+			continue;
+		msgpack_pack_uint32(packer, i);
+		msgpack_pack_int64(packer, tasks[i].late_until_ms);
+		msgpack_pack_uint64(packer, tasks[i].address);
+	}
+}
+
 /*
- * Encodes the progress of a job: its state, each task with a run, and the end
- * of late starts.
- * The caller frees *out. Returns FW_ENOMEM.
+ * Encodes the progress of a job: its state, each task with a run, the end of
+ * late starts, and the places of tasks unless they would make the record too
+ * large. The caller frees *out. Returns FW_ENOMEM.
  */
 int
 fw_progress_encode(const struct bd_flow *flow, void **out, size_t *bytes)
@@ -128,40 +179,35 @@
 	uint32_t count = fw_flow_task_count(flow);
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
+	int64_t late_until_ms = 0;
 	uint32_t started = 0;
+	uint32_t places = 0;
 	uint32_t i;
 
-	for (i = 0; i < count; i++)
+	for (i = 0; i < count; i++) {
 		started += tasks[i].run > 0;
+		places += has_place(&tasks[i]);
+		if (tasks[i].late_until_ms > late_until_ms)
+			late_until_ms = tasks[i].late_until_ms;
+	}
+	if ((size_t)started * TASK_BYTES_MAX +
+		(size_t)places * PLACE_BYTES_MAX >=
+	    FW_RECORD_BYTES_MAX)
+		places = 0;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, PROGRESS_FIELDS);
+	msgpack_pack_array(
+	    &packer, places > 0 ? PROGRESS_FIELDS_PLACES : PROGRESS_FIELDS);
 	msgpack_pack_uint32(&packer, LAYOUT_VERSION);
 	msgpack_pack_uint32(&packer, flow->state);
 	msgpack_pack_int64(&packer, flow->changed_ms);
 	msgpack_pack_array(&packer, started);
-	for (i = 0; i < count; i++) {
-		const struct bd_step_task *task = &tasks[i];
-
-		if (task->run == 0)
-			continue;
-		msgpack_pack_array(
-		    &packer, TASK_FIELDS + (task->crashes > 0 ? 2 : 0));
-		msgpack_pack_uint32(&packer, i);
-		msgpack_pack_uint32(&packer, task->run);
-		msgpack_pack_uint32(&packer, task->state);
-		msgpack_pack_uint32(&packer, task->failures);
-		msgpack_pack_uint32(&packer, task->failed_run);
-		msgpack_pack_uint64(&packer, task->host);
-		msgpack_pack_int64(&packer, task->incarnation_ms);
-		msgpack_pack_int64(&packer, task->changed_ms);
-		pack_text(&packer, task->checkpoint, strlen(task->checkpoint));
-		if (task->crashes > 0) {
-			msgpack_pack_uint16(&packer, task->crashes);
-			msgpack_pack_uint16(&packer, task->presumed_crashes);
-		}
-	}
-	msgpack_pack_int64(&packer, flow->late_until_ms);
+	for (i = 0; i < count; i++)
+		if (tasks[i].run > 0)
+			pack_task(&packer, i, &tasks[i]);
+	msgpack_pack_int64(&packer, late_until_ms);
+	if (places > 0)
+		pack_places(&packer, tasks, count, places);
 	release_buffer(&buffer, out, bytes);
 	return *out != NULL ? CW_OK
 			    : cw_error_set(FW_ENOMEM, "no memory for a record");
@@ -341,6 +387,40 @@
 		fw_flow_tasks(flow)[index] = task;
 }
 
+static void
+read_places(struct cursor *cursor, struct bd_flow *flow)
+{
+	struct cursor list;
+
+	next_array(cursor, &list);
+	while (!list.malformed && list.remaining > 0) {
+		uint32_t index = (uint32_t)next_int(
+		    &list, (int64_t)fw_flow_task_count(flow) - 1);
+		int64_t late_until_ms = next_int(&list, INT64_MAX);
+		uint64_t address = next_id(&list);
+
+		if (list.malformed)
+			break;
+		fw_flow_tasks(flow)[index].late_until_ms = late_until_ms;
+		fw_flow_tasks(flow)[index].address = address;
+	}
+	cursor->malformed |= list.malformed;
+}
+
+/* Takes the end of late starts of a job for that of each of its tasks with a
+ * run: the record has no places. */
+static void
+spread_late_until(struct bd_flow *flow, int64_t until_ms)
+{
+	struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t count = fw_flow_task_count(flow);
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (tasks[i].run > 0)
+			tasks[i].late_until_ms = until_ms;
+}
+
 /* Unpacks a record, which is one array, and sets the cursor to its first
  * element. Returns false if it is malformed; the caller destroys unpacked in
  * both cases. */
@@ -370,6 +450,7 @@
 	msgpack_unpacked unpacked;
 	struct cursor cursor = {.malformed = true};
 	struct cursor list = {0};
+	int64_t late_until_ms = 0;
 
 	if (open_record(&unpacked, data, bytes, &cursor)) {
 		cursor.malformed |=
@@ -380,8 +461,12 @@
 		while (
 		    !cursor.malformed && !list.malformed && list.remaining > 0)
 			read_task(&list, flow);
-		flow->late_until_ms =
-		    cursor.remaining > 0 ? next_int(&cursor, INT64_MAX) : 0;
+		if (cursor.remaining > 0)
+			late_until_ms = next_int(&cursor, INT64_MAX);
+		if (cursor.remaining > 0)
+			read_places(&cursor, flow);
+		else if (!cursor.malformed)
+			spread_late_until(flow, late_until_ms);
 	}
 	msgpack_unpacked_destroy(&unpacked);
 	if (cursor.malformed || list.malformed)
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -111,14 +111,15 @@
 	}
 	while ((host = bd_host_next(placer->parts.board, &cursor)) != NULL)
 		sync_host(placer, host, now_ms);
+	fw_addresses_find_taken(tables);
 }
 
-/* Adds a run for a placed task and returns its handle, or FW_NONE if out of
- * memory. Runs that are added when the placer becomes
- * active are adopted: an earlier placer has placed them. */
+/* Adds a run of a task on the worker that its row names. Returns its handle, or
+ * FW_NONE if out of memory. Runs that are added when the placer becomes active
+ * are adopted: an earlier placer has placed them. */
 uint32_t
 fw_add_run(struct fw_placer *placer, const struct bd_flow *flow, uint32_t index,
-    int64_t now_ms)
+    uint32_t number, int64_t now_ms)
 {
 	const struct bd_step_task *task = &fw_flow_tasks(flow)[index];
 	uint32_t worker = fw_worker_state_get(&placer->tables, task->host);
@@ -128,7 +129,7 @@
 
 	handle = worker == FW_NONE
 	    ? FW_NONE
-	    : fw_run_add(&placer->tables, flow->id, index, task->run, worker);
+	    : fw_run_add(&placer->tables, flow->id, index, number, worker);
 	if (handle == FW_NONE) {
 		ev_emit(EV_FLOW_NO_MEMORY, "what=run");
 		return FW_NONE;
@@ -140,8 +141,11 @@
 	run->start_incarnation_ms = task->incarnation_ms;
 	run->placed_ms = now_ms;
 	run->listed_from_ms = INT64_MAX;
-	if (adopted)
+	if (adopted) {
 		fw_assume_late_start(placer, run, flow, now_ms);
+		fw_address_expect(&placer->tables.worker_states[worker],
+		    task->address, now_ms);
+	}
 	/* An earlier placer may still renew the lease for a while; it lasts
 	 * longer on a slow clock, see CLOCK_DRIFT_MILLI in tables.c. */
 	if (adopted && placer->tables.worker_states[worker].lease_end_ms == 0)
@@ -152,7 +156,7 @@
 }
 
 /* Adds runs for the placed tasks of a job that have none yet, and in the first
- * step of a term for the waiting ones with late starts. */
+ * step of a term the ended runs with late starts. */
 static void
 sync_flow(struct fw_placer *placer, const struct bd_flow *flow, int64_t now_ms)
 {
@@ -165,8 +169,8 @@
 		if (tasks[i].state == BD_STEP_TASK_PLACED &&
 		    fw_run_find(&placer->tables, flow->id, i, tasks[i].run) ==
 			FW_NONE)
-			fw_add_run(placer, flow, i, now_ms);
-		else if (first && tasks[i].state == BD_STEP_TASK_WAITING)
+			fw_add_run(placer, flow, i, tasks[i].run, now_ms);
+		if (first && tasks[i].late_until_ms > 0)
 			fw_add_ended_run(placer, flow, i, now_ms);
 	}
 }
@@ -515,6 +519,9 @@
 		if (run->order_in_flight)
 			return;
 		fw_worker_crashed(&placer->tables, run, now_ms);
+		/* Nobody could ask the worker since this placer took over. */
+		if (worker->address[0] == '\0')
+			run->crash_presumed = true;
 		fw_run_mark_ended(run, FW_END_LOST, FW_OVER_RESTARTED);
 		return;
 	}
--- a/lib/flow/takeover.c
+++ b/lib/flow/takeover.c
@@ -9,67 +9,99 @@
 /* Wall clocks of VMs differ by less. */
 #define CLOCK_SKEW_MAX_MS 2500
 
+static void assume_sent(struct fw_placer *placer, struct fw_run *run,
+    int64_t sent_ms, int64_t now_ms);
+static void assume_noted_start(struct fw_placer *placer, struct fw_run *run,
+    const struct bd_step_task *task, int64_t now_ms);
+
 /* Returns whether a successor would know of a start of a run that is sent now
- * and not answered: from the end of late starts in the job's row, or from the
+ * and not answered: from the end of late starts in its row, or from the
  * time of the placement. */
 bool
 fw_start_is_covered(
     const struct bd_flow *flow, const struct fw_run *run, int64_t wall_ms)
 {
-	int64_t placed_ms = fw_flow_tasks(flow)[run->index].changed_ms;
+	const struct bd_step_task *task = &fw_flow_tasks(flow)[run->index];
 
-	if (!run->start_sent && wall_ms >= placed_ms &&
-	    wall_ms <= placed_ms + FIRST_START_MAX_MS)
+	if (!run->start_sent && wall_ms >= task->changed_ms &&
+	    wall_ms <= task->changed_ms + FIRST_START_MAX_MS)
 		return true;
-	return wall_ms + FW_ORDER_LATE_MAX_MS <= flow->late_until_ms;
+	return wall_ms + FW_ORDER_LATE_MAX_MS <= task->late_until_ms;
+}
+
+/* Sets the time at which an unanswered start was sent, by a wall clock. 0:
+ * there was none. */
+static void
+assume_sent(struct fw_placer *placer, struct fw_run *run, int64_t sent_ms,
+    int64_t now_ms)
+{
+	int64_t ago_ms = placer->parts.wall_ms(placer->parts.ctx) - sent_ms -
+	    CLOCK_SKEW_MAX_MS;
+
+	run->start_assumed = sent_ms > 0;
+	run->uncertain_ms = ago_ms > 0 ? now_ms - ago_ms : now_ms;
+}
+
+/* Notes the unanswered start of a run that its task's row tells of. */
+static void
+assume_noted_start(struct fw_placer *placer, struct fw_run *run,
+    const struct bd_step_task *task, int64_t now_ms)
+{
+	run->starts = 2;
+	assume_sent(
+	    placer, run, task->late_until_ms - FW_ORDER_LATE_MAX_MS, now_ms);
 }
 
 /*
- * Notes that an earlier placer may have had no answer to a start of a run, as
- * far as its job's row tells: late starts were stored after the placement, or
- * the run was placed so soon before the latest record that its first start may
- * not have been noted. It was sent once in that case.
+ * Notes that an earlier placer may have had no answer to a start of the latest
+ * run of a task, as far as its row tells: a late start was stored after the
+ * placement, or the run was placed so soon before the latest record that its
+ * first start may not have been noted. It was sent once in that case.
  */
 void
 fw_assume_late_start(struct fw_placer *placer, struct fw_run *run,
     const struct bd_flow *flow, int64_t now_ms)
 {
 	const struct bd_step_task *task = &fw_flow_tasks(flow)[run->index];
-	bool placed = task->state == BD_STEP_TASK_PLACED;
-	int64_t sent_ms = flow->late_until_ms - FW_ORDER_LATE_MAX_MS;
-	bool noted = !placed || sent_ms >= task->changed_ms;
-	int64_t ago_ms;
 
-	run->starts = noted ? 2 : 1;
-	if (!noted)
-		sent_ms =
-		    placer->last_placed_ms - task->changed_ms < START_NOTED_MS
-		    ? task->changed_ms + FIRST_START_MAX_MS
-		    : 0;
-	ago_ms = placer->parts.wall_ms(placer->parts.ctx) - sent_ms -
-	    CLOCK_SKEW_MAX_MS;
-	run->start_assumed = sent_ms > 0;
-	run->uncertain_ms = ago_ms > 0 ? now_ms - ago_ms : now_ms;
+	if (task->late_until_ms - FW_ORDER_LATE_MAX_MS >= task->changed_ms) {
+		assume_noted_start(placer, run, task, now_ms);
+		return;
+	}
+	run->starts = 1;
+	assume_sent(placer, run,
+	    placer->last_placed_ms - task->changed_ms < START_NOTED_MS
+		? task->changed_ms + FIRST_START_MAX_MS
+		: 0,
+	    now_ms);
 }
 
-/* Adds the ended run of a task that waits, if a start of it by an earlier
- * placer may be carried out late. */
+/* Adds the run of a task that an earlier placer had no answer to a start of, if
+ * that has ended and may be carried out late: the latest one if the task waits,
+ * else the one before. The run is on the same worker in both cases. */
 void
 fw_add_ended_run(struct fw_placer *placer, const struct bd_flow *flow,
     uint32_t index, int64_t now_ms)
 {
 	const struct bd_step_task *task = &fw_flow_tasks(flow)[index];
+	bool waits = task->state == BD_STEP_TASK_WAITING;
 	uint32_t handle;
+	struct fw_run *run;
 
-	if (task->run == 0 || flow->late_until_ms == 0)
+	if (task->run == 0 || task->late_until_ms == 0 ||
+	    (!waits &&
+		(task->state == BD_STEP_TASK_DONE || task->run == 1 ||
+		    task->late_until_ms - FW_ORDER_LATE_MAX_MS >=
+			task->changed_ms)))
 		return;
-	handle = fw_add_run(placer, flow, index, now_ms);
+	handle = fw_add_run(
+	    placer, flow, index, waits ? task->run : task->run - 1, now_ms);
 	if (handle == FW_NONE)
 		return;
-	fw_run_mark_ended(
-	    &placer->tables.runs[handle], FW_END_LOST, FW_OVER_NOT_LISTED);
-	if (!fw_run_holds_task(
-		&placer->tables, &placer->tables.runs[handle], now_ms))
+	run = &placer->tables.runs[handle];
+	assume_noted_start(placer, run, task, now_ms);
+	fw_run_mark_ended(run, FW_END_LOST, FW_OVER_NOT_LISTED);
+	if (!fw_run_holds_task(&placer->tables, run, now_ms))
 		fw_run_remove(&placer->tables, handle);
 }
 
--- a/tests/test_flow_apply.cc
+++ b/tests/test_flow_apply.cc
@@ -295,8 +295,9 @@
 
 		task->run = task->failed_run = UINT32_MAX;
 		task->failures = UINT16_MAX;
-		task->host = UINT64_MAX;
+		task->host = task->address = UINT64_MAX;
 		task->incarnation_ms = task->changed_ms = INT64_MAX;
+		task->late_until_ms = INT64_MAX;
 		memset(task->checkpoint, 'c', sizeof(task->checkpoint) - 1);
 	}
 	ASSERT_EQ(CW_OK, fw_progress_encode(copy, &value, &bytes));
@@ -305,6 +306,45 @@
 	free(copy);
 }
 
+/* Progress tells of each task until when a start may be late, and its worker's
+ * address. */
+TEST(FlowApply, PlacesOfTasksAreStored)
+{
+	FlowFixture fixture;
+	struct bd_flow *copy;
+	struct bd_flow *read;
+	void *value;
+	size_t bytes;
+
+	ASSERT_EQ(CW_OK, fixture.submit(JOB, {FlowFixture::make_step(3, 0)}));
+	bd_read_begin();
+	const struct bd_flow *row = fixture.find_flow(JOB);
+	copy = (struct bd_flow *)malloc(fw_flow_bytes(row));
+	read = (struct bd_flow *)malloc(fw_flow_bytes(row));
+	memcpy(copy, row, fw_flow_bytes(row));
+	memcpy(read, row, fw_flow_bytes(row));
+	bd_read_end();
+	for (uint32_t i = 0; i < 2; i++) {
+		struct bd_step_task *task = &fw_flow_tasks(copy)[i];
+
+		task->run = 1;
+		task->state = BD_STEP_TASK_PLACED;
+		task->address = i == 0 ? UINT64_MAX : 0;
+		task->late_until_ms = i == 0 ? 0 : INT64_MAX;
+	}
+	ASSERT_EQ(CW_OK, fw_progress_encode(copy, &value, &bytes));
+	ASSERT_EQ(CW_OK, fw_progress_decode(value, bytes, read));
+	for (uint32_t i = 0; i < 3; i++) {
+		EXPECT_EQ(fw_flow_tasks(copy)[i].address,
+		    fw_flow_tasks(read)[i].address);
+		EXPECT_EQ(fw_flow_tasks(copy)[i].late_until_ms,
+		    fw_flow_tasks(read)[i].late_until_ms);
+	}
+	free(value);
+	free(copy);
+	free(read);
+}
+
 /* A record may declare a larger length than it contains, and the msgpack
  * library allocates by the declared length. */
 TEST(FlowApply, DeclaredLengthsAreCheckedBeforeAllocation)
--- a/tests/test_flow_late.cc
+++ b/tests/test_flow_late.cc
@@ -61,6 +61,86 @@
 	}
 };
 
+static const char TASK[] = JOB_A ".0.0.0";
+
+/* Guards against the end of a wait that a change of the placer puts off: the
+ * successor must not wait for the leases of a worker that has been replaced. */
+TEST(FlowLate, SuccessorsDoNotWaitForTheLeasesOfAReplacedWorker)
+{
+	Standing play;
+
+	play.lose_starts = false;
+	play.worker().work_ms = 20000;
+	play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(2000);
+	play.sim.kill(play.vm);
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = 2500;
+	play.run_until(3000);
+	SimVm *b = play.sim.add_vm("b");
+	while (!fw_placer_active(b->placer))
+		play.run_until(play.sim.now_ms + 1);
+	EXPECT_LT(play.start_after_ms(TASK), 1000);
+	play.expect_no_violations();
+}
+
+/* The same where its entry names the next incarnation, which is gone too. */
+TEST(FlowLate, SuccessorsKnowTheAddressOfRunsOnAFormerIncarnation)
+{
+	Standing play;
+
+	play.lose_starts = false;
+	play.worker().work_ms = 20000;
+	play.worker().keeps_id = true;
+	play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(2000);
+	play.sim.kill(play.vm);
+	play.worker().restart(play.sim.now_ms);
+	SimVm *b = play.sim.add_vm("b");
+	play.worker().keeps_id = false;
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = 6000;
+	play.sim.back_publish_ms = 100;
+	play.run_until(6000);
+	ASSERT_TRUE(fw_placer_active(b->placer));
+	EXPECT_LT(play.start_after_ms(TASK), 1000);
+	play.expect_no_violations();
+}
+
+/* Guards against tasks that a successor holds back for the unanswered start of
+ * another task of their job. */
+TEST(FlowLate, SuccessorsHoldNoTaskForTheLateStartOfAnother)
+{
+	Standing play;
+	FlowSim &sim = play.sim;
+	SimWorker &other = sim.add_worker("w2");
+	auto set_accels = [&sim](SimVm *vm, const char *id, uint32_t accels) {
+		sim.change_host(vm, id, [accels](struct bd_host &host) {
+			host.accels = accels;
+		});
+	};
+
+	set_accels(play.vm, "w1", 1);
+	set_accels(play.vm, "w2", 1);
+	other.work_ms = 3000;
+	other.failing = true;
+	sim.submit(JOB_A, {FlowFixture::make_step(2, 1)});
+	play.run_until(3500); /* the late start is noted */
+	uint32_t held = sim.worker_of(play.vm, JOB_A, 0) == "w1" ? 0 : 1;
+	std::string task = JOB_A ".0.0." + std::to_string(1 - held);
+	ASSERT_FALSE(sim.run_checker.running[task].empty());
+	set_accels(play.vm, "w2", 0);
+	play.run_until(5000);
+	ASSERT_TRUE(sim.run_checker.running[task].empty());
+	sim.kill(play.vm);
+	other.failing = play.lose_starts = false;
+	SimVm *b = sim.add_vm("b");
+	while (!fw_placer_active(b->placer))
+		play.run_until(sim.now_ms + 1);
+	EXPECT_LT(play.start_after_ms(task), 1000);
+	play.expect_no_violations();
+}
+
 /* Guards against a run that counts as lost because a list that was asked for
  * later than one with the run was made before the run had started. */
 TEST(FlowLate, ListsMadeBeforeAStartDoNotEndTheRun)
