A task waits for a late start only where its worker is not known to refuse it

Callers: jobs stood for 11 to 13 s in calm, with free workers (LOST).

Cause: a start without an answer held its task for 13 s, until it can no longer arrive, whatever its worker said meanwhile. Only runs on other workers have to wait for that. The present incarnation of the worker refuses the start once it has listed the end of the run, or has carried out its stop and has listed its runs since; the next one would lose a run that is there before it can carry out the start.

Change: such a task is bound to its worker and placed there at once, the other members of its gang anywhere. Its start is sent, and repeated, only while all earlier runs of the task are known to be refused there. The needs of the earlier run and of the next one are counted once. A worker that does not answer holds its tasks as before, until it is gone: its entry has been missing for 2 s, it is silent and its leases have expired. Starts are repeated for 13 s in place of 6 s, as a task that is given up waits for as long; a worker that has left starts unanswered for 2.5 s gets new tasks as a last resort.

Where TWICE and LOST exclude each other the task waits: its worker is silent and has an entry, it is leaving, or it has left all starts of 13 s unanswered.

Evidence: TasksOfARestartedWorkerRunThereAgainAtOnce (11.2 s before), TasksOfADeadWorkerRunElsewhereOnceItsEntryIsGone (8.3 s after the entry was gone) and RunsOnARestartedWorkerAreAloneWhenTheLateStartArrives failed before.

The two tests with a listed late start give a run up 7 s later, as starts are repeated for that much longer; their times follow the constant.

--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -59,11 +59,6 @@
 static void note_crash(struct fw_worker_state *state, int64_t now_ms);
 static bool crashed_under(
     const struct fw_tables *tables, uint32_t worker, uint64_t flow);
-static bool any_ended_run_holds(const struct fw_tables *tables, int64_t now_ms);
-static bool awaits_late_start(struct fw_tables *tables,
-    const struct bd_flow *flow, uint32_t index, int64_t now_ms);
-static bool is_undecided(const struct fw_tables *tables,
-    const struct bd_flow *flow, uint32_t index, int64_t now_ms);
 
 /* Returns whether a run of a suspect task has started so recently that no other
  * job may use its worker. */
@@ -278,8 +273,8 @@
 
 /* Returns whether a task has lost its last run on a worker that was silent, of
  * which it may soon be known if it crashed. */
-static bool
-is_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
+bool
+fw_loss_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
     uint32_t index, int64_t now_ms)
 {
 	uint32_t found = fw_run_find(
@@ -289,78 +284,6 @@
 	    now_ms - tables->runs[found].silent_loss_ms < SILENT_LOSS_WAIT_MS;
 }
 
-/* Returns whether any task may have to wait for a late start. The tasks of
- * other runs do not wait to be placed. */
-static bool
-any_ended_run_holds(const struct fw_tables *tables, int64_t now_ms)
-{
-	uint32_t i;
-
-	for (i = 0; i < tables->run_count; i++) {
-		const struct fw_run *run = &tables->runs[i];
-
-		if (run->used &&
-		    (run->phase == FW_PHASE_ENDED ||
-			run->superseded_since_ms != 0) &&
-		    fw_run_holds_task(tables, run, now_ms))
-			return true;
-	}
-	return false;
-}
-
-/* Returns whether a task has to wait for a late start of an earlier run, and
- * logs that once. */
-static bool
-awaits_late_start(struct fw_tables *tables, const struct bd_flow *flow,
-    uint32_t index, int64_t now_ms)
-{
-	uint32_t found = fw_task_holder(tables, flow->id, index, now_ms);
-	struct fw_run *run;
-
-	if (found == FW_NONE)
-		return false;
-	run = &tables->runs[found];
-	if (!run->wait_logged)
-		ev_emit(EV_FLOW_START_AWAITED,
-		    "job=%s task=%u run=%u worker=%s start_unknown_ms_ago=%lld",
-		    flow->name, index, run->run,
-		    tables->worker_states[run->worker].name,
-		    (long long)(now_ms - run->uncertain_ms));
-	run->wait_logged = true;
-	return true;
-}
-
-/* Leaves out the groups of which an earlier run may still be started, and those
- * of suspect jobs whose last loss is undecided: the crash, if it was one, has
- * to be counted before the next start. */
-void
-fw_groups_defer(struct fw_groups *groups, const struct fw_view *view,
-    struct fw_tables *tables)
-{
-	bool any_late = any_ended_run_holds(tables, view->now_ms);
-	uint32_t kept = 0;
-	uint32_t i;
-	uint32_t n;
-
-	for (i = 0; i < groups->count; i++) {
-		const struct fw_group *group = &groups->items[i];
-		const struct bd_flow *flow =
-		    fw_job_current(&view->jobs[group->job]);
-		bool wait = false;
-
-		for (n = group->first; n < group->first + group->count; n++)
-			wait = wait ||
-			    (any_late &&
-				awaits_late_start(
-				    tables, flow, n, view->now_ms)) ||
-			    (group->suspect &&
-				is_undecided(tables, flow, n, view->now_ms));
-		if (!wait)
-			groups->items[kept++] = *group;
-	}
-	groups->count = kept;
-}
-
 /* Returns whether a worker crashed under a run of a job. */
 static bool
 crashed_under(const struct fw_tables *tables, uint32_t worker, uint64_t flow)
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -89,8 +89,10 @@
 		if (worker->failed_count > 0 &&
 		    view->now_ms - worker->failed_ms < SUSPECT_MS) {
 			host->suspect = true;
-			if (worker->failed_count > 1)
+			if (worker->failed_count > 1) {
+				host->failing = host->schedulable;
 				host->schedulable = false;
+			}
 		}
 	}
 	view->lists_pending = missing * LISTS_MISSING_PART > view->host_count &&
@@ -405,6 +407,8 @@
 {
 	struct waiting *waiting = ctx;
 
+	if (group->bound)
+		return;
 	if (group->priority == 0)
 		fw_preempt_for_group(&waiting->preempt, view, group);
 	else
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -154,6 +154,7 @@
 	bool start_uncertain; /* an unanswered start may still be carried out */
 	bool start_assumed;   /* by an earlier placer, as far as rows tell */
 	bool start_silent;    /* its last start timed out; it may be cut off */
+	bool start_given_up;  /* no start was answered for long */
 	bool stop_late_start; /* has ended; an unanswered start is revoked */
 	bool stop_requested;  /* is to be stopped */
 	bool stop_acked;      /* the worker has answered the stop */
@@ -187,6 +188,7 @@
 	struct fw_room late;      /* needed by starts that may still arrive */
 	bool schedulable;         /* may be given new runs */
 	bool suspect;             /* a run failed there recently */
+	bool failing;             /* not schedulable for that reason alone */
 	bool urgent;              /* reserved for jobs of priority 0 */
 	uint32_t same_step_tasks; /* placed tasks of the current group's step */
 	uint64_t tenant; /* id of the job whose tasks it has, 0: none */
@@ -208,6 +210,21 @@
 	uint32_t index;
 };
 
+/* A task that may use one worker only, by indexes in the view. */
+struct fw_view_bound {
+	uint32_t job;
+	uint32_t index;
+	uint32_t host;
+	bool late; /* the worker's late needs include one run of it */
+};
+
+/* Where the next run of a task may be, the strictest last. */
+enum fw_binding {
+	FW_BOUND_NOWHERE,   /* anywhere */
+	FW_BOUND_TO_WORKER, /* on the worker of an earlier run */
+	FW_BOUND_TO_WAIT,   /* nowhere yet */
+};
+
 /* Ended jobs whose progress records one decision deletes. */
 #define FW_PRUNE_MAX 16
 
@@ -238,6 +255,9 @@
 	struct fw_view_task *alive; /* wait, but a worker lists a run */
 	uint32_t alive_count;
 	uint32_t alive_capacity;
+	struct fw_view_bound *bound;
+	uint32_t bound_count;
+	uint32_t bound_capacity;
 	const struct fw_victim *indexed_victims; /* by fw_reclaim, or NULL */
 	uint32_t *host_positions; /* index in hosts by handle index */
 	uint32_t *job_positions;  /* index in jobs by handle index */
@@ -256,6 +276,7 @@
 	bool suspect;     /* its job may crash workers: it is tried apart */
 	bool shares;      /* a suspect that may use workers of other jobs */
 	bool joins;       /* and those on which other suspects are tried */
+	bool bound;       /* some of its tasks may use one worker only */
 	uint64_t work;    /* of the whole job, in core-milliseconds */
 };
 
@@ -274,6 +295,10 @@
     struct fw_view *view, const struct fw_tables *tables);
 bool fw_view_any_alive(
     const struct fw_view *view, uint32_t job, uint32_t first, uint32_t count);
+bool fw_view_bind(struct fw_view *view, uint32_t job, uint32_t index,
+    uint32_t host, bool late);
+const struct fw_view_bound *fw_view_bound_of(
+    const struct fw_view *view, uint32_t job, uint32_t index);
 uint32_t fw_view_host_index(const struct fw_view *view, uint64_t id);
 uint32_t fw_view_job_index(const struct fw_view *view, uint64_t id);
 void fw_host_adjust_free(
@@ -306,8 +331,8 @@
 int64_t fw_view_free_accels(const struct fw_view *view);
 
 int fw_groups_ready(struct fw_groups *groups, const struct fw_view *view);
-void fw_groups_defer(struct fw_groups *groups, const struct fw_view *view,
-    struct fw_tables *tables);
+void fw_groups_defer(
+    struct fw_groups *groups, struct fw_view *view, struct fw_tables *tables);
 void fw_groups_sort(struct fw_groups *groups);
 void fw_groups_free(struct fw_groups *groups);
 
@@ -450,6 +475,8 @@
 void fw_tables_free(struct fw_tables *tables);
 uint32_t fw_worker_state_find(const struct fw_tables *tables, uint64_t host);
 uint32_t fw_worker_state_get(struct fw_tables *tables, uint64_t host);
+uint32_t fw_run_first(
+    const struct fw_tables *tables, uint64_t flow, uint32_t index);
 uint32_t fw_run_find(const struct fw_tables *tables, uint64_t flow,
     uint32_t index, uint32_t run);
 uint32_t fw_run_add(struct fw_tables *tables, uint64_t flow, uint32_t index,
@@ -460,6 +487,8 @@
     struct fw_tables *tables, struct fw_run *run, int64_t now_ms);
 bool fw_restarted_since_start(
     const struct fw_run *run, const struct fw_report *report);
+bool fw_loss_undecided(const struct fw_tables *tables,
+    const struct bd_flow *flow, uint32_t index, int64_t now_ms);
 bool fw_silent_loss_decide(
     struct fw_tables *tables, struct fw_run *run, int64_t now_ms);
 void fw_crash_describe(const struct fw_tables *tables, const struct fw_run *run,
@@ -520,12 +549,17 @@
 bool fw_worker_state_clock_is_back(
     const struct fw_worker_state *worker, const struct fw_report *report);
 int64_t fw_worker_state_latest_ms(const struct fw_worker_state *worker);
+bool fw_worker_list_is_current(const struct fw_worker_state *worker);
 bool fw_run_has_unknown_start(const struct fw_run *run);
 bool fw_run_may_arrive(const struct fw_run *run, int64_t now_ms);
 bool fw_run_holds_task(
     const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms);
-uint32_t fw_task_holder(const struct fw_tables *tables, uint64_t flow,
-    uint32_t index, int64_t now_ms);
+bool fw_run_is_refused(
+    const struct fw_tables *tables, const struct fw_run *run);
+enum fw_binding fw_task_binding(const struct fw_tables *tables, uint64_t flow,
+    uint32_t index, int64_t now_ms, uint32_t *run);
+bool fw_start_is_alone(
+    const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms);
 bool fw_run_is_current(const struct bd_board *board, const struct fw_run *run);
 bool fw_run_is_pending_late(const struct fw_run *run);
 const struct bd_flow *fw_task_lookup(const struct bd_board *board,
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -47,8 +47,9 @@
 #define FW_ORDER_TIMEOUT_MS 1200
 /* An order without an answer is carried out within this time, or never. */
 #define FW_ORDER_LATE_MAX_MS 13000
-/* A start is repeated for this long while its worker answers other calls. */
-#define FW_START_REPEATED_MS 6000
+/* A start is repeated for this long while its worker answers other calls: for
+ * no shorter than its task would have to wait for it once it is given up. */
+#define FW_START_REPEATED_MS FW_ORDER_LATE_MAX_MS
 
 /* Context of an order in flight; its callback adds it to the placer's inbox. */
 struct fw_call {
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -38,7 +38,6 @@
 static void send_stop(struct fw_placer *placer, struct fw_run *run);
 static void send_run_order(
     struct fw_placer *placer, struct fw_run *run, struct fw_order *order);
-static bool list_is_current(const struct fw_worker_state *worker);
 static void send_hold(
     struct fw_placer *placer, struct fw_worker_state *worker, int64_t now_ms);
 static bool has_room(struct fw_placer *placer, const struct fw_run *starting,
@@ -303,7 +302,8 @@
 	}
 	if (run->phase != FW_PHASE_STARTING || worker->clock_read_ms == 0 ||
 	    fw_worker_state_entry_outdated(worker) ||
-	    !fw_jobs_recent(placer, now_ms))
+	    !fw_jobs_recent(placer, now_ms) ||
+	    !fw_start_is_alone(&placer->tables, run, now_ms))
 		return;
 	if (!fw_start_is_covered(
 		flow, run, placer->parts.wall_ms(placer->parts.ctx))) {
@@ -342,16 +342,6 @@
 	    worker->end_ack_sent < worker->end_ack;
 }
 
-/* Returns whether the worker has not started again since its latest list, as
- * far as is known: the numbers in that list mean other ends to a new
- * incarnation. */
-static bool
-list_is_current(const struct fw_worker_state *worker)
-{
-	return worker->unresponsive_since_ms == 0 &&
-	    worker->report.sent_ms > worker->list_from_ms;
-}
-
 /* Sends a hold, which renews the leases of all runs of a worker that answers.
  */
 static void
@@ -372,10 +362,11 @@
 		(uint32_t)(worker - placer->tables.worker_states)))
 		order.until_ms = fw_worker_state_lease_until(
 		    worker, now_ms, placer->parts.settings.lease_ms);
-	if (worker->end_ack_sent < worker->end_ack && list_is_current(worker))
+	if (worker->end_ack_sent < worker->end_ack &&
+	    fw_worker_list_is_current(worker))
 		order.end_ack = worker->end_ack;
 	order.wait_ms = !worker->reported || idle || worker->probe_due ||
-		!list_is_current(worker)
+		!fw_worker_list_is_current(worker)
 	    ? 0
 	    : worker->unresolved_runs > 0 ? HOLD_WAIT_SHORT_MS
 					  : HOLD_WAIT_MS;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -40,6 +40,10 @@
     const struct fw_group *group, const struct bd_flow_step *step);
 static uint32_t best_host(
     struct fw_view *view, const struct fw_group *group, uint32_t rack);
+static uint32_t bound_host(struct fw_view *view, const struct fw_group *group,
+    uint32_t rack, const struct fw_view_bound *bound);
+static uint32_t host_for(struct fw_view *view, const struct fw_group *group,
+    uint32_t rack, const struct fw_view_bound *bound);
 static bool fit_one_rack(
     struct fw_view *view, const struct fw_group *group, uint32_t *hosts);
 static bool leaves_urgent_backlog(
@@ -223,28 +227,79 @@
 	return best;
 }
 
-/* Tries to fit a whole group into one rack, or anywhere with FW_ANY_RACK.
- * Subtracts its capacity from the workers only if all tasks fit. */
+/* Returns the worker to which a task is bound, or FW_NONE if the task does not
+ * fit there now or it is not on the rack. The needs of an earlier run of the
+ * task that may be late are those of the task itself. A worker on which runs
+ * fail is better than none. */
+static uint32_t
+bound_host(struct fw_view *view, const struct fw_group *group, uint32_t rack,
+    const struct fw_view_bound *bound)
+{
+	const struct bd_flow_step *step = step_of(view, group);
+	struct fw_host_view *host = &view->hosts[bound->host];
+	struct fw_host_view saved = *host;
+	enum company company;
+	uint32_t first;
+	uint32_t end = fw_view_rack_hosts(view, rack, &first);
+
+	if (bound->host < first || bound->host >= end ||
+	    (step->host_max > 0 && host->same_step_tasks >= step->host_max))
+		return FW_NONE;
+	host->schedulable = host->schedulable || host->failing;
+	if (bound->late) {
+		host->late.memory_mb -= step->memory_mb;
+		host->late.accels -= step->accels;
+		if ((step->flags & BD_STEP_FILLS) == 0)
+			host->late.cores_milli -= step->cores_milli;
+	}
+	company = company_on(view, group, step, bound->host);
+	*host = saved;
+	return company == COMPANY_REFUSED ? FW_NONE : bound->host;
+}
+
+/* Returns the worker for one task of a group, or FW_NONE if it fits on none. */
+static uint32_t
+host_for(struct fw_view *view, const struct fw_group *group, uint32_t rack,
+    const struct fw_view_bound *bound)
+{
+	return bound != NULL ? bound_host(view, group, rack, bound)
+			     : best_host(view, group, rack);
+}
+
+/* Tries to fit a whole group into one rack, or anywhere with FW_ANY_RACK, the
+ * tasks that are bound to a worker first. Subtracts its capacity from the
+ * workers only if all tasks fit. */
 bool
 fw_group_fit_rack(struct fw_view *view, const struct fw_group *group,
     uint32_t rack, uint32_t *hosts)
 {
 	const struct bd_flow_step *step = step_of(view, group);
+	uint32_t steps = group->bound ? 2 * group->count : group->count;
+	bool fits = true;
 	uint32_t n;
 
 	fw_group_count_tasks(view, group);
-	for (n = 0; n < group->count; n++) {
-		hosts[n] = best_host(view, group, rack);
-		if (hosts[n] == FW_NONE)
+	for (n = 0; n < group->count; n++)
+		hosts[n] = FW_NONE;
+	for (n = 0; fits && n < steps; n++) {
+		uint32_t task = n % group->count;
+		const struct fw_view_bound *bound = group->bound
+		    ? fw_view_bound_of(view, group->job, group->first + task)
+		    : NULL;
+
+		if ((bound != NULL) != (n < steps - group->count))
+			continue;
+		hosts[task] = host_for(view, group, rack, bound);
+		fits = hosts[task] != FW_NONE;
+		if (!fits)
 			break;
-		fw_host_adjust_free(&view->hosts[hosts[n]], step, -1);
-		view->hosts[hosts[n]].same_step_tasks++;
+		fw_host_adjust_free(&view->hosts[hosts[task]], step, -1);
+		view->hosts[hosts[task]].same_step_tasks++;
 	}
-	if (n == group->count)
-		return true;
-	while (n > 0)
-		fw_host_adjust_free(&view->hosts[hosts[--n]], step, 1);
-	return false;
+	for (n = 0; !fits && n < group->count; n++)
+		if (hosts[n] != FW_NONE)
+			fw_host_adjust_free(&view->hosts[hosts[n]], step, 1);
+	return fits;
 }
 
 /* Tries the racks with enough free accelerators, the fullest one first, so that
@@ -419,6 +474,7 @@
 		 * fit, neither does the next. */
 		if (i > 0 && last_failed && group->job == group[-1].job &&
 		    group->step == group[-1].step && group->count == 1 &&
+		    !group->bound && !group[-1].bound &&
 		    group->shares == group[-1].shares &&
 		    group->joins == group[-1].joins)
 			continue;
--- a/lib/flow/reservations.c
+++ b/lib/flow/reservations.c
@@ -97,7 +97,7 @@
 	uint32_t hosts[FW_TASKS_MAX];
 	bool placed;
 
-	if (group == NULL || group->suspect ||
+	if (group == NULL || group->suspect || group->bound ||
 	    view->now_ms - reservation->created_ms > RESERVATION_MAX_MS ||
 	    !find_hosts(view, reservation, hosts))
 		return false;
--- a/lib/flow/room.c
+++ b/lib/flow/room.c
@@ -128,9 +128,9 @@
 		(run->phase == FW_PHASE_RUNNING && run->last_listed_ms == 0));
 }
 
-/* Sums up what the other runs than starting need that an incarnation of their
- * worker may start that has not listed its runs yet; in_flight: also those
- * whose start is being sent. Call within a read section. */
+/* Sums up what runs of other tasks than starting need that an incarnation of
+ * their worker may start that has not listed its runs yet; in_flight: also
+ * those whose start is being sent. Call within a read section. */
 void
 fw_room_late(const struct fw_tables *tables, const struct bd_board *board,
     const struct fw_run *starting, bool in_flight, int64_t now_ms,
@@ -142,7 +142,9 @@
 	for (; i != FW_NONE; i = tables->runs[i].worker_next) {
 		const struct fw_run *run = &tables->runs[i];
 
-		if (run != starting && fw_run_meets_late(run, now_ms) &&
+		if (!(run->flow == starting->flow &&
+			run->index == starting->index) &&
+		    fw_run_meets_late(run, now_ms) &&
 		    (in_flight || !run->start_in_flight))
 			add_task(late, board, &run->task);
 	}
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -9,6 +9,8 @@
 /* A gang that is not complete within this part of gang_timeout_ms is stopped as
  * a whole, before its workers give up on it. */
 #define GANG_START_MILLI 600
+/* A worker that has left a start unanswered for this long is avoided. */
+#define START_SLOW_MS 2500
 /* The entry of a silent worker is deleted after three heartbeats; a draining
  * worker writes its entry with each one. */
 #define LEFT_HEARTBEATS_MAX 2
@@ -256,6 +258,9 @@
 	if (flow == NULL || run->stop_requested)
 		return false;
 	fw_run_note_pace(&placer->tables, flow, run);
+	if (run->phase == FW_PHASE_STARTING && run->start_uncertain &&
+	    now_ms - run->placed_ms > START_SLOW_MS)
+		worker->unanswered_ms = now_ms;
 	if (fw_flow_ended(flow) || flow->cancelled != 0)
 		fw_run_stop(placer, run, "job_ended");
 	else if (!gang_intact(placer, flow, run, now_ms))
@@ -263,7 +268,7 @@
 	else if (run->phase == FW_PHASE_STARTING &&
 	    now_ms - run->placed_ms > FW_START_REPEATED_MS) {
 		fw_run_stop(placer, run, "start_unanswered");
-		worker->unanswered_ms = now_ms;
+		run->start_given_up = true;
 	} else if (host != NULL && host->leaving != 0 &&
 	    (run->phase == FW_PHASE_STARTING ||
 		should_migrate(flow, run, host, now_ms)))
@@ -372,15 +377,18 @@
 	    remaining_ms;
 }
 
-/* Asks a worker for a list as soon as a late start can no longer arrive there.
- * The answer to a long poll may take some seconds more. */
+/* Asks a worker for a list as soon as a late start is refused or can no longer
+ * arrive there. The answer to a long poll may take some seconds more. */
 static void
 probe_after_late_start(
     struct fw_worker_state *worker, const struct fw_run *run, int64_t now_ms)
 {
 	int64_t arrived_ms = run->uncertain_ms + FW_ORDER_LATE_MAX_MS;
+	int64_t since_ms = run->stop_acked && now_ms <= arrived_ms
+	    ? run->listed_from_ms
+	    : arrived_ms;
 
-	if (now_ms > arrived_ms && worker->hold_sent_ms <= arrived_ms &&
+	if (now_ms > since_ms && worker->hold_sent_ms <= since_ms &&
 	    worker->unresponsive_since_ms == 0)
 		worker->probe_due = true;
 }
--- a/lib/flow/tables.c
+++ b/lib/flow/tables.c
@@ -121,6 +121,14 @@
 	return (uint32_t)(cw_id_from_pair(flow, index) % BUCKETS);
 }
 
+/* Returns the first run of the bucket of a task; the others of that bucket
+ * follow by their next. */
+uint32_t
+fw_run_first(const struct fw_tables *tables, uint64_t flow, uint32_t index)
+{
+	return tables->buckets[bucket_of(flow, index)];
+}
+
 /* Returns the handle of a run, or FW_NONE. */
 uint32_t
 fw_run_find(
@@ -236,72 +244,14 @@
 	    : worker->incarnation_ms;
 }
 
-/* Returns whether a start of a run has or may have had no answer, so that it
- * may not have been carried out yet. The only start of a run that has begun
- * has. */
-bool
-fw_run_has_unknown_start(const struct fw_run *run)
-{
-	if (run->starts == 1 && run->began)
-		return false;
-	return run->start_in_flight || run->start_uncertain ||
-	    run->start_assumed;
-}
-
-/* Returns whether an unanswered start of a run may still reach its worker. */
+/* Returns whether the worker has not started again since its latest list, as
+ * far as is known: the numbers in that list mean other ends to a new
+ * incarnation. */
 bool
-fw_run_may_arrive(const struct fw_run *run, int64_t now_ms)
-{
-	return fw_run_has_unknown_start(run) &&
-	    (run->start_in_flight ||
-		now_ms - run->uncertain_ms < FW_ORDER_LATE_MAX_MS);
-}
-
-/*
- * Returns whether no other run of a task may be started for the sake of this
- * one: an unanswered start of it may still be carried out, by an incarnation
- * that nobody can have told to refuse it, or may have been carried out by one
- * that has not listed its runs since and whose leases may be valid. A worker
- * without an entry is taken to be gone by then: the latter would leave its
- * tasks without a run for too long.
- */
-bool
-fw_run_holds_task(
-    const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms)
-{
-	const struct fw_worker_state *worker =
-	    &tables->worker_states[run->worker];
-	int64_t arrived_ms = run->uncertain_ms + FW_ORDER_LATE_MAX_MS;
-	int64_t granted_ms = worker->grant_unknown_ms + FW_ORDER_LATE_MAX_MS;
-
-	if (!fw_run_has_unknown_start(run))
-		return false;
-	if (fw_address_taken_over(worker, run) ||
-	    (run->phase == FW_PHASE_ENDED && run->over == FW_OVER_WORKER_GONE))
-		return false;
-	if (run->start_in_flight || now_ms < arrived_ms)
-		return true;
-	if (worker->report.sent_ms > arrived_ms || !worker->registered)
-		return false;
-	if (granted_ms < arrived_ms)
-		granted_ms = arrived_ms;
-	return now_ms <= granted_ms + tables->lease_max_ms;
-}
-
-/* Returns the handle of a run for the sake of which no other run of its task
- * may be started, or FW_NONE. */
-uint32_t
-fw_task_holder(const struct fw_tables *tables, uint64_t flow, uint32_t index,
-    int64_t now_ms)
+fw_worker_list_is_current(const struct fw_worker_state *worker)
 {
-	uint32_t i = tables->buckets[bucket_of(flow, index)];
-
-	for (; i != FW_NONE; i = tables->runs[i].next)
-		if (tables->runs[i].flow == flow &&
-		    tables->runs[i].index == index &&
-		    fw_run_holds_task(tables, &tables->runs[i], now_ms))
-			return i;
-	return FW_NONE;
+	return worker->unresponsive_since_ms == 0 &&
+	    worker->report.sent_ms > worker->list_from_ms;
 }
 
 /* Returns whether a run is still the current one of its task in the job's row.
@@ -318,14 +268,6 @@
 	return task->state == BD_STEP_TASK_PLACED && task->run == run->run;
 }
 
-/* Returns whether an ended run may still be started: the stop that revokes an
- * unanswered start of it has not been answered. */
-bool
-fw_run_is_pending_late(const struct fw_run *run)
-{
-	return run->used && run->stop_late_start && !run->stop_acked;
-}
-
 /* Returns the job of a task and sets *index, or returns NULL if the job or the
  * task is unknown. Call within a read section. */
 const struct bd_flow *
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -369,6 +369,7 @@
 		free(view->jobs[i].copy);
 	free(view->jobs);
 	free(view->alive);
+	free(view->bound);
 	free(view->hosts);
 	free(view->host_positions);
 	free((void *)view->racks);
@@ -376,7 +377,9 @@
 	free(view->job_positions);
 	view->jobs = NULL;
 	view->alive = NULL;
+	view->bound = NULL;
 	view->alive_count = view->alive_capacity = 0;
+	view->bound_count = view->bound_capacity = 0;
 	view->hosts = NULL;
 	view->host_positions = view->job_positions = NULL;
 	view->racks = NULL;
@@ -397,6 +400,41 @@
 	return map[handle.index];
 }
 
+/* Binds a task to a worker. Returns false if out of memory. */
+bool
+fw_view_bind(struct fw_view *view, uint32_t job, uint32_t index, uint32_t host,
+    bool late)
+{
+	if (view->bound_count == view->bound_capacity) {
+		uint32_t capacity =
+		    view->bound_capacity == 0 ? 16 : view->bound_capacity * 2;
+		struct fw_view_bound *grown =
+		    realloc(view->bound, capacity * sizeof(*grown));
+
+		if (grown == NULL) {
+			ev_emit(EV_FLOW_NO_MEMORY, "what=view");
+			return false;
+		}
+		view->bound = grown;
+		view->bound_capacity = capacity;
+	}
+	view->bound[view->bound_count++] =
+	    (struct fw_view_bound){job, index, host, late};
+	return true;
+}
+
+/* Returns to which worker a task is bound, or NULL if to none. */
+const struct fw_view_bound *
+fw_view_bound_of(const struct fw_view *view, uint32_t job, uint32_t index)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->bound_count; i++)
+		if (view->bound[i].job == job && view->bound[i].index == index)
+			return &view->bound[i];
+	return NULL;
+}
+
 /* Returns the index of a worker in the view, or FW_NONE. */
 uint32_t
 fw_view_host_index(const struct fw_view *view, uint64_t id)
--- a/tests/test_flow_late.cc
+++ b/tests/test_flow_late.cc
@@ -63,6 +63,65 @@
 
 static const char TASK[] = JOB_A ".0.0.0";
 
+/* Guards against a task that waits until no start of it can arrive any more
+ * although its worker, which has started again, has refused them. */
+TEST(FlowLate, TasksOfARestartedWorkerRunThereAgainAtOnce)
+{
+	Standing play;
+
+	play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(1500);
+	play.worker().keeps_id = true;
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = 3000;
+	play.run_until(3000);
+	play.lose_starts = false;
+	EXPECT_LT(play.start_after_ms(TASK), 3000);
+	play.run_until(30000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, play.sim.state(play.vm, JOB_A));
+	play.expect_no_violations();
+}
+
+/* Guards against a second run beside a late start of the first one. */
+TEST(FlowLate, RunsOnARestartedWorkerAreAloneWhenTheLateStartArrives)
+{
+	for (int64_t back_ms = 12000; back_ms <= 12600; back_ms += 20) {
+		Standing play;
+
+		play.worker().work_ms = 20000;
+		play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+		play.run_until(1500);
+		play.worker().keeps_id = true;
+		play.worker().crash(play.sim.now_ms);
+		play.worker().back_ms = 3000;
+		play.run_until(3000);
+		play.lose_starts = false;
+		ASSERT_LT(play.start_after_ms(TASK), 3000);
+		play.run_until(11900);
+		play.worker().crash(play.sim.now_ms);
+		play.worker().back_ms = back_ms;
+		play.run_until(40000);
+		SCOPED_TRACE("back at " + std::to_string(back_ms));
+		play.expect_no_violations();
+	}
+}
+
+/* Guards against a task that waits for a start at a worker that is gone. */
+TEST(FlowLate, TasksOfADeadWorkerRunElsewhereOnceItsEntryIsGone)
+{
+	Standing play;
+
+	play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(1500);
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = INT64_MAX;
+	play.sim.add_worker("w2");
+	play.run_until(1500 + 4500); /* three heartbeats of silence */
+	play.sim.remove_host(play.vm, "w1");
+	EXPECT_LT(play.start_after_ms(TASK), 2500);
+	play.expect_no_violations();
+}
+
 /* Guards against the end of a wait that a change of the placer puts off: the
  * successor must not wait for the leases of a worker that has been replaced. */
 TEST(FlowLate, SuccessorsDoNotWaitForTheLeasesOfAReplacedWorker)
--- a/tests/test_flow_late_takeover.cc
+++ b/tests/test_flow_late_takeover.cc
@@ -5,7 +5,8 @@
 /* The last start of a task on w1 that is not answered arrives 12 s later, when
  * w1 has started again and cannot be reached for another second. */
 struct ListedLateStart {
-	static constexpr int64_t ARRIVE_MS = 19200;
+	static constexpr int64_t LAST_START_MS = 800 + FW_START_REPEATED_MS;
+	static constexpr int64_t ARRIVE_MS = LAST_START_MS + 12000;
 	LateStarts play;
 
 	ListedLateStart()
@@ -24,7 +25,7 @@
 			return fault;
 		};
 		sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
-		play.run_until(10000);
+		play.run_until(LAST_START_MS + 3200);
 		sim.add_worker("w2").work_ms = 60000;
 		sim.unreachable_workers.insert("w1");
 		play.crash(ARRIVE_MS - 1);
@@ -41,12 +42,12 @@
 	ListedLateStart late;
 	LateStarts &play = late.play;
 
-	while (!play.worker().called && play.sim.now_ms < 24000)
+	while (!play.worker().called && play.sim.now_ms < late.ARRIVE_MS + 4800)
 		play.run_until(play.sim.now_ms + 1);
 	play.run_until(play.sim.now_ms + 300);
-	ASSERT_LT(play.sim.now_ms, 25000);
+	ASSERT_LT(play.sim.now_ms, late.ARRIVE_MS + 5800);
 	play.sim.unreachable_workers.insert("w1");
-	play.run_until(40000);
+	play.run_until(late.ARRIVE_MS + 20800);
 	play.expect_no_violations(late.ARRIVE_MS);
 }
 
@@ -56,12 +57,12 @@
 	ListedLateStart late;
 	LateStarts &play = late.play;
 
-	play.run_until(32000);
+	play.run_until(late.ARRIVE_MS + 12800);
 	EXPECT_EQ(1, play.sim.run_checker.starts);
 	play.sim.add_vm("b");
 	play.sim.kill(play.vm);
 	play.sim.unreachable_workers.insert("w1");
-	play.run_until(60000);
+	play.run_until(late.ARRIVE_MS + 40800);
 	play.expect_no_violations(late.ARRIVE_MS);
 }
 
