Ages of what was never read or sent are shown as -1

fw_age_shown_ms turns the age of an unread copy into -1. The fence notes its time. Decisions use the ages as before.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -153,7 +153,9 @@
 		    worker->report.sent_ms == 0
 			? -1LL
 			: (long long)(now_ms - worker->report.sent_ms),
-		    (long long)(worker->lease_end_ms - now_ms),
+		    worker->lease_end_ms == 0
+			? -1LL
+			: (long long)(worker->lease_end_ms - now_ms),
 		    run->uncertain_ms == 0
 			? -1LL
 			: (long long)(now_ms - run->uncertain_ms),
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -366,6 +366,7 @@
 uint64_t fw_follower_position(const struct fw_follower *follower);
 bool fw_follower_stalled(const struct fw_follower *follower, int64_t now_ms);
 int64_t fw_follower_age_ms(const struct fw_follower *follower, int64_t now_ms);
+int64_t fw_age_shown_ms(int64_t age_ms);
 
 struct fw_duty;
 
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -13,6 +13,8 @@
 /* The store counts as unreachable when an answer is late by this much. It
  * answers within a few ms, or within a few hundred ms while it is slow. */
 #define ANSWER_OVERDUE_MS 700
+/* A copy that was never read has a larger age. */
+#define AGE_KNOWN_MAX_MS (INT64_MAX / 4)
 
 struct fw_follower {
 	struct bd_board *board;
@@ -537,6 +539,14 @@
 	    (int64_t)follower->spec.wait_ms + ANSWER_OVERDUE_MS;
 }
 
+/* Returns an age as it is written to logs and metrics: -1 for a copy that was
+ * never read. */
+int64_t
+fw_age_shown_ms(int64_t age_ms)
+{
+	return age_ms > AGE_KNOWN_MAX_MS ? -1 : age_ms;
+}
+
 /* Returns the age of this process's copy of the topic in ms: the time since the
  * last read that reached the end of the log was sent. */
 int64_t
--- a/lib/flow/writer.c
+++ b/lib/flow/writer.c
@@ -128,8 +128,10 @@
 		}
 		handle_failure(writer, result, now_ms);
 	}
-	if (now_ms >= writer->retry_ms && send_append(writer, &call))
+	if (now_ms >= writer->retry_ms && send_append(writer, &call)) {
+		writer->sent_ms = now_ms;
 		writer->retry_ms = INT64_MAX;
+	}
 	return false;
 }
 
--- a/tests/test_flow_follow.cc
+++ b/tests/test_flow_follow.cc
@@ -348,3 +348,12 @@
 	EXPECT_EQ((std::vector<std::string>{"j/1", "j/1", "j/2", "j/3"}),
 	    store.applied);
 }
+
+/* 4611686018430392589 ms, the age of a copy that was never read, was logged. */
+TEST(FlowFollow, AgeOfACopyThatWasNeverReadIsShownAsUnknown)
+{
+	EXPECT_EQ(-1, fw_age_shown_ms(4611686018430392589));
+	EXPECT_EQ(-1, fw_age_shown_ms(3481485 - INT64_MIN / 2));
+	EXPECT_EQ(0, fw_age_shown_ms(0));
+	EXPECT_EQ(86400000, fw_age_shown_ms(86400000));
+}
