Waits of tasks that are ready are logged with the rule behind them

After each decision, lib/flow/waits.c notes the groups that are ready and not placed in a table of up to 16,384 entries, which ends with the term. A wait of over 0.5 s is looked at each 0.5 s: lib/flow/wait_cause.c finds its rule in the same view, or, by counting what each worker lacks, why there is no room. Waits of over 1 s are logged when they get there, when their reason changes, and when they are over: 1143 and 1144, each line with the ids of up to some 35 jobs, at most 13 lines of a number each 0.5 s, which stays below the log's limit of 40 a second.

test_flow_waits: beside 400 jobs without room, the job that waits for a late start is found by its id with reason=late_start, both in the events and behind the limit of the standard output; 3,000 waiting jobs are all named within the limit.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -121,3 +121,5 @@
 EV(1140, EV_FLOW_CRASHED, EV_LEVEL_WARN, "worker crashed under a run")
 EV(1141, EV_FLOW_GIVEN_UP, EV_LEVEL_WARN, "job given up after crashes")
 EV(1142, EV_FLOW_HELD, EV_LEVEL_INFO, "call held while the store is away")
+EV(1143, EV_FLOW_WAITS, EV_LEVEL_INFO, "tasks that are ready wait")
+EV(1144, EV_FLOW_WAITS_OVER, EV_LEVEL_INFO, "waits of tasks are over")
--- a/lib/flow/advance.c
+++ b/lib/flow/advance.c
@@ -245,6 +245,7 @@
 		in_ms = choose_hosts(advance, view, group, FW_ANY_RACK, hosts);
 	if (in_ms == INT64_MAX)
 		return;
+	fw_group_note_kept(view, group, hosts);
 	advance->gangs++;
 	advance->accels += need;
 }
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -62,8 +62,6 @@
 static bool any_ended_run_holds(const struct fw_tables *tables, int64_t now_ms);
 static bool awaits_late_start(struct fw_tables *tables,
     const struct bd_flow *flow, uint32_t index, int64_t now_ms);
-static bool is_undecided(const struct fw_tables *tables,
-    const struct bd_flow *flow, uint32_t index, int64_t now_ms);
 
 /* Returns whether a run of a suspect task has started so recently that no other
  * job may use its worker. */
@@ -278,8 +276,8 @@
 
 /* Returns whether a task has lost its last run on a worker that was silent, of
  * which it may soon be known if it crashed. */
-static bool
-is_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
+bool
+fw_task_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
     uint32_t index, int64_t now_ms)
 {
 	uint32_t found = fw_run_find(
@@ -354,7 +352,8 @@
 				awaits_late_start(
 				    tables, flow, n, view->now_ms)) ||
 			    (group->suspect &&
-				is_undecided(tables, flow, n, view->now_ms));
+				fw_task_undecided(
+				    tables, flow, n, view->now_ms));
 		if (!wait)
 			groups->items[kept++] = *group;
 	}
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -443,6 +443,8 @@
 		fw_groups_sort(&groups);
 		fw_trials_hold(&view, &groups);
 		fw_place(&view, &groups, on_blocked, &waiting);
+		fw_waits_note(&placer->waits, &view, &placer->tables,
+		    placer->reservations, placer->term);
 		fw_groups_free(&groups);
 	} else
 		ev_emit(EV_FLOW_NO_MEMORY, "what=groups");
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -184,6 +184,7 @@
 	uint32_t first_victim; /* range in the victims of fw_reclaim */
 	uint32_t victim_count;
 	struct fw_room late;      /* needed by starts that may still arrive */
+	struct fw_room kept;      /* not free, but kept for waiting groups */
 	bool schedulable;         /* may be given new runs */
 	bool suspect;             /* a run failed there recently */
 	bool urgent;              /* reserved for jobs of priority 0 */
@@ -242,6 +243,11 @@
 	uint32_t *job_positions;  /* index in jobs by handle index */
 };
 
+/* Largest number of workers that one decision examines, summed over its groups,
+ * which takes some ms of processor time; the remaining groups wait for the next
+ * decision. */
+#define FW_HOSTS_SCANNED_MAX 150000
+
 /* Tasks that are placed together: a gang, or a single task. */
 struct fw_group {
 	uint32_t job; /* index in the view */
@@ -275,6 +281,8 @@
     const struct fw_view *view, uint32_t job, uint32_t first, uint32_t count);
 uint32_t fw_view_host_index(const struct fw_view *view, uint64_t id);
 uint32_t fw_view_job_index(const struct fw_view *view, uint64_t id);
+void fw_host_note_kept(
+    struct fw_host_view *host, const struct bd_flow_step *step);
 void fw_host_adjust_free(
     struct fw_host_view *host, const struct bd_flow_step *step, int sign);
 bool fw_host_has_room(const struct fw_host_view *host,
@@ -304,6 +312,10 @@
 void fw_trials_hold(struct fw_view *view, const struct fw_groups *groups);
 int64_t fw_view_free_accels(const struct fw_view *view);
 
+bool fw_step_ready(const struct bd_flow *flow, uint32_t occurrence,
+    uint32_t step, int64_t wall_ms);
+void fw_group_describe(
+    struct fw_group *group, const struct fw_view *view, bool suspect);
 int fw_groups_ready(struct fw_groups *groups, const struct fw_view *view);
 void fw_groups_defer(struct fw_groups *groups, const struct fw_view *view,
     struct fw_tables *tables);
@@ -314,11 +326,18 @@
  */
 bool fw_group_may_use(const struct fw_view *view,
     const struct fw_host_view *host, const struct fw_group *group);
+bool fw_group_may_try_on(const struct fw_view *view,
+    const struct fw_group *group, const struct bd_flow_step *step,
+    uint32_t host);
+bool fw_group_leaves_urgent(
+    const struct fw_view *view, const struct fw_group *group);
 void fw_group_count_tasks(struct fw_view *view, const struct fw_group *group);
 bool fw_group_fit_rack(struct fw_view *view, const struct fw_group *group,
     uint32_t rack, uint32_t *hosts);
 bool fw_group_fit(struct fw_view *view, const struct fw_group *group,
     uint32_t *hosts, bool spread);
+void fw_group_note_kept(
+    struct fw_view *view, const struct fw_group *group, const uint32_t *hosts);
 void fw_group_place(
     struct fw_view *view, const struct fw_group *group, const uint32_t *hosts);
 uint32_t fw_place(struct fw_view *view, const struct fw_groups *groups,
@@ -404,6 +423,8 @@
 bool fw_flow_suspect(const struct bd_flow *flow, int64_t wall_ms);
 bool fw_tasks_pause(const struct bd_flow *flow, uint32_t first, uint32_t count,
     int64_t wall_ms);
+bool fw_task_undecided(const struct fw_tables *tables,
+    const struct bd_flow *flow, uint32_t index, int64_t now_ms);
 void fw_task_crashed(struct bd_flow *flow, uint32_t index,
     const struct fw_crash *crash, int64_t wall_ms);
 void fw_task_lost(
@@ -542,6 +563,8 @@
 }
 #endif
 
+#include "flow_waits.h"
+
 #include "flow_placer.h"
 
 #endif
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -85,6 +85,7 @@
 	struct fw_writer progress;
 	struct fw_writer job_states; /* jobs topic: public states, clean-up */
 	struct fw_reservation *reservations;
+	struct fw_waits waits; /* for the log */
 	/* Average demand of priority 0, in thousandths of an accelerator, and
 	 * the time of its last update. */
 	uint64_t urgent_average_milli;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -13,11 +13,6 @@
 /* A worker that crashed under a task is not used for it again for this long. */
 #define CRASHED_AVOID_MS 8000
 
-/* Largest number of workers that one decision examines, summed over its groups,
- * which takes some ms of processor time; the remaining groups wait for the next
- * decision. */
-#define HOSTS_SCANNED_MAX 150000
-
 static const struct bd_flow_step *step_of(
     const struct fw_view *view, const struct fw_group *group);
 /* How a group may use a worker, the preferred ways first. */
@@ -28,8 +23,6 @@
 	COMPANY_REFUSED,
 };
 
-static bool may_try_on(const struct fw_view *view, const struct fw_group *group,
-    const struct bd_flow_step *step, uint32_t host);
 static enum company company_on(const struct fw_view *view,
     const struct fw_group *group, const struct bd_flow_step *step,
     uint32_t host);
@@ -42,8 +35,6 @@
     struct fw_view *view, const struct fw_group *group, uint32_t rack);
 static bool fit_one_rack(
     struct fw_view *view, const struct fw_group *group, uint32_t *hosts);
-static bool leaves_urgent_backlog(
-    const struct fw_view *view, const struct fw_group *group);
 static bool rack_could_hold(const struct fw_view *view,
     const struct fw_group *group, const struct bd_flow_step *step);
 static bool may_spread(const struct fw_view *view, const struct fw_group *group,
@@ -116,8 +107,8 @@
 
 /* Returns whether a suspect group may be tried on a worker: no other job has
  * runs there, and unless it is a gang its job is tried nowhere else. */
-static bool
-may_try_on(const struct fw_view *view, const struct fw_group *group,
+bool
+fw_group_may_try_on(const struct fw_view *view, const struct fw_group *group,
     const struct bd_flow_step *step, uint32_t host)
 {
 	const struct fw_host_view *row = &view->hosts[host];
@@ -142,7 +133,8 @@
 	const struct fw_host_view *row = &view->hosts[host];
 
 	if (fw_host_fits(row, flow, step)) {
-		if (!group->suspect || may_try_on(view, group, step, host))
+		if (!group->suspect ||
+		    fw_group_may_try_on(view, group, step, host))
 			return COMPANY_NONE;
 		if (group->shares)
 			return COMPANY_JOBS;
@@ -343,6 +335,18 @@
 	return fw_group_fit_rack(view, group, FW_ANY_RACK, hosts);
 }
 
+/* Notes that the capacity which has been subtracted for a group is kept for it.
+ */
+void
+fw_group_note_kept(
+    struct fw_view *view, const struct fw_group *group, const uint32_t *hosts)
+{
+	uint32_t n;
+
+	for (n = 0; n < group->count; n++)
+		fw_host_note_kept(&view->hosts[hosts[n]], step_of(view, group));
+}
+
 /* Records a new run of each task of a group on its worker in the job's copy. */
 void
 fw_group_place(
@@ -382,8 +386,8 @@
  * priority 0. Without this limit, in a burst of urgent jobs on a fully used
  * deployment, small tasks of lower priority took every accelerator that became
  * free. */
-static bool
-leaves_urgent_backlog(const struct fw_view *view, const struct fw_group *group)
+bool
+fw_group_leaves_urgent(const struct fw_view *view, const struct fw_group *group)
 {
 	int64_t need = (int64_t)group->count * step_of(view, group)->accels;
 
@@ -410,7 +414,7 @@
 	uint32_t i;
 
 	for (i = 0;
-	     i < groups->count && view->hosts_scanned < HOSTS_SCANNED_MAX;
+	     i < groups->count && view->hosts_scanned < FW_HOSTS_SCANNED_MAX;
 	     i++) {
 		const struct fw_group *group = &groups->items[i];
 
@@ -423,7 +427,7 @@
 			continue;
 		last_failed = false;
 		if ((group->priority == 0 ||
-			leaves_urgent_backlog(view, group)) &&
+			fw_group_leaves_urgent(view, group)) &&
 		    fw_group_fit(view, group, hosts, false)) {
 			fw_group_place(view, group, hosts);
 			placed++;
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -54,6 +54,7 @@
 	placer->term = 0;
 	fw_writer_reset(&placer->progress);
 	fw_writer_reset(&placer->job_states);
+	fw_waits_clear(&placer->waits);
 	fw_reservations_clear(&placer->reservations);
 	fw_tables_clear(&placer->tables);
 	fw_follower_set_read_interval(placer->parts.jobs, READ_GAP_IDLE_MS);
@@ -243,6 +244,7 @@
 	}
 	fw_writer_free(&placer->progress);
 	fw_writer_free(&placer->job_states);
+	fw_waits_clear(&placer->waits);
 	fw_reservations_clear(&placer->reservations);
 	fw_tables_free(&placer->tables);
 	pthread_mutex_destroy(&placer->lock);
--- a/lib/flow/preempt.c
+++ b/lib/flow/preempt.c
@@ -136,6 +136,7 @@
 	if (fw_reservation_add(&placer->reservations, view, group, hosts) !=
 	    CW_OK)
 		ev_emit(EV_FLOW_NO_MEMORY, "what=plan");
+	fw_group_note_kept(view, group, hosts);
 	for (i = 0; i < preempt->count; i++) {
 		struct fw_run *run =
 		    &placer->tables.runs[preempt->victims[i].run];
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -13,8 +13,6 @@
 
 static bool step_done(
     const struct bd_flow *flow, uint32_t occurrence, uint32_t step);
-static bool step_ready(const struct bd_flow *flow, uint32_t occurrence,
-    uint32_t step, int64_t wall_ms);
 static uint64_t estimate_work(const struct bd_flow *flow);
 static int64_t estimate_run_ms(const struct bd_flow *flow);
 static void set_time_limits(struct fw_group *group, const struct bd_flow *flow,
@@ -38,8 +36,8 @@
 }
 
 /* Returns whether an occurrence is due and the step's dependencies are done. */
-static bool
-step_ready(const struct bd_flow *flow, uint32_t occurrence, uint32_t step,
+bool
+fw_step_ready(const struct bd_flow *flow, uint32_t occurrence, uint32_t step,
     int64_t wall_ms)
 {
 	uint64_t after = fw_flow_steps(flow)[step].after;
@@ -101,6 +99,22 @@
 	    group->age_ms > (int64_t)settings->reclaim_ms * 2;
 }
 
+/* Sets what the placement of a group depends on besides its tasks. */
+void
+fw_group_describe(
+    struct fw_group *group, const struct fw_view *view, bool suspect)
+{
+	const struct bd_flow *flow = fw_job_current(&view->jobs[group->job]);
+
+	group->age_ms = view->wall_ms - flow->accepted_ms;
+	if (group->age_ms < 0)
+		group->age_ms = 0;
+	set_time_limits(group, flow, view->settings);
+	group->work = estimate_work(flow);
+	group->suspect = suspect;
+	fw_group_set_trial(group, view);
+}
+
 /* Adds the groups of one step of an occurrence whose tasks all wait, do not
  * pause and have no run that a worker lists. */
 static int
@@ -142,13 +156,7 @@
 			groups->items = grown;
 			groups->capacity = capacity;
 		}
-		group.age_ms = view->wall_ms - flow->accepted_ms;
-		if (group.age_ms < 0)
-			group.age_ms = 0;
-		set_time_limits(&group, flow, view->settings);
-		group.work = estimate_work(flow);
-		group.suspect = suspect;
-		fw_group_set_trial(&group, view);
+		fw_group_describe(&group, view, suspect);
 		groups->items[groups->count++] = group;
 	}
 	return CW_OK;
@@ -174,7 +182,7 @@
 		for (occurrence = 0; occurrence < flow->occurrences;
 		     occurrence++)
 			for (s = 0; s < flow->step_count; s++) {
-				if (!step_ready(
+				if (!fw_step_ready(
 					flow, occurrence, s, view->wall_ms))
 					continue;
 				if (add_step(groups, view, job, occurrence, s,
--- a/lib/flow/reservations.c
+++ b/lib/flow/reservations.c
@@ -104,6 +104,8 @@
 	placed = try_place(view, group, hosts);
 	if (placed)
 		fw_group_place(view, group, hosts);
+	else
+		fw_group_note_kept(view, group, hosts);
 	*group = groups->items[--groups->count];
 	return !placed;
 }
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -55,6 +55,17 @@
 	host->accels += sign * (int64_t)step->accels;
 }
 
+/* Notes that capacity which has been subtracted is kept for a task of a step
+ * that still waits. */
+void
+fw_host_note_kept(struct fw_host_view *host, const struct bd_flow_step *step)
+{
+	if ((step->flags & BD_STEP_FILLS) == 0)
+		host->kept.cores_milli += step->cores_milli;
+	host->kept.memory_mb += step->memory_mb;
+	host->kept.accels += step->accels;
+}
+
 /* Returns whether what is free on a worker is enough for a task of a step. */
 static bool
 has_free(const struct fw_host_view *host, const struct bd_flow_step *step)
