A placer that cannot decide says so, why, and for how long

A placer keeps its duty while its batch has no answer, its follower is behind the end of the batch, or what it knows of workers or jobs is too old; then all jobs stand, and no line told it.

1145 is logged once it could not decide for 1 s while a task waits whose step is ready, with the obstacle and the ages behind it; 1146 when it can again or its term ends, with the time spent on each obstacle.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -123,3 +123,7 @@
 EV(1142, EV_FLOW_HELD, EV_LEVEL_INFO, "call held while the store is away")
 EV(1143, EV_FLOW_WAITS, EV_LEVEL_INFO, "tasks that are ready wait")
 EV(1144, EV_FLOW_WAITS_OVER, EV_LEVEL_INFO, "waits of tasks are over")
+EV(1145, EV_FLOW_UNDECIDED, EV_LEVEL_WARN,
+    "placer cannot decide while jobs wait")
+EV(1146, EV_FLOW_UNDECIDED_OVER, EV_LEVEL_INFO,
+    "placer could not decide for some time")
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -67,6 +67,23 @@
 	struct fw_report report;
 };
 
+/* Why the placer makes no decision. */
+enum fw_obstacle {
+	FW_OBSTACLE_NONE,
+	FW_OBSTACLE_BATCH,    /* its batch has not been answered */
+	FW_OBSTACLE_FOLLOWER, /* its follower is behind the end of the batch */
+	FW_OBSTACLE_WORKERS,  /* the workers' entries may be too old */
+	FW_OBSTACLE_JOBS,     /* its copy of the jobs is too old */
+	FW_OBSTACLE_COUNT,
+};
+
+struct fw_undecided {
+	int64_t since_ms; /* when it could last decide */
+	int64_t noted_ms;
+	int64_t ms[FW_OBSTACLE_COUNT]; /* time with each obstacle since then */
+	bool logged;
+};
+
 struct fw_placer {
 	struct fw_placer_parts parts;
 	struct fw_tables tables;
@@ -86,6 +103,7 @@
 	struct fw_writer job_states; /* jobs topic: public states, clean-up */
 	struct fw_reservation *reservations;
 	struct fw_waits waits; /* for the log */
+	struct fw_undecided undecided;
 	/* Average demand of priority 0, in thousandths of an accelerator, and
 	 * the time of its last update. */
 	uint64_t urgent_average_milli;
@@ -99,6 +117,9 @@
 /* Added to the retention period of ended jobs, as clocks differ. */
 #define FW_RETENTION_MARGIN_MS 60000
 
+/* Nothing is placed while the records of the workers may be older than this. */
+#define FW_HOSTS_AGE_MAX_MS 3000
+
 bool fw_jobs_recent(const struct fw_placer *placer, int64_t now_ms);
 void fw_callbacks_add(struct fw_placer *placer, int added);
 void fw_orders_send(
@@ -123,6 +144,11 @@
 void fw_add_ended_run(struct fw_placer *placer, const struct bd_flow *flow,
     uint32_t index, int64_t now_ms);
 bool fw_decide(struct fw_placer *placer, int64_t now_ms);
+enum fw_obstacle fw_placer_obstacle(
+    const struct fw_placer *placer, bool progress_idle, int64_t now_ms);
+void fw_undecided_note(
+    struct fw_placer *placer, enum fw_obstacle obstacle, int64_t now_ms);
+void fw_undecided_end(struct fw_placer *placer, const char *by, int64_t now_ms);
 void fw_publish_states(struct fw_placer *placer, int64_t now_ms);
 
 void fw_writer_reset(struct fw_writer *writer);
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -17,8 +17,6 @@
  * without delay; the other VMs batch their reads, as each one is charged. */
 #define READ_GAP_ACTIVE_MS 0
 #define READ_GAP_IDLE_MS 150
-/* Nothing is placed while the records of the workers may be older than this. */
-#define HOSTS_AGE_MAX_MS 3000
 /* Time for an acknowledgement to reach its worker: the pause before the next
  * hold, and its answer. */
 #define ACK_TRANSIT_MAX_MS 2000
@@ -51,11 +49,12 @@
 	if (atomic_load(&placer->state) == FW_PLACER_IDLE)
 		return;
 	atomic_store(&placer->state, FW_PLACER_IDLE);
+	fw_undecided_end(placer, "term_ended", placer->undecided.noted_ms);
 	placer->term = 0;
 	fw_writer_reset(&placer->progress);
 	fw_writer_reset(&placer->job_states);
-	fw_waits_clear(&placer->waits);
 	fw_reservations_clear(&placer->reservations);
+	fw_waits_clear(&placer->waits);
 	fw_tables_clear(&placer->tables);
 	fw_follower_set_read_interval(placer->parts.jobs, READ_GAP_IDLE_MS);
 	fw_follower_pause(placer->parts.hosts);
@@ -110,6 +109,7 @@
 	    fw_follower_position(parts->progress) < placer->progress.fence_end)
 		return;
 	placer->active_since_ms = now_ms;
+	placer->undecided.since_ms = placer->undecided.noted_ms = now_ms;
 	atomic_store(&placer->state, FW_PLACER_ACTIVE);
 	ev_emit(EV_FLOW_PLACER_ACTIVE,
 	    "term=%llu position=%llu jobs=%u "
@@ -142,16 +142,15 @@
 static void
 run_active(struct fw_placer *placer, int64_t now_ms, int64_t duty_confirmed_ms)
 {
-	bool progress_idle = fw_writer_idle(&placer->progress, now_ms);
+	enum fw_obstacle obstacle = fw_placer_obstacle(
+	    placer, fw_writer_idle(&placer->progress, now_ms), now_ms);
 	bool due = now_ms - placer->last_decision_ms >= STEP_MS;
 
 	bd_read_begin();
 	due |= fw_runs_sync(placer, now_ms);
 	placer->decision_due |= due;
-	if (progress_idle && placer->decision_due &&
-	    fw_follower_age_ms(placer->parts.hosts, now_ms) <
-		HOSTS_AGE_MAX_MS &&
-	    fw_jobs_recent(placer, now_ms)) {
+	fw_undecided_note(placer, obstacle, now_ms);
+	if (obstacle == FW_OBSTACLE_NONE && placer->decision_due) {
 		placer->decision_due = false;
 		placer->last_decision_ms = now_ms;
 		if (fw_decide(placer, now_ms))
