--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -274,7 +274,7 @@
 /* Returns whether a task has lost its last run on a worker that was silent, of
  * which it may soon be known if it crashed. */
 bool
-fw_loss_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
+fw_task_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
     uint32_t index, int64_t now_ms)
 {
 	uint32_t found = fw_run_find(
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -155,7 +155,9 @@
 		    worker->report.sent_ms == 0
 			? -1LL
 			: (long long)(now_ms - worker->report.sent_ms),
-		    (long long)(worker->lease_end_ms - now_ms),
+		    worker->lease_end_ms == 0
+			? -1LL
+			: (long long)(worker->lease_end_ms - now_ms),
 		    run->uncertain_ms == 0
 			? -1LL
 			: (long long)(now_ms - run->uncertain_ms),
@@ -447,6 +449,8 @@
 		fw_groups_sort(&groups);
 		fw_trials_hold(&view, &groups);
 		fw_place(&view, &groups, on_blocked, &waiting);
+		fw_waits_note(&placer->waits, &view, &placer->tables,
+		    placer->reservations, placer->term);
 		fw_groups_free(&groups);
 	} else
 		ev_emit(EV_FLOW_NO_MEMORY, "what=groups");
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -186,6 +186,7 @@
 	uint32_t first_victim; /* range in the victims of fw_reclaim */
 	uint32_t victim_count;
 	struct fw_room late;      /* needed by starts that may still arrive */
+	struct fw_room kept;      /* not free, but kept for waiting groups */
 	bool schedulable;         /* may be given new runs */
 	bool suspect;             /* a run failed there recently */
 	bool failing;             /* not schedulable for that reason alone */
@@ -263,6 +264,11 @@
 	uint32_t *job_positions;  /* index in jobs by handle index */
 };
 
+/* Largest number of workers that one decision examines, summed over its groups,
+ * which takes some ms of processor time; the remaining groups wait for the next
+ * decision. */
+#define FW_HOSTS_SCANNED_MAX 150000
+
 /* Tasks that are placed together: a gang, or a single task. */
 struct fw_group {
 	uint32_t job; /* index in the view */
@@ -301,6 +307,8 @@
     const struct fw_view *view, uint32_t job, uint32_t index);
 uint32_t fw_view_host_index(const struct fw_view *view, uint64_t id);
 uint32_t fw_view_job_index(const struct fw_view *view, uint64_t id);
+void fw_host_note_kept(
+    struct fw_host_view *host, const struct bd_flow_step *step);
 void fw_host_adjust_free(
     struct fw_host_view *host, const struct bd_flow_step *step, int sign);
 bool fw_host_has_room(const struct fw_host_view *host,
@@ -330,6 +338,10 @@
 void fw_trials_hold(struct fw_view *view, const struct fw_groups *groups);
 int64_t fw_view_free_accels(const struct fw_view *view);
 
+bool fw_step_ready(const struct bd_flow *flow, uint32_t occurrence,
+    uint32_t step, int64_t wall_ms);
+void fw_group_describe(
+    struct fw_group *group, const struct fw_view *view, bool suspect);
 int fw_groups_ready(struct fw_groups *groups, const struct fw_view *view);
 void fw_groups_defer(
     struct fw_groups *groups, struct fw_view *view, struct fw_tables *tables);
@@ -340,11 +352,18 @@
  */
 bool fw_group_may_use(const struct fw_view *view,
     const struct fw_host_view *host, const struct fw_group *group);
+bool fw_group_may_try_on(const struct fw_view *view,
+    const struct fw_group *group, const struct bd_flow_step *step,
+    uint32_t host);
+bool fw_group_leaves_urgent(
+    const struct fw_view *view, const struct fw_group *group);
 void fw_group_count_tasks(struct fw_view *view, const struct fw_group *group);
 bool fw_group_fit_rack(struct fw_view *view, const struct fw_group *group,
     uint32_t rack, uint32_t *hosts);
 bool fw_group_fit(struct fw_view *view, const struct fw_group *group,
     uint32_t *hosts, bool spread);
+void fw_group_note_kept(
+    struct fw_view *view, const struct fw_group *group, const uint32_t *hosts);
 void fw_group_place(
     struct fw_view *view, const struct fw_group *group, const uint32_t *hosts);
 uint32_t fw_place(struct fw_view *view, const struct fw_groups *groups,
@@ -430,6 +449,8 @@
 bool fw_flow_suspect(const struct bd_flow *flow, int64_t wall_ms);
 bool fw_tasks_pause(const struct bd_flow *flow, uint32_t first, uint32_t count,
     int64_t wall_ms);
+bool fw_task_undecided(const struct fw_tables *tables,
+    const struct bd_flow *flow, uint32_t index, int64_t now_ms);
 void fw_task_crashed(struct bd_flow *flow, uint32_t index,
     const struct fw_crash *crash, int64_t wall_ms);
 void fw_task_lost(
@@ -487,8 +508,6 @@
     struct fw_tables *tables, struct fw_run *run, int64_t now_ms);
 bool fw_restarted_since_start(
     const struct fw_run *run, const struct fw_report *report);
-bool fw_loss_undecided(const struct fw_tables *tables,
-    const struct bd_flow *flow, uint32_t index, int64_t now_ms);
 bool fw_silent_loss_decide(
     struct fw_tables *tables, struct fw_run *run, int64_t now_ms);
 void fw_crash_describe(const struct fw_tables *tables, const struct fw_run *run,
@@ -580,6 +599,8 @@
 }
 #endif
 
+#include "flow_waits.h"
+
 #include "flow_placer.h"
 
 #endif
--- a/lib/flow/late.c
+++ b/lib/flow/late.c
@@ -254,7 +254,7 @@
 		if ((any_late && !may_run_twice &&
 			!bind_task(view, tables, group, i)) ||
 		    (group->suspect &&
-			fw_loss_undecided(tables, flow, i, view->now_ms)))
+			fw_task_undecided(tables, flow, i, view->now_ms)))
 			return true;
 	return false;
 }
