--- a/tests/sim/worker_sim.h
+++ b/tests/sim/worker_sim.h
@@ -233,13 +233,10 @@
 		return limit;
 	}
 
-	/* Returns whether the start of a task that is already among the runs
-	 * has brought the worker over its room. */
-	bool
-	exceeds_room(const std::string &task, int64_t now_ms) const
+	/* Returns the room that its runs take. */
+	SimRoom
+	used_room() const
 	{
-		SimRoom need = run_checker->need(task);
-		SimRoom limit = room_limit(now_ms);
 		SimRoom used;
 
 		for (const auto &entry : runs) {
@@ -249,6 +246,18 @@
 			used.memory_mb += one.memory_mb;
 			used.accels += one.accels;
 		}
+		return used;
+	}
+
+	/* Returns whether the start of a task that is already among the runs
+	 * has brought the worker over its room. */
+	bool
+	exceeds_room(const std::string &task, int64_t now_ms) const
+	{
+		SimRoom need = run_checker->need(task);
+		SimRoom limit = room_limit(now_ms);
+		SimRoom used = used_room();
+
 		return (need.cores_milli > 0 &&
 			   used.cores_milli > limit.cores_milli) ||
 		    (need.memory_mb > 0 && used.memory_mb > limit.memory_mb) ||
