Random faults: check that no job stands still, add tasks that last

The randomized simulation had no tasks that last and no calm stretches among its faults, and did not look for stands.

The standstill checker now watches every play. A second plan adds jobs with tasks that last, one to ten others, and in half of the seeds a stretch of 12 to 14 s without faults. It draws from a generator of its own, so the plan of a seed without these parts stays as it is. Its jobs are cancelled 20 s after the faults, as others may need their room.

--- a/tests/sim/flow_faults.h
+++ b/tests/sim/flow_faults.h
@@ -4,6 +4,14 @@
 #include <random>
 
 #include "flow_sim.h"
+#include "standstill.h"
+
+/* Parts of a plan that a test adds. They are drawn from a generator of their
+ * own: the plan of a seed without them stays as it is. */
+struct FlowPlan {
+	bool lasting_jobs = false; /* with tasks that run until cancelled */
+	bool calm_stretches = false;
+};
 
 /*
  * Randomized faults in the simulation of the placers, by a seed: VMs, the store
@@ -33,7 +41,16 @@
 	static constexpr int64_t FAULTS_MS = 30000;
 	static constexpr int64_t SETTLE_MAX_MS = 60000;
 
+	/* Time within which any stand of a task that lasts is found. */
+	static constexpr int64_t LASTING_SETTLE_MS = 20000;
+
 	std::mt19937 random;
+	std::mt19937 added_random; /* for the parts of the plan */
+	FlowPlan plan;
+	int64_t calm_from_ms = 0; /* faults pause from then on */
+	int64_t calm_until_ms = 0;
+	Standstill standstill;
+	std::set<std::string> lasting_jobs;
 	bool enabled[KINDS] = {};
 	bool faulty = true; /* the period of faults is not over */
 	std::map<std::string, SimRoom> full_rooms;
@@ -42,7 +59,8 @@
 	int vm_count = 0;
 	FlowSim sim; /* its destructor calls order_fault */
 
-	explicit FlowFaults(unsigned seed) : random(seed)
+	explicit FlowFaults(unsigned seed, const FlowPlan &added = {})
+	    : random(seed), added_random(~seed), plan(added)
 	{
 		for (bool &kind : enabled)
 			kind = draw(0, 1) == 0;
@@ -54,6 +72,13 @@
 		return std::uniform_int_distribution<int>(from, to)(random);
 	}
 
+	int
+	draw_added(int from, int to)
+	{
+		return std::uniform_int_distribution<int>(from, to)(
+		    added_random);
+	}
+
 	bool
 	chance(int percent)
 	{
@@ -118,6 +143,9 @@
 			fault.answer_lost = true;
 		else if (enabled[ANSWERS_DELAYED] && chance(6))
 			fault.answer_delay_ms = draw(20, 400);
+		if (fault.late_ms > 0 || fault.answer_lost ||
+		    fault.answer_delay_ms > 0)
+			standstill.disrupt(sim.now_ms);
 		return fault;
 	}
 
@@ -144,6 +172,110 @@
 		}
 		jobs[name] = false;
 		sim.submit(name, steps, (uint32_t)draw(0, 2));
+		watch_job(name, steps);
+		if (plan.lasting_jobs && jobs.size() % 10 == 1)
+			submit_lasting();
+	}
+
+	/* Submits a job whose tasks run until it is cancelled. */
+	void
+	submit_lasting()
+	{
+		char name[BD_FLOW_NAME_BYTES];
+		struct bd_flow_step step =
+		    FlowFixture::make_step((uint32_t)draw_added(1, 3),
+			(uint32_t)draw_added(0, 2), BD_STEP_LONG_RUNNING);
+
+		snprintf(
+		    name, sizeof(name), "%016zx", 0x2000 + lasting_jobs.size());
+		step.cores_milli = (uint32_t)draw_added(1, 3) * 1000;
+		step.memory_mb = (uint32_t)draw_added(1, 4) * 1000;
+		for (auto &entry : sim.workers)
+			entry.second.job_work_ms[name] = INT32_MAX;
+		lasting_jobs.insert(name);
+		sim.submit(name, {step}, (uint32_t)draw_added(0, 2));
+		watch_job(name, {step});
+	}
+
+	/* Cancels the jobs that last: other jobs may need their room. */
+	void
+	cancel_lasting()
+	{
+		for (const std::string &name : lasting_jobs) {
+			sim.cancel(name.c_str());
+			standstill.remove(name);
+		}
+	}
+
+	void
+	watch_job(const std::string &name,
+	    const std::vector<struct bd_flow_step> &rows)
+	{
+		std::vector<Standstill::Step> steps;
+
+		for (const struct bd_flow_step &row : rows) {
+			Standstill::Step step;
+
+			step.count = row.count;
+			step.after = row.after;
+			step.gang = (row.flags & BD_STEP_GANG) != 0;
+			step.lasts = (row.flags & BD_STEP_LONG_RUNNING) != 0;
+			steps.push_back(step);
+		}
+		standstill.add(name, steps);
+	}
+
+	/* Returns whether a fault is in force. A late order that has been sent
+	 * is none. */
+	bool
+	is_disrupted() const
+	{
+		bool out =
+		    sim.store_down || sim.drop_append_answers || !cuts.empty();
+
+		for (const auto &vm : sim.vms)
+			out = out ||
+			    (vm->alive &&
+				(vm->paused || vm->store_unreachable));
+		for (const auto &entry : sim.workers)
+			out = out || entry.second.is_down();
+		for (const auto &entry : sim.unpublished)
+			out = out || entry.second > 0;
+		return out;
+	}
+
+	/* Returns the placer that has the duty, or NULL. */
+	SimVm *
+	active_vm()
+	{
+		SimVm *vm = nullptr;
+
+		for (auto &one : sim.vms)
+			if (one->alive && fw_placer_active(one->placer))
+				vm = one.get();
+		return vm;
+	}
+
+	/* Takes a sample of the standstill checker. */
+	void
+	watch()
+	{
+		std::vector<const SimWorker *> usable;
+		SimVm *vm = active_vm();
+
+		if (is_disrupted())
+			standstill.disrupt(sim.now_ms);
+		for (const auto &entry : jobs)
+			if (vm != nullptr &&
+			    sim.run_checker.may_be_given_up(entry.first) &&
+			    sim.state(vm, entry.first.c_str()) ==
+				BD_FLOW_FAILED)
+				standstill.remove(entry.first);
+		/* Cuts and entries that are out of date are disruptions. */
+		for (const auto &entry : sim.workers)
+			if (!entry.second.is_down())
+				usable.push_back(&entry.second);
+		standstill.sample(sim.run_checker, usable, sim.now_ms);
 	}
 
 	void
@@ -231,6 +363,8 @@
 
 		if (!enabled[kind])
 			return;
+		if (kind != JOB_CANCELLED)
+			standstill.disrupt(sim.now_ms);
 		if (kind == STORE_DOWN) {
 			sim.store_down = true;
 			sim.schedule(draw(300, 5000), [this] {
@@ -247,6 +381,7 @@
 			std::advance(it, draw(0, (int)jobs.size() - 1));
 			it->second = true;
 			sim.cancel(it->first.c_str());
+			standstill.remove(it->first);
 		} else if (kind == VM_KILLED || kind == VM_PAUSED ||
 		    kind == VM_CUT || kind == DUTY_MOVED)
 			inject_vm_fault(kind);
@@ -259,18 +394,43 @@
 	run_for(int64_t duration_ms)
 	{
 		for (int64_t ms = 0; ms < duration_ms; ms += 10) {
-			sim.run_for(10);
+			sim.run_for(Standstill::SAMPLE_MS);
 			sim.advance_workers();
+			watch();
 		}
 	}
 
+	/* Ends what is in force, but workers that are down and their rooms. */
 	void
-	end_faults()
+	lift_faults()
 	{
+		standstill.disrupt(sim.now_ms);
 		faulty = false;
 		sim.store_down = sim.drop_append_answers = false;
 		for (auto &vm : sim.vms)
 			vm->paused = vm->store_unreachable = false;
+	}
+
+	/* Begins or ends the calm stretch, if it is due. Returns whether faults
+	 * may be injected. */
+	bool
+	is_faulty_time()
+	{
+		bool is_calm =
+		    sim.now_ms >= calm_from_ms && sim.now_ms < calm_until_ms;
+
+		if (is_calm && faulty) {
+			lift_faults();
+			cuts.clear();
+		}
+		faulty = !is_calm;
+		return faulty;
+	}
+
+	void
+	end_faults()
+	{
+		lift_faults();
 		for (auto &entry : sim.workers) {
 			if (entry.second.room.accels !=
 			    full_rooms[entry.first].accels)
@@ -284,11 +444,8 @@
 	std::string
 	first_open_job()
 	{
-		SimVm *vm = nullptr;
+		SimVm *vm = active_vm();
 
-		for (auto &one : sim.vms)
-			if (one->alive && fw_placer_active(one->placer))
-				vm = one.get();
 		if (vm == nullptr)
 			return "no placer";
 		for (const auto &entry : jobs) {
@@ -303,8 +460,8 @@
 		return "";
 	}
 
-	/* Plays the faults, then waits until all jobs have ended. Returns an
-	 * accepted job that has not ended, or "". */
+	/* Plays the faults, then waits until all jobs with tasks that end have
+	 * ended. Returns an accepted job that has not ended, or "". */
 	std::string
 	run()
 	{
@@ -317,15 +474,24 @@
 			return order_fault(vm, worker, kind);
 		};
 		run_for(1000);
+		if (plan.calm_stretches && draw_added(0, 1) == 1) {
+			calm_from_ms = sim.now_ms + draw_added(4000, 14000);
+			calm_until_ms = calm_from_ms + draw_added(12000, 14000);
+		}
 		for (int64_t end_ms = sim.now_ms + FAULTS_MS;
 		     sim.now_ms < end_ms;) {
 			run_for(draw(1, 50) * 10);
 			if (chance(60))
 				submit();
-			if (chance(60))
+			if (chance(60) && is_faulty_time())
 				inject();
 		}
 		end_faults();
+		standstill.traffic_end_ms = sim.now_ms;
+		if (plan.lasting_jobs) {
+			run_for(LASTING_SETTLE_MS);
+			cancel_lasting();
+		}
 		for (int64_t end_ms = sim.now_ms + SETTLE_MAX_MS;
 		     sim.now_ms < end_ms && !first_open_job().empty();)
 			run_for(500);
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -75,6 +75,7 @@
 	int64_t order_delay_ms = 0;
 	/* Delay of the entry of a worker that is back. */
 	int64_t back_publish_ms = 0;
+	std::map<std::string, int> unpublished; /* changes, by worker */
 	/* If set, draws what happens to an order. */
 	std::function<SimOrderFault(const SimVm *vm, const std::string &address,
 	    enum fw_order_kind kind)>
@@ -150,7 +151,9 @@
 	{
 		std::string address = worker.address;
 
+		unpublished[address]++;
 		schedule(delay_ms, [this, address] {
+			unpublished[address]--;
 			for (auto &vm : vms)
 				if (vm->alive)
 					update_host(vm.get(), workers[address]);
--- a/tests/test_flow_faults.cc
+++ b/tests/test_flow_faults.cc
@@ -33,9 +33,9 @@
 }
 
 static void
-play(unsigned seed)
+play(unsigned seed, const FlowPlan &plan = {})
 {
-	FlowFaults faults(seed);
+	FlowFaults faults(seed, plan);
 	const SimRunChecker &seen = faults.sim.run_checker;
 	std::string open_job;
 
@@ -54,16 +54,61 @@
 	EXPECT_EQ(0, seen.capacity_violations);
 }
 
-/* SEEDS: number of seeds, SEED: the first of them; TRACE: writes a log. */
-TEST(FlowFaults, TasksRunOnceWithinTheirRoomUnderRandomFaults)
+/* Plays a seed for the standstill checker alone: play() checks the rest. */
+static void
+expect_no_stands(unsigned seed, const FlowPlan &plan)
+{
+	FlowFaults faults(seed, plan);
+
+	if (getenv("TRACE") != nullptr)
+		trace(&faults);
+	faults.run();
+	ev_sink_set(nullptr);
+	EXPECT_EQ("", faults.standstill.report()) << "seed " << seed;
+}
+
+/* Plays SEEDS seeds from SEED on, or so many from the first. */
+static void
+for_seeds(unsigned fallback, void (*run)(unsigned seed, const FlowPlan &plan),
+    const FlowPlan &plan = {})
 {
 	const char *count = getenv("SEEDS");
 	const char *first = getenv("SEED");
 	unsigned seed = first != nullptr ? (unsigned)atoi(first) : 1;
-	unsigned end = seed + (count != nullptr ? (unsigned)atoi(count) : 24);
+	unsigned end =
+	    seed + (count != nullptr ? (unsigned)atoi(count) : fallback);
 
 	for (; seed < end; seed++)
-		play(seed);
+		run(seed, plan);
+}
+
+/* SEEDS: number of seeds, SEED: the first of them; TRACE: writes a log. */
+TEST(FlowFaults, TasksRunOnceWithinTheirRoomUnderRandomFaults)
+{
+	for_seeds(24, play);
+}
+
+/* Guards against accepted jobs of which nothing runs for 3 s in the calm after
+ * the faults, although a task of them could. */
+TEST(FlowFaults, TasksThatCanRunDoNotStandStill)
+{
+	for_seeds(24, expect_no_stands);
+}
+
+static const FlowPlan lasting_plan = {true, true};
+
+/* Guards against tasks that last and run twice or where there is no room, and
+ * against other jobs that do not end beside them. */
+TEST(FlowFaults, TasksRunOnceBesideTasksThatLast)
+{
+	for_seeds(12, play, lasting_plan);
+}
+
+/* Guards against tasks that last and do not run for 3 s in any calm stretch,
+ * although they could, and against other jobs that stand beside them. */
+TEST(FlowFaults, TasksThatLastDoNotStandStill)
+{
+	for_seeds(12, expect_no_stands, lasting_plan);
 }
 
 /* Seeds that have failed, by late starts after a restart, ends acknowledged
