Soak: check that no job stands still

The soak waited for up to 40 s for the end of all jobs and did not look for stands.

A test of its own runs the faults with late orders, changing workers and jobs with tasks that last, then watches until it has been calm for 10 s. Only this test asserts the check, so that the other guarantees stay checked.

--- a/tests/sim/deployment.h
+++ b/tests/sim/deployment.h
@@ -200,10 +200,11 @@
 		return status;
 	}
 
-	/* Submits a job of one step, whose tasks need the given room. */
+	/* Submits a job of one step, whose tasks need the given room and run
+	 * until they end, or last until the job is cancelled. */
 	int
 	submit(size_t n, const std::string &name, int count,
-	    const SimRoom &need = {1000, 100, 1})
+	    const SimRoom &need = {1000, 100, 1}, bool lasts = false)
 	{
 		return call(front_addresses[n], "/jobs/" + name,
 		    "{\"Spec\":\"s\",\"Steps\":[{\"Count\":" +
@@ -211,6 +212,7 @@
 			",\"Cpu\":" + std::to_string(need.cores_milli) +
 			",\"MemMb\":" + std::to_string(need.memory_mb) +
 			",\"Gpu\":" + std::to_string(need.accels) +
+			(lasts ? ",\"LongRunning\":true" : "") +
 			",\"EstimateMs\":300}]}");
 	}
 
--- a/tests/sim/soak.h
+++ b/tests/sim/soak.h
@@ -5,6 +5,7 @@
 
 #include "config_check.h"
 #include "deployment.h"
+#include "standstill.h"
 
 /* Parts of a plan that a test adds to the faults of VMs and of the store. */
 struct SoakPlan {
@@ -16,6 +17,8 @@
 	bool late_births = false;
 	/* Some jobs have tasks that crash the workers that start them. */
 	bool deadly_jobs = false;
+	/* So many jobs with tasks that last until the end. */
+	int lasting_jobs = 0;
 };
 
 /*
@@ -38,8 +41,10 @@
 	SoakPlan plan;
 	std::mt19937 random;
 	unsigned seed;
-	std::mutex lock; /* guards calls and latencies */
+	std::mutex lock; /* guards calls, latencies and standstill */
 	std::map<std::string, Call> calls;
+	std::set<std::string> lasting_jobs;
+	Standstill standstill;
 	std::vector<bool> vm_running;
 	std::vector<int64_t> accept_latencies_ms;
 	std::atomic<bool> stopping{false};
@@ -52,6 +57,7 @@
 	};
 
 	static constexpr SimRoom FULL_ROOM = {64000, 64000, 8};
+	static constexpr int64_t CALM_MAX_MS = 25000;
 
 	explicit Soak(unsigned seed_value, const SoakPlan &added = {})
 	    : config(deployment, VMS, seed_value), plan(added),
@@ -92,8 +98,8 @@
 
 		call.tasks = tasks;
 		for (unsigned i = 0; i < 4 && !call.accepted; i++) {
-			int status = deployment.submit(
-			    (first + i) % VMS, name, tasks, need);
+			int status = deployment.submit((first + i) % VMS, name,
+			    tasks, need, lasting_jobs.count(name) != 0);
 
 			call.accepted = status == 200;
 			/* Only 429 and 503 rule out that the job runs. */
@@ -102,9 +108,101 @@
 		}
 		std::lock_guard<std::mutex> guard(lock);
 		calls[name] = call;
-		if (call.accepted)
-			accept_latencies_ms.push_back(
-			    Emulator::now_ms() - start_ms);
+		if (!call.accepted)
+			return;
+		accept_latencies_ms.push_back(Emulator::now_ms() - start_ms);
+		Standstill::Step step;
+
+		step.count = (uint32_t)tasks;
+		step.lasts = lasting_jobs.count(name) != 0;
+		std::lock_guard<std::mutex> platform_guard(
+		    deployment.platform.lock);
+		if (!is_deadly(name))
+			standstill.add(name, {step});
+	}
+
+	void
+	set_work_ms(const std::string &name, int64_t work_ms)
+	{
+		std::lock_guard<std::mutex> guard(deployment.platform.lock);
+
+		for (SimWorker &worker : deployment.platform.workers)
+			worker.job_work_ms[name] = work_ms;
+	}
+
+	/* Submits jobs with tasks that last. */
+	void
+	submit_lasting()
+	{
+		for (int i = 0; i < plan.lasting_jobs; i++) {
+			std::string name = job(0x1000 + i);
+			SimRoom need = add_job(name, false);
+
+			set_work_ms(name, INT32_MAX);
+			lasting_jobs.insert(name);
+			submit(
+			    name, draw(1, 3), (unsigned)draw(0, VMS - 1), need);
+		}
+	}
+
+	/* Returns whether a fault is in force or armed. A late order that has
+	 * been sent is none. */
+	bool
+	is_disrupted()
+	{
+		const Emulator &platform = deployment.platform;
+		bool out = !repairs.empty() || platform.store_down ||
+		    platform.slow_ms > 0 || platform.drop_append_answers > 0 ||
+		    platform.drop_worker_answers > 0 ||
+		    platform.late_orders > 0;
+
+		for (const auto &entry : platform.unresponsive_until)
+			out = out || entry.second > Emulator::now_ms();
+		for (const auto &entry : platform.busy_until)
+			out = out || entry.second > Emulator::now_ms();
+		for (const SimWorker &worker : platform.workers)
+			out = out || worker.is_down();
+		return out;
+	}
+
+	/* Takes a sample of the standstill checker. */
+	void
+	watch()
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		std::lock_guard<std::mutex> platform_guard(
+		    deployment.platform.lock);
+		std::vector<const SimWorker *> usable;
+
+		if (is_disrupted())
+			standstill.disrupt(Emulator::now_ms());
+		/* In a calm time all of them answer and are registered. */
+		for (const SimWorker &worker : deployment.platform.workers)
+			if (!worker.is_down())
+				usable.push_back(&worker);
+		standstill.sample(deployment.platform.run_checker, usable,
+		    Emulator::now_ms());
+	}
+
+	/* Ends the faults and watches until it has been calm for so long, up to
+	 * CALM_MAX_MS. */
+	void
+	watch_calm(int64_t calm_ms)
+	{
+		int64_t start_ms = Emulator::now_ms();
+
+		deployment.platform.drop_append_answers = 0;
+		deployment.platform.drop_worker_answers = 0;
+		deployment.platform.late_orders = 0;
+		standstill.disrupt(start_ms);
+		standstill.traffic_end_ms = start_ms;
+		while (Emulator::now_ms() < standstill.disrupted_ms + calm_ms &&
+		    Emulator::now_ms() < start_ms + CALM_MAX_MS) {
+			check_processes();
+			watch();
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(Standstill::SAMPLE_MS));
+		}
 	}
 
 	void
@@ -356,6 +454,7 @@
 		std::set<int> deadly = draw_deadly_jobs(seconds * jobs_per_s);
 		int job_count = 0;
 
+		submit_lasting();
 		if (with_faults)
 			config.start();
 		while (Emulator::now_ms() < end_ms) {
@@ -378,6 +477,7 @@
 				    draw(0, plan.changing_workers ? 6 : 3);
 
 				faults++;
+				standstill.disrupt(Emulator::now_ms());
 				fault_ms += draw(200, 1500);
 				if (target <= 1)
 					inject_vm_fault(
@@ -390,12 +490,14 @@
 			}
 			run_repairs(false);
 			check_processes();
+			watch();
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(10));
 		}
 		while (!repairs.empty()) {
 			run_repairs(false);
 			check_processes();
+			watch();
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(10));
 		}
--- a/tests/test_platform_soak.cc
+++ b/tests/test_platform_soak.cc
@@ -101,6 +101,30 @@
 		run_soak(seed, plan, 800, 8);
 }
 
+/* Guards against jobs of which nothing runs for 3 s in the calm after the
+ * faults, although a task of them could, and against tasks that last and do not
+ * run for 3 s in any calm time. */
+TEST(PlatformSoak, TasksThatCanRunDoNotStandStill)
+{
+	std::istringstream seeds = seeds_to_play("602", "602 603 604");
+	SoakPlan plan;
+	unsigned seed;
+
+	plan.changing_workers = plan.late_births = true;
+	plan.lasting_jobs = 3;
+	while (seeds >> seed && !HasFailure()) {
+		Soak soak(seed, plan);
+
+		soak.start(800);
+		soak.run(
+		    atoi(env_or_default("SOAK_SECONDS", "8").c_str()), 8, true);
+		/* Stands of tasks that last are found 9 s after a run. */
+		soak.watch_calm(10000);
+		soak.print_report();
+		EXPECT_EQ("", soak.standstill.report()) << "seed " << seed;
+	}
+}
+
 /* Guards against jobs that are accepted too late without faults. The platform's
  * clients wait 3 s. SOAK_RATE is the rate of jobs per second. */
 TEST(PlatformSoak, JobsAreAcceptedInTimeAndCompleted)
