Test: a list asked for before a start must not end its run

Cause: a start's answer sets listed_from_ms to the present. A long poll sent before that and answered after it lists the run, and fw_report_apply sets listed_from_ms back to the poll's sending. The delayed answer to a hold that was sent after the poll and carried out before the start then counts, and does not list the run.

--- a/tests/test_flow_report.cc
+++ b/tests/test_flow_report.cc
@@ -106,6 +106,32 @@
 	EXPECT_EQ(2U, fixture.report_ends(FW_END_DONE, FW_END_LEASE_EXPIRED));
 }
 
+/* Guards against a task that is placed twice: a list that was asked for before
+ * the start of a run and made after it must not have later reports count that
+ * were asked for before the start too, and made before it. */
+TEST(FlowReport, ListsAskedForBeforeAStartDoNotEndItsRun)
+{
+	ReportFixture fixture;
+	struct fw_run &run = fixture.tables.runs[fixture.runs[0]];
+	struct fw_report &report =
+	    fixture.tables.worker_states[fixture.worker].report;
+	struct fw_listed_run listed = {};
+
+	strcpy(listed.task.job, JOB);
+	listed.run = 1;
+	run.listed_from_ms = 500; /* the start was answered */
+	report.sent_ms = 300;
+	report.runs = &listed;
+	report.run_count = 1;
+	bd_read_begin();
+	fw_report_apply(&fixture.tables, fixture.board, fixture.worker, 510);
+	bd_read_end();
+	report.runs = nullptr;
+	report.run_count = 0;
+	EXPECT_EQ(300, run.last_listed_ms);
+	EXPECT_EQ(500, run.listed_from_ms);
+}
+
 /* The end of a run that was replaced must not be acknowledged: its task would
  * count as started after it was done, or as failed once more. */
 TEST(FlowReport, EndsOfReplacedRunsAreNotAcknowledged)
