Pauses of lasting tasks after crashes end within 9 s of the last run

Callers saw: a long-running job whose workers had crashed under it often had nothing running for up to half a minute, at any load.

Cause: the pause after clear crashes doubled up to 30 s, counted from the time at which the end of the run was found.

Change: the pause doubles up to 2 s. The end of a run may be found only once all leases are over, 6.4 s after a crash, which leaves 0.6 s for the placement.

The price is that a deadly task takes its workers down about six times as often.

--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -24,12 +24,12 @@
 #define LASTING_FORGET_MS CONCLUSIVE_RUN_MS
 #define LASTING_FORGET_PRESUMED_MS 60000
 /* A task that lasts waits after this many crashes of which it is the likely
- * cause, twice as long after each further one. Its worker may be the cause all
- * the same, so the first pauses are shorter than the 3 s within which a task
- * that is ready has to be started. */
+ * cause, twice as long after each further one. It has to run again within 9 s
+ * of its last run, whose end may be found only once all leases are over, after
+ * 6.4 s. */
 #define LASTING_PAUSE_CRASHES 3
 #define LASTING_PAUSE_MIN_MS 500
-#define LASTING_PAUSE_MAX_MS 30000
+#define LASTING_PAUSE_MAX_MS 2000
 /* Workers that crash within this time of each other may have a common cause,
  * such as the power of a rack, if there are this many besides those of the
  * job. */
