Whether capacity is kept for others is decided by service

Callers saw: jobs of a service with idle workers had nothing running for as long as another service was full, or had an urgent job that waited; often many jobs of one service at once.

Cause: the placer counted the whole deployment as one. Workers reserved for priority 0, rack by rack, may be all that a small service has; others may use them after 1.5 s only while 45 % of the accelerators are free, of all services together. Accelerators that urgent groups wait for were compared with the free ones of all services, and capacity kept for gangs in advance with the capacity of all. Tasks without accelerators waited beside free cores, since accelerators alone counted; tasks that last waited wherever the service was more than half full; an urgent gang that fits nowhere kept a free service from all others.

Change: whether most is free, what urgent groups wait for, and the limit of what is kept in advance are by service; whether most is free counts cores for tasks without accelerators. A task that lasts may use reserved workers after 1.5 s however full its service is. A group whose turn came 1.5 s ago does not leave room for urgent groups if most of its service is free, or if it lasts. Nothing is kept in advance while most is free. The time since the turn of a group came is that of rows, so a change of the placer does not begin it anew.

Evidence: these failed before (nothing placed) and pass: FlowPlace.ReservedWorkersOfAFreeServiceAreUsedBesideAFullOne, .FreeServicesAreUsedWhileUrgentJobsOfAnotherWait, .UrgentGangsThatFitNowhereLeaveFreeCapacityToOthers, .ReservedWorkersAreUsedForLastingTasks, .TasksWithoutAcceleratorsUseReservedWorkersWithFreeCores. A test that read the former field of the view calls fw_view_ample.

The price was not measured.

--- a/lib/flow/advance.c
+++ b/lib/flow/advance.c
@@ -198,7 +198,8 @@
 
 /*
  * Keeps the capacity on which a waiting gang can start first from the groups
- * that come after it in this decision. Load answered: wide gangs on a full
+ * that come after it in this decision, unless most of its service is free: what
+ * is kept may be all that others can use. Load answered: wide gangs on a full
  * deployment, where small tasks of lower priority took each accelerator that
  * came free, so that a gang never found all of its workers at once.
  */
@@ -215,8 +216,10 @@
 	uint32_t rack;
 
 	if (group->count < 2 || group->too_late || group->suspect ||
+	    group->service == FW_NONE || group->ample ||
 	    advance->gangs >= GANGS_MAX ||
-	    (advance->accels + need) * 1000 > view->accel_total *
+	    (advance->accels + need) * 1000 >
+		view->services[group->service].accel_total *
 		    (advance->gangs == 0 ? ACCELS_SINGLE_MAX_MILLI
 					 : ACCELS_MAX_MILLI) ||
 	    !collect_releases(advance, view))
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -181,6 +181,7 @@
 	int64_t memory_mb;
 	int64_t accels;
 	uint32_t rack;         /* index in the view */
+	uint32_t service;      /* index in the view */
 	uint32_t first_victim; /* range in the victims of fw_reclaim */
 	uint32_t victim_count;
 	struct fw_room late;      /* needed by starts that may still arrive */
@@ -207,6 +208,15 @@
 	uint32_t index;
 };
 
+/* The workers of one service and what its groups need. */
+struct fw_service_view {
+	uint64_t pool;
+	uint64_t accel_total;   /* of workers that may be given new runs */
+	bool ample_accels;      /* most of its accelerators are free */
+	bool ample_cores;       /* most of its cores are free */
+	int64_t urgent_backlog; /* accelerators that urgent groups wait for */
+};
+
 /* Ended jobs whose progress records one decision deletes. */
 #define FW_PRUNE_MAX 16
 
@@ -224,11 +234,10 @@
 	const char **racks;     /* names */
 	uint32_t *rack_first;   /* index of the first worker of each rack */
 	uint64_t hosts_scanned; /* workers examined so far in this decision */
-	int64_t urgent_backlog; /* accelerators that urgent groups wait for */
-	uint64_t accel_total;   /* of workers that may be given new runs */
-	bool ample_free;        /* waiting jobs may use reserved workers */
-	bool lists_pending;     /* first lists of many workers are missing */
-	uint32_t trial_count;   /* workers that are kept for a suspect job */
+	struct fw_service_view *services;
+	uint32_t service_count;
+	bool lists_pending;   /* first lists of many workers are missing */
+	uint32_t trial_count; /* workers that are kept for a suspect job */
 	uint32_t rack_count;
 	struct fw_job_view *jobs;
 	uint32_t job_count;
@@ -249,13 +258,17 @@
 	uint32_t first; /* index of the first task */
 	uint32_t count;
 	uint32_t priority;
-	int64_t age_ms;   /* since the job was accepted */
-	int64_t slack_ms; /* time it can wait and still meet its target */
-	bool too_late;    /* too late to be useful to its caller */
-	bool suspect;     /* its job may crash workers: it is tried apart */
-	bool shares;      /* a suspect that may use workers of other jobs */
-	bool joins;       /* and those on which other suspects are tried */
-	uint64_t work;    /* of the whole job, in core-milliseconds */
+	int64_t age_ms;    /* since the job was accepted */
+	int64_t waited_ms; /* since its turn came */
+	int64_t slack_ms;  /* time it can wait and still meet its target */
+	bool too_late;     /* too late to be useful to its caller */
+	uint32_t service;  /* index in the view, or FW_NONE */
+	bool ample;        /* most of its service is free */
+	bool lasts;        /* runs until its job is cancelled */
+	bool suspect;      /* its job may crash workers: it is tried apart */
+	bool shares;       /* a suspect that may use workers of other jobs */
+	bool joins;        /* and those on which other suspects are tried */
+	uint64_t work;     /* of the whole job, in core-milliseconds */
 };
 
 struct fw_groups {
@@ -299,10 +312,13 @@
 void fw_view_add_tenant(struct fw_view *view, uint32_t job, uint32_t host);
 void fw_view_hold(struct fw_view *view, uint32_t job, uint32_t host);
 void fw_view_try_apart(struct fw_view *view, uint32_t job, uint32_t host);
-bool fw_view_may_try(const struct fw_view *view);
+bool fw_view_may_try(const struct fw_view *view, const struct fw_group *group);
 void fw_group_set_trial(struct fw_group *group, const struct fw_view *view);
 void fw_trials_hold(struct fw_view *view, const struct fw_groups *groups);
-int64_t fw_view_free_accels(const struct fw_view *view);
+int64_t fw_view_free_accels(const struct fw_view *view, uint32_t service);
+uint32_t fw_view_service_index(const struct fw_view *view, uint64_t pool);
+bool fw_view_ample(
+    const struct fw_view *view, uint32_t service, uint32_t accels);
 
 int fw_groups_ready(struct fw_groups *groups, const struct fw_view *view);
 void fw_groups_defer(struct fw_groups *groups, const struct fw_view *view,
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -28,6 +28,7 @@
 	COMPANY_REFUSED,
 };
 
+static bool has_to_run(const struct fw_group *group);
 static bool may_try_on(const struct fw_view *view, const struct fw_group *group,
     const struct bd_flow_step *step, uint32_t host);
 static enum company company_on(const struct fw_view *view,
@@ -83,9 +84,18 @@
 	}
 }
 
+/* Returns whether a group may not wait for the sake of others. The platform
+ * counts a job as lost that waits while half of its service is free, and a task
+ * that lasts however full the service is. */
+static bool
+has_to_run(const struct fw_group *group)
+{
+	return group->lasts || group->ample;
+}
+
 /* Returns whether a group may use a worker. Reserved workers accept only jobs
  * of priority 0 and tasks whose data is on that rack, that are about to miss
- * their target, or that have waited for long while ample capacity is free. */
+ * their target, or that have waited for long and have to run. */
 bool
 fw_group_may_use(const struct fw_view *view, const struct fw_host_view *host,
     const struct fw_group *group)
@@ -93,7 +103,7 @@
 	const struct bd_flow_step *step = step_of(view, group);
 
 	return !host->urgent || group->priority == 0 ||
-	    (view->ample_free && group->age_ms > RESERVED_WAIT_MS) ||
+	    (group->age_ms > RESERVED_WAIT_MS && has_to_run(group)) ||
 	    (group->slack_ms >= 0 && group->slack_ms < RESERVED_SLACK_MS) ||
 	    strcmp(step->data_rack, host->row->rack) == 0;
 }
@@ -126,7 +136,7 @@
 
 	if (row->shared || (row->tenant != 0 && row->tenant != id))
 		return false;
-	if (row->trial != id && !fw_view_may_try(view))
+	if (row->trial != id && !fw_view_may_try(view, group))
 		return false;
 	return (step->flags & BD_STEP_GANG) != 0 ||
 	    job->trial_host == FW_NONE || job->trial_host == host;
@@ -378,17 +388,23 @@
 	}
 }
 
-/* Returns whether enough accelerators would stay free for the waiting groups of
- * priority 0. Without this limit, in a burst of urgent jobs on a fully used
- * deployment, small tasks of lower priority took every accelerator that became
- * free. */
+/* Returns whether a group may be placed beside the waiting groups of priority 0
+ * of its service: enough accelerators stay free for them, or it has waited for
+ * long and has to run. Without this limit, in a burst of urgent jobs on a fully
+ * used deployment, small tasks of lower priority took every accelerator that
+ * became free. */
 static bool
 leaves_urgent_backlog(const struct fw_view *view, const struct fw_group *group)
 {
 	int64_t need = (int64_t)group->count * step_of(view, group)->accels;
+	int64_t backlog;
 
-	return view->urgent_backlog == 0 || need == 0 ||
-	    fw_view_free_accels(view) >= need + view->urgent_backlog;
+	if (group->service == FW_NONE || need == 0)
+		return true;
+	backlog = view->services[group->service].urgent_backlog;
+	return backlog == 0 ||
+	    (group->waited_ms > RESERVED_WAIT_MS && has_to_run(group)) ||
+	    fw_view_free_accels(view, group->service) >= need + backlog;
 }
 
 /*
@@ -430,8 +446,10 @@
 			continue;
 		}
 		last_failed = true;
-		if (group->priority == 0 && !group->too_late)
-			view->urgent_backlog += (int64_t)group->count *
+		if (group->priority == 0 && !group->too_late &&
+		    group->service != FW_NONE)
+			view->services[group->service].urgent_backlog +=
+			    (int64_t)group->count *
 			    step_of(view, group)->accels;
 		if (blocked != NULL)
 			blocked(ctx, view, group);
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -19,6 +19,8 @@
 static int64_t estimate_run_ms(const struct bd_flow *flow);
 static void set_time_limits(struct fw_group *group, const struct bd_flow *flow,
     const struct fw_settings *settings);
+static int64_t turn_ms(
+    const struct bd_flow *flow, const struct fw_group *group);
 static int add_step(struct fw_groups *groups, const struct fw_view *view,
     uint32_t job, uint32_t occurrence, uint32_t step, bool suspect);
 static int compare_groups(const void *a, const void *b);
@@ -101,6 +103,38 @@
 	    group->age_ms > (int64_t)settings->reclaim_ms * 2;
 }
 
+/* Returns the wall time at which the turn of a group came: its job was accepted
+ * and due, the steps before were done, and its latest runs had ended. */
+static int64_t
+turn_ms(const struct bd_flow *flow, const struct fw_group *group)
+{
+	const struct bd_flow_step *steps = fw_flow_steps(flow);
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t occurrence = group->first / flow->step_tasks;
+	int64_t latest_ms = flow->accepted_ms;
+	int64_t due_ms =
+	    flow->first_due_ms + (int64_t)occurrence * flow->interval_ms;
+	uint32_t s;
+	uint32_t i;
+
+	if (flow->first_due_ms > 0 && due_ms > latest_ms)
+		latest_ms = due_ms;
+	for (s = 0; s < group->step; s++) {
+		uint32_t first =
+		    occurrence * flow->step_tasks + steps[s].first_task;
+
+		if ((steps[group->step].after >> s & 1) == 0)
+			continue;
+		for (i = first; i < first + steps[s].count; i++)
+			if (tasks[i].changed_ms > latest_ms)
+				latest_ms = tasks[i].changed_ms;
+	}
+	for (i = group->first; i < group->first + group->count; i++)
+		if (tasks[i].changed_ms > latest_ms)
+			latest_ms = tasks[i].changed_ms;
+	return latest_ms;
+}
+
 /* Adds the groups of one step of an occurrence whose tasks all wait, do not
  * pause and have no run that a worker lists. */
 static int
@@ -145,6 +179,10 @@
 		group.age_ms = view->wall_ms - flow->accepted_ms;
 		if (group.age_ms < 0)
 			group.age_ms = 0;
+		group.waited_ms = view->wall_ms - turn_ms(flow, &group);
+		group.service = fw_view_service_index(view, flow->pool);
+		group.ample = fw_view_ample(view, group.service, row->accels);
+		group.lasts = (row->flags & BD_STEP_LONG_RUNNING) != 0;
 		set_time_limits(&group, flow, view->settings);
 		group.work = estimate_work(flow);
 		group.suspect = suspect;
--- a/lib/flow/trials.c
+++ b/lib/flow/trials.c
@@ -18,11 +18,11 @@
 /* Returns whether another worker may be kept for the trial of a suspect job.
  * After a failure that many workers have in common, most jobs are suspect. */
 bool
-fw_view_may_try(const struct fw_view *view)
+fw_view_may_try(const struct fw_view *view, const struct fw_group *group)
 {
 	uint32_t most = view->host_count / TRIAL_WORKERS_PART;
 
-	return view->ample_free || view->trial_count < (most > 0 ? most : 1);
+	return group->ample || view->trial_count < (most > 0 ? most : 1);
 }
 
 /* Returns whether worker a is likely to be without runs sooner than worker b.
@@ -85,7 +85,7 @@
 		    job->trial_host != FW_NONE)
 			continue;
 		job->trial_held = true;
-		while (held < group->count && fw_view_may_try(view)) {
+		while (held < group->count && fw_view_may_try(view, group)) {
 			uint32_t host = best_to_hold(view, group, step);
 
 			if (host == FW_NONE)
@@ -110,7 +110,7 @@
 	uint32_t crashes = 0;
 	uint32_t i;
 
-	if (!group->suspect || !view->ample_free)
+	if (!group->suspect || !group->ample)
 		return;
 	for (i = 0; i < count; i++)
 		if (tasks[i].changed_ms > changed_ms)
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -7,9 +7,9 @@
 /* Upper limit of the share of accelerators reserved for priority 0: the rest
  * has to serve the other jobs even in a burst of urgent ones. */
 #define RESERVE_MAX_MILLI 400
-/* If more than this share of the accelerators is free, urgent jobs fit
- * elsewhere and waiting jobs may use reserved workers. The platform counts a
- * job as lost that waits while half of the capacity is free. */
+/* If more than this share of a service is free, its urgent jobs fit elsewhere
+ * and waiting jobs may use reserved workers. The platform counts a job as lost
+ * that waits while half of its service is free. */
 #define AMPLE_FREE_MILLI 450
 
 static uint32_t index_of(const struct fw_view *view, enum bd_table_number table,
@@ -19,10 +19,12 @@
     const struct fw_host_view *host, const struct bd_flow_step *step);
 static int compare_hosts(const void *a, const void *b);
 static int copy_hosts(struct fw_view *view, const struct bd_board *board);
+static uint32_t add_service(struct fw_view *view, uint64_t pool);
 static int add_hosts(struct fw_view *view, const struct bd_board *board);
 static int add_jobs(struct fw_view *view, const struct bd_board *board);
 static void note_prunable(struct fw_view *view, const struct bd_flow *row);
 static void subtract_placed(struct fw_view *view, uint32_t job);
+static void sum_service(struct fw_view *view, uint32_t service);
 
 /* Returns the current row of a job: the modified copy, if there is one. */
 const struct bd_flow *
@@ -152,10 +154,11 @@
 	if (bd_rows_collect(board, BD_TABLE_host, &rows) != CW_OK)
 		return FW_ENOMEM;
 	view->hosts = calloc(rows.count + 1, sizeof(*view->hosts));
+	view->services = calloc(rows.count + 1, sizeof(*view->services));
 	view->racks = calloc(rows.count + 1, sizeof(*view->racks));
 	view->rack_first = calloc(rows.count + 2, sizeof(*view->rack_first));
-	if (view->hosts == NULL || view->racks == NULL ||
-	    view->rack_first == NULL) {
+	if (view->hosts == NULL || view->services == NULL ||
+	    view->racks == NULL || view->rack_first == NULL) {
 		bd_rows_free(&rows);
 		return FW_ENOMEM;
 	}
@@ -174,6 +177,31 @@
 	return CW_OK;
 }
 
+/* Returns the index of a service in the view, or FW_NONE if it has no workers.
+ */
+uint32_t
+fw_view_service_index(const struct fw_view *view, uint64_t pool)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->service_count; i++)
+		if (view->services[i].pool == pool)
+			return i;
+	return FW_NONE;
+}
+
+/* Returns the index of a service, which is added if needed. */
+static uint32_t
+add_service(struct fw_view *view, uint64_t pool)
+{
+	uint32_t found = fw_view_service_index(view, pool);
+
+	if (found != FW_NONE)
+		return found;
+	view->services[view->service_count].pool = pool;
+	return view->service_count++;
+}
+
 static int
 add_hosts(struct fw_view *view, const struct bd_board *board)
 {
@@ -196,6 +224,7 @@
 			view->rack_first[view->rack_count++] = i;
 		}
 		view->hosts[i].rack = view->rack_count - 1;
+		view->hosts[i].service = add_service(view, row->pool);
 		if (bd_lookup(board, BD_TABLE_host, row->id, &handle) != NULL)
 			view->host_positions[handle.index] = i;
 	}
@@ -370,6 +399,7 @@
 	free(view->jobs);
 	free(view->alive);
 	free(view->hosts);
+	free(view->services);
 	free(view->host_positions);
 	free((void *)view->racks);
 	free(view->rack_first);
@@ -378,6 +408,8 @@
 	view->alive = NULL;
 	view->alive_count = view->alive_capacity = 0;
 	view->hosts = NULL;
+	view->services = NULL;
+	view->service_count = 0;
 	view->host_positions = view->job_positions = NULL;
 	view->racks = NULL;
 	view->rack_first = NULL;
@@ -475,43 +507,59 @@
 	return demand;
 }
 
-/* Returns how many accelerators are free on workers that may be given new runs
- * of any job. */
+/* Returns how many accelerators are free on workers of a service that may be
+ * given new runs of any job. */
 int64_t
-fw_view_free_accels(const struct fw_view *view)
+fw_view_free_accels(const struct fw_view *view, uint32_t service)
 {
 	int64_t count = 0;
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++)
 		if (view->hosts[i].schedulable && view->hosts[i].trial == 0 &&
+		    view->hosts[i].service == service &&
 		    view->hosts[i].accels > 0)
 			count += view->hosts[i].accels;
 	return count;
 }
 
-/* Returns whether most of the capacity is free: accelerators, or cores where
- * workers have no accelerators. Workers on which suspect jobs are tried count
- * as well: many trials must not be a reason for fewer of them. */
-static bool
-is_ample_free(const struct fw_view *view, uint64_t total_accels)
+/* Sums up the capacity of a service and finds whether most of it is free.
+ * Workers on which suspect jobs are tried count as well: many trials must not
+ * be a reason for fewer of them. */
+static void
+sum_service(struct fw_view *view, uint32_t service)
 {
-	bool by_accels = total_accels > 0;
-	int64_t free_units = 0;
-	int64_t total = 0;
+	struct fw_service_view *sums = &view->services[service];
+	int64_t accels_free = 0;
+	int64_t cores_total = 0;
+	int64_t cores_free = 0;
 	uint32_t i;
 
+	sums->accel_total = 0;
 	for (i = 0; i < view->host_count; i++) {
 		const struct fw_host_view *host = &view->hosts[i];
-		int64_t units = by_accels ? host->accels : host->cores_milli;
 
-		if (!host->schedulable)
+		if (!host->schedulable || host->service != service)
 			continue;
-		total += by_accels ? (int64_t)host->row->accels
-				   : (int64_t)host->row->cores_milli;
-		free_units += units > 0 ? units : 0;
+		sums->accel_total += host->row->accels;
+		accels_free += host->accels > 0 ? host->accels : 0;
+		cores_total += host->row->cores_milli;
+		cores_free += host->cores_milli > 0 ? host->cores_milli : 0;
 	}
-	return free_units * 1000 > total * AMPLE_FREE_MILLI;
+	sums->ample_accels =
+	    accels_free * 1000 > (int64_t)sums->accel_total * AMPLE_FREE_MILLI;
+	sums->ample_cores = cores_free * 1000 > cores_total * AMPLE_FREE_MILLI;
+}
+
+/* Returns whether most of a service is free: its accelerators, or its cores for
+ * tasks that need no accelerators. Call after fw_view_reserve_urgent. */
+bool
+fw_view_ample(const struct fw_view *view, uint32_t service, uint32_t accels)
+{
+	if (service == FW_NONE)
+		return false;
+	return accels > 0 ? view->services[service].ample_accels
+			  : view->services[service].ample_cores;
 }
 
 /*
@@ -532,8 +580,8 @@
 	for (i = 0; i < view->host_count; i++)
 		if (view->hosts[i].schedulable)
 			total += view->hosts[i].row->accels;
-	view->accel_total = total;
-	view->ample_free = is_ample_free(view, total);
+	for (i = 0; i < view->service_count; i++)
+		sum_service(view, i);
 	for (i = 0; i < view->host_count && reserved < accels; i++) {
 		struct fw_host_view *host = &view->hosts[i];
 
--- a/tests/test_flow_crash.cc
+++ b/tests/test_flow_crash.cc
@@ -277,7 +277,7 @@
 	fw_view_build(&view, fixture.board, &fixture.settings, 5000, 21000);
 	EXPECT_EQ(12U, view.trial_count);
 	fw_view_reserve_urgent(&view, 0);
-	EXPECT_TRUE(view.ample_free);
+	EXPECT_TRUE(fw_view_ample(&view, 0, 1));
 	fw_view_free(&view);
 	bd_read_end();
 }
--- a/tests/test_flow_place.cc
+++ b/tests/test_flow_place.cc
@@ -373,3 +373,109 @@
 	fw_view_free(&view);
 	bd_read_end();
 }
+
+/* Two services with eight accelerators a worker: one of two workers, and a full
+ * one of eight. */
+struct TwoServices : FlowFixture {
+	struct fw_view view = {};
+	struct fw_groups groups = {};
+
+	TwoServices()
+	{
+		queue.pool = cw_id_from_name("full");
+		for (int i = 0; i < 8; i++)
+			add_host("f" + std::to_string(i), "r2");
+		submit("00000000000000c3", {make_step(64, 1)});
+		EXPECT_EQ(64U, place_ready());
+		queue.pool = cw_id_from_name("free");
+		add_host("1", "r1");
+		add_host("2", "r1");
+	}
+
+	/* Returns the number of groups that a decision places, of which none
+	 * can still meet its target. */
+	uint32_t
+	place_late(int64_t wall_ms)
+	{
+		uint32_t placed;
+
+		bd_read_begin();
+		fw_view_build(&view, board, &settings, 5000, wall_ms);
+		fw_view_reserve_urgent(&view, 16);
+		fw_groups_ready(&groups, &view);
+		for (uint32_t i = 0; i < groups.count; i++)
+			groups.items[i].slack_ms = -1;
+		fw_groups_sort(&groups);
+		placed = fw_place(&view, &groups, nullptr, nullptr);
+		fw_groups_free(&groups);
+		fw_view_free(&view);
+		bd_read_end();
+		return placed;
+	}
+};
+
+/* Jobs of a service that is idle must not wait next to its reserved workers
+ * because another service is full. */
+TEST(FlowPlace, ReservedWorkersOfAFreeServiceAreUsedBesideAFullOne)
+{
+	TwoServices fixture;
+
+	fixture.submit(JOB, {FlowFixture::make_step(1, 1)}, 1000);
+	EXPECT_EQ(1U, fixture.place_late(1000 + 2000));
+}
+
+/* Nor because urgent jobs of the other one wait: its free capacity is of no use
+ * to them. */
+TEST(FlowPlace, FreeServicesAreUsedWhileUrgentJobsOfAnotherWait)
+{
+	TwoServices fixture;
+
+	fixture.submit(JOB, {FlowFixture::make_step(1, 1)}, 1000);
+	fixture.queue.priority = 0;
+	fixture.queue.pool = cw_id_from_name("full");
+	fixture.submit(
+	    URGENT, {FlowFixture::make_step(2, 8, BD_STEP_GANG)}, 1000);
+	EXPECT_EQ(1U, fixture.place_late(1000 + 2000));
+}
+
+/* An urgent gang that fits nowhere must not keep a service idle. */
+TEST(FlowPlace, UrgentGangsThatFitNowhereLeaveFreeCapacityToOthers)
+{
+	TwoServices fixture;
+	struct bd_flow_step gang = FlowFixture::make_step(4, 8, BD_STEP_GANG);
+
+	fixture.submit(JOB, {FlowFixture::make_step(1, 1)}, 1000);
+	fixture.queue.priority = 0;
+	fixture.submit(URGENT, {gang}, 1000);
+	EXPECT_EQ(1U, fixture.place_late(1000 + 2000));
+}
+
+/* Tasks that last have to run however full their service is. */
+TEST(FlowPlace, ReservedWorkersAreUsedForLastingTasks)
+{
+	for (uint32_t flags : {0U, (uint32_t)BD_STEP_LONG_RUNNING}) {
+		TwoServices fixture;
+
+		fixture.submit(
+		    "00000000000000c4", {FlowFixture::make_step(1, 6)}, 2900);
+		EXPECT_EQ(1U, fixture.place_ready());
+		fixture.submit(
+		    "00000000000000c5", {FlowFixture::make_step(1, 6)}, 2900);
+		EXPECT_EQ(1U, fixture.place_ready());
+		fixture.submit(
+		    JOB, {FlowFixture::make_step(1, 1, flags)}, 1000);
+		EXPECT_EQ(flags != 0 ? 1U : 0U, fixture.place_late(3000));
+	}
+}
+
+/* Tasks without accelerators must not wait next to reserved workers on which
+ * most cores are free. */
+TEST(FlowPlace, TasksWithoutAcceleratorsUseReservedWorkersWithFreeCores)
+{
+	TwoServices fixture;
+
+	fixture.submit("00000000000000c4", {FlowFixture::make_step(2, 8)});
+	EXPECT_EQ(2U, fixture.place_ready());
+	fixture.submit(JOB, {FlowFixture::make_step(1, 0)}, 1000);
+	EXPECT_EQ(1U, fixture.place_late(3000));
+}
