Suspects do not wait for an empty worker for good

Callers saw: a job, or one task of a lasting job, under which workers had crashed had nothing running although there was room for it, for 8 s, or for as long as other jobs ran on each worker.

Cause: four waits of a suspect were longer than what is known requires. From the third crash on it was only tried on a worker without other jobs, and there may never be one. A lasting one waited for that too wherever its service was more than half full. Its wait of 1.5 s was measured from the latest change of any task of its job, so that the others began it anew. The worker that crashed under it was left out for 8 s if another one could hold it once that is empty. And it waited 2 s for the cause of a silent loss, though only a crash that may fail the job has to be counted first.

Change: the wait is measured from the turn of the group. From the third crash on, a suspect shares a worker after 2.4 s; with a pause of 2 s at most for tasks that last, that is 8.8 s after a crash that is found with the end of the leases. One that lasts shares however full its service is. The worker that crashed last is its last resort then. It waits for the cause of a silent loss only with two crashes or more, unless it lasts. How often a task may crash workers is as before: at the fourth crash the job fails.

The price is that a task that takes its workers down hits neighbours after the third crash too, where no worker is empty.

--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -48,8 +48,8 @@
  * longer is taken for cut off, one that refuses connections for crashed. */
 #define SILENT_LOSS_MAX_MS 10000
 #define REFUSED_LOSS_MAX_MS 4000
-/* For this long a suspect waits for the cause of its last loss. A task that is
- * ready has to be started within 3 s. */
+/* For this long a suspect waits for the cause of its last loss, if one more
+ * crash may fail its job. A task that is ready has to be started within 3 s. */
 #define SILENT_LOSS_WAIT_MS 2000
 
 static bool task_lasts(const struct bd_flow *flow, uint32_t index);
@@ -276,15 +276,18 @@
 	return false;
 }
 
-/* Returns whether a task has lost its last run on a worker that was silent, of
- * which it may soon be known if it crashed. */
+/* Returns whether a task that one more crash may fail has lost its last run on
+ * a worker that was silent, of which it may soon be known if it crashed. */
 static bool
 is_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
     uint32_t index, int64_t now_ms)
 {
-	uint32_t found = fw_run_find(
-	    tables, flow->id, index, fw_flow_tasks(flow)[index].run);
+	const struct bd_step_task *task = &fw_flow_tasks(flow)[index];
+	uint32_t found;
 
+	if (task->crashes < CRASHES_APART_MAX - 1 || task_lasts(flow, index))
+		return false;
+	found = fw_run_find(tables, flow->id, index, task->run);
 	return found != FW_NONE && tables->runs[found].silent_loss_ms != 0 &&
 	    now_ms - tables->runs[found].silent_loss_ms < SILENT_LOSS_WAIT_MS;
 }
@@ -331,8 +334,8 @@
 }
 
 /* Leaves out the groups of which an earlier run may still be started, and those
- * of suspect jobs whose last loss is undecided: the crash, if it was one, has
- * to be counted before the next start. */
+ * of suspect jobs whose last loss is undecided: a crash that may fail the job
+ * has to be counted before the next start. */
 void
 fw_groups_defer(struct fw_groups *groups, const struct fw_view *view,
     struct fw_tables *tables)
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -313,7 +313,7 @@
 void fw_view_hold(struct fw_view *view, uint32_t job, uint32_t host);
 void fw_view_try_apart(struct fw_view *view, uint32_t job, uint32_t host);
 bool fw_view_may_try(const struct fw_view *view, const struct fw_group *group);
-void fw_group_set_trial(struct fw_group *group, const struct fw_view *view);
+void fw_group_set_trial(struct fw_group *group, const struct bd_flow *flow);
 void fw_trials_hold(struct fw_view *view, const struct fw_groups *groups);
 int64_t fw_view_free_accels(const struct fw_view *view, uint32_t service);
 uint32_t fw_view_service_index(const struct fw_view *view, uint64_t pool);
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -10,7 +10,8 @@
 #define RESERVED_SLACK_MS 4000
 #define RESERVED_WAIT_MS 1500
 
-/* A worker that crashed under a task is not used for it again for this long. */
+/* A worker that crashed under a task is not used for it again for this long,
+ * unless the task has to run and fits on no other one. */
 #define CRASHED_AVOID_MS 8000
 
 /* Largest number of workers that one decision examines, summed over its groups,
@@ -25,6 +26,7 @@
 	COMPANY_NONE,   /* as any job, or apart from others if it is suspect */
 	COMPANY_JOBS,   /* a suspect among other jobs */
 	COMPANY_TRIALS, /* a suspect where another one is tried */
+	COMPANY_AGAIN,  /* a suspect on the worker that crashed under it */
 	COMPANY_REFUSED,
 };
 
@@ -215,10 +217,13 @@
 
 		if ((step->host_max > 0 &&
 			host->same_step_tasks >= step->host_max) ||
-		    !fw_group_may_use(view, host, group) ||
-		    (avoid && crashed_there(view, flow, group, host)))
+		    !fw_group_may_use(view, host, group))
 			continue;
 		company = company_on(view, group, step, i);
+		if (avoid && company != COMPANY_REFUSED &&
+		    crashed_there(view, flow, group, host))
+			company =
+			    group->shares ? COMPANY_AGAIN : COMPANY_REFUSED;
 		if (company == COMPANY_REFUSED || company > best_company)
 			continue;
 		if (company < best_company ||
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -186,7 +186,7 @@
 		set_time_limits(&group, flow, view->settings);
 		group.work = estimate_work(flow);
 		group.suspect = suspect;
-		fw_group_set_trial(&group, view);
+		fw_group_set_trial(&group, flow);
 		groups->items[groups->count++] = group;
 	}
 	return CW_OK;
--- a/lib/flow/trials.c
+++ b/lib/flow/trials.c
@@ -5,12 +5,13 @@
 #define TRIAL_WORKERS_PART 4
 
 /* A suspect that has waited for this long for a worker without other jobs uses
- * one of them while ample capacity is free: a task that is ready has to be
- * started within 3 s. */
+ * one of them while ample capacity is free, or if it lasts: a task that is
+ * ready has to be started within 3 s. */
 #define TRIAL_WAIT_MAX_MS 1500
-/* A task with more crashes than this is tried apart only: its next crash in
- * any company fails its job, or tells nothing if the task lasts. */
+/* A task with more crashes than this waits for longer: its next crash in any
+ * company fails its job, or tells nothing if the task lasts. */
 #define SHARING_CRASHES_MAX 2
+#define TRIAL_WAIT_LAST_MS 2400
 
 static uint32_t best_to_hold(const struct fw_view *view,
     const struct fw_group *group, const struct bd_flow_step *step);
@@ -101,24 +102,19 @@
  * worker with other jobs, and with other suspects. Each such crash is charged
  * to all of them, so only the first ones may happen in company. */
 void
-fw_group_set_trial(struct fw_group *group, const struct fw_view *view)
+fw_group_set_trial(struct fw_group *group, const struct bd_flow *flow)
 {
-	const struct bd_flow *flow = fw_job_current(&view->jobs[group->job]);
 	const struct bd_step_task *tasks = fw_flow_tasks(flow);
-	uint32_t count = fw_flow_task_count(flow);
-	int64_t changed_ms = flow->accepted_ms;
 	uint32_t crashes = 0;
 	uint32_t i;
 
-	if (!group->suspect || !group->ample)
+	if (!group->suspect || (!group->ample && !group->lasts))
 		return;
-	for (i = 0; i < count; i++)
-		if (tasks[i].changed_ms > changed_ms)
-			changed_ms = tasks[i].changed_ms;
 	for (i = group->first; i < group->first + group->count; i++)
 		if (tasks[i].crashes > crashes)
 			crashes = tasks[i].crashes;
-	group->shares = view->wall_ms - changed_ms > TRIAL_WAIT_MAX_MS &&
-	    crashes <= SHARING_CRASHES_MAX;
+	group->shares = group->waited_ms > (crashes <= SHARING_CRASHES_MAX
+						   ? TRIAL_WAIT_MAX_MS
+						   : TRIAL_WAIT_LAST_MS);
 	group->joins = group->shares && crashes < SHARING_CRASHES_MAX;
 }
--- a/tests/test_flow_crash.cc
+++ b/tests/test_flow_crash.cc
@@ -577,3 +577,116 @@
 		    << down_ms;
 	}
 }
+
+/* Places all groups that are ready, as a decision does that knows how much of
+ * the service is free. Returns their number. */
+static uint32_t
+decide(FlowFixture &fixture, int64_t wall_ms)
+{
+	struct fw_groups groups;
+	struct fw_view view;
+	uint32_t placed;
+
+	bd_read_begin();
+	fw_view_build(&view, fixture.board, &fixture.settings, 5000, wall_ms);
+	fw_view_reserve_urgent(&view, 0);
+	fw_groups_ready(&groups, &view);
+	fw_groups_sort(&groups);
+	fw_trials_hold(&view, &groups);
+	placed = fw_place(&view, &groups, nullptr, nullptr);
+	fw_groups_free(&groups);
+	fixture.store_changed_jobs(&view);
+	fw_view_free(&view);
+	bd_read_end();
+	return placed;
+}
+
+/* Adds a job with one task of this many accelerators on each of four workers.
+ */
+static void
+fill_four_workers(FlowFixture &fixture, uint32_t accels)
+{
+	struct bd_flow_step spread =
+	    FlowFixture::make_step(4, accels, BD_STEP_LONG_RUNNING);
+
+	spread.host_max = 1;
+	add_hosts(fixture, 4);
+	fixture.submit(CALM, {spread});
+	EXPECT_EQ(4U, fixture.place_ready());
+}
+
+/* A suspect must not wait for an empty worker for good, however often workers
+ * have crashed under it: none may ever be empty. */
+TEST(FlowCrash, SuspectWithManyCrashesSharesAWorkerWhereNoneIsEmpty)
+{
+	for (uint32_t flags : {0U, (uint32_t)BD_STEP_LONG_RUNNING}) {
+		FlowFixture fixture;
+
+		fill_four_workers(fixture, 1);
+		fixture.submit(DEADLY, {FlowFixture::make_step(1, 1, flags)});
+		EXPECT_EQ(1U, fixture.place_ready());
+		for (int i = 0; i < 3; i++) {
+			crash(fixture, DEADLY, 0, BESIDE_OTHERS);
+			EXPECT_EQ(1U, decide(fixture, 3000 + 2900)) << i;
+		}
+	}
+}
+
+/* Tasks that last have to run again within seconds however full their service
+ * is. */
+TEST(FlowCrash, LastingSuspectSharesAWorkerOfAFullService)
+{
+	FlowFixture fixture;
+
+	fill_four_workers(fixture, 6);
+	fixture.submit(
+	    DEADLY, {FlowFixture::make_step(1, 1, BD_STEP_LONG_RUNNING)});
+	EXPECT_EQ(1U, fixture.place_ready());
+	crash(fixture, DEADLY, 0, BESIDE_OTHERS);
+	EXPECT_EQ(0U, decide(fixture, 3000 + 1000));
+	EXPECT_EQ(1U, decide(fixture, 3000 + 2900));
+}
+
+/* A suspect must return to the worker that crashed under it if no other one has
+ * room meanwhile. */
+TEST(FlowCrash, SuspectReturnsToTheOnlyWorkerWithRoom)
+{
+	FlowFixture fixture;
+	struct bd_flow_step step = FlowFixture::make_step(1, 4);
+
+	fixture.add_host("1", "r1");
+	strcpy(step.label, "r1");
+	fixture.submit(DEADLY, {step});
+	EXPECT_EQ(1U, fixture.place_ready());
+	fixture.add_host("2", "r1", 16);
+	fixture.submit(CALM, {FlowFixture::make_step(1, 16)});
+	EXPECT_EQ(1U, fixture.place_ready());
+	fixture.add_host("3", "r2", 16);
+	crash(fixture, DEADLY, 0, BESIDE_OTHERS);
+	EXPECT_EQ(0U, decide(fixture, 3000 + 1000));
+	EXPECT_EQ(1U, decide(fixture, 3000 + 2900));
+}
+
+/* The wait of a lasting task must not begin anew with each change of another
+ * task of its job. */
+TEST(FlowCrash, WaitOfASuspectDoesNotBeginAnewWithOthersOfItsJob)
+{
+	FlowFixture fixture;
+	struct bd_flow_step large =
+	    FlowFixture::make_step(1, 1, BD_STEP_LONG_RUNNING);
+	struct bd_flow_step small = large;
+
+	fill_four_workers(fixture, 1);
+	fixture.submit(DEADLY, {large, small});
+	EXPECT_EQ(2U, fixture.place_ready());
+	crash(fixture, DEADLY, 0, BESIDE_OTHERS); /* at 3000 */
+	bd_read_begin();
+	const struct bd_flow *row = fixture.find_flow(DEADLY);
+	struct bd_flow *copy = (struct bd_flow *)malloc(fw_flow_bytes(row));
+	memcpy(copy, row, fw_flow_bytes(row));
+	bd_read_end();
+	fw_flow_tasks(copy)[1].changed_ms = 3000 + 2500;
+	fixture.store_progress(copy);
+	free(copy);
+	EXPECT_EQ(1U, decide(fixture, 3000 + 2900));
+}
--- a/tests/test_flow_crash_lasting.cc
+++ b/tests/test_flow_crash_lasting.cc
@@ -57,6 +57,34 @@
 	}
 }
 
+/* A suspect must not wait for long where its next worker falls silent for good:
+ * for 3 s after a calm of 4 s, or 9 s if it lasts. */
+TEST(FlowCrashLasting, SuspectsOfSilentWorkersRunAgainInTime)
+{
+	for (int n = 0; n < 30; n++) {
+		bool lasts = n % 2 == 0;
+		FlowSim sim;
+
+		for (int i = 0; i < 4; i++)
+			sim.add_worker("w" + std::to_string(i)).work_ms =
+			    3600000;
+		SimVm *vm = sim.add_vm("a");
+		sim.run_for(1000);
+		sim.submit(LASTING,
+		    {FlowFixture::make_step(
+			1, 1, lasts ? BD_STEP_LONG_RUNNING : 0)});
+		sim.run_for(1000);
+		sim.workers[sim.worker_of(vm, LASTING, 0)].crash(sim.now_ms);
+		EXPECT_LE(await_run(sim), 9000);
+		sim.run_for(1000 + n * 100);
+		std::string lost = sim.worker_of(vm, LASTING, 0);
+		sim.workers[lost].crash_down_ms = 600000;
+		sim.workers[lost].crash(sim.now_ms);
+		sim.unreachable_workers.insert(lost);
+		EXPECT_LE(await_run(sim), lasts ? 9000 : 7000) << n;
+	}
+}
+
 /* A worker that crashes behind cuts and starts again under its id, the only one
  * of its kind, must not fail a lasting job, nor keep it waiting for longer than
  * 6 s and 3 s. */
