Failed runs do not close all workers of a service

Callers saw: after a job whose tasks fail by their own fault, all other jobs of its service had nothing running for 8 s, with idle workers.

Cause: a worker with two failed runs in a row, or one that stood still, got no runs for 8 s. The tasks may be the cause, which then holds for each worker of the service.

No runs are preempted there, and it is neither kept for trials nor reserved, as before.

Evidence: FlowPlacer.JobsThatFailDoNotKeepOthersFromTheirWorkers failed before (not begun after 3 s) and passes. A worker that fails all runs gets runs only while no other one fits them, so it may use up attempts of a small service. That was not measured.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -4,7 +4,8 @@
 #include "flow_internal.h"
 
 /* For this long after a crash or a failed run, a worker is used only as a last
- * resort, and not at all if two runs in a row have failed. */
+ * resort, and if two runs in a row have failed only for groups that have to
+ * run: the tasks may be the cause, and so of all workers of a service. */
 #define SUSPECT_MS 8000
 /* A job's row covers the starts of this time, so that it is not stored for each
  * of them. */
@@ -53,8 +54,8 @@
 static bool fill_batch(struct fw_placer *placer, struct fw_view *view);
 
 /* Excludes workers that do not answer, have not listed their runs in this term
- * yet, whose entry is of a former incarnation, or on which runs fail
- * repeatedly. */
+ * yet, or whose entry is of a former incarnation, and marks those on which runs
+ * fail. */
 static void
 exclude_failing_hosts(struct fw_placer *placer, struct fw_view *view)
 {
@@ -89,8 +90,7 @@
 		if (worker->failed_count > 0 &&
 		    view->now_ms - worker->failed_ms < SUSPECT_MS) {
 			host->suspect = true;
-			if (worker->failed_count > 1)
-				host->schedulable = false;
+			host->failing = worker->failed_count > 1;
 		}
 	}
 	view->lists_pending = missing * LISTS_MISSING_PART > view->host_count &&
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -187,6 +187,7 @@
 	struct fw_room late;      /* needed by starts that may still arrive */
 	bool schedulable;         /* may be given new runs */
 	bool suspect;             /* a run failed there recently */
+	bool failing;             /* several in a row did */
 	bool urgent;              /* reserved for jobs of priority 0 */
 	uint32_t same_step_tasks; /* placed tasks of the current group's step */
 	uint64_t tenant; /* id of the job whose tasks it has, 0: none */
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -10,6 +10,10 @@
 #define RESERVED_SLACK_MS 4000
 #define RESERVED_WAIT_MS 1500
 
+/* A worker on which runs fail is used for a group that has to run and has
+ * waited for this long for another one. */
+#define FAILING_WAIT_MS 1500
+
 /* A worker that crashed under a task is not used for it again for this long,
  * unless the task has to run and fits on no other one. */
 #define CRASHED_AVOID_MS 8000
@@ -104,6 +108,9 @@
 {
 	const struct bd_flow_step *step = step_of(view, group);
 
+	if (host->failing &&
+	    (group->waited_ms <= FAILING_WAIT_MS || !has_to_run(group)))
+		return false;
 	return !host->urgent || group->priority == 0 ||
 	    (group->age_ms > RESERVED_WAIT_MS && has_to_run(group)) ||
 	    (group->slack_ms >= 0 && group->slack_ms < RESERVED_SLACK_MS) ||
@@ -191,7 +198,7 @@
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++)
-		if (view->hosts[i].schedulable &&
+		if (view->hosts[i].schedulable && !view->hosts[i].failing &&
 		    !crashed_there(view, flow, group, &view->hosts[i]) &&
 		    fw_host_task_capacity(view->hosts[i].row, flow, step) > 0)
 			return true;
--- a/lib/flow/reclaim.c
+++ b/lib/flow/reclaim.c
@@ -198,8 +198,9 @@
 		for (; i < end; i++) {
 			const struct fw_host_view *host = &view->hosts[i];
 
-			if (step->host_max > 0 &&
-			    host->same_step_tasks >= step->host_max)
+			if (host->failing ||
+			    (step->host_max > 0 &&
+				host->same_step_tasks >= step->host_max))
 				continue;
 			own = cost_on(search, i);
 			if (own == COST_NEVER || own > best_cost ||
--- a/lib/flow/trials.c
+++ b/lib/flow/trials.c
@@ -53,7 +53,8 @@
 	for (i = 0; i < view->host_count; i++) {
 		const struct fw_host_view *host = &view->hosts[i];
 
-		if (!host->schedulable || host->suspect || host->trial != 0 ||
+		if (!host->schedulable || host->failing || host->suspect ||
+		    host->trial != 0 ||
 		    (host->urgent && group->priority != 0) ||
 		    fw_host_task_capacity(host->row, flow, step) == 0)
 			continue;
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -516,7 +516,8 @@
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++)
-		if (view->hosts[i].schedulable && view->hosts[i].trial == 0 &&
+		if (view->hosts[i].schedulable && !view->hosts[i].failing &&
+		    view->hosts[i].trial == 0 &&
 		    view->hosts[i].service == service &&
 		    view->hosts[i].accels > 0)
 			count += view->hosts[i].accels;
@@ -578,14 +579,14 @@
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++)
-		if (view->hosts[i].schedulable)
+		if (view->hosts[i].schedulable && !view->hosts[i].failing)
 			total += view->hosts[i].row->accels;
 	for (i = 0; i < view->service_count; i++)
 		sum_service(view, i);
 	for (i = 0; i < view->host_count && reserved < accels; i++) {
 		struct fw_host_view *host = &view->hosts[i];
 
-		if (!host->schedulable)
+		if (!host->schedulable || host->failing)
 			continue;
 		if (reserved + host->row->accels >
 		    total * RESERVE_MAX_MILLI / 1000)
--- a/tests/test_flow_placer.cc
+++ b/tests/test_flow_placer.cc
@@ -130,6 +130,31 @@
 	}
 }
 
+/* Runs that fail on each worker of a service, for a fault of their job, must
+ * not keep other jobs waiting. */
+TEST(FlowPlacer, JobsThatFailDoNotKeepOthersFromTheirWorkers)
+{
+	FlowSim sim;
+	struct bd_flow_step failing = FlowFixture::make_step(4, 4);
+
+	for (const char *id : {"w1", "w2"}) {
+		sim.add_worker(id).work_ms = 300;
+		sim.workers[id].failing = true;
+	}
+	SimVm *vm = sim.add_vm("a");
+	sim.run_for(1000);
+	sim.submit(JOB_A, {failing});
+	do
+		sim.run_for(50);
+	while (sim.state(vm, JOB_A) != BD_FLOW_FAILED && sim.now_ms < 20000);
+	ASSERT_EQ(BD_FLOW_FAILED, sim.state(vm, JOB_A));
+	for (const char *id : {"w1", "w2"})
+		sim.workers[id].failing = false;
+	sim.submit(JOB_B, {FlowFixture::make_step(1, 1)});
+	sim.run_for(3000);
+	EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_B));
+}
+
 /* A worker may finish a task while it is unreachable for longer than its lease.
  * If the task has not been placed again, its result counts and the work is not
  * repeated. */
