Groups that a decision does not reach take turns

Callers saw: jobs of a large service had nothing running, with idle workers, for as long as many other jobs waited that fit nowhere.

Cause: a decision examines 150,000 workers in all, in the same order each time. With 1,500 workers, 100 groups that fit nowhere use that up, and those behind them had no turn until the number of the first ones fell.

Change: a decision examines 50,000 workers more for the groups that it did not reach; each decision goes on where the last one stopped.

Evidence: FlowPlace.GroupsBehindManyThatFitNowhereHaveTheirTurn failed before (250 jobs that fit nowhere on 1,500 workers: nothing placed in 8 decisions) and passes. The processor time of such decisions grows by up to a third; that was not measured.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -440,7 +440,9 @@
 		fw_reservations_apply(&placer->reservations, &view, &groups);
 		fw_groups_sort(&groups);
 		fw_trials_hold(&view, &groups);
+		view.turn = placer->turn;
 		fw_place(&view, &groups, on_blocked, &waiting);
+		placer->turn = view.turn;
 		fw_groups_free(&groups);
 	} else
 		ev_emit(EV_FLOW_NO_MEMORY, "what=groups");
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -235,6 +235,7 @@
 	const char **racks;     /* names */
 	uint32_t *rack_first;   /* index of the first worker of each rack */
 	uint64_t hosts_scanned; /* workers examined so far in this decision */
+	uint32_t turn; /* first of the groups that take turns, see fw_place */
 	struct fw_service_view *services;
 	uint32_t service_count;
 	bool lists_pending;   /* first lists of many workers are missing */
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -80,6 +80,7 @@
 	uint64_t hosts_position;
 	int64_t hosts_synced_ms; /* time of the last sync of the workers */
 	int64_t last_decision_ms;
+	uint32_t turn;     /* of the groups that decisions do not reach */
 	bool decision_due; /* something has changed since the last decision */
 	int64_t published_ms; /* time of the last publication of running jobs */
 	struct fw_writer progress;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -19,9 +19,10 @@
 #define CRASHED_AVOID_MS 8000
 
 /* Largest number of workers that one decision examines, summed over its groups,
- * which takes some ms of processor time; the remaining groups wait for the next
- * decision. */
+ * which takes some ms of processor time. It then examines so many more for some
+ * of the remaining groups, which take turns. */
 #define HOSTS_SCANNED_MAX 150000
+#define HOSTS_SCANNED_TURN 50000
 
 static const struct bd_flow_step *step_of(
     const struct fw_view *view, const struct fw_group *group);
@@ -51,6 +52,12 @@
     struct fw_view *view, const struct fw_group *group, uint32_t *hosts);
 static bool leaves_urgent_backlog(
     const struct fw_view *view, const struct fw_group *group);
+static uint32_t place_range(struct fw_view *view,
+    const struct fw_groups *groups, uint32_t first, uint32_t end,
+    uint64_t hosts_max,
+    void (*blocked)(
+	void *ctx, struct fw_view *view, const struct fw_group *group),
+    void *ctx, uint32_t *placed);
 static bool rack_could_hold(const struct fw_view *view,
     const struct fw_group *group, const struct bd_flow_step *step);
 static bool may_spread(const struct fw_view *view, const struct fw_group *group,
@@ -419,32 +426,26 @@
 	    fw_view_free_accels(view, group->service) >= need + backlog;
 }
 
-/*
- * Places groups in the given order, with backfilling: a group may overtake one
- * that does not fit, but may not use the accelerators that waiting groups of
- * priority 0 need. blocked is called for each group that does not fit and may
- * withhold capacity from the groups after it. Returns the number of groups
- * placed.
- */
-uint32_t
-fw_place(struct fw_view *view, const struct fw_groups *groups,
+/* Places groups from first to end - 1 until hosts_max workers have been
+ * examined in all, and adds their number to *placed. Returns the index of the
+ * group after the last one that had its turn. */
+static uint32_t
+place_range(struct fw_view *view, const struct fw_groups *groups,
+    uint32_t first, uint32_t end, uint64_t hosts_max,
     void (*blocked)(
 	void *ctx, struct fw_view *view, const struct fw_group *group),
-    void *ctx)
+    void *ctx, uint32_t *placed)
 {
 	uint32_t hosts[FW_TASKS_MAX];
-	uint32_t placed = 0;
 	bool last_failed = false;
 	uint32_t i;
 
-	for (i = 0;
-	     i < groups->count && view->hosts_scanned < HOSTS_SCANNED_MAX;
-	     i++) {
+	for (i = first; i < end && view->hosts_scanned < hosts_max; i++) {
 		const struct fw_group *group = &groups->items[i];
 
 		/* Tasks of a step have equal requirements: if one does not
 		 * fit, neither does the next. */
-		if (i > 0 && last_failed && group->job == group[-1].job &&
+		if (last_failed && group->job == group[-1].job &&
 		    group->step == group[-1].step && group->count == 1 &&
 		    group->shares == group[-1].shares &&
 		    group->joins == group[-1].joins)
@@ -454,7 +455,7 @@
 			leaves_urgent_backlog(view, group)) &&
 		    fw_group_fit(view, group, hosts, false)) {
 			fw_group_place(view, group, hosts);
-			placed++;
+			(*placed)++;
 			continue;
 		}
 		last_failed = true;
@@ -466,5 +467,40 @@
 		if (blocked != NULL)
 			blocked(ctx, view, group);
 	}
+	return i;
+}
+
+/*
+ * Places groups in the given order, with backfilling: a group may overtake one
+ * that does not fit, but may not use the accelerators that waiting groups of
+ * priority 0 need. blocked is called for each group that does not fit and may
+ * withhold capacity from the groups after it. Those that are not reached have
+ * their turn in later decisions, some of them in each. Returns the number of
+ * groups placed.
+ */
+uint32_t
+fw_place(struct fw_view *view, const struct fw_groups *groups,
+    void (*blocked)(
+	void *ctx, struct fw_view *view, const struct fw_group *group),
+    void *ctx)
+{
+	uint64_t hosts_max = HOSTS_SCANNED_MAX + HOSTS_SCANNED_TURN;
+	uint32_t placed = 0;
+	uint32_t first = place_range(view, groups, 0, groups->count,
+	    HOSTS_SCANNED_MAX, blocked, ctx, &placed);
+	uint32_t turn;
+	uint32_t next;
+
+	if (first == groups->count) {
+		view->turn = 0;
+		return placed;
+	}
+	turn = first + view->turn % (groups->count - first);
+	next = place_range(view, groups, turn, groups->count, hosts_max,
+	    blocked, ctx, &placed);
+	if (next == groups->count)
+		next = place_range(view, groups, first, turn, hosts_max,
+		    blocked, ctx, &placed);
+	view->turn = next - first;
 	return placed;
 }
--- a/tests/test_flow_place.cc
+++ b/tests/test_flow_place.cc
@@ -479,3 +479,37 @@
 	fixture.submit(JOB, {FlowFixture::make_step(1, 0)}, 1000);
 	EXPECT_EQ(1U, fixture.place_late(3000));
 }
+
+/* A group that many others precede which fit nowhere must have its turn. */
+TEST(FlowPlace, GroupsBehindManyThatFitNowhereHaveTheirTurn)
+{
+	FlowFixture fixture;
+	char name[BD_FLOW_NAME_BYTES];
+	uint32_t placed = 0;
+	uint32_t turn = 0;
+
+	for (int i = 0; i < 1500; i++)
+		fixture.add_host(std::to_string(i), "r1");
+	for (int i = 0; i < 250; i++) {
+		snprintf(name, sizeof(name), "%016x", 0x200 + i);
+		fixture.submit(name, {FlowFixture::make_step(1, 9)}, 1000);
+	}
+	fixture.submit(JOB, {FlowFixture::make_step(1, 1)}, 1500);
+	for (int n = 0; n < 8 && placed == 0; n++) {
+		struct fw_groups groups;
+		struct fw_view view;
+
+		bd_read_begin();
+		fw_view_build(
+		    &view, fixture.board, &fixture.settings, 5000, 2000);
+		view.turn = turn;
+		fw_groups_ready(&groups, &view);
+		fw_groups_sort(&groups);
+		placed = fw_place(&view, &groups, nullptr, nullptr);
+		turn = view.turn;
+		fw_groups_free(&groups);
+		fw_view_free(&view);
+		bd_read_end();
+	}
+	EXPECT_EQ(1U, placed);
+}
