Tasks that last are not placed last

Callers saw: a task of a long-running job had nothing running on a busy service, though there was room for it.

Cause: a job that lasts is soon later than three times its completion target, so its tasks counted as too late to be of use and came after all others; nothing tells when such a job is too late. Gangs before it keep capacity in advance, which it could not use.

Change: tasks that last are never too late. One whose turn came 1.5 s ago comes after priority 0 and before all others, as it has to run within 3 s however full its service is.

Evidence: FlowPlace.LastingTasksThatWaitComeBeforeAllButUrgentOnes failed before (it came last) and passes.

--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -7,6 +7,10 @@
  * some tens of ms. */
 #define DUE_MARGIN_MS 60
 
+/* A task that lasts comes before all but priority 0 after this wait: it has to
+ * run within 3 s however full its service is. */
+#define LASTING_WAIT_MS 1500
+
 /* A job that completes later than this multiple of its completion target is of
  * no use to its caller. */
 #define USEFUL_TARGET_FACTOR 3
@@ -23,6 +27,7 @@
     const struct bd_flow *flow, const struct fw_group *group);
 static int add_step(struct fw_groups *groups, const struct fw_view *view,
     uint32_t job, uint32_t occurrence, uint32_t step, bool suspect);
+static uint32_t rank(const struct fw_group *group);
 static int compare_groups(const void *a, const void *b);
 
 static bool
@@ -87,8 +92,9 @@
 }
 
 /* Computes how long a job can wait and still meet its completion target, and
- * whether it is too late to be useful. No job counts as too late before twice
- * the start limit of guaranteed jobs, as it may have a guarantee until then. */
+ * whether it is too late to be useful; one that lasts never is. No job counts
+ * as too late before twice the start limit of guaranteed jobs, as it may have a
+ * guarantee until then. */
 static void
 set_time_limits(struct fw_group *group, const struct bd_flow *flow,
     const struct fw_settings *settings)
@@ -98,7 +104,7 @@
 	    run_ms * flow->stretch_milli / 1000 + flow->target_ms;
 
 	group->slack_ms = target_ms - run_ms - group->age_ms;
-	group->too_late =
+	group->too_late = !group->lasts &&
 	    group->age_ms + run_ms > target_ms * USEFUL_TARGET_FACTOR &&
 	    group->age_ms > (int64_t)settings->reclaim_ms * 2;
 }
@@ -225,9 +231,21 @@
 	return CW_OK;
 }
 
+/* Returns the priority of a group in the placement order: 0, then tasks that
+ * last and have waited for long, then the others. */
+static uint32_t
+rank(const struct fw_group *group)
+{
+	if (group->priority == 0)
+		return 0;
+	if (group->lasts && group->waited_ms > LASTING_WAIT_MS)
+		return 1;
+	return group->priority + 1;
+}
+
 /*
  * Placement order. Jobs that are too late to be useful come last. The others
- * are ordered by priority; then jobs that can still meet their target come
+ * are ordered by rank; then jobs that can still meet their target come
  * before those that cannot; then by least slack. Under overload this completes
  * the most jobs of a priority in time.
  */
@@ -239,8 +257,8 @@
 
 	if (x->too_late != y->too_late)
 		return x->too_late ? 1 : -1;
-	if (x->priority != y->priority)
-		return x->priority < y->priority ? -1 : 1;
+	if (rank(x) != rank(y))
+		return rank(x) < rank(y) ? -1 : 1;
 	if ((x->slack_ms < 0) != (y->slack_ms < 0))
 		return x->slack_ms < 0 ? 1 : -1;
 	if (x->slack_ms != y->slack_ms)
--- a/tests/test_flow_place.cc
+++ b/tests/test_flow_place.cc
@@ -513,3 +513,34 @@
 	}
 	EXPECT_EQ(1U, placed);
 }
+
+/* A task that lasts is never too late, and must not wait behind gangs for which
+ * capacity is kept: it has to run within 3 s. */
+TEST(FlowPlace, LastingTasksThatWaitComeBeforeAllButUrgentOnes)
+{
+	FlowFixture fixture;
+	struct fw_groups groups;
+	struct fw_view view;
+	int64_t now_ms = 60000;
+
+	fixture.add_host("1", "r1");
+	fixture.queue.priority = 2;
+	fixture.submit(
+	    JOB, {FlowFixture::make_step(1, 1, BD_STEP_LONG_RUNNING)}, 1000);
+	fixture.queue.priority = 1;
+	fixture.submit(
+	    "00000000000000c3", {FlowFixture::make_step(1, 8)}, now_ms - 100);
+	fixture.queue.priority = 0;
+	fixture.submit(URGENT, {FlowFixture::make_step(1, 8)}, now_ms - 100);
+	bd_read_begin();
+	fw_view_build(&view, fixture.board, &fixture.settings, 5000, now_ms);
+	fw_groups_ready(&groups, &view);
+	fw_groups_sort(&groups);
+	ASSERT_EQ(3U, groups.count);
+	EXPECT_EQ(0U, groups.items[0].priority);
+	EXPECT_EQ(2U, groups.items[1].priority);
+	EXPECT_FALSE(groups.items[1].too_late);
+	fw_groups_free(&groups);
+	fw_view_free(&view);
+	bd_read_end();
+}
