Groups leave a full rack after 2.4 s while most of their service is free

Callers saw: a job with data on a full rack, or a gang that asks for one rack, had nothing running for up to twice its estimate while the other racks of its service were idle.

Cause: a group waits for its rack until it has waited for longer than the additional run time elsewhere.

Evidence: FlowPlace.WorkLeavesAFullRackWhileMostOfItsServiceIsFree failed before for a task with data and for a gang (not placed after 2.9 s, with an estimate of 20 s) and passes.

--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -10,6 +10,10 @@
 #define RESERVED_SLACK_MS 4000
 #define RESERVED_WAIT_MS 1500
 
+/* A group that has to run leaves its preferred rack after this wait, as late as
+ * the 3 s within which it has to be started allow. */
+#define SPREAD_WAIT_MS 2400
+
 /* A worker on which runs fail is used for a group that has to run and has
  * waited for this long for another one. */
 #define FAILING_WAIT_MS 1500
@@ -331,7 +335,8 @@
 
 /* Returns whether a group may leave its preferred rack. Elsewhere a task runs
  * remote_factor times as long, so a group waits for the rack until it has
- * waited longer than the additional run time. */
+ * waited longer than the additional run time, or for SPREAD_WAIT_MS if it has
+ * to run. */
 static bool
 may_spread(const struct fw_view *view, const struct fw_group *group,
     const struct bd_flow_step *step)
@@ -340,6 +345,7 @@
 	    ((int64_t)view->settings->remote_factor - 1);
 
 	return group->age_ms > longer_ms ||
+	    (group->waited_ms > SPREAD_WAIT_MS && has_to_run(group)) ||
 	    (step->data_rack[0] == '\0' && !rack_could_hold(view, group, step));
 }
 
--- a/tests/test_flow_place.cc
+++ b/tests/test_flow_place.cc
@@ -544,3 +544,28 @@
 	fw_view_free(&view);
 	bd_read_end();
 }
+
+/* Work must not wait for a full rack while most of its service is free. */
+TEST(FlowPlace, WorkLeavesAFullRackWhileMostOfItsServiceIsFree)
+{
+	for (bool gang : {false, true}) {
+		TwoServices fixture;
+		struct bd_flow_step step = gang
+		    ? FlowFixture::make_step(
+			  2, 8, BD_STEP_GANG | BD_STEP_SAME_RACK)
+		    : FlowFixture::make_step(1, 1);
+
+		step.estimate_ms = 20000;
+		fixture.submit(
+		    "00000000000000c4", {FlowFixture::make_step(2, 8)}, 1000);
+		EXPECT_EQ(2U, fixture.place_ready());
+		for (int i = 3; i < 7; i++)
+			fixture.add_host(
+			    std::to_string(i), "r" + std::to_string(i));
+		if (!gang)
+			strcpy(step.data_rack, "r1");
+		fixture.submit(JOB, {step}, 1000);
+		EXPECT_EQ(0U, fixture.place_late(1000 + 2000));
+		EXPECT_EQ(1U, fixture.place_late(1000 + 2900));
+	}
+}
