--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -24,12 +24,12 @@
 #define LASTING_FORGET_MS CONCLUSIVE_RUN_MS
 #define LASTING_FORGET_PRESUMED_MS 60000
 /* A task that lasts waits after this many crashes of which it is the likely
- * cause, twice as long after each further one. Its worker may be the cause all
- * the same, so the first pauses are shorter than the 3 s within which a task
- * that is ready has to be started. */
+ * cause, twice as long after each further one. It has to run again within 9 s
+ * of its last run, whose end may be found only once all leases are over, after
+ * 6.4 s. */
 #define LASTING_PAUSE_CRASHES 3
 #define LASTING_PAUSE_MIN_MS 500
-#define LASTING_PAUSE_MAX_MS 30000
+#define LASTING_PAUSE_MAX_MS 2000
 /* Workers that crash within this time of each other may have a common cause,
  * such as the power of a rack, if there are this many besides those of the
  * job. */
@@ -48,8 +48,8 @@
  * longer is taken for cut off, one that refuses connections for crashed. */
 #define SILENT_LOSS_MAX_MS 10000
 #define REFUSED_LOSS_MAX_MS 4000
-/* For this long a suspect waits for the cause of its last loss. A task that is
- * ready has to be started within 3 s. */
+/* For this long a suspect waits for the cause of its last loss, if one more
+ * crash may fail its job. A task that is ready has to be started within 3 s. */
 #define SILENT_LOSS_WAIT_MS 2000
 
 static bool task_lasts(const struct bd_flow *flow, uint32_t index);
@@ -271,15 +271,18 @@
 	return false;
 }
 
-/* Returns whether a task has lost its last run on a worker that was silent, of
- * which it may soon be known if it crashed. */
+/* Returns whether a task that one more crash may fail has lost its last run on
+ * a worker that was silent, of which it may soon be known if it crashed. */
 bool
 fw_task_undecided(const struct fw_tables *tables, const struct bd_flow *flow,
     uint32_t index, int64_t now_ms)
 {
-	uint32_t found = fw_run_find(
-	    tables, flow->id, index, fw_flow_tasks(flow)[index].run);
+	const struct bd_step_task *task = &fw_flow_tasks(flow)[index];
+	uint32_t found;
 
+	if (task->crashes < CRASHES_APART_MAX - 1 || task_lasts(flow, index))
+		return false;
+	found = fw_run_find(tables, flow->id, index, task->run);
 	return found != FW_NONE && tables->runs[found].silent_loss_ms != 0 &&
 	    now_ms - tables->runs[found].silent_loss_ms < SILENT_LOSS_WAIT_MS;
 }
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -10,9 +10,22 @@
 #define RESERVED_SLACK_MS 4000
 #define RESERVED_WAIT_MS 1500
 
-/* A worker that crashed under a task is not used for it again for this long. */
+/* A group that has to run leaves its preferred rack after this wait, as late as
+ * the 3 s within which it has to be started allow. */
+#define SPREAD_WAIT_MS 2400
+
+/* A worker on which runs fail is used for a group that has to run and has
+ * waited for this long for another one. */
+#define FAILING_WAIT_MS 1500
+
+/* A worker that crashed under a task is not used for it again for this long,
+ * unless the task has to run and fits on no other one. */
 #define CRASHED_AVOID_MS 8000
 
+/* Workers that a decision examines for some of the groups beyond
+ * FW_HOSTS_SCANNED_MAX, which take turns. */
+#define HOSTS_SCANNED_TURN 50000
+
 static const struct bd_flow_step *step_of(
     const struct fw_view *view, const struct fw_group *group);
 /* How a group may use a worker, the preferred ways first. */
@@ -20,9 +33,11 @@
 	COMPANY_NONE,   /* as any job, or apart from others if it is suspect */
 	COMPANY_JOBS,   /* a suspect among other jobs */
 	COMPANY_TRIALS, /* a suspect where another one is tried */
+	COMPANY_AGAIN,  /* a suspect on the worker that crashed under it */
 	COMPANY_REFUSED,
 };
 
+static bool has_to_run(const struct fw_group *group);
 static enum company company_on(const struct fw_view *view,
     const struct fw_group *group, const struct bd_flow_step *step,
     uint32_t host);
@@ -39,6 +54,12 @@
     uint32_t rack, const struct fw_view_bound *bound);
 static bool fit_one_rack(
     struct fw_view *view, const struct fw_group *group, uint32_t *hosts);
+static uint32_t place_range(struct fw_view *view,
+    const struct fw_groups *groups, uint32_t first, uint32_t end,
+    uint64_t hosts_max,
+    void (*blocked)(
+	void *ctx, struct fw_view *view, const struct fw_group *group),
+    void *ctx, uint32_t *placed);
 static bool rack_could_hold(const struct fw_view *view,
     const struct fw_group *group, const struct bd_flow_step *step);
 static bool may_spread(const struct fw_view *view, const struct fw_group *group,
@@ -78,17 +99,29 @@
 	}
 }
 
+/* Returns whether a group may not wait for the sake of others. The platform
+ * counts a job as lost that waits while half of its service is free, and a task
+ * that lasts however full the service is. */
+static bool
+has_to_run(const struct fw_group *group)
+{
+	return group->lasts || group->ample;
+}
+
 /* Returns whether a group may use a worker. Reserved workers accept only jobs
  * of priority 0 and tasks whose data is on that rack, that are about to miss
- * their target, or that have waited for long while ample capacity is free. */
+ * their target, or that have waited for long and have to run. */
 bool
 fw_group_may_use(const struct fw_view *view, const struct fw_host_view *host,
     const struct fw_group *group)
 {
 	const struct bd_flow_step *step = step_of(view, group);
 
+	if (host->failing &&
+	    (group->waited_ms <= FAILING_WAIT_MS || !has_to_run(group)))
+		return false;
 	return !host->urgent || group->priority == 0 ||
-	    (view->ample_free && group->age_ms > RESERVED_WAIT_MS) ||
+	    (group->age_ms > RESERVED_WAIT_MS && has_to_run(group)) ||
 	    (group->slack_ms >= 0 && group->slack_ms < RESERVED_SLACK_MS) ||
 	    strcmp(step->data_rack, host->row->rack) == 0;
 }
@@ -121,7 +154,7 @@
 
 	if (row->shared || (row->tenant != 0 && row->tenant != id))
 		return false;
-	if (row->trial != id && !fw_view_may_try(view))
+	if (row->trial != id && !fw_view_may_try(view, group))
 		return false;
 	return (step->flags & BD_STEP_GANG) != 0 ||
 	    job->trial_host == FW_NONE || job->trial_host == host;
@@ -175,7 +208,7 @@
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++)
-		if (view->hosts[i].schedulable &&
+		if (view->hosts[i].schedulable && !view->hosts[i].failing &&
 		    !crashed_there(view, flow, group, &view->hosts[i]) &&
 		    fw_host_task_capacity(view->hosts[i].row, flow, step) > 0)
 			return true;
@@ -201,10 +234,13 @@
 
 		if ((step->host_max > 0 &&
 			host->same_step_tasks >= step->host_max) ||
-		    !fw_group_may_use(view, host, group) ||
-		    (avoid && crashed_there(view, flow, group, host)))
+		    !fw_group_may_use(view, host, group))
 			continue;
 		company = company_on(view, group, step, i);
+		if (avoid && company != COMPANY_REFUSED &&
+		    crashed_there(view, flow, group, host))
+			company =
+			    group->shares ? COMPANY_AGAIN : COMPANY_REFUSED;
 		if (company == COMPANY_REFUSED || company > best_company)
 			continue;
 		if (company < best_company ||
@@ -237,7 +273,6 @@
 	if (bound->host < first || bound->host >= end ||
 	    (step->host_max > 0 && host->same_step_tasks >= step->host_max))
 		return FW_NONE;
-	host->schedulable = host->schedulable || host->failing;
 	if (bound->late) {
 		host->late.memory_mb -= step->memory_mb;
 		host->late.accels -= step->accels;
@@ -349,7 +384,8 @@
 
 /* Returns whether a group may leave its preferred rack. Elsewhere a task runs
  * remote_factor times as long, so a group waits for the rack until it has
- * waited longer than the additional run time. */
+ * waited longer than the additional run time, or for SPREAD_WAIT_MS if it has
+ * to run. */
 static bool
 may_spread(const struct fw_view *view, const struct fw_group *group,
     const struct bd_flow_step *step)
@@ -358,6 +394,7 @@
 	    ((int64_t)view->settings->remote_factor - 1);
 
 	return group->age_ms > longer_ms ||
+	    (group->waited_ms > SPREAD_WAIT_MS && has_to_run(group)) ||
 	    (step->data_rack[0] == '\0' && !rack_could_hold(view, group, step));
 }
 
@@ -438,45 +475,45 @@
 	}
 }
 
-/* Returns whether enough accelerators would stay free for the waiting groups of
- * priority 0. Without this limit, in a burst of urgent jobs on a fully used
- * deployment, small tasks of lower priority took every accelerator that became
- * free. */
+/* Returns whether a group may be placed beside the waiting groups of priority 0
+ * of its service: enough accelerators stay free for them, or it has waited for
+ * long and has to run. Without this limit, in a burst of urgent jobs on a fully
+ * used deployment, small tasks of lower priority took every accelerator that
+ * became free. */
 bool
 fw_group_leaves_urgent(const struct fw_view *view, const struct fw_group *group)
 {
 	int64_t need = (int64_t)group->count * step_of(view, group)->accels;
-
-	return view->urgent_backlog == 0 || need == 0 ||
-	    fw_view_free_accels(view) >= need + view->urgent_backlog;
+	int64_t backlog;
+
+	if (group->service == FW_NONE || need == 0)
+		return true;
+	backlog = view->services[group->service].urgent_backlog;
+	return backlog == 0 ||
+	    (group->waited_ms > RESERVED_WAIT_MS && has_to_run(group)) ||
+	    fw_view_free_accels(view, group->service) >= need + backlog;
 }
 
-/*
- * Places groups in the given order, with backfilling: a group may overtake one
- * that does not fit, but may not use the accelerators that waiting groups of
- * priority 0 need. blocked is called for each group that does not fit and may
- * withhold capacity from the groups after it. Returns the number of groups
- * placed.
- */
-uint32_t
-fw_place(struct fw_view *view, const struct fw_groups *groups,
+/* Places groups from first to end - 1 until hosts_max workers have been
+ * examined in all, and adds their number to *placed. Returns the index of the
+ * group after the last one that had its turn. */
+static uint32_t
+place_range(struct fw_view *view, const struct fw_groups *groups,
+    uint32_t first, uint32_t end, uint64_t hosts_max,
     void (*blocked)(
 	void *ctx, struct fw_view *view, const struct fw_group *group),
-    void *ctx)
+    void *ctx, uint32_t *placed)
 {
 	uint32_t hosts[FW_TASKS_MAX];
-	uint32_t placed = 0;
 	bool last_failed = false;
 	uint32_t i;
 
-	for (i = 0;
-	     i < groups->count && view->hosts_scanned < FW_HOSTS_SCANNED_MAX;
-	     i++) {
+	for (i = first; i < end && view->hosts_scanned < hosts_max; i++) {
 		const struct fw_group *group = &groups->items[i];
 
 		/* Tasks of a step have equal requirements: if one does not
 		 * fit, neither does the next. */
-		if (i > 0 && last_failed && group->job == group[-1].job &&
+		if (last_failed && group->job == group[-1].job &&
 		    group->step == group[-1].step && group->count == 1 &&
 		    !group->bound && !group[-1].bound &&
 		    group->shares == group[-1].shares &&
@@ -487,15 +524,52 @@
 			fw_group_leaves_urgent(view, group)) &&
 		    fw_group_fit(view, group, hosts, false)) {
 			fw_group_place(view, group, hosts);
-			placed++;
+			(*placed)++;
 			continue;
 		}
 		last_failed = true;
-		if (group->priority == 0 && !group->too_late)
-			view->urgent_backlog += (int64_t)group->count *
+		if (group->priority == 0 && !group->too_late &&
+		    group->service != FW_NONE)
+			view->services[group->service].urgent_backlog +=
+			    (int64_t)group->count *
 			    step_of(view, group)->accels;
 		if (blocked != NULL)
 			blocked(ctx, view, group);
 	}
+	return i;
+}
+
+/*
+ * Places groups in the given order, with backfilling: a group may overtake one
+ * that does not fit, but may not use the accelerators that waiting groups of
+ * priority 0 need. blocked is called for each group that does not fit and may
+ * withhold capacity from the groups after it. Those that are not reached have
+ * their turn in later decisions, some of them in each. Returns the number of
+ * groups placed.
+ */
+uint32_t
+fw_place(struct fw_view *view, const struct fw_groups *groups,
+    void (*blocked)(
+	void *ctx, struct fw_view *view, const struct fw_group *group),
+    void *ctx)
+{
+	uint64_t hosts_max = FW_HOSTS_SCANNED_MAX + HOSTS_SCANNED_TURN;
+	uint32_t placed = 0;
+	uint32_t first = place_range(view, groups, 0, groups->count,
+	    FW_HOSTS_SCANNED_MAX, blocked, ctx, &placed);
+	uint32_t turn;
+	uint32_t next;
+
+	if (first == groups->count) {
+		view->turn = 0;
+		return placed;
+	}
+	turn = first + view->turn % (groups->count - first);
+	next = place_range(view, groups, turn, groups->count, hosts_max,
+	    blocked, ctx, &placed);
+	if (next == groups->count)
+		next = place_range(view, groups, first, turn, hosts_max,
+		    blocked, ctx, &placed);
+	view->turn = next - first;
 	return placed;
 }
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -308,7 +308,9 @@
 		tables->runs[found].incarnation_ms = report->incarnation_ms;
 		/* A list is made when a long poll ends: one that was asked for
 		 * later may have been made earlier. */
-		tables->runs[found].listed_from_ms = report->now_ms - 1;
+		if (tables->runs[found].listed_from_ms == INT64_MAX ||
+		    tables->runs[found].listed_from_ms < report->now_ms - 1)
+			tables->runs[found].listed_from_ms = report->now_ms - 1;
 		tables->runs[found].last_listed_ms = report->sent_ms;
 		tables->runs[found].began = true;
 	}
--- a/lib/flow/wait_cause.c
+++ b/lib/flow/wait_cause.c
@@ -100,7 +100,7 @@
 		*fitting = fw_host_task_capacity(host->row, flow, step);
 		return BARRIER_FULL;
 	}
-	if (!host->schedulable)
+	if (!host->schedulable || host->failing)
 		return BARRIER_SILENT;
 	if (step->host_max > 0) {
 		if (host->same_step_tasks >= step->host_max)
--- a/tests/test_flow_waits.cc
+++ b/tests/test_flow_waits.cc
@@ -191,9 +191,9 @@
 	EXPECT_EQ("kept", decision.reason(JOB_A));
 	host->kept.accels = 0;
 	host->accels += 6;
-	decision.view.urgent_backlog = 8;
+	decision.view.services[0].urgent_backlog = 8;
 	EXPECT_EQ("urgent_backlog", decision.reason(JOB_A));
-	decision.view.urgent_backlog = 0;
+	decision.view.services[0].urgent_backlog = 0;
 	decision.view.hosts_scanned = FW_HOSTS_SCANNED_MAX;
 	EXPECT_EQ("scan_limit", decision.reason(JOB_A));
 }
