A test of ends that are put off until the lease has lapsed, which fails

The check counts an end once it is acknowledged while the worker's lease has not lapsed since, as the platform does.

Cause: the successor starts runs that its predecessor had placed and whose first start it may have sent. It counts that start as unanswered, so that the end is not acknowledged until AckTimeoutMs less 2 s after it was listed. A worker on which no run is alive gets no renewals, and its lease lapses in that time if MaxHoldMs is not longer. The test has 3,000 ms for both. In the log, the workers get their last starts at 3.87 s and list their last ends at 5.08 s; the first end that is put off is listed at 4.58 s, so no end behind it is acknowledged before 7.58 s.

The simulation shows it without a takeover: one start is lost and sent again. With AckTimeoutMs 5,000 and MaxHoldMs 6,000 the end is taken note of, with 8,000 and 6,000 it is not.

--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -66,6 +66,8 @@
 	std::vector<std::unique_ptr<SimVm>> vms;
 	int64_t store_latency_ms = 4;
 	int64_t wall_ahead_ms = 0; /* of wall clocks */
+	/* Setting of VMs that are added, 0: that of the fixture. */
+	uint32_t ack_timeout_ms = 0;
 	bool store_down = false;
 	bool drop_append_answers = false;
 	/* Pending reads return at their timeout even if records arrive. */
@@ -297,6 +299,8 @@
 		parts.board = vm->fixture.board;
 		parts.settings = vm->fixture.settings;
 		parts.settings.fallback_only = fallback_only;
+		if (ack_timeout_ms > 0)
+			parts.settings.ack_timeout_ms = ack_timeout_ms;
 		parts.wall_ms = wall_clock;
 		parts.ctx = this;
 		spec.topic = FW_TOPIC_JOBS;
--- a/tests/test_flow_void_ends.cc
+++ b/tests/test_flow_void_ends.cc
@@ -215,3 +215,36 @@
 		}
 	}
 }
+
+/* The acknowledgement of an end is put off while a start of its run may still
+ * arrive. It must not be put off until the worker's lease has lapsed, after
+ * which the end is not taken note of. */
+TEST(FlowVoidEnds, EndsThatArePutOffAreTakenNoteOf)
+{
+	for (uint32_t ack_timeout_ms : {5000, 8000}) {
+		FlowSim sim;
+		bool lost = true;
+
+		SCOPED_TRACE(ack_timeout_ms);
+		sim.ack_timeout_ms = ack_timeout_ms;
+		sim.add_worker("w1");
+		sim.add_vm("a");
+		sim.order_fault = [&lost](const SimVm *, const std::string &,
+				      enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (kind == FW_ORDER_START && lost) {
+				fault.unreachable = true;
+				lost = false;
+			}
+			return fault;
+		};
+		sim.run_for(1000);
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
+		sim.run_for(20000);
+		EXPECT_EQ(1, sim.run_checker.starts);
+		EXPECT_EQ(1U, sim.run_checker.finished.size());
+		EXPECT_EQ(0U, sim.unacknowledged_ends());
+		EXPECT_EQ(1U, sim.run_checker.done.size());
+	}
+}
