Jobs are called missing only by a read that was sent after the call

A daemon in the first 2.6 s of a cut from the store answered 410 to the cancel of a job that another daemon had just accepted; its second step started 5.6 s later. GET did the same.

Cause: await_job took a copy of the jobs that was up to 2.6 s old for proof that a job is not there.

Change: 410 is answered only once a read that was sent after the call has reached the end of the topic, and otherwise 503 with Retry-After, after 450/1000 of the call's time (or 300 ms, while a third of the threads is held), so that the caller can still try another VM. The waiting read does not prove it: an answer without records covers what was stored before it was sent. A call for a job that is not in the table sends a short read beside it, which all waiting calls share; one that fails is repeated after 100 ms. Calls for known jobs send nothing more.

The first two of the new tests fail before with FW_ENOJOB in place of FW_ESTALE.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -362,6 +362,7 @@
 void fw_follower_set_read_interval(
     struct fw_follower *follower, uint32_t read_interval_ms);
 void fw_follower_catch_up(struct fw_follower *follower, uint64_t end);
+void fw_follower_refresh(struct fw_follower *follower);
 bool fw_follower_loaded(const struct fw_follower *follower);
 uint64_t fw_follower_position(const struct fw_follower *follower);
 bool fw_follower_stalled(const struct fw_follower *follower, int64_t now_ms);
@@ -441,9 +442,9 @@
 bool fw_config_in_force(const struct fw_front *front, int64_t now_ms);
 int fw_submit(const struct fw_front *front, const struct fw_job_spec *spec,
     int64_t deadline_ms);
-int fw_cancel(const struct fw_front *front, uint64_t queue, const char *name,
+int fw_cancel(struct fw_front *front, uint64_t queue, const char *name,
     int64_t wall_ms, int64_t deadline_ms);
-int fw_job_state(const struct fw_front *front, uint64_t queue, const char *name,
+int fw_job_state(struct fw_front *front, uint64_t queue, const char *name,
     int64_t deadline_ms, uint32_t *state);
 int fw_pending_jobs(const struct fw_front *front, uint64_t queue,
     int64_t now_ms, uint32_t *count);
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -13,6 +13,9 @@
 /* The store counts as unreachable when an answer is late by this much. It
  * answers within a few ms, or within a few hundred ms while it is slow. */
 #define ANSWER_OVERDUE_MS 700
+/* A read for a caller is sent in a later ms than its call arrived, so that its
+ * send time tells that it came after the call. */
+#define REFRESH_DELAY_MS 1
 
 struct fw_follower {
 	struct bd_board *board;
@@ -27,6 +30,8 @@
 	atomic_int_least64_t read_sent_ms;  /* send time of the latest read */
 	atomic_bool read_failed;            /* the last read has failed */
 	atomic_bool paused;
+	atomic_bool refreshing; /* see fw_follower_refresh */
+	atomic_uint refresh_delay_ms;
 	/* Owned by the platform's thread: */
 	bool read_pending;   /* a read or the timer before it is pending */
 	bool reload_pending; /* load again once that read has ended */
@@ -36,11 +41,12 @@
 	bool first_page;
 	bool page_incomplete; /* a record of a page was left out */
 	bool behind; /* has not reached the end of the log since the load */
-	bool end_unknown;     /* newest_suffices: the next read is end_only */
-	int64_t load_sent_ms; /* send time of the first page's read */
-	uint64_t read_from;   /* position when the pending read was sent */
-	bool unanswered;      /* the read before the pending one */
-	bool held;            /* a record of this read could not be applied */
+	bool end_unknown;      /* newest_suffices: the next read is end_only */
+	int64_t load_sent_ms;  /* send time of the first page's read */
+	uint64_t read_from;    /* position when the pending read was sent */
+	uint64_t refresh_from; /* the same of the pending refresh */
+	bool unanswered;       /* the read before the pending one */
+	bool held;             /* a record of this read could not be applied */
 	struct fw_record_buffer buffered; /* records of the pages so far */
 	uint32_t retry_ms;
 	int64_t now_ms;
@@ -52,6 +58,9 @@
 static void catch_up(void *ctx, int64_t now_ms);
 static void on_caught_up(void *ctx, enum fw_result result, bool more,
     uint64_t end, int64_t sent_ms, int64_t now_ms);
+static void refresh(void *ctx, int64_t now_ms);
+static void on_refreshed(void *ctx, enum fw_result result, bool more,
+    uint64_t end, int64_t sent_ms, int64_t now_ms);
 static void schedule(struct fw_follower *follower, uint32_t delay_ms);
 static void apply_next(
     struct fw_follower *follower, const struct fw_record *record);
@@ -165,6 +174,52 @@
 	bd_notify(follower->board);
 }
 
+/* Sends one read that does not wait, in parallel with the waiting one. */
+static void
+refresh(void *ctx, int64_t now_ms)
+{
+	struct fw_follower *follower = ctx;
+	struct fw_read read = {.topic = follower->spec.topic,
+	    .from = atomic_load(&follower->position),
+	    .unanswered = follower->unanswered,
+	    .record = on_catch_up_record,
+	    .done = on_refreshed,
+	    .ctx = follower};
+
+	follower->refresh_from = read.from;
+	if (!atomic_load(&follower->stopped) &&
+	    !atomic_load(&follower->paused) && !follower->loading) {
+		follower->now_ms = now_ms;
+		if (follower->store.read(follower->store.ctx, &read) == CW_OK)
+			return;
+	}
+	atomic_store(&follower->refresh_delay_ms, RETRY_FIRST_MS);
+	atomic_store(&follower->refreshing, false);
+}
+
+/* Ends a refresh. One that brought nothing new is repeated after a delay. */
+static void
+on_refreshed(void *ctx, enum fw_result result, bool more, uint64_t end,
+    int64_t sent_ms, int64_t now_ms)
+{
+	struct fw_follower *follower = ctx;
+	uint64_t position = atomic_load(&follower->position);
+	bool is_new = position > follower->refresh_from;
+
+	(void)more;
+	(void)now_ms;
+	follower->held = false;
+	if (result == FW_RESULT_DONE && end >= follower->refresh_from &&
+	    position >= end) {
+		note_synced(follower, sent_ms);
+		is_new = true;
+	}
+	atomic_store(&follower->refresh_delay_ms,
+	    is_new ? REFRESH_DELAY_MS : RETRY_FIRST_MS);
+	atomic_store(&follower->refreshing, false);
+	bd_notify(follower->board);
+}
+
 /* An answer with the end of the log only has no records. */
 static void
 ignore_record(void *ctx, const struct fw_record *record)
@@ -444,6 +499,7 @@
 	atomic_store(&follower->read_interval_ms, spec->read_interval_ms);
 	atomic_store(&follower->synced_ms, INT64_MIN / 2);
 	atomic_store(&follower->paused, spec->paused);
+	atomic_store(&follower->refresh_delay_ms, REFRESH_DELAY_MS);
 	*out = follower;
 	if (!spec->paused)
 		schedule(follower, 0);
@@ -511,6 +567,27 @@
 		    (int)follower->spec.topic, cw_error_last());
 }
 
+/*
+ * Asks for a read of the log as it is now; bd_notify tells its end. One that is
+ * under way goes on instead: call again after it, until fw_follower_age_ms
+ * tells that a later read has reached the end. The waiting read does not
+ * suffice: an answer without records covers what was stored before it was sent,
+ * its wait ago.
+ */
+void
+fw_follower_refresh(struct fw_follower *follower)
+{
+	if (atomic_exchange(&follower->refreshing, true))
+		return;
+	if (follower->store.after(follower->store.ctx,
+		atomic_load(&follower->refresh_delay_ms), refresh,
+		follower) != CW_OK) {
+		ev_emit(EV_FLOW_STORE_LOST, "topic=%d reason=\"%s\"",
+		    (int)follower->spec.topic, cw_error_last());
+		atomic_store(&follower->refreshing, false);
+	}
+}
+
 /* Returns whether the load is complete. */
 bool
 fw_follower_loaded(const struct fw_follower *follower)
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -16,10 +16,12 @@
 /* An append that is not answered by then fails, so that the caller can submit
  * the same job to another VM. */
 #define UNKNOWN_RETRY_MAX_MS 1400
-/* A job that another VM has accepted is in this VM's table within this time. */
-#define PROPAGATION_MAX_MS 300
-/* A job is not reported as missing, and pending jobs are not counted, if this
- * VM's copy of the topic is older. */
+/* A call for a job that is not in the table waits for this part of its time, so
+ * that its caller can still try another VM, or for MISSING_WAIT_MS if many do.
+ */
+#define MISSING_PATIENCE_MILLI 450
+#define MISSING_WAIT_MS 300
+/* Pending jobs are not counted if this VM's copy of the topic is older. */
 #define STALENESS_MAX_MS 2600
 
 enum call_state {
@@ -49,8 +51,8 @@
 static bool jobs_recent(const struct fw_front *front, int64_t now_ms);
 static int append_job(const struct fw_front *front,
     const struct fw_record *record, int64_t deadline_ms);
-static int await_job(const struct fw_front *front, uint64_t queue,
-    const char *name, int64_t deadline_ms, uint32_t *state);
+static int await_job(struct fw_front *front, uint64_t queue, const char *name,
+    int64_t deadline_ms, uint32_t *state);
 
 static void
 call_release(struct append_call *call)
@@ -244,8 +246,8 @@
 	return found;
 }
 
-/* Returns whether this VM's copy of the jobs is recent enough to tell what is
- * not there. */
+/* Returns whether this VM's copy of the jobs is recent enough to count what is
+ * there. */
 static bool
 jobs_recent(const struct fw_front *front, int64_t now_ms)
 {
@@ -253,39 +255,59 @@
 	    fw_follower_age_ms(front->jobs, now_ms) <= STALENESS_MAX_MS;
 }
 
-/* Looks up a job and waits up to PROPAGATION_MAX_MS for one that another VM
- * has just accepted. Returns FW_ENOJOB or FW_ESTALE. */
+/*
+ * Looks up a job. Another VM may have accepted it just before the call: it is
+ * missing for certain only once a read that was sent after the call has reached
+ * the end of the topic. Without one in time, this VM cannot tell. Returns
+ * FW_ENOJOB or FW_ESTALE.
+ */
 static int
-await_job(const struct fw_front *front, uint64_t queue, const char *name,
+await_job(struct fw_front *front, uint64_t queue, const char *name,
     int64_t deadline_ms, uint32_t *state)
 {
-	int64_t until_ms = cw_clock_mono_ms() + PROPAGATION_MAX_MS;
+	int64_t start_ms = cw_clock_mono_ms();
+	int64_t wait_ms =
+	    (deadline_ms - start_ms) * MISSING_PATIENCE_MILLI / 1000;
+	int code = FW_ESTALE;
 	uint64_t id;
 
 	if (!fw_flow_id_parse(name, &id))
 		return cw_error_set(
 		    FW_ENOJOB, "a job's name has 16 hexadecimal digits");
-	if (until_ms > deadline_ms)
-		until_ms = deadline_ms;
+	if (lookup_state(front, queue, id, state))
+		return CW_OK;
+	if (atomic_fetch_add(&front->held, 1) >= front->held_max &&
+	    wait_ms > MISSING_WAIT_MS)
+		wait_ms = MISSING_WAIT_MS;
 	for (;;) {
 		uint64_t seen = bd_notify_count(front->board);
-		int64_t now_ms = cw_clock_mono_ms();
+		int64_t left_ms = start_ms + wait_ms - cw_clock_mono_ms();
+		bool complete = fw_follower_age_ms(front->jobs, start_ms) < 0;
 
+		/* What a complete copy has was there before this lookup. */
 		if (lookup_state(front, queue, id, state))
-			return CW_OK;
-		if (now_ms >= until_ms)
+			code = CW_OK;
+		else if (complete)
+			code = FW_ENOJOB;
+		if (code != FW_ESTALE || left_ms <= 0)
 			break;
-		bd_wait(front->board, seen, until_ms - now_ms);
+		fw_follower_refresh(front->jobs);
+		bd_wait(front->board, seen, left_ms);
 	}
-	if (!jobs_recent(front, cw_clock_mono_ms()))
-		return cw_error_set(FW_ESTALE, "the store is out of reach");
-	return cw_error_set(FW_ENOJOB, "there is no such job");
+	atomic_fetch_sub(&front->held, 1);
+	if (code == FW_ENOJOB)
+		return cw_error_set(code, "there is no such job");
+	if (code == FW_ESTALE)
+		return cw_error_set(code,
+		    "the store is out of reach: this VM cannot tell whether "
+		    "there is such a job");
+	return CW_OK;
 }
 
 /* Sets *state to the public state of a job. Returns FW_ENOJOB, or FW_ESTALE if
  * this VM's table is too old to tell that there is no such job. */
 int
-fw_job_state(const struct fw_front *front, uint64_t queue, const char *name,
+fw_job_state(struct fw_front *front, uint64_t queue, const char *name,
     int64_t deadline_ms, uint32_t *state)
 {
 	return await_job(front, queue, name, deadline_ms, state);
@@ -294,7 +316,7 @@
 /* Cancels a job, after which none of its tasks starts. No effect on a job that
  * has ended. Returns FW_ENOJOB, FW_ESTALE, FW_ESTORE or FW_EUNKNOWN. */
 int
-fw_cancel(const struct fw_front *front, uint64_t queue, const char *name,
+fw_cancel(struct fw_front *front, uint64_t queue, const char *name,
     int64_t wall_ms, int64_t deadline_ms)
 {
 	struct fw_record record = {0};
--- a/tests/test_flow_submit.cc
+++ b/tests/test_flow_submit.cc
@@ -1,6 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <functional>
 #include <memory>
+#include <mutex>
+#include <thread>
 
 #include <unistd.h>
 
@@ -19,6 +23,7 @@
 		std::string key;
 		std::string value;
 	};
+	std::mutex lock; /* of entries, which a thread may answer with */
 	std::vector<Entry> entries;
 	enum fw_result result = FW_RESULT_DONE;
 	bool stores = true; /* whether appends are carried out */
@@ -31,6 +36,7 @@
 	struct fw_follower *follower = nullptr;
 	struct fw_front front = {};
 	std::vector<struct fw_read> reads;
+	std::mutex lock; /* of timers */
 	std::vector<std::pair<void (*)(void *, int64_t), void *>> timers;
 
 	Vm(Log *shared, uint32_t rows_max) : log(shared)
@@ -61,13 +67,16 @@
 	append(void *ctx, const struct fw_append *call)
 	{
 		Log *log = ((Vm *)ctx)->log;
+		std::unique_lock<std::mutex> guard(log->lock);
 
 		log->appends++;
 		for (size_t i = 0; log->stores && i < call->count; i++)
 			log->entries.push_back({call->records[i].key,
 			    std::string((const char *)call->records[i].value,
 				call->records[i].value_bytes)});
-		call->done(call->ctx, log->result, log->entries.size());
+		uint64_t end = log->entries.size();
+		guard.unlock();
+		call->done(call->ctx, log->result, end);
 		return CW_OK;
 	}
 
@@ -81,6 +90,8 @@
 	static int
 	after(void *ctx, uint32_t, void (*run)(void *, int64_t), void *run_ctx)
 	{
+		std::lock_guard<std::mutex> guard(((Vm *)ctx)->lock);
+
 		((Vm *)ctx)->timers.push_back({run, run_ctx});
 		return CW_OK;
 	}
@@ -94,9 +105,13 @@
 	void
 	run_timers()
 	{
-		auto due = timers;
+		decltype(timers) due;
+
+		{
+			std::lock_guard<std::mutex> guard(lock);
 
-		timers.clear();
+			due.swap(timers);
+		}
 		for (auto &timer : due)
 			timer.first(timer.second, cw_clock_mono_ms());
 	}
@@ -116,6 +131,7 @@
 		while ((now_ms = cw_clock_mono_ms()) <= before_ms)
 			usleep(100);
 
+		std::unique_lock<std::mutex> guard(log->lock);
 		for (uint64_t i = call.newest ? 0 : call.from;
 		     i < log->entries.size(); i++) {
 			struct fw_record record = {};
@@ -127,11 +143,31 @@
 			record.offset = i;
 			call.record(call.ctx, &record);
 		}
-		call.done(call.ctx, FW_RESULT_DONE, false, log->entries.size(),
-		    now_ms, now_ms);
+		uint64_t end = log->entries.size();
+		guard.unlock();
+		call.done(call.ctx, FW_RESULT_DONE, false, end, now_ms, now_ms);
 		run_timers();
 	}
 
+	/* Cancels a job, or looks it up. */
+	int
+	cancel(uint32_t number, int64_t patience_ms)
+	{
+		return fw_cancel(&front, fixture.queue.id,
+		    name_of(number).c_str(), 1000,
+		    cw_clock_mono_ms() + patience_ms);
+	}
+
+	int
+	look_up(uint32_t number, int64_t patience_ms)
+	{
+		uint32_t state;
+
+		return fw_job_state(&front, fixture.queue.id,
+		    name_of(number).c_str(), cw_clock_mono_ms() + patience_ms,
+		    &state);
+	}
+
 	static std::string
 	name_of(uint32_t number)
 	{
@@ -176,6 +212,28 @@
 	}
 };
 
+/* Calls of the platform's thread, for as long as it exists. */
+struct Thread {
+	std::atomic<bool> ends{false};
+	std::thread thread;
+
+	explicit Thread(const std::function<void()> &step)
+	    : thread([this, step] {
+		      while (!ends) {
+			      step();
+			      usleep(1000);
+		      }
+	      })
+	{
+	}
+
+	~Thread()
+	{
+		ends = true;
+		thread.join();
+	}
+};
+
 /* Appends the records that end a job and delete it. */
 void
 delete_job(Log *log, uint32_t number)
@@ -427,3 +485,58 @@
 	EXPECT_EQ(1U,
 	    fw_admission_retry_after_s(vm.front.admission, wall_ms + 40000));
 }
+
+/* A daemon that had read the store up to 2.6 s before answered 410 to the
+ * cancel of a job that another one had just accepted, and the job ran on. */
+TEST(FlowSubmit, CancelsOfJobsThatWereNotReadYetAreNotRefusedAsMissing)
+{
+	Log log;
+	Vm accepts(&log, 4);
+	Vm vm(&log, 4);
+
+	ASSERT_EQ(CW_OK, accepts.submit(1));
+	EXPECT_EQ(FW_ESTALE, vm.cancel(1, 400));
+	EXPECT_EQ(FW_ESTALE, vm.look_up(1, 400));
+	EXPECT_EQ(1U, log.appends);
+}
+
+/* The waiting read may be answered after the call, and tell nothing of what was
+ * stored since it was sent. */
+TEST(FlowSubmit, ReadsSentBeforeACallDoNotProveThatAJobIsMissing)
+{
+	Log log;
+	Vm accepts(&log, 4);
+	Vm vm(&log, 4);
+	const struct fw_read waiting = vm.reads.back();
+	int64_t sent_ms = cw_clock_mono_ms();
+
+	ASSERT_EQ(CW_OK, accepts.submit(1));
+	Thread platform([&] {
+		waiting.done(waiting.ctx, FW_RESULT_DONE, false, 0, sent_ms,
+		    cw_clock_mono_ms());
+	});
+	EXPECT_EQ(FW_ESTALE, vm.cancel(1, 400));
+	EXPECT_EQ(FW_ESTALE, vm.look_up(1, 400));
+}
+
+/* With a store that answers, a call finds the job, or learns that there is none
+ * without waiting for its time to pass. */
+TEST(FlowSubmit, CallsForJobsThatWereNotReadYetReadTheLog)
+{
+	Log log;
+	Vm accepts(&log, 4);
+	Vm vm(&log, 4);
+	int64_t start_ms = cw_clock_mono_ms();
+
+	ASSERT_EQ(CW_OK, accepts.submit(1));
+	ASSERT_EQ(CW_OK, accepts.submit(2));
+	Thread platform([&] {
+		vm.read_log();
+	});
+	EXPECT_EQ(CW_OK, vm.cancel(1, 60000));
+	EXPECT_EQ(3U, log.appends);
+	EXPECT_EQ(CW_OK, vm.look_up(2, 60000));
+	EXPECT_EQ(FW_ENOJOB, vm.cancel(3, 60000));
+	EXPECT_EQ(FW_ENOJOB, vm.look_up(3, 60000));
+	EXPECT_LT(cw_clock_mono_ms() - start_ms, 10000);
+}
