Appends keep to RequestBytes, and jobs beyond RecordBytes are refused

A batch of the placer beyond RequestBytes was refused by the store and sent again forever: nothing was placed any more, and no end was acknowledged. One record beyond RecordBytes did the same.

Cause: the writer had no limit to a batch, and no job was refused for its size.

Change: a batch is stored in parts that fit into an append, one after another, each with its sequence number; one that is repeated has the same records. It stays open until all are read back. A placer that is fenced between two parts leaves a part of a decision, in which each job is whole. fw_submit refuses a job (400, with the sizes) whose record or whose progress at its largest exceeds RecordBytes. Where another VM with other limits has accepted one, it is not placed, as its placements would be lost decision after decision and keep room from others, and the writer leaves out a record that is too large and logs 1105. RecordBytes and RequestBytes are read from the settings.

The bound of 87 bytes a task is exact up to run 65,535 for tasks under which workers have crashed: with crashes and runs beyond that in each of 3,000 tasks a record took 263,640 bytes. That is out of reach and stays as it is, told at TASK_BYTES_MAX; a test covers crashes up to that run now.

New tests, simulated.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -83,6 +83,8 @@
 /* A cursor of a snapshot is a key of up to 255 bytes, each written as "%XX". */
 #define FW_CURSOR_BYTES 768
 #define FW_RECORD_BYTES_MAX ((size_t)256 * 1024)
+/* Length of a record, which precedes its key and value in an append. */
+#define FW_RECORD_LENGTH_BYTES 4
 
 enum fw_record_kind {
 	FW_RECORD_JOB = 'j',
@@ -103,6 +105,8 @@
 
 void fw_record_key(
     char key[FW_KEY_BYTES], enum fw_record_kind kind, const char *name);
+size_t fw_record_bytes(const char *name, size_t value_bytes);
+size_t fw_progress_bytes_max(const struct bd_flow *flow);
 int fw_job_encode(const struct bd_flow *flow, void **out, size_t *bytes);
 int fw_job_decode(const void *data, size_t bytes, struct bd_flow **out);
 int fw_progress_encode(const struct bd_flow *flow, void **out, size_t *bytes);
@@ -324,6 +328,8 @@
 	uint32_t join_ttl_ms;
 	uint32_t join_delay_ms; /* a VM joins this much later, to join alone */
 	uint32_t heartbeat_ms;  /* workers write their entries this often */
+	uint32_t record_bytes;  /* largest record of the store */
+	uint32_t request_bytes; /* most bytes of records in one append */
 	bool
 	    fallback_only; /* takes the placing duty only if no other VM does */
 };
@@ -431,6 +437,7 @@
 	struct fw_follower *config;
 	uint32_t config_age_max_ms; /* a change is in force within this time */
 	uint32_t held_max;          /* most calls that are held at a time */
+	uint32_t record_bytes;      /* largest record of the store */
 	CW_ATOMIC(uint32_t) held;
 };
 
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -27,6 +27,8 @@
 	struct fw_record *records;
 	size_t count;
 	size_t capacity;
+	size_t stored; /* records of the batch that are stored */
+	size_t sent;   /* the next ones, in the append that was sent last */
 	uint64_t sequence;
 	uint64_t end;       /* offset after the batch, 0: not stored yet */
 	bool fenced;        /* the store rejects earlier terms */
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -19,6 +19,8 @@
 static int64_t estimate_run_ms(const struct bd_flow *flow);
 static void set_time_limits(struct fw_group *group, const struct bd_flow *flow,
     const struct fw_settings *settings);
+static bool is_storable(
+    const struct bd_flow *flow, const struct fw_settings *settings);
 static int add_step(struct fw_groups *groups, const struct fw_view *view,
     uint32_t job, uint32_t occurrence, uint32_t step, bool suspect);
 static int compare_groups(const void *a, const void *b);
@@ -154,6 +156,16 @@
 	return CW_OK;
 }
 
+/* Returns whether the store takes the progress of a job. Another VM may have
+ * accepted one with a higher limit; its placements would be lost, decision
+ * after decision, and keep room from others. */
+static bool
+is_storable(const struct bd_flow *flow, const struct fw_settings *settings)
+{
+	return fw_record_bytes(flow->name, fw_progress_bytes_max(flow)) <=
+	    settings->record_bytes;
+}
+
 /* Collects the groups that are ready to be placed: their step is ready and all
  * of their tasks wait. Returns FW_ENOMEM. */
 int
@@ -168,7 +180,8 @@
 		const struct bd_flow *flow = fw_job_current(&view->jobs[job]);
 		bool suspect;
 
-		if (fw_flow_ended(flow) || flow->cancelled != 0)
+		if (fw_flow_ended(flow) || flow->cancelled != 0 ||
+		    !is_storable(flow, view->settings))
 			continue;
 		suspect = fw_flow_suspect(flow, view->wall_ms);
 		for (occurrence = 0; occurrence < flow->occurrences;
--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -18,8 +18,11 @@
  * and how many of them are presumed. They come last, as versions that do not
  * know them ignore what follows the others. */
 #define TASK_FIELDS 9
-/* Largest encoded size of a task with a run: its numbers and its checkpoint. */
+/* Largest encoded size of a task with a run: its numbers and its checkpoint; of
+ * one with crashes as well, up to its run 65,535. */
 #define TASK_BYTES_MAX 87
+/* The same of what precedes and follows the tasks. */
+#define PROGRESS_HEAD_BYTES_MAX 32
 
 _Static_assert(FW_TASKS_MAX *TASK_BYTES_MAX < FW_RECORD_BYTES_MAX,
     "the progress of the largest job fits into one record");
@@ -56,6 +59,22 @@
 	memcpy(key + 2, name, strlen(name) + 1);
 }
 
+/* Returns the size of a record in the store, less its length: that of its key,
+ * the key and the value. */
+size_t
+fw_record_bytes(const char *name, size_t value_bytes)
+{
+	return 1 + 2 + strlen(name) + value_bytes;
+}
+
+/* Returns the largest encoded size of the progress of a job. */
+size_t
+fw_progress_bytes_max(const struct bd_flow *flow)
+{
+	return PROGRESS_HEAD_BYTES_MAX +
+	    (size_t)fw_flow_task_count(flow) * TASK_BYTES_MAX;
+}
+
 static void
 pack_text(msgpack_packer *packer, const char *text, size_t bytes)
 {
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -49,6 +49,8 @@
 static bool lookup_state(
     const struct fw_front *front, uint64_t queue, uint64_t id, uint32_t *state);
 static bool jobs_recent(const struct fw_front *front, int64_t now_ms);
+static int check_size(const struct fw_front *front,
+    const struct fw_record *record, size_t progress_bytes);
 static int append_job(const struct fw_front *front,
     const struct fw_record *record, int64_t deadline_ms);
 static int await_job(struct fw_front *front, uint64_t queue, const char *name,
@@ -179,6 +181,27 @@
 		       : cw_error_set(FW_ESTORE, "the store refuses");
 }
 
+/* Checks that the store takes the record of a job, and later that of its
+ * progress at its largest: a job without progress would never run. Returns
+ * FW_EBADJOB. */
+static int
+check_size(const struct fw_front *front, const struct fw_record *record,
+    size_t progress_bytes)
+{
+	const char *name = record->key + 2;
+	size_t job_bytes = fw_record_bytes(name, record->value_bytes);
+
+	progress_bytes = fw_record_bytes(name, progress_bytes);
+	if (job_bytes <= front->record_bytes &&
+	    progress_bytes <= front->record_bytes)
+		return CW_OK;
+	return cw_error_set(FW_EBADJOB,
+	    "the job is too large: its description takes %zu bytes and its "
+	    "progress up to %zu, and the store takes %u; use fewer tasks or a "
+	    "shorter text",
+	    job_bytes, progress_bytes, front->record_bytes);
+}
+
 /* Stores the record of a job that is not on the board. The row that it will
  * take is reserved before anything is sent. */
 static int
@@ -208,12 +231,14 @@
 {
 	struct fw_record record = {0};
 	struct bd_flow *flow;
+	size_t progress_bytes;
 	size_t bytes;
 	void *value;
 	int code = fw_flow_build(spec, &flow, &bytes);
 
 	if (code != CW_OK)
 		return code;
+	progress_bytes = fw_progress_bytes_max(flow);
 	code = fw_job_encode(flow, &value, &bytes);
 	free(flow);
 	if (code != CW_OK)
@@ -221,9 +246,11 @@
 	fw_record_key(record.key, FW_RECORD_JOB, spec->name);
 	record.value = value;
 	record.value_bytes = bytes;
-	code = is_applied(front, &record)
-	    ? CW_OK
-	    : append_job(front, &record, deadline_ms);
+	if (!is_applied(front, &record)) {
+		code = check_size(front, &record, progress_bytes);
+		if (code == CW_OK)
+			code = append_job(front, &record, deadline_ms);
+	}
 	free(value);
 	return code;
 }
--- a/lib/flow/writer.c
+++ b/lib/flow/writer.c
@@ -19,6 +19,7 @@
 static bool send_append(struct fw_writer *writer, struct fw_append *append);
 static bool poll_append(
     struct fw_writer *writer, enum fw_result *result, uint64_t *end);
+static size_t next_part(const struct fw_writer *writer);
 static void send_batch(struct fw_writer *writer, int64_t now_ms);
 static void handle_failure(
     struct fw_writer *writer, enum fw_result result, int64_t now_ms);
@@ -133,14 +134,25 @@
 	return false;
 }
 
-/* Adds a record to the batch; NULL as its value deletes the key. Takes
- * ownership of the value, even on failure. Returns FW_ENOMEM. */
+/*
+ * Adds a record to the batch; NULL as its value deletes the key. Takes
+ * ownership of the value, even on failure. A record that the store would refuse
+ * is logged and left out, as it would hold up all others. Returns FW_ENOMEM.
+ */
 int
 fw_writer_add(struct fw_writer *writer, enum fw_record_kind kind,
     const char *name, void *value, size_t bytes)
 {
 	struct fw_record *record;
 
+	if (fw_record_bytes(name, bytes) >
+	    writer->placer->parts.settings.record_bytes) {
+		ev_emit(EV_FLOW_RECORD_BAD,
+		    "key=%c/%s reason=\"larger than RecordBytes\" bytes=%zu",
+		    (char)kind, name, bytes);
+		free(value);
+		return CW_OK;
+	}
 	if (writer->count == writer->capacity) {
 		size_t capacity =
 		    writer->capacity == 0 ? 32 : writer->capacity * 2;
@@ -171,7 +183,7 @@
 
 	for (i = 0; i < writer->count; i++)
 		free((void *)(uintptr_t)writer->records[i].value);
-	writer->count = 0;
+	writer->count = writer->stored = writer->sent = 0;
 	writer->end = 0;
 }
 
@@ -183,15 +195,38 @@
 	free(writer->records);
 }
 
-/* Sends the batch. Retries have the same sequence number, by which the store
- * drops the duplicate of an append that was stored but not answered. */
+/* Returns the number of records that are not stored yet and that one append
+ * holds, at least 1. */
+static size_t
+next_part(const struct fw_writer *writer)
+{
+	size_t left = writer->placer->parts.settings.request_bytes;
+	size_t i;
+
+	for (i = writer->stored; i < writer->count; i++) {
+		const struct fw_record *record = &writer->records[i];
+		size_t bytes = FW_RECORD_LENGTH_BYTES +
+		    fw_record_bytes(record->key + 2, record->value_bytes);
+
+		if (bytes > left && i > writer->stored)
+			break;
+		left -= bytes < left ? bytes : left;
+	}
+	return i - writer->stored;
+}
+
+/* Sends the batch, or the next part of one that exceeds an append. Retries have
+ * the same records and sequence number, by which the store drops the duplicate
+ * of an append that was stored but not answered. A placer that is fenced
+ * between two parts has stored the first ones: each is a record of one job, and
+ * read like the others. */
 static void
 send_batch(struct fw_writer *writer, int64_t now_ms)
 {
-	struct fw_append call = {.records = writer->records,
-	    .count = writer->count,
+	struct fw_append call = {.records = writer->records + writer->stored,
 	    .sequence = writer->sequence};
 
+	call.count = writer->sent = next_part(writer);
 	writer->retry_ms =
 	    send_append(writer, &call) ? INT64_MAX : now_ms + APPEND_RETRY_MS;
 }
@@ -249,8 +284,13 @@
 		handle_failure(writer, result, now_ms);
 		return false;
 	}
-	writer->end = end;
 	writer->sequence++;
+	writer->stored += writer->sent;
+	if (writer->stored < writer->count) {
+		send_batch(writer, now_ms);
+		return false;
+	}
+	writer->end = end;
 	fw_follower_catch_up(writer->follower, end);
 	return fw_writer_idle(writer, now_ms);
 }
--- a/tests/flow_fixture.h
+++ b/tests/flow_fixture.h
@@ -29,6 +29,8 @@
 		settings.retention_ms = 120000;
 		settings.join_ttl_ms = 1500;
 		settings.heartbeat_ms = 1500;
+		settings.record_bytes = FW_RECORD_BYTES_MAX;
+		settings.request_bytes = 2097152;
 		queue.id = 7;
 		queue.pool = cw_id_from_name("pool");
 		queue.priority = 1;
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -68,6 +68,10 @@
 	int64_t wall_ahead_ms = 0; /* of wall clocks */
 	/* Setting of VMs that are added, 0: that of the fixture. */
 	uint32_t ack_timeout_ms = 0;
+	/* Limits of the store, known to VMs that are added. */
+	uint32_t record_bytes = FW_RECORD_BYTES_MAX;
+	uint32_t request_bytes = 2097152;
+	int refused_appends = 0; /* beyond these limits */
 	bool store_down = false;
 	bool drop_append_answers = false;
 	/* Pending reads return at their timeout even if records arrive. */
@@ -299,6 +303,8 @@
 		parts.board = vm->fixture.board;
 		parts.settings = vm->fixture.settings;
 		parts.settings.fallback_only = fallback_only;
+		parts.settings.record_bytes = record_bytes;
+		parts.settings.request_bytes = request_bytes;
 		if (ack_timeout_ms > 0)
 			parts.settings.ack_timeout_ms = ack_timeout_ms;
 		parts.wall_ms = wall_clock;
--- a/tests/sim/flow_sim_store.h
+++ b/tests/sim/flow_sim_store.h
@@ -10,29 +10,43 @@
 	FlowSim *sim = vm->sim;
 	struct fw_append copy = *call;
 	std::vector<SimRecord> records;
+	size_t total = 0;
+	bool too_large = false;
+
+	for (size_t i = 0; i < call->count; i++) {
+		size_t bytes = 1 + strlen(call->records[i].key) +
+		    call->records[i].value_bytes;
 
-	for (size_t i = 0; i < call->count; i++)
 		records.push_back({call->records[i].key,
 		    std::string((const char *)call->records[i].value,
 			call->records[i].value_bytes)});
+		too_large |= bytes > sim->record_bytes;
+		total += 4 + bytes;
+	}
+	too_large |= total > sim->request_bytes;
+	sim->refused_appends += too_large;
 	copy.records = nullptr;
-	sim->schedule(sim->store_latency_ms, [sim, vm, copy, records] {
-		enum fw_result result = FW_RESULT_DONE;
-		uint64_t end = 0;
+	sim->schedule(
+	    sim->store_latency_ms, [sim, vm, copy, records, too_large] {
+		    enum fw_result result = FW_RESULT_DONE;
+		    uint64_t end = 0;
 
-		if (sim->store_down || vm->store_unreachable)
-			result = FW_RESULT_UNKNOWN;
-		else if (sim->topic_log(copy.topic)
-			     .append(records, copy.term, (int64_t)copy.sequence,
-				 &end) != 200)
-			result = FW_RESULT_FENCED;
-		else if (sim->drop_append_answers)
-			result = FW_RESULT_UNKNOWN;
-		sim->schedule(result == FW_RESULT_UNKNOWN ? copy.timeout_ms : 0,
-		    [copy, result, end] {
-			    copy.done(copy.ctx, result, end);
-		    });
-	});
+		    if (sim->store_down || vm->store_unreachable)
+			    result = FW_RESULT_UNKNOWN;
+		    else if (too_large)
+			    result = FW_RESULT_NOT_DONE;
+		    else if (sim->topic_log(copy.topic)
+				 .append(records, copy.term,
+				     (int64_t)copy.sequence, &end) != 200)
+			    result = FW_RESULT_FENCED;
+		    else if (sim->drop_append_answers)
+			    result = FW_RESULT_UNKNOWN;
+		    sim->schedule(
+			result == FW_RESULT_UNKNOWN ? copy.timeout_ms : 0,
+			[copy, result, end] {
+				copy.done(copy.ctx, result, end);
+			});
+	    });
 	return CW_OK;
 }
 
--- a/tests/test_flow_apply.cc
+++ b/tests/test_flow_apply.cc
@@ -299,7 +299,20 @@
 		task->incarnation_ms = task->changed_ms = INT64_MAX;
 		memset(task->checkpoint, 'c', sizeof(task->checkpoint) - 1);
 	}
+	copy->changed_ms = copy->late_until_ms = INT64_MAX;
 	ASSERT_EQ(CW_OK, fw_progress_encode(copy, &value, &bytes));
+	EXPECT_LE(bytes, fw_progress_bytes_max(copy));
+	EXPECT_LT(bytes, FW_RECORD_BYTES_MAX);
+	free(value);
+	/* With crashes of workers under each task. */
+	for (uint32_t i = 0; i < FW_TASKS_MAX; i++) {
+		struct bd_step_task *task = &fw_flow_tasks(copy)[i];
+
+		task->run = task->failed_run = UINT16_MAX;
+		task->crashes = task->presumed_crashes = FW_CRASHES_MAX;
+	}
+	ASSERT_EQ(CW_OK, fw_progress_encode(copy, &value, &bytes));
+	EXPECT_LE(bytes, fw_progress_bytes_max(copy));
 	EXPECT_LT(bytes, FW_RECORD_BYTES_MAX);
 	free(value);
 	free(copy);
--- a/tests/test_flow_submit.cc
+++ b/tests/test_flow_submit.cc
@@ -44,6 +44,7 @@
 		struct fw_follow_spec spec = {};
 
 		front.board = fixture.board;
+		front.record_bytes = fixture.settings.record_bytes;
 		front.store = {append, read, nullptr, after, this};
 		spec.wait_ms = 1000000;
 		spec.record = on_record;
@@ -178,10 +179,10 @@
 	}
 
 	int
-	submit(uint32_t number, int64_t patience_ms = 60000)
+	submit(uint32_t number, int64_t patience_ms = 60000, uint32_t tasks = 1)
 	{
 		std::string name = name_of(number);
-		struct bd_flow_step step = FlowFixture::make_step(1, 0);
+		struct bd_flow_step step = FlowFixture::make_step(tasks, 0);
 		struct fw_job_spec spec = {};
 
 		spec.name = name.c_str();
@@ -540,3 +541,23 @@
 	EXPECT_EQ(FW_ENOJOB, vm.look_up(3, 60000));
 	EXPECT_LT(cw_clock_mono_ms() - start_ms, 10000);
 }
+
+/* A record beyond RecordBytes is refused forever: a job that has one must be
+ * refused to its caller, also for the progress that it will have. */
+TEST(FlowSubmit, JobsThatTheStoreCannotHoldAreRefused)
+{
+	Log log;
+	Vm vm(&log, 8);
+
+	EXPECT_EQ(CW_OK, vm.submit(1, 60000, FW_TASKS_MAX));
+	vm.front.record_bytes = 9000;
+	EXPECT_EQ(CW_OK, vm.submit(2, 60000, 100));
+	EXPECT_EQ(FW_EBADJOB, vm.submit(3, 60000, 110));
+	EXPECT_NE(nullptr, strstr(cw_error_last(), "the job is too large"));
+	vm.front.record_bytes = 100;
+	EXPECT_EQ(FW_EBADJOB, vm.submit(4));
+	EXPECT_EQ(2U, log.appends);
+	/* A job that is there already is not refused when it is repeated. */
+	vm.read_log();
+	EXPECT_EQ(CW_OK, vm.submit(1, 60000, FW_TASKS_MAX));
+}
--- a/tests/test_platform_settings.cc
+++ b/tests/test_platform_settings.cc
@@ -51,6 +51,8 @@
 	    {"Limits", "MaxFds"},
 	    {"Bounds", "RestoreMs"},
 	    {"platform", "MinTtlMs"},
+	    {"platform", "RecordBytes"},
+	    {"platform", "RequestBytes"},
 	    {"", "HeartbeatMs"},
 	};
 	static struct pl_settings settings;
@@ -81,6 +83,12 @@
 	EXPECT_EQ(250U, settings.cpu_milli);
 	ASSERT_EQ(CW_OK, parse("Bounds", "status_s", "86400", &settings));
 	EXPECT_EQ(86400000U, settings.flow.retention_ms);
+	EXPECT_EQ(262144U, settings.flow.record_bytes);
+	EXPECT_EQ(2097152U, settings.flow.request_bytes);
+	/* A record has to fit into an append, with its length. */
+	ASSERT_EQ(
+	    CW_OK, parse("platform", "RequestBytes", "200000", &settings));
+	EXPECT_EQ(199996U, settings.flow.record_bytes);
 }
 
 /* Guards against a daemon that starts and listens on another port, or never
