Leases go on while an end waits until no start can follow it

JobsRunOnceWhenThePlacerIsKilled failed beside load: all jobs were completed, and not all ends taken note of.

Cause: as told with the test of ends that are put off, which failed: the acknowledgement of an end is put off by AckTimeoutMs less 2 s, and the lease of a worker without a live run, which is not renewed, lapses in that time.

Change: leases are renewed while the first end that is not acknowledged is put off for a start that may follow it. Ends that must not be acknowledged get none, as before.

Measured: FlowVoidEnds.EndsThatArePutOffAreTakenNoteOf fails before and passes now. To be weighed: ends that were void by this lapse count now, so that a start that arrives still later, on a worker that has started again, counts as one after the end. AckTimeoutMs has set that limit where leases are longer.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -100,6 +100,7 @@
 	bool revoking;        /* late starts of ended runs are being stopped */
 	bool report_unread;   /* the report has not been processed */
 	bool held_up;         /* by an end that may not be acknowledged */
+	bool put_off;         /* an end is, as a start may follow it */
 	bool overfull;        /* the last report lists more than its capacity */
 	uint32_t listed_checked; /* runs of the report checked for stops */
 	uint32_t stray_next;
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -21,6 +21,9 @@
 static bool holds_up(const struct fw_tables *tables,
     const struct bd_board *board, uint32_t handle,
     const struct fw_listed_end *end, int64_t now_ms);
+static bool is_put_off(const struct fw_tables *tables,
+    const struct bd_board *board, uint32_t handle,
+    const struct fw_listed_end *end, int64_t now_ms);
 static void advance_end_ack(struct fw_tables *tables,
     const struct bd_board *board, uint32_t handle, int64_t now_ms);
 static bool may_acknowledge(const struct fw_tables *tables,
@@ -249,6 +252,19 @@
 		!start_may_follow(tables, &tables->runs[found], now_ms));
 }
 
+/* Returns whether the acknowledgement of an end is put off, and not because its
+ * run is current. */
+static bool
+is_put_off(const struct fw_tables *tables, const struct bd_board *board,
+    uint32_t handle, const struct fw_listed_end *end, int64_t now_ms)
+{
+	uint32_t found = find_run(tables, board, &end->task, end->run, handle);
+
+	return found != FW_NONE &&
+	    !fw_run_is_current(board, &tables->runs[found]) &&
+	    start_may_follow(tables, &tables->runs[found], now_ms);
+}
+
 /* Advances end_ack up to the first listed end that must not be acknowledged. */
 static void
 advance_end_ack(struct fw_tables *tables, const struct bd_board *board,
@@ -258,7 +274,7 @@
 	const struct fw_report *report = &worker->report;
 	uint32_t i;
 
-	worker->held_up = false;
+	worker->held_up = worker->put_off = false;
 	for (i = 0; i < report->end_count; i++) {
 		const struct fw_listed_end *end = &report->ends[i];
 		bool counts =
@@ -270,6 +286,8 @@
 			    tables, board, end, handle, true, now_ms))) {
 			worker->held_up =
 			    holds_up(tables, board, handle, end, now_ms);
+			worker->put_off =
+			    is_put_off(tables, board, handle, end, now_ms);
 			return;
 		}
 		if (end->number <= worker->end_ack)
--- a/lib/flow/void_ends.c
+++ b/lib/flow/void_ends.c
@@ -4,8 +4,9 @@
 
 /*
  * Returns whether leases are renewed with the holds to a worker: it answers,
- * and a run of it may be alive. The lease of a worker without runs has to
- * lapse, as that alone voids an end that must not be acknowledged.
+ * and a run of it may be alive, or an end waits until no start can follow it.
+ * The lease of a worker without runs has to lapse, as that alone voids an end
+ * that must not be acknowledged.
  */
 bool
 fw_worker_renews(const struct fw_tables *tables, uint32_t handle)
@@ -16,7 +17,7 @@
 	if (worker->clock_read_ms == 0 || worker->unresponsive_since_ms != 0 ||
 	    worker->run_count == 0)
 		return false;
-	if (worker->report.run_count > 0)
+	if (worker->report.run_count > 0 || worker->put_off)
 		return true;
 	for (i = worker->first_run; i != FW_NONE;
 	     i = tables->runs[i].worker_next)
