--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -386,7 +386,8 @@
 
 		if (job->copy == NULL)
 			continue;
-		code = fw_progress_encode(job->copy, &value, &bytes);
+		code = fw_progress_encode(job->copy,
+		    placer->parts.settings.record_bytes, &value, &bytes);
 		if (code != CW_OK)
 			break;
 		log_decision(job);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -83,6 +83,8 @@
 /* A cursor of a snapshot is a key of up to 255 bytes, each written as "%XX". */
 #define FW_CURSOR_BYTES 768
 #define FW_RECORD_BYTES_MAX ((size_t)256 * 1024)
+/* Length of a record, which precedes its key and value in an append. */
+#define FW_RECORD_LENGTH_BYTES 4
 
 enum fw_record_kind {
 	FW_RECORD_JOB = 'j',
@@ -103,9 +105,12 @@
 
 void fw_record_key(
     char key[FW_KEY_BYTES], enum fw_record_kind kind, const char *name);
+size_t fw_record_bytes(const char *name, size_t value_bytes);
+size_t fw_progress_bytes_max(const struct bd_flow *flow);
 int fw_job_encode(const struct bd_flow *flow, void **out, size_t *bytes);
 int fw_job_decode(const void *data, size_t bytes, struct bd_flow **out);
-int fw_progress_encode(const struct bd_flow *flow, void **out, size_t *bytes);
+int fw_progress_encode(const struct bd_flow *flow, size_t record_bytes_max,
+    void **out, size_t *bytes);
 int fw_progress_decode(const void *data, size_t bytes, struct bd_flow *flow);
 int fw_state_encode(const struct bd_flow *flow, void **out, size_t *bytes);
 int fw_state_decode(const void *data, size_t bytes, struct bd_flow *flow);
@@ -324,6 +329,8 @@
 	uint32_t join_ttl_ms;
 	uint32_t join_delay_ms; /* a VM joins this much later, to join alone */
 	uint32_t heartbeat_ms;  /* workers write their entries this often */
+	uint32_t record_bytes;  /* largest record of the store */
+	uint32_t request_bytes; /* most bytes of records in one append */
 	bool
 	    fallback_only; /* takes the placing duty only if no other VM does */
 };
@@ -362,6 +369,7 @@
 void fw_follower_set_read_interval(
     struct fw_follower *follower, uint32_t read_interval_ms);
 void fw_follower_catch_up(struct fw_follower *follower, uint64_t end);
+void fw_follower_refresh(struct fw_follower *follower);
 bool fw_follower_loaded(const struct fw_follower *follower);
 uint64_t fw_follower_position(const struct fw_follower *follower);
 bool fw_follower_stalled(const struct fw_follower *follower, int64_t now_ms);
@@ -431,6 +439,7 @@
 	struct fw_follower *config;
 	uint32_t config_age_max_ms; /* a change is in force within this time */
 	uint32_t held_max;          /* most calls that are held at a time */
+	uint32_t record_bytes;      /* largest record of the store */
 	CW_ATOMIC(uint32_t) held;
 };
 
@@ -442,9 +451,9 @@
 bool fw_config_in_force(const struct fw_front *front, int64_t now_ms);
 int fw_submit(const struct fw_front *front, const struct fw_job_spec *spec,
     int64_t deadline_ms);
-int fw_cancel(const struct fw_front *front, uint64_t queue, const char *name,
+int fw_cancel(struct fw_front *front, uint64_t queue, const char *name,
     int64_t wall_ms, int64_t deadline_ms);
-int fw_job_state(const struct fw_front *front, uint64_t queue, const char *name,
+int fw_job_state(struct fw_front *front, uint64_t queue, const char *name,
     int64_t deadline_ms, uint32_t *state);
 int fw_pending_jobs(const struct fw_front *front, uint64_t queue,
     int64_t now_ms, uint32_t *count);
--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -20,11 +20,14 @@
  * and how many of them are presumed. They come last, as versions that do not
  * know them ignore what follows the others. */
 #define TASK_FIELDS 9
-/* Largest encoded size of a task with a run: its numbers and its checkpoint. */
+/* Largest encoded size of a task with a run: its numbers and its checkpoint; of
+ * one with crashes as well, up to its run 65,535. */
 #define TASK_BYTES_MAX 87
 /* Numbers of a task among the places, and their largest encoded size. */
 #define PLACE_FIELDS 3
 #define PLACE_BYTES_MAX 21
+/* The same of what precedes and follows the tasks, without places. */
+#define PROGRESS_HEAD_BYTES_MAX 32
 
 _Static_assert(FW_TASKS_MAX *TASK_BYTES_MAX < FW_RECORD_BYTES_MAX,
     "the progress of the largest job fits into one record");
@@ -61,6 +64,22 @@
 	memcpy(key + 2, name, strlen(name) + 1);
 }
 
+/* Returns the size of a record in the store, less its length: that of its key,
+ * the key and the value. */
+size_t
+fw_record_bytes(const char *name, size_t value_bytes)
+{
+	return 1 + 2 + strlen(name) + value_bytes;
+}
+
+/* Returns the largest encoded size of the progress of a job. */
+size_t
+fw_progress_bytes_max(const struct bd_flow *flow)
+{
+	return PROGRESS_HEAD_BYTES_MAX +
+	    (size_t)fw_flow_task_count(flow) * TASK_BYTES_MAX;
+}
+
 static void
 pack_text(msgpack_packer *packer, const char *text, size_t bytes)
 {
@@ -169,11 +188,12 @@
 
 /*
  * Encodes the progress of a job: its state, each task with a run, the end of
- * late starts, and the places of tasks unless they would make the record too
- * large. The caller frees *out. Returns FW_ENOMEM.
+ * late starts, and the places of tasks unless they could make the record larger
+ * than record_bytes_max. The caller frees *out. Returns FW_ENOMEM.
  */
 int
-fw_progress_encode(const struct bd_flow *flow, void **out, size_t *bytes)
+fw_progress_encode(const struct bd_flow *flow, size_t record_bytes_max,
+    void **out, size_t *bytes)
 {
 	const struct bd_step_task *tasks = fw_flow_tasks(flow);
 	uint32_t count = fw_flow_task_count(flow);
@@ -190,9 +210,9 @@
 		if (tasks[i].late_until_ms > late_until_ms)
 			late_until_ms = tasks[i].late_until_ms;
 	}
-	if ((size_t)started * TASK_BYTES_MAX +
-		(size_t)places * PLACE_BYTES_MAX >=
-	    FW_RECORD_BYTES_MAX)
+	if (fw_record_bytes(flow->name,
+		PROGRESS_HEAD_BYTES_MAX + (size_t)started * TASK_BYTES_MAX +
+		    (size_t)places * PLACE_BYTES_MAX) > record_bytes_max)
 		places = 0;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
--- a/tests/bench/bench_flow.c
+++ b/tests/bench/bench_flow.c
@@ -160,7 +160,8 @@
 		load->placer.tables.runs[run].placed_ms = 9000;
 	}
 	flow->state = BD_FLOW_RUNNING;
-	if (fw_progress_encode(flow, &value, &bytes) != CW_OK)
+	if (fw_progress_encode(flow, FW_RECORD_BYTES_MAX, &value, &bytes) !=
+	    CW_OK)
 		abort();
 	apply(load, FW_RECORD_PROGRESS, flow->name, value, bytes);
 }
--- a/tests/flow_fixture.h
+++ b/tests/flow_fixture.h
@@ -29,6 +29,8 @@
 		settings.retention_ms = 120000;
 		settings.join_ttl_ms = 1500;
 		settings.heartbeat_ms = 1500;
+		settings.record_bytes = FW_RECORD_BYTES_MAX;
+		settings.request_bytes = 2097152;
 		queue.id = 7;
 		queue.pool = cw_id_from_name("pool");
 		queue.priority = 1;
@@ -140,7 +142,7 @@
 		void *value;
 		size_t bytes;
 
-		fw_progress_encode(flow, &value, &bytes);
+		fw_progress_encode(flow, FW_RECORD_BYTES_MAX, &value, &bytes);
 		fw_record_key(record.key, FW_RECORD_PROGRESS, flow->name);
 		record.value = value;
 		record.value_bytes = bytes;
--- a/tests/test_flow_apply.cc
+++ b/tests/test_flow_apply.cc
@@ -142,7 +142,8 @@
 	fixture.add_host("1", "r1");
 	fixture.submit(JOB, {FlowFixture::make_step(1, 1)});
 	bd_read_begin();
-	fw_progress_encode(fixture.find_flow(JOB), &value, &bytes);
+	fw_progress_encode(
+	    fixture.find_flow(JOB), FW_RECORD_BYTES_MAX, &value, &bytes);
 	bd_read_end();
 	fixture.place_ready();
 	fw_record_key(record.key, FW_RECORD_PROGRESS, JOB);
@@ -300,7 +301,22 @@
 		task->late_until_ms = INT64_MAX;
 		memset(task->checkpoint, 'c', sizeof(task->checkpoint) - 1);
 	}
-	ASSERT_EQ(CW_OK, fw_progress_encode(copy, &value, &bytes));
+	copy->changed_ms = INT64_MAX;
+	ASSERT_EQ(CW_OK,
+	    fw_progress_encode(copy, FW_RECORD_BYTES_MAX, &value, &bytes));
+	EXPECT_LE(bytes, fw_progress_bytes_max(copy));
+	EXPECT_LT(bytes, FW_RECORD_BYTES_MAX);
+	free(value);
+	/* With crashes of workers under each task. */
+	for (uint32_t i = 0; i < FW_TASKS_MAX; i++) {
+		struct bd_step_task *task = &fw_flow_tasks(copy)[i];
+
+		task->run = task->failed_run = UINT16_MAX;
+		task->crashes = task->presumed_crashes = FW_CRASHES_MAX;
+	}
+	ASSERT_EQ(CW_OK,
+	    fw_progress_encode(copy, FW_RECORD_BYTES_MAX, &value, &bytes));
+	EXPECT_LE(bytes, fw_progress_bytes_max(copy));
 	EXPECT_LT(bytes, FW_RECORD_BYTES_MAX);
 	free(value);
 	free(copy);
@@ -332,7 +348,8 @@
 		task->address = i == 0 ? UINT64_MAX : 0;
 		task->late_until_ms = i == 0 ? 0 : INT64_MAX;
 	}
-	ASSERT_EQ(CW_OK, fw_progress_encode(copy, &value, &bytes));
+	ASSERT_EQ(CW_OK,
+	    fw_progress_encode(copy, FW_RECORD_BYTES_MAX, &value, &bytes));
 	ASSERT_EQ(CW_OK, fw_progress_decode(value, bytes, read));
 	for (uint32_t i = 0; i < 3; i++) {
 		EXPECT_EQ(fw_flow_tasks(copy)[i].address,
