Lasting tasks and those of a free service do not wait for the trials of others

Cause: a worker on which a suspect job is tried, or that is kept for that, takes no other job. After a series of crashes that may be most workers, and as one trial ends the next begins.

Change: a task that has to run, as it lasts or most of its service is free, uses such a worker after 1.5 s. The crash of a worker with two jobs is conclusive for neither of them, as before.

Evidence: FlowCrash.LastingTasksDoNotWaitForTheTrialsOfOthers failed before.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -296,7 +296,7 @@
 	bool lasts;        /* runs until its job is cancelled */
 	bool suspect;      /* its job may crash workers: it is tried apart */
 	bool shares;       /* a suspect that may use workers of other jobs */
-	bool joins;        /* and those on which other suspects are tried */
+	bool joins;        /* it may use workers on which others are tried */
 	bool bound;        /* some of its tasks may use one worker only */
 	uint64_t work;     /* of the whole job, in core-milliseconds */
 };
--- a/lib/flow/trials.c
+++ b/lib/flow/trials.c
@@ -99,9 +99,10 @@
 	}
 }
 
-/* Decides whether a suspect group has waited for so long that it may share a
- * worker with other jobs, and with other suspects. Each such crash is charged
- * to all of them, so only the first ones may happen in company. */
+/* Decides whether a group that has to run has waited for so long that it may
+ * use workers on which suspects are tried, and a suspect those of other jobs.
+ * Each such crash is charged to all of them, so only the first ones of a
+ * suspect may happen in company. */
 void
 fw_group_set_trial(struct fw_group *group, const struct bd_flow *flow)
 {
@@ -109,8 +110,12 @@
 	uint32_t crashes = 0;
 	uint32_t i;
 
-	if (!group->suspect || (!group->ample && !group->lasts))
+	if (!group->ample && !group->lasts)
 		return;
+	if (!group->suspect) {
+		group->joins = group->waited_ms > TRIAL_WAIT_MAX_MS;
+		return;
+	}
 	for (i = group->first; i < group->first + group->count; i++)
 		if (tasks[i].crashes > crashes)
 			crashes = tasks[i].crashes;
--- a/lib/flow/wait_cause.c
+++ b/lib/flow/wait_cause.c
@@ -123,7 +123,7 @@
 	*fitting = fit;
 	if (group->suspect ? !group->joins && !group->shares &&
 		    !fw_group_may_try_on(view, group, step, index)
-			   : !fw_host_fits(host, flow, step))
+			   : !group->joins && !fw_host_fits(host, flow, step))
 		return BARRIER_TRIAL;
 	return fw_group_may_use(view, host, group) ? BARRIER_NONE
 						   : BARRIER_RESERVED;
--- a/tests/test_flow_crash.cc
+++ b/tests/test_flow_crash.cc
@@ -647,6 +647,22 @@
 	EXPECT_EQ(1U, decide(fixture, 3000 + 2900));
 }
 
+/* A task that lasts must not wait until the trials of other jobs are over. */
+TEST(FlowCrash, LastingTasksDoNotWaitForTheTrialsOfOthers)
+{
+	FlowFixture fixture;
+
+	fixture.add_host("1", "r1");
+	fixture.submit(DEADLY, {FlowFixture::make_step(1, 1)});
+	EXPECT_EQ(1U, fixture.place_ready());
+	crash(fixture, DEADLY, 0, APART);
+	EXPECT_EQ(1U, decide(fixture, 3000 + 100));
+	fixture.submit(
+	    CALM, {FlowFixture::make_step(1, 1, BD_STEP_LONG_RUNNING)}, 3100);
+	EXPECT_EQ(0U, decide(fixture, 3100 + 1000));
+	EXPECT_EQ(1U, decide(fixture, 3100 + 2900));
+}
+
 /* A suspect must return to the worker that crashed under it if no other one has
  * room meanwhile. */
 TEST(FlowCrash, SuspectReturnsToTheOnlyWorkerWithRoom)
