Bound tasks: acknowledgements, speculative steps, room, and refusals

Four faults of the binding that an independent review showed by tests:

- Speculative steps were placed but not started for 13 s (LOST), as only their placement knew that copies may run.
Starts and the log know it too.
- A task with two earlier late runs was counted against itself, and did not fit on its worker for 8 s (LOST).
All of its late runs are left out.
- A run that the present incarnation lists as running counted as refused, if an earlier one had listed its end.
The incarnation that listed the end is kept.
- The end of a bound run was acknowledged although a start of an earlier run may arrive (TWICE).
It is put off like the end of the run itself, for no longer than AckTimeoutMs allows.

The place of a task's late starts is dropped with its placement on another worker, so that a successor does not look for them there.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -131,6 +131,7 @@
 	enum fw_end end;
 	enum fw_over over;      /* once it has ended */
 	int64_t incarnation_ms; /* of the worker when it listed the run, or 0 */
+	int64_t end_incarnation_ms;   /* of the worker when it listed the end */
 	int64_t start_incarnation_ms; /* latest known one before its start */
 	int64_t stop_incarnation_ms;  /* latest known one before its stop */
 	int64_t placed_ms;
@@ -218,12 +219,12 @@
 	uint32_t job;
 	uint32_t index;
 	uint32_t host;
-	bool late; /* the worker's late needs include one run of it */
+	uint32_t late; /* runs of it that are among the worker's late needs */
 };
 
 /* Where the next run of a task may be, the strictest last. */
 enum fw_binding {
-	FW_BOUND_NOWHERE,   /* anywhere */
+	FW_BOUND_NOT,       /* anywhere */
 	FW_BOUND_TO_WORKER, /* on the worker of an earlier run */
 	FW_BOUND_TO_WAIT,   /* nowhere yet */
 };
@@ -317,7 +318,7 @@
 bool fw_view_any_alive(
     const struct fw_view *view, uint32_t job, uint32_t first, uint32_t count);
 bool fw_view_bind(struct fw_view *view, uint32_t job, uint32_t index,
-    uint32_t host, bool late);
+    uint32_t host, uint32_t late);
 const struct fw_view_bound *fw_view_bound_of(
     const struct fw_view *view, uint32_t job, uint32_t index);
 uint32_t fw_view_host_index(const struct fw_view *view, uint64_t id);
@@ -595,6 +596,7 @@
     const struct fw_tables *tables, const struct fw_run *run);
 enum fw_binding fw_task_binding(const struct fw_tables *tables, uint64_t flow,
     uint32_t index, int64_t now_ms, uint32_t *run);
+bool fw_step_may_run_twice(const struct bd_flow *flow, uint32_t step);
 bool fw_start_is_alone(
     const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms);
 bool fw_run_is_current(const struct bd_board *board, const struct fw_run *run);
--- a/lib/flow/late.c
+++ b/lib/flow/late.c
@@ -3,7 +3,8 @@
 #include "flow_internal.h"
 
 /* Starts that have no answer and may still be carried out. The incarnations of
- * their worker that have refused them carry none out; a later one may. */
+ * their worker that have refused them carry none out; a later one may, and with
+ * it a start of the next run if that has no answer either. */
 
 /* A worker without an entry is gone after this time: the entries of those that
  * reach the store are back within two seconds. */
@@ -15,6 +16,8 @@
 static void log_binding(const struct fw_tables *tables,
     const struct bd_flow *flow, struct fw_run *run, enum fw_binding binding,
     int64_t now_ms);
+static uint32_t count_late(const struct fw_tables *tables, uint64_t flow,
+    uint32_t index, int64_t now_ms);
 static bool bind_task(struct fw_view *view, struct fw_tables *tables,
     struct fw_group *group, uint32_t index);
 static bool is_held(struct fw_view *view, struct fw_tables *tables,
@@ -103,7 +106,7 @@
 	    worker->report.incarnation_ms != latest_ms ||
 	    !fw_worker_list_is_current(worker))
 		return false;
-	if (run->end_listed_ms != 0 && run->incarnation_ms == latest_ms)
+	if (run->end_incarnation_ms == latest_ms)
 		return true;
 	return run->stop_acked && run->stop_incarnation_ms == latest_ms &&
 	    worker->report.sent_ms > run->listed_from_ms;
@@ -118,7 +121,7 @@
     const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms)
 {
 	if (!fw_run_holds_task(tables, run, now_ms))
-		return FW_BOUND_NOWHERE;
+		return FW_BOUND_NOT;
 	return !run->start_given_up && fw_run_is_refused(tables, run)
 	    ? FW_BOUND_TO_WORKER
 	    : FW_BOUND_TO_WAIT;
@@ -130,7 +133,7 @@
 fw_task_binding(const struct fw_tables *tables, uint64_t flow, uint32_t index,
     int64_t now_ms, uint32_t *run)
 {
-	enum fw_binding strictest = FW_BOUND_NOWHERE;
+	enum fw_binding strictest = FW_BOUND_NOT;
 	uint32_t i = fw_run_first(tables, flow, index);
 
 	*run = FW_NONE;
@@ -152,6 +155,13 @@
 	return strictest;
 }
 
+/* Returns whether several runs of a task of a step may go on at a time. */
+bool
+fw_step_may_run_twice(const struct bd_flow *flow, uint32_t step)
+{
+	return (fw_flow_steps(flow)[step].flags & BD_STEP_SPECULATIVE) != 0;
+}
+
 /* Returns whether a start of a run may be sent: its worker refuses the starts
  * of all earlier runs of the task that may still arrive. */
 bool
@@ -214,6 +224,21 @@
 	    run->stop_acked);
 }
 
+/* Returns how many runs of a task are among the late needs of its worker. */
+static uint32_t
+count_late(const struct fw_tables *tables, uint64_t flow, uint32_t index,
+    int64_t now_ms)
+{
+	uint32_t i = fw_run_first(tables, flow, index);
+	uint32_t count = 0;
+
+	for (; i != FW_NONE; i = tables->runs[i].next)
+		count += tables->runs[i].flow == flow &&
+		    tables->runs[i].index == index &&
+		    fw_run_meets_late(&tables->runs[i], now_ms);
+	return count;
+}
+
 /* Binds a task of a group to the worker of an earlier run if it has to be.
  * Returns false if the task has to wait. */
 static bool
@@ -227,7 +252,7 @@
 
 	binding =
 	    fw_task_binding(tables, flow->id, index, view->now_ms, &found);
-	if (binding == FW_BOUND_NOWHERE)
+	if (binding == FW_BOUND_NOT)
 		return true;
 	log_binding(tables, flow, &tables->runs[found], binding, view->now_ms);
 	if (binding == FW_BOUND_TO_WAIT)
@@ -237,7 +262,7 @@
 	group->bound = true;
 	return host != FW_NONE &&
 	    fw_view_bind(view, group->job, index, host,
-		fw_run_meets_late(&tables->runs[found], view->now_ms));
+		count_late(tables, flow->id, index, view->now_ms));
 }
 
 /* Returns whether a group is not to be placed now. */
@@ -246,8 +271,7 @@
     bool any_late)
 {
 	const struct bd_flow *flow = fw_job_current(&view->jobs[group->job]);
-	bool may_run_twice =
-	    (fw_flow_steps(flow)[group->step].flags & BD_STEP_SPECULATIVE) != 0;
+	bool may_run_twice = fw_step_may_run_twice(flow, group->step);
 	uint32_t i;
 
 	for (i = group->first; i < group->first + group->count; i++)
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -303,7 +303,8 @@
 	if (run->phase != FW_PHASE_STARTING || worker->clock_read_ms == 0 ||
 	    fw_worker_state_entry_outdated(worker) ||
 	    !fw_jobs_recent(placer, now_ms) ||
-	    !fw_start_is_alone(&placer->tables, run, now_ms))
+	    !(fw_step_may_run_twice(flow, run->task.step) ||
+		fw_start_is_alone(&placer->tables, run, now_ms)))
 		return;
 	if (!fw_start_is_covered(
 		flow, run, placer->parts.wall_ms(placer->parts.ctx))) {
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -256,9 +256,9 @@
 }
 
 /* Returns the worker to which a task is bound, or FW_NONE if the task does not
- * fit there now or it is not on the rack. The needs of an earlier run of the
- * task that may be late are those of the task itself. A worker on which runs
- * fail is better than none. */
+ * fit there now or it is not on the rack. The needs of earlier runs of the
+ * task that may be late are those of the task itself. Neither failures there
+ * nor the reserve for priority 0 keep the task from its only worker. */
 static uint32_t
 bound_host(struct fw_view *view, const struct fw_group *group, uint32_t rack,
     const struct fw_view_bound *bound)
@@ -273,12 +273,11 @@
 	if (bound->host < first || bound->host >= end ||
 	    (step->host_max > 0 && host->same_step_tasks >= step->host_max))
 		return FW_NONE;
-	if (bound->late) {
-		host->late.memory_mb -= step->memory_mb;
-		host->late.accels -= step->accels;
-		if ((step->flags & BD_STEP_FILLS) == 0)
-			host->late.cores_milli -= step->cores_milli;
-	}
+	host->late.memory_mb -= (int64_t)bound->late * step->memory_mb;
+	host->late.accels -= (int64_t)bound->late * step->accels;
+	if ((step->flags & BD_STEP_FILLS) == 0)
+		host->late.cores_milli -=
+		    (int64_t)bound->late * step->cores_milli;
 	company = company_on(view, group, step, bound->host);
 	*host = saved;
 	return company == COMPANY_REFUSED ? FW_NONE : bound->host;
@@ -308,7 +307,7 @@
 	fw_group_count_tasks(view, group);
 	for (n = 0; n < group->count; n++)
 		hosts[n] = FW_NONE;
-	for (n = 0; fits && n < steps; n++) {
+	for (n = 0; n < steps; n++) {
 		uint32_t task = n % group->count;
 		const struct fw_view_bound *bound = group->bound
 		    ? fw_view_bound_of(view, group->job, group->first + task)
@@ -317,9 +316,10 @@
 		if ((bound != NULL) != (n < steps - group->count))
 			continue;
 		hosts[task] = host_for(view, group, rack, bound);
-		fits = hosts[task] != FW_NONE;
-		if (!fits)
+		if (hosts[task] == FW_NONE) {
+			fits = false;
 			break;
+		}
 		fw_host_adjust_free(&view->hosts[hosts[task]], step, -1);
 		view->hosts[hosts[task]].same_step_tasks++;
 	}
@@ -459,6 +459,8 @@
 		const struct bd_host *host = view->hosts[hosts[n]].row;
 
 		assert(tasks[n].state == BD_STEP_TASK_WAITING);
+		if (tasks[n].host != host->id)
+			tasks[n].late_until_ms = 0;
 		tasks[n].state = BD_STEP_TASK_PLACED;
 		tasks[n].run = run + 1;
 		tasks[n].host = host->id;
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -141,14 +141,25 @@
 }
 
 /* Returns whether the acknowledgement of an end is put off: should the worker
- * start again, an unanswered start of the run may be carried out there, which
- * must not happen after the acknowledgement. */
+ * start again, an unanswered start of the run, or of an earlier one that it was
+ * bound by, may be carried out there, which must not happen after the
+ * acknowledgement. */
 static bool
 start_may_follow(
     const struct fw_tables *tables, const struct fw_run *run, int64_t now_ms)
 {
-	return fw_run_may_arrive(run, now_ms) &&
-	    now_ms - run->end_listed_ms < tables->ack_delay_max_ms;
+	uint32_t i = fw_run_first(tables, run->flow, run->index);
+
+	if (now_ms - run->end_listed_ms >= tables->ack_delay_max_ms)
+		return false;
+	for (; i != FW_NONE; i = tables->runs[i].next) {
+		const struct fw_run *other = &tables->runs[i];
+
+		if (other->flow == run->flow && other->index == run->index &&
+		    other->run <= run->run && fw_run_may_arrive(other, now_ms))
+			return true;
+	}
+	return false;
 }
 
 /*
@@ -233,6 +244,7 @@
 	run->last_listed_ms = worker->report.sent_ms;
 	run->began = run->began || end->end != FW_END_STOPPED;
 	run->incarnation_ms = worker->report.incarnation_ms;
+	run->end_incarnation_ms = worker->report.incarnation_ms;
 	run->done_late = run->phase == FW_PHASE_ENDED &&
 	    run->end != FW_END_DONE && end->end == FW_END_DONE;
 	fw_run_mark_ended(run, end->end, FW_OVER_LISTED);
--- a/lib/flow/view.c
+++ b/lib/flow/view.c
@@ -446,7 +446,7 @@
 /* Binds a task to a worker. Returns false if out of memory. */
 bool
 fw_view_bind(struct fw_view *view, uint32_t job, uint32_t index, uint32_t host,
-    bool late)
+    uint32_t late)
 {
 	if (view->bound_count == view->bound_capacity) {
 		uint32_t capacity =
--- a/lib/flow/wait_cause.c
+++ b/lib/flow/wait_cause.c
@@ -190,6 +190,10 @@
 		enum fw_binding binding =
 		    fw_task_binding(tables, flow->id, i, view->now_ms, &found);
 
+		if (fw_step_may_run_twice(flow, group->step)) {
+			binding = FW_BOUND_NOT;
+			found = FW_NONE;
+		}
 		if (binding == FW_BOUND_TO_WAIT)
 			cause->reason = FW_WAIT_LATE_START;
 		else if (binding == FW_BOUND_TO_WORKER)
--- a/tests/test_flow_late.cc
+++ b/tests/test_flow_late.cc
@@ -57,6 +57,7 @@
 	{
 		EXPECT_EQ(0, sim.run_checker.concurrent_runs);
 		EXPECT_EQ(0, sim.run_checker.starts_after_done);
+		EXPECT_EQ(0, sim.run_checker.unpreventable);
 		EXPECT_EQ(0, sim.run_checker.capacity_violations);
 	}
 };
@@ -237,3 +238,200 @@
 	EXPECT_EQ(2, sim.run_checker.starts);
 	play.expect_no_violations();
 }
+
+/* Guards against a start after an acknowledged end: a run that ends as done on
+ * the worker of an earlier run, whose late start the next incarnation carries
+ * out. */
+TEST(FlowLate, EndsOfBoundRunsAreNotAcknowledgedBeforeTheLateStartArrives)
+{
+	for (int64_t back_ms = 12000; back_ms <= 12600; back_ms += 20) {
+		Standing play;
+
+		play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+		play.run_until(1500);
+		play.worker().keeps_id = true;
+		play.worker().crash(play.sim.now_ms);
+		play.worker().back_ms = 3000;
+		play.run_until(3000);
+		play.lose_starts = false;
+		ASSERT_LT(play.start_after_ms(TASK), 3000);
+		play.run_until(11900);
+		play.worker().crash(play.sim.now_ms);
+		play.worker().back_ms = back_ms;
+		play.run_until(40000);
+		SCOPED_TRACE("back at " + std::to_string(back_ms));
+		play.expect_no_violations();
+	}
+}
+
+/* Guards against a second run beside a late start on a worker that was gone and
+ * is back under its id. */
+TEST(FlowLate, TasksOfAWorkerThatReturnsDoNotRunTwice)
+{
+	for (int64_t back_ms = 12000; back_ms <= 12600; back_ms += 20) {
+		Standing play;
+
+		play.worker().work_ms = 20000;
+		play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+		play.run_until(1500);
+		play.worker().keeps_id = true;
+		play.worker().crash(play.sim.now_ms);
+		play.worker().back_ms = INT64_MAX;
+		play.sim.add_worker("w2").work_ms = 20000;
+		play.run_until(1500 + 4500);
+		play.sim.remove_host(play.vm, "w1");
+		play.run_until(11900);
+		play.worker().back_ms = back_ms;
+		play.run_until(40000);
+		SCOPED_TRACE("back at " + std::to_string(back_ms));
+		play.expect_no_violations();
+	}
+}
+
+/* Guards against a start beside a late one that the worker lists as running:
+ * the end of that run was listed by the incarnation before. */
+TEST(FlowLate, RunsThatAreListedAsRunningAreNotRefused)
+{
+	for (int64_t crash_ms = 3000; crash_ms <= 5200; crash_ms += 100) {
+		Standing play;
+		FlowSim &sim = play.sim;
+		int lost = 1;
+		int listed = 0;
+		int refused = 0;
+
+		play.worker().work_ms = 1500;
+		play.worker().failing = true;
+		sim.order_fault = [&](const SimVm *, const std::string &,
+				      enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (kind == FW_ORDER_START && lost > 0) {
+				lost--;
+				fault.late_ms = crash_ms + 35 - sim.now_ms;
+			}
+			return fault;
+		};
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
+		play.run_until(crash_ms);
+		play.worker().keeps_id = true;
+		play.worker().crash(sim.now_ms);
+		play.worker().back_ms = crash_ms + 30;
+		while (sim.now_ms < 16000) {
+			play.run_until(sim.now_ms + 1);
+			struct fw_tables *tables = &play.vm->placer->tables;
+			for (uint32_t i = 0; i < tables->run_count; i++) {
+				const struct fw_run *run = &tables->runs[i];
+				const struct fw_worker_state *w;
+
+				if (!run->used || run->phase != FW_PHASE_ENDED ||
+				    !fw_run_has_unknown_start(run))
+					continue;
+				w = &tables->worker_states[run->worker];
+				for (uint32_t k = 0; k < w->report.run_count;
+				     k++) {
+					if (w->report.runs[k].run != run->run)
+						continue;
+					listed++;
+					refused += fw_run_is_refused(
+					    tables, run);
+				}
+			}
+		}
+		EXPECT_EQ(0, refused) << "of " << listed;
+		SCOPED_TRACE("crash at " + std::to_string(crash_ms));
+		play.expect_no_violations();
+	}
+}
+
+/* Guards against two runs of one task whose starts are both unanswered, and are
+ * carried out by the next incarnation of their worker. */
+TEST(FlowLate, UnansweredStartsOfTwoRunsDoNotMeet)
+{
+	for (int64_t back_ms = 12000; back_ms <= 12600; back_ms += 20) {
+		Standing play;
+		FlowSim &sim = play.sim;
+
+		play.worker().work_ms = 20000;
+		sim.order_fault = [&sim](const SimVm *, const std::string &,
+				      enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (kind == FW_ORDER_START && sim.now_ms < 4000)
+				fault.late_ms = 12100 - sim.now_ms;
+			return fault;
+		};
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
+		play.run_until(1500);
+		play.worker().keeps_id = true;
+		play.worker().crash(sim.now_ms);
+		play.worker().back_ms = 3000;
+		play.run_until(11900);
+		play.worker().crash(sim.now_ms);
+		play.worker().back_ms = back_ms;
+		play.run_until(40000);
+		SCOPED_TRACE("back at " + std::to_string(back_ms));
+		play.expect_no_violations();
+	}
+}
+
+/* Guards against copies of speculative steps whose starts are not sent, though
+ * they may run beside a late one. */
+TEST(FlowLate, SpeculativeTasksAreStartedBesideALateStart)
+{
+	Standing play;
+	auto step = FlowFixture::make_step(1, 8);
+
+	step.flags |= BD_STEP_SPECULATIVE;
+	play.sim.submit(JOB_A, {step});
+	play.run_until(1500);
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = INT64_MAX;
+	play.sim.add_worker("w2");
+	while (play.sim.worker_of(play.vm, JOB_A, 0) != "w2" &&
+	    play.sim.now_ms < 60000)
+		play.run_until(play.sim.now_ms + 1);
+	EXPECT_LT(play.sim.now_ms, 12000);
+	EXPECT_LT(play.start_after_ms(TASK), 1000);
+}
+
+/* Guards against a task whose earlier runs are counted against itself: two of
+ * them have an unanswered start at the worker to which it is bound. */
+TEST(FlowLate, TasksWithTwoUnansweredRunsRunAgainAtOnce)
+{
+	Standing play;
+
+	play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(1500);
+	play.worker().keeps_id = true;
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = 3000;
+	play.run_until(5000);
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = 6000;
+	play.run_until(6000);
+	play.lose_starts = false;
+	EXPECT_LT(play.start_after_ms(TASK), 3000);
+}
+
+/* Guards against a successor that waits for the leases of a worker that is gone
+ * with nobody at its address. */
+TEST(FlowLate, SuccessorsDoNotWaitLongForAWorkerWithoutAnEntry)
+{
+	Standing play;
+
+	play.lose_starts = false;
+	play.worker().work_ms = 20000;
+	play.sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	play.run_until(2000);
+	play.worker().crash(play.sim.now_ms);
+	play.worker().back_ms = INT64_MAX;
+	play.sim.kill(play.vm);
+	play.sim.add_worker("w2");
+	SimVm *b = play.sim.add_vm("b");
+	play.sim.remove_host(b, "w1");
+	while (!fw_placer_active(b->placer))
+		play.run_until(play.sim.now_ms + 1);
+	play.sim.remove_host(b, "w1");
+	EXPECT_LT(play.start_after_ms(TASK), 9400);
+	play.expect_no_violations();
+}
