--- a/review/standin-2/runner.h
+++ b/review/standin-2/runner.h
@@ -127,6 +127,13 @@
 		return now_ms() - start_ms + 1;
 	}
 
+	static int
+	percent(const Run &run)
+	{
+		return (int)((now_ms() - run.started_ms) * 100 /
+		    (run.done_ms - run.started_ms + 1));
+	}
+
 	/* Returns the latest checkpoint of a run: one for each second. */
 	std::string
 	saved(const Run &run) const
@@ -289,7 +296,8 @@
 			json_array_append_new(running,
 			    json_pack("[s,i,s,i]", entry.second.task.c_str(),
 				(int)entry.second.run,
-				saved(entry.second).c_str(), 50));
+				saved(entry.second).c_str(),
+				percent(entry.second)));
 		for (const End &end : ends)
 			json_array_append_new(ended,
 			    json_pack("[I,s,i,s,s]", (json_int_t)end.number,
