--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -150,6 +150,18 @@
 		return true;
 	}
 
+	/* Starts a daemon again that has ended. */
+	bool
+	restart_daemon(size_t n)
+	{
+		if (!start_daemon((int)n))
+			return false;
+		daemons[n] = daemons.back();
+		daemons.pop_back();
+		fronts.pop_back();
+		return true;
+	}
+
 	/* Sends a call to a port. Returns the status, or 0 without an answer.
 	 */
 	static int
--- a/review/standin-2/late_ack.cc
+++ b/review/standin-2/late_ack.cc
@@ -5,9 +5,10 @@
  * carry them out 2 to 12 s later; in each span two workers crash and start
  * again under their ids. TROUBLE=0: neither.
  *
- * Usage: late_ack CAMPHORD RECORD. Exits with 1 if a task was started after an
- * end `done` of it had been taken note of, 0 if none was, 2 if the case could
- * not run.
+ * Usage: late_ack CAMPHORD RECORD [ORDER]. ORDER is the path of the orders that
+ * stay unanswered, instead of that of holds. Exits with 1 if a task was started
+ * after an end `done` of it had been taken note of, 0 if none was, 2 if the
+ * case could not run.
  */
 #include <random>
 
@@ -22,6 +23,7 @@
 static const int64_t TRAFFIC_MS = 80000;
 static const int64_t JOB_EVERY_MS = 250;
 
+static std::string unanswered = "/camphorworks/hold";
 static Deployment deployment;
 static Checker checker;
 
@@ -68,7 +70,8 @@
 	if (trouble.in_span != (in_ms < SPAN_MS)) {
 		trouble.in_span = in_ms < SPAN_MS;
 		deployment.record.line("orders without an answer: %s",
-		    trouble.in_span ? "half of the holds" : "none");
+		    trouble.in_span ? ("half of " + unanswered).c_str()
+				    : "none");
 	}
 	for (int k = 0; k < 2; k++) {
 		Runner &runner =
@@ -112,7 +115,7 @@
 		runner.lateness = [&](const std::string &path) -> int64_t {
 			std::lock_guard<std::mutex> guard(random_lock);
 
-			if (!trouble.in_span || path != "/camphorworks/hold" ||
+			if (!trouble.in_span || path != unanswered ||
 			    random() % 2 == 0)
 				return 0;
 			return 2000 + (int64_t)(random() % 10001);
@@ -142,8 +145,9 @@
 	    "after such an end %d",
 	    accepted, checker.starts, checker.ends_noted,
 	    checker.starts_after_noted);
-	printf("accepted=%d starts=%d noted=%d started_after=%d\n", accepted,
-	    checker.starts, checker.ends_noted, checker.starts_after_noted);
+	printf("accepted=%d starts=%d noted=%d started_after=%d beside=%d\n",
+	    accepted, checker.starts, checker.ends_noted,
+	    checker.starts_after_noted, checker.starts_beside_another);
 	if (accepted == 0)
 		return 2;
 	return checker.starts_after_noted > 0 ? 1 : 0;
@@ -155,7 +159,9 @@
 	static std::vector<Runner> runners((size_t)WORKERS);
 	int code = 2;
 
-	if (argc == 3 && deployment.prepare(argv[1], argv[2]))
+	if (argc == 4)
+		unanswered = argv[3];
+	if ((argc == 3 || argc == 4) && deployment.prepare(argv[1], argv[2]))
 		code = play(runners);
 	deployment.end();
 	fflush(nullptr);
--- a/review/standin-2/runner.h
+++ b/review/standin-2/runner.h
@@ -58,8 +58,10 @@
  * which it ended had not lapsed. */
 struct Checker {
 	std::mutex lock;
-	std::map<std::string, std::string> noted; /* task: how */
+	std::map<std::string, std::string> noted;            /* task: how */
+	std::map<std::string, std::set<std::string>> active; /* by task */
 	int starts_after_noted = 0;
+	int starts_beside_another = 0;
 	int starts = 0;
 	int ends_noted = 0;
 };
@@ -156,6 +158,10 @@
 		ends.push_back(
 		    {next_end++, run.task, run.run, how, false, saved(run)});
 		over[run.task] = std::max(over[run.task], run.run);
+		{
+			std::lock_guard<std::mutex> guard(checker->lock);
+			checker->active[run.task].erase(id);
+		}
 		record->line("%s born %lld: end %llu, %s run %u %s", id.c_str(),
 		    (long long)born_ms, (unsigned long long)(next_end - 1),
 		    run.task.c_str(), run.run, how);
@@ -215,8 +221,15 @@
 		runs[task] = run;
 		std::lock_guard<std::mutex> guard(checker->lock);
 		checker->starts++;
+		checker->active[task].insert(id);
 		record->line("%s born %lld: start of %s run %u", id.c_str(),
 		    (long long)born_ms, task.c_str(), number);
+		if (checker->active[task].size() > 1) {
+			checker->starts_beside_another++;
+			record->line("BROKEN TWICE: %s run %u starts on %s "
+				     "while another run is on another worker",
+			    task.c_str(), number, id.c_str());
+		}
 		if (checker->noted.count(task) == 0)
 			return "";
 		checker->starts_after_noted++;
@@ -530,6 +543,11 @@
 		close(listener);
 		for (int fd : connections)
 			shutdown(fd, SHUT_RDWR);
+		{
+			std::lock_guard<std::mutex> ends_guard(checker->lock);
+			for (const auto &entry : runs)
+				checker->active[entry.first].erase(id);
+		}
 		runs.clear();
 		ends.clear();
 		record->line("%s crashes", id.c_str());
