--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -22,12 +22,33 @@
 	std::string folder;
 	std::string program;
 
+	/* Ends the daemons if the script is ended. Call before any thread is
+	 * started. */
+	void
+	end_on_signal()
+	{
+		sigset_t set;
+
+		sigemptyset(&set);
+		sigaddset(&set, SIGTERM);
+		sigaddset(&set, SIGINT);
+		pthread_sigmask(SIG_BLOCK, &set, nullptr);
+		std::thread([this, set] {
+			int number = 0;
+
+			sigwait(&set, &number);
+			end();
+			_exit(2);
+		}).detach();
+	}
+
 	/* Returns false if the case cannot run. */
 	bool
 	prepare(const char *camphord, const char *record_path)
 	{
 		char name[] = "/tmp/camphor-review-XXXXXX";
 
+		end_on_signal();
 		if (mkdtemp(name) == nullptr)
 			return false;
 		folder = name;
--- a/review/standin-2/long_checkpoint.cc
+++ b/review/standin-2/long_checkpoint.cc
@@ -1,5 +1,5 @@
 /*
- * Plays two daemons and three workers on loopback. The workers are replaced one
+ * Plays two daemons and four workers on loopback. The workers are replaced one
  * after the other by ones of another version: the new one comes first, the old
  * one drains for 3.5 s and leaves. The checkpoints of the new ones have 64
  * digits, those of the old ones 16. TROUBLE=0: the same with 16 digits.
@@ -12,10 +12,10 @@
 #include "deployment.h"
 
 static const int DAEMONS = 2;
-static const size_t WORKERS = 3;
+static const size_t WORKERS = 4;
 static const int64_t REPLACE_EVERY_MS = 4500;
 static const int64_t DRAIN_MS = 3500;
-static const int64_t TRAFFIC_MS = 20000;
+static const int64_t TRAFFIC_MS = 24000;
 static const int64_t JOB_EVERY_MS = 1000;
 static const int64_t FINISH_MS = 14000;
 static const int64_t STAND_MS = 3000;
