A VM knows that the newest configuration is not in force on it

The VM was ready, its metrics showed a fresh configuration, and one line of the log told of the version. A VM that started then had no configuration and was not ready without a word.

Cause: on_config returned CW_OK for a version that pl_config_apply refused, so the follower counted its copy as current, and nothing else noted the refusal. A version refused for lack of memory was dropped in the same way.

Change: the blackboard has a row setup_refused while the newest version is not in force. It makes calls answered with 503 and its reason, the probe 503 with the reason, and shows in the metrics (camphor_config_in_force, _refused, _refused_version, camphor_ready) and in events 1123, which names the entry, and 1147, every 10 s. Out of memory: the record is applied again. Retry-After grows with the time since the refusal.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -127,3 +127,5 @@
     "placer cannot decide while jobs wait")
 EV(1146, EV_FLOW_UNDECIDED_OVER, EV_LEVEL_INFO,
     "placer could not decide for some time")
+EV(1147, EV_FLOW_NOT_READY, EV_LEVEL_WARN, "not ready for callers")
+EV(1148, EV_FLOW_READY, EV_LEVEL_INFO, "ready for callers")
--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -448,26 +448,27 @@
 /* The tables: BD_TABLE(name, row type, writer, capacity in rows). The
  * capacities are at least twice the target size; unused rows take no memory.
  * What happens when a table is full: docs/design.md, 6.1. */
-#define BD_TABLES(BD_TABLE)                                               \
-	BD_TABLE(config, struct bd_config, BD_WRITER_STATE, 1)            \
-	BD_TABLE(account, struct bd_account, BD_WRITER_STATE, 256)        \
-	BD_TABLE(promise, struct bd_promise, BD_WRITER_STATE, 1024)       \
-	BD_TABLE(service, struct bd_service, BD_WRITER_STATE, 256)        \
-	BD_TABLE(runner, struct bd_runner, BD_WRITER_STATE, 4096)         \
-	BD_TABLE(worker, struct bd_worker, BD_WRITER_STATE, 4096)         \
-	BD_TABLE(job, struct bd_job, BD_WRITER_STATE, 32768)              \
-	BD_TABLE(task, struct bd_task, BD_WRITER_STATE, 32768)            \
-	BD_TABLE(request, struct bd_request, BD_WRITER_STATE, 131072)     \
-	BD_TABLE(duty, struct bd_duty, BD_WRITER_STATE, 64)               \
-	BD_TABLE(log_writer, struct bd_log_writer, BD_WRITER_STATE, 8192) \
-	BD_TABLE(vm, struct bd_vm, BD_WRITER_VM_LIST, 8192)               \
-	BD_TABLE(member, struct bd_member, BD_WRITER_MEMBERSHIP, 256)     \
-	BD_TABLE(health, struct bd_health, BD_WRITER_HEALTH, 4096)        \
-	BD_TABLE(share, struct bd_share, BD_WRITER_LIMITS, 256)           \
-	BD_TABLE(usage, struct bd_usage, BD_WRITER_USAGE, 32768)          \
-	BD_TABLE(lease, struct bd_lease, BD_WRITER_GANG, 32768)           \
-	BD_TABLE(setup, struct bd_setup, BD_WRITER_FLOW, 1)               \
-	BD_TABLE(host, struct bd_host, BD_WRITER_FLOW, 4096)              \
+#define BD_TABLES(BD_TABLE)                                                 \
+	BD_TABLE(config, struct bd_config, BD_WRITER_STATE, 1)              \
+	BD_TABLE(account, struct bd_account, BD_WRITER_STATE, 256)          \
+	BD_TABLE(promise, struct bd_promise, BD_WRITER_STATE, 1024)         \
+	BD_TABLE(service, struct bd_service, BD_WRITER_STATE, 256)          \
+	BD_TABLE(runner, struct bd_runner, BD_WRITER_STATE, 4096)           \
+	BD_TABLE(worker, struct bd_worker, BD_WRITER_STATE, 4096)           \
+	BD_TABLE(job, struct bd_job, BD_WRITER_STATE, 32768)                \
+	BD_TABLE(task, struct bd_task, BD_WRITER_STATE, 32768)              \
+	BD_TABLE(request, struct bd_request, BD_WRITER_STATE, 131072)       \
+	BD_TABLE(duty, struct bd_duty, BD_WRITER_STATE, 64)                 \
+	BD_TABLE(log_writer, struct bd_log_writer, BD_WRITER_STATE, 8192)   \
+	BD_TABLE(vm, struct bd_vm, BD_WRITER_VM_LIST, 8192)                 \
+	BD_TABLE(member, struct bd_member, BD_WRITER_MEMBERSHIP, 256)       \
+	BD_TABLE(health, struct bd_health, BD_WRITER_HEALTH, 4096)          \
+	BD_TABLE(share, struct bd_share, BD_WRITER_LIMITS, 256)             \
+	BD_TABLE(usage, struct bd_usage, BD_WRITER_USAGE, 32768)            \
+	BD_TABLE(lease, struct bd_lease, BD_WRITER_GANG, 32768)             \
+	BD_TABLE(setup, struct bd_setup, BD_WRITER_FLOW, 1)                 \
+	BD_TABLE(setup_refused, struct bd_setup_refused, BD_WRITER_FLOW, 1) \
+	BD_TABLE(host, struct bd_host, BD_WRITER_FLOW, 4096)                \
 	BD_TABLE(flow, struct bd_flow, BD_WRITER_FLOW, 98304)
 
 enum bd_table_number {
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -59,6 +59,18 @@
 	unsigned char data[];
 };
 
+#define BD_CAUSE_BYTES 160
+
+/* Table "setup_refused", one row with id BD_CONFIG_ID while the newest
+ * configuration of the store is not in force on this VM, as it could not be
+ * applied; row "setup" is an older one then, or missing. */
+struct bd_setup_refused {
+	uint64_t version; /* 0: it could not be read */
+	uint64_t offset;  /* of its record in the log */
+	int64_t since_ms; /* monotonic time at which it was refused */
+	char cause[BD_CAUSE_BYTES];
+};
+
 static_assert(sizeof(struct bd_setup) % 8 == 0 &&
 	sizeof(struct bd_queue) % 8 == 0 && sizeof(struct bd_client) % 8 == 0,
     "rows within bd_setup are aligned");
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -122,6 +122,11 @@
 struct bd_access_key *fw_setup_keys(const struct bd_setup *setup);
 void fw_setup_sort(struct bd_setup *setup);
 const struct bd_setup *fw_setup(const struct bd_board *board);
+int fw_setup_refuse(struct bd_board *board, const struct fw_record *record,
+    uint64_t version, const char *cause, int64_t now_ms);
+void fw_setup_accept(struct bd_board *board, const struct fw_record *record);
+bool fw_setup_refused(
+    const struct bd_board *board, struct bd_setup_refused *out);
 const struct bd_queue *fw_queue_find(
     const struct bd_setup *setup, const char *host, const char *path);
 const struct bd_client *fw_client_find(
@@ -443,12 +448,42 @@
 	CW_ATOMIC(uint32_t) held;
 };
 
+/* What keeps a VM from being ready for callers. */
+enum fw_unready {
+	FW_READY,
+	FW_UNREADY_DRAINING,
+	FW_UNREADY_CONFIG_UNREAD,
+	FW_UNREADY_CONFIG_REFUSED, /* the newest one could not be applied */
+	FW_UNREADY_CONFIG_OLD,     /* it may not be the newest one */
+	FW_UNREADY_JOBS_UNREAD,
+	FW_UNREADY_STORE_SILENT,
+};
+
+enum fw_unready fw_config_unready(const struct fw_front *front, int64_t now_ms);
+enum fw_unready fw_front_unready(
+    const struct fw_front *front, bool draining, int64_t now_ms);
+const char *fw_unready_text(enum fw_unready unready);
+bool fw_config_in_force(const struct fw_front *front, int64_t now_ms);
+
+/* The latest unready, for the log. Any thread may note one. */
+struct fw_readiness {
+	pthread_mutex_t lock;
+	bool noted;
+	enum fw_unready unready;
+	int64_t since_ms;
+	int64_t logged_ms;
+};
+
+void fw_readiness_init(struct fw_readiness *readiness);
+void fw_readiness_destroy(struct fw_readiness *readiness);
+bool fw_readiness_note(struct fw_readiness *readiness, enum fw_unready unready,
+    int64_t now_ms, int64_t *lasted_ms);
+
 int64_t fw_hold_ms(
     int64_t patience_ms, int64_t outage_ms, uint32_t held, uint32_t held_max);
 uint32_t fw_retry_after_s(int64_t outage_ms);
 void fw_front_hold(struct fw_front *front, int64_t deadline_ms);
 uint32_t fw_front_retry_after_s(const struct fw_front *front, int64_t now_ms);
-bool fw_config_in_force(const struct fw_front *front, int64_t now_ms);
 int fw_submit(const struct fw_front *front, const struct fw_job_spec *spec,
     int64_t deadline_ms);
 int fw_cancel(struct fw_front *front, uint64_t queue, const char *name,
--- a/lib/flow/hold.c
+++ b/lib/flow/hold.c
@@ -65,7 +65,13 @@
 uint32_t
 fw_front_retry_after_s(const struct fw_front *front, int64_t now_ms)
 {
-	return fw_retry_after_s(outage_ms(front, now_ms));
+	int64_t lasted_ms = outage_ms(front, now_ms);
+	struct bd_setup_refused refused;
+
+	if (fw_setup_refused(front->board, &refused) &&
+	    now_ms - refused.since_ms > lasted_ms)
+		lasted_ms = now_ms - refused.since_ms;
+	return fw_retry_after_s(lasted_ms);
 }
 
 /* Holds a call that submits a job until the store can be reached, for a part of
--- a/lib/flow/setup.c
+++ b/lib/flow/setup.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -68,6 +69,52 @@
 	return bd_setup_lookup(board, BD_CONFIG_ID);
 }
 
+/* Notes that the newest configuration of the store could not be put into force,
+ * and why. The same record may be refused again: the time of the first refusal
+ * stays. Returns a status code of the board. */
+int
+fw_setup_refuse(struct bd_board *board, const struct fw_record *record,
+    uint64_t version, const char *cause, int64_t now_ms)
+{
+	struct bd_setup_refused row = {
+	    .version = version, .offset = record->offset, .since_ms = now_ms};
+	struct bd_setup_refused before;
+
+	if (fw_setup_refused(board, &before) && before.offset == record->offset)
+		row.since_ms = before.since_ms;
+	snprintf(row.cause, sizeof(row.cause), "%s", cause);
+	return bd_put(board, BD_TABLE_setup_refused, BD_WRITER_FLOW,
+	    BD_CONFIG_ID, &row, sizeof(row), NULL);
+}
+
+/* Notes that the configuration of a record has been applied: it is the newest
+ * one, unless one that was refused came after it. */
+void
+fw_setup_accept(struct bd_board *board, const struct fw_record *record)
+{
+	struct bd_setup_refused refused;
+
+	if (fw_setup_refused(board, &refused) &&
+	    record->offset >= refused.offset)
+		bd_remove(board, BD_TABLE_setup_refused, BD_WRITER_FLOW,
+		    BD_CONFIG_ID);
+}
+
+/* Returns whether the newest configuration of the store was refused here, and
+ * copies its row to *out, which may be NULL. */
+bool
+fw_setup_refused(const struct bd_board *board, struct bd_setup_refused *out)
+{
+	const struct bd_setup_refused *row;
+
+	bd_read_begin();
+	row = bd_setup_refused_lookup(board, BD_CONFIG_ID);
+	if (row != NULL && out != NULL)
+		*out = *row;
+	bd_read_end();
+	return row != NULL;
+}
+
 /* Returns the queue for a request: among the queues of the host name, the one
  * with the longest prefix of the path, or NULL if none matches. */
 const struct bd_queue *
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -75,18 +75,6 @@
 	call_release(call);
 }
 
-/* Returns whether this VM's configuration is recent enough to act on: it
- * reflects all changes that were acknowledged longer ago than a change may take
- * to be in force. */
-bool
-fw_config_in_force(const struct fw_front *front, int64_t now_ms)
-{
-	return fw_follower_loaded(front->config) &&
-	    bd_row_count(front->board, BD_TABLE_setup) > 0 &&
-	    fw_follower_age_ms(front->config, now_ms) <=
-	    (int64_t)front->config_age_max_ms;
-}
-
 /* Returns whether the board reflects a record, a job or a cancellation: an
  * append without an answer may have succeeded. */
 static bool
--- a/tests/test_platform_system.cc
+++ b/tests/test_platform_system.cc
@@ -414,3 +414,64 @@
 	EXPECT_EQ(0, deployment.platform.run_checker.unpreventable);
 	EXPECT_EQ(0, deployment.platform.run_checker.starts_after_done);
 }
+
+/* Guards against a VM that serves an older configuration after it could not
+ * apply the newest one, and against one that starts then and is not ready
+ * without telling why. */
+TEST(PlatformSystem, VmsSayThatTheNewestConfigurationIsNotInForce)
+{
+	Deployment deployment;
+	auto shows = [&](size_t n, const std::string &line) {
+		std::string address = deployment.ready_addresses[n];
+		size_t colon = address.rfind(':');
+		int port = std::stoi(address.substr(colon + 1)) + 1;
+		std::string answer;
+
+		deployment.call("127.0.0.1:" + std::to_string(port), "/metrics",
+		    "", &answer);
+		return answer.find("\n" + line + "\n") != std::string::npos;
+	};
+	auto is_behind = [&](size_t n) {
+		std::string answer;
+
+		return deployment.call(deployment.ready_addresses[n],
+			   "/camphorworks/ready", "", &answer) == 503 &&
+		    answer.find("newest configuration") != std::string::npos;
+	};
+
+	ASSERT_TRUE(deployment.platform.start(1, 200));
+	deployment.configure();
+	deployment.spawn();
+	ASSERT_TRUE(deployment.ready(0));
+	EXPECT_EQ(200, deployment.submit(0, job(0), 1));
+	{
+		std::lock_guard<std::mutex> guard(deployment.platform.lock);
+
+		deployment.platform.put("keyed.op", "config",
+		    "{\"Version\":" + std::to_string(++deployment.version) +
+			",\"Routes\":[{\"Name\":5}]}");
+	}
+	deployment.spawn();
+	for (size_t n = 0; n < 2; n++) {
+		ASSERT_TRUE(deployment.wait([&] {
+			return is_behind(n);
+		})) << n;
+		EXPECT_EQ(503, deployment.submit(n, job(1), 1));
+		EXPECT_TRUE(shows(n, "camphor_config_in_force 0"));
+		EXPECT_TRUE(shows(n, "camphor_config_refused 1"));
+		EXPECT_TRUE(shows(n, "camphor_config_refused_version 2"));
+		EXPECT_TRUE(shows(n,
+		    "camphor_config_version " +
+			std::to_string(n == 0 ? 1 : 0)));
+		EXPECT_TRUE(shows(n, "camphor_ready 0"));
+	}
+	deployment.configure();
+	for (size_t n = 0; n < 2; n++) {
+		ASSERT_TRUE(deployment.ready(n)) << n;
+		EXPECT_EQ(200, deployment.submit(n, job(2 + (int)n), 1));
+		EXPECT_TRUE(shows(n, "camphor_config_in_force 1"));
+		EXPECT_TRUE(shows(n, "camphor_config_refused 0"));
+		EXPECT_TRUE(shows(n, "camphor_ready 1"));
+	}
+	EXPECT_TRUE(deployment.all_done(3));
+}
