Texts of a configuration may have any length

What callers saw: a version with a tenant, route or service name of 48 characters or more, or a host or path prefix of 64 or more, was put into force by no VM, for good, and neither was any later version that still had it. A Host header of 128 characters or more was cut, and answered with 404.

Cause: rows of queues and clients had arrays of fixed size for texts, and pl_string_copy refuses what does not fit, upon which the whole configuration was dropped.

Change: the texts of queues that are compared, and the name for the log, are stored behind the rows of their version and referred to by place and length. Names of tenants and services and access keys are known by their ids only, as before, so their texts are not kept. The Host header is compared in place.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -13,19 +13,24 @@
  */
 #define BD_LABEL_BYTES 24
 #define BD_CHECKPOINT_BYTES 40
-#define BD_PREFIX_BYTES 64
 #define BD_FLOW_NAME_BYTES 24
 
+/* A text of any length among the texts of a row, which tells where they start.
+ * It has no terminator, and may contain any bytes. */
+struct bd_text {
+	uint32_t at;
+	uint32_t bytes; /* 0: empty */
+};
+
 /* A queue of jobs, selected by the host name and path prefix of a request. The
  * completion target of its jobs, from acceptance to completion, is
  * stretch_milli / 1000 times the estimated run time plus target_ms. */
 struct bd_queue {
 	uint64_t id; /* cw_id_from_name(name) */
 	uint64_t pool;
-	char name[CW_NAME_BYTES];
-	char pool_name[CW_NAME_BYTES];
-	char host[BD_PREFIX_BYTES];
-	char prefix[BD_PREFIX_BYTES];
+	struct bd_text name; /* in its bd_setup, as are the next two */
+	struct bd_text host;
+	struct bd_text prefix;
 	uint32_t priority;     /* 0: highest, may preempt the others */
 	uint32_t attempts_max; /* per task, 0: unlimited */
 	uint32_t stretch_milli;
@@ -36,8 +41,7 @@
 
 /* A client account with its guarantee. */
 struct bd_client {
-	uint64_t id; /* cw_id_from_name(name) */
-	char name[CW_NAME_BYTES];
+	uint64_t id;                /* cw_id_from_name(name) */
 	uint32_t guaranteed_accels; /* for its jobs of priority 0 */
 	uint32_t reserved;
 };
@@ -49,13 +53,15 @@
 
 /* Table "setup", one row with id BD_CONFIG_ID: the whole active configuration,
  * so that readers see one version of it. data[] holds its queues, its clients
- * and its access keys, the latter two sorted by id. */
+ * and its access keys, the latter two sorted by id, and the texts. */
 struct bd_setup {
 	uint64_t version;
 	uint32_t body_bytes_max;
 	uint32_t queue_count;
 	uint32_t client_count;
 	uint32_t key_count;
+	uint32_t text_bytes;
+	uint32_t reserved;
 	unsigned char data[];
 };
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -120,6 +120,9 @@
 struct bd_queue *fw_setup_queues(const struct bd_setup *setup);
 struct bd_client *fw_setup_clients(const struct bd_setup *setup);
 struct bd_access_key *fw_setup_keys(const struct bd_setup *setup);
+char *fw_setup_texts(const struct bd_setup *setup);
+const char *fw_setup_text(
+    const struct bd_setup *setup, const struct bd_text *text);
 void fw_setup_sort(struct bd_setup *setup);
 const struct bd_setup *fw_setup(const struct bd_board *board);
 int fw_setup_refuse(struct bd_board *board, const struct fw_record *record,
--- a/lib/flow/setup.c
+++ b/lib/flow/setup.c
@@ -12,7 +12,7 @@
 {
 	return sizeof(*setup) + setup->queue_count * sizeof(struct bd_queue) +
 	    setup->client_count * sizeof(struct bd_client) +
-	    setup->key_count * sizeof(struct bd_access_key);
+	    setup->key_count * sizeof(struct bd_access_key) + setup->text_bytes;
 }
 
 /* Returns the queues of a configuration. Only those of a row that has not been
@@ -39,6 +39,20 @@
 	    setup->client_count);
 }
 
+/* Returns the texts of a configuration. */
+char *
+fw_setup_texts(const struct bd_setup *setup)
+{
+	return (char *)(fw_setup_keys(setup) + setup->key_count);
+}
+
+/* Returns a text of a configuration, text->bytes bytes without a terminator. */
+const char *
+fw_setup_text(const struct bd_setup *setup, const struct bd_text *text)
+{
+	return fw_setup_texts(setup) + text->at;
+}
+
 /* Compares rows that start with their ids. */
 static int
 compare_ids(const void *a, const void *b)
@@ -116,25 +130,29 @@
 }
 
 /* Returns the queue for a request: among the queues of the host name, the one
- * with the longest prefix of the path, or NULL if none matches. */
+ * with the longest prefix of the path, or NULL if none matches. host is a host
+ * name that a port may follow. */
 const struct bd_queue *
 fw_queue_find(const struct bd_setup *setup, const char *host, const char *path)
 {
 	const struct bd_queue *queues = fw_setup_queues(setup);
 	const struct bd_queue *best = NULL;
-	size_t best_length = 0;
+	size_t host_bytes = strcspn(host, ":");
+	size_t path_bytes = strlen(path);
 	uint32_t i;
 
 	for (i = 0; i < setup->queue_count; i++) {
 		const struct bd_queue *queue = &queues[i];
-		size_t length = strlen(queue->prefix);
 
-		if (strcmp(queue->host, host) != 0 ||
-		    strncmp(queue->prefix, path, length) != 0 ||
-		    (best != NULL && length <= best_length))
+		if (queue->host.bytes != host_bytes ||
+		    queue->prefix.bytes > path_bytes ||
+		    (best != NULL && queue->prefix.bytes <= best->prefix.bytes))
 			continue;
-		best = queue;
-		best_length = length;
+		if (memcmp(fw_setup_text(setup, &queue->host), host,
+			host_bytes) == 0 &&
+		    memcmp(fw_setup_text(setup, &queue->prefix), path,
+			queue->prefix.bytes) == 0)
+			best = queue;
 	}
 	return best;
 }
