Names and labels of workers may have any length

What callers saw: a worker whose name has 32 characters or more, whose address has 48 or more (an IPv6 address in full with a port), or whose zone, kind or rack has 24 or more was not used, or was removed if it was in use before. Event 1124 or 1105 told of each entry, and nobody acted on it.

Change: a record's key and a worker's name hold 255 bytes, an address the longest "[ip]:port". The zone was kept and never read; it is checked and no longer kept. Names in the lines 1143 and 1144 are cut to 64 characters.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -11,7 +11,12 @@
  * Rows of multi-step jobs and of what they run on. The flow controller writes
  * all of them, from the records of the platform's store.
  */
+/* Labels are compared only. A text that does not fit stands as a digest. */
 #define BD_LABEL_BYTES 24
+/* The name of a worker is a key of the store, up to 255 bytes. */
+#define BD_HOST_NAME_BYTES 256
+/* "[ip]:port" at its longest has 53 characters. */
+#define BD_HOST_ADDRESS_BYTES 56
 #define BD_CHECKPOINT_BYTES 40
 #define BD_FLOW_NAME_BYTES 24
 
@@ -88,9 +93,8 @@
 	int64_t incarnation_ms; /* start of this incarnation, 0: not given */
 	int64_t clock_ms; /* the worker's clock when it wrote the record */
 	int64_t heard_ms; /* monotonic time at which the record was read */
-	char name[CW_NAME_BYTES];
-	char address[CW_NAME_BYTES];
-	char zone[BD_LABEL_BYTES];
+	char name[BD_HOST_NAME_BYTES];
+	char address[BD_HOST_ADDRESS_BYTES];
 	char kind[BD_LABEL_BYTES];
 	char rack[BD_LABEL_BYTES];
 	uint32_t cores_milli;
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -79,7 +79,8 @@
  * the current state. Jobs, cancellations and the public states of jobs share
  * one topic, which every VM follows; progress has a topic of its own, which
  * only the placer follows. */
-#define FW_KEY_BYTES 32
+/* A key has up to 255 bytes, and a terminator here. */
+#define FW_KEY_BYTES 256
 /* A cursor of a snapshot is a key of up to 255 bytes, each written as "%XX". */
 #define FW_CURSOR_BYTES 768
 #define FW_RECORD_BYTES_MAX ((size_t)256 * 1024)
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -57,12 +57,12 @@
 struct fw_worker_state {
 	uint64_t host; /* id of the worker */
 	uint32_t next; /* next in the bucket */
-	char name[CW_NAME_BYTES];
-	char address[CW_NAME_BYTES]; /* "": unknown */
-	int64_t incarnation_ms;      /* start of the incarnation, 0: unknown */
-	int64_t clock_ms;      /* the worker's clock when it was last read */
-	int64_t clock_read_ms; /* monotonic time of that reading, 0: none */
-	int64_t lease_end_ms;  /* all leases have expired after this time */
+	char name[BD_HOST_NAME_BYTES];
+	char address[BD_HOST_ADDRESS_BYTES]; /* "": unknown */
+	int64_t incarnation_ms; /* start of the incarnation, 0: unknown */
+	int64_t clock_ms;       /* the worker's clock when it was last read */
+	int64_t clock_read_ms;  /* monotonic time of that reading, 0: none */
+	int64_t lease_end_ms;   /* all leases have expired after this time */
 	int64_t hold_sent_ms;
 	int64_t next_hold_ms;
 	int64_t unresponsive_since_ms; /* first unanswered call, 0: answers */
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -310,15 +310,17 @@
 apply_buffered(struct fw_follower *follower, int64_t now_ms)
 {
 	const struct fw_follow_spec *spec = &follower->spec;
+	struct fw_record record;
 	size_t i;
 
 	fw_record_buffer_sort(&follower->buffered);
 	if (spec->first != NULL)
 		spec->first(spec->ctx);
-	for (i = 0; i < follower->buffered.count; i++)
-		if (spec->record(spec->ctx, &follower->buffered.records[i],
-			now_ms) != CW_OK)
+	for (i = 0; i < follower->buffered.count; i++) {
+		fw_record_buffer_get(&follower->buffered, i, &record);
+		if (spec->record(spec->ctx, &record, now_ms) != CW_OK)
 			return false;
+	}
 	if (spec->last != NULL)
 		spec->last(spec->ctx);
 	ev_emit(EV_FLOW_LOADED, "topic=%d keys=%zu end=%llu", (int)spec->topic,
--- a/lib/flow/waits.c
+++ b/lib/flow/waits.c
@@ -443,7 +443,7 @@
 		at += snprintf(item + at, ITEM_BYTES - (size_t)at, "#%u",
 		    entry->cause.run);
 	if (entry->cause.worker != FW_NONE)
-		snprintf(item + at, ITEM_BYTES - (size_t)at, "@%s",
+		snprintf(item + at, ITEM_BYTES - (size_t)at, "@%.64s",
 		    tables->worker_states[entry->cause.worker].name);
 }
 
@@ -467,7 +467,7 @@
 	    fw_wait_name(last ? entry->cause.reason : entry->longest),
 	    last ? last_ms : entry->longest_ms);
 	if (worker != FW_NONE)
-		snprintf(item + at, ITEM_BYTES - (size_t)at, "@%s",
+		snprintf(item + at, ITEM_BYTES - (size_t)at, "@%.64s",
 		    tables->worker_states[worker].name);
 }
 
