Checkpoints may have any length

Cause: a listed run, an ended run, the placer's run and the task in the row and in the record of progress each had 40 bytes for it.

Change: a report keeps its texts in one block, to which its rows refer; a run of the placer keeps its own; a job's row has those of its tasks behind its text, the members of a gang share one. A task takes 64 bytes in a row instead of 96. The record of progress has room for 39 bytes a task as before, and for longer ones as far as RecordBytes allows, after the places of tasks, on which more depends. A checkpoint without room is left out and counted in event 1149: its task resumes while its placer lives, and starts anew after a change of it.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -129,3 +129,5 @@
     "placer could not decide for some time")
 EV(1147, EV_FLOW_NOT_READY, EV_LEVEL_WARN, "not ready for callers")
 EV(1148, EV_FLOW_READY, EV_LEVEL_INFO, "ready for callers")
+EV(1149, EV_FLOW_CHECKPOINT_LONG, EV_LEVEL_WARN,
+    "checkpoints too long to be stored")
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -17,7 +17,6 @@
 #define BD_HOST_NAME_BYTES 256
 /* "[ip]:port" at its longest has 53 characters. */
 #define BD_HOST_ADDRESS_BYTES 56
-#define BD_CHECKPOINT_BYTES 40
 #define BD_FLOW_NAME_BYTES 24
 
 /* A text of any length among the texts of a row, which tells where they start.
@@ -158,11 +157,12 @@
 	 * out by that worker, 0: there is none. */
 	int64_t late_until_ms;
 	uint64_t address; /* id of that worker's address, 0: unknown */
-	char checkpoint[BD_CHECKPOINT_BYTES];
+	/* Among the checkpoints of its row; bytes 0: there is none. */
+	struct bd_text checkpoint;
 };
 
 /* A job. data[] holds its steps, its tasks (ordered by occurrence, then by
- * step) and the text that is passed to the tasks. */
+ * step), the text that is passed to the tasks, and their checkpoints. */
 struct bd_flow {
 	uint64_t id; /* value of its hexadecimal name */
 	uint64_t queue;
@@ -186,6 +186,8 @@
 	uint32_t text_bytes;
 	uint32_t compacted;    /* 1: ended, reduced to a single step and task */
 	uint32_t public_state; /* enum bd_flow_state, as reported to callers */
+	uint32_t checkpoint_bytes;
+	uint32_t reserved;
 	uint64_t data[];
 };
 
--- a/lib/flow/apply.c
+++ b/lib/flow/apply.c
@@ -105,7 +105,7 @@
 	}
 	if (flow->compacted == 0)
 		code = fw_progress_decode(
-		    record->value, record->value_bytes, flow);
+		    record->value, record->value_bytes, &flow);
 	flow->epoch = record->offset + 1;
 	apply_final_state(flow);
 	if (code == CW_OK)
@@ -203,6 +203,7 @@
 		}
 		memset(fw_flow_tasks(copy), 0,
 		    fw_flow_task_count(copy) * sizeof(struct bd_step_task));
+		copy->checkpoint_bytes = 0;
 		copy->epoch = 0;
 		copy->state = fw_flow_public_state(copy);
 		if (put_row(board, copy) != CW_OK)
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -51,6 +51,8 @@
 static void on_blocked(
     void *ctx, struct fw_view *view, const struct fw_group *group);
 static void log_decision(const struct fw_job_view *job);
+static void log_checkpoints(
+    const struct fw_job_view *job, size_t record_bytes_max);
 static bool fill_batch(struct fw_placer *placer, struct fw_view *view);
 
 /* Excludes workers that do not answer, have not listed their runs in this term
@@ -232,8 +234,11 @@
 		}
 		end = run->done_late ? FW_END_DONE : run->end;
 		record_end(placer, run, end, view->now_ms);
-		fw_run_end_apply(
-		    copy, run->index, end, run->checkpoint, view->wall_ms);
+		if (fw_checkpoint_note(&view->jobs[job].copy, run->index,
+			run->checkpoint, run->checkpoint_bytes) != CW_OK)
+			ev_emit(EV_FLOW_NO_MEMORY, "what=checkpoint");
+		copy = view->jobs[job].copy;
+		fw_run_end_apply(copy, run->index, end, view->wall_ms);
 		if (run->crashed_ms != 0 &&
 		    (end == FW_END_LOST || end == FW_END_STOPPED))
 			charge_crash(placer, run, copy, view);
@@ -369,6 +374,22 @@
 			job->copy->accepted_ms));
 }
 
+/* Logs new checkpoints that the record of a job's progress has no room for. */
+static void
+log_checkpoints(const struct fw_job_view *job, size_t record_bytes_max)
+{
+	uint32_t left_out;
+
+	if (job->copy->checkpoint_bytes <= job->row->checkpoint_bytes)
+		return;
+	left_out = fw_checkpoints_left_out(job->copy, record_bytes_max);
+	if (left_out > 0)
+		ev_emit(EV_FLOW_CHECKPOINT_LONG,
+		    "job=%s tasks=%u bytes=%u record_bytes=%zu",
+		    job->copy->name, left_out, job->copy->checkpoint_bytes,
+		    record_bytes_max);
+}
+
 /* Fills the writer's batch with the progress of the changed jobs and with the
  * deletion of progress that is no longer needed. Returns whether the batch has
  * any records. */
@@ -391,6 +412,7 @@
 		if (code != CW_OK)
 			break;
 		log_decision(job);
+		log_checkpoints(job, placer->parts.settings.record_bytes);
 		code = fw_writer_add(
 		    writer, FW_RECORD_PROGRESS, job->copy->name, value, bytes);
 	}
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -57,6 +57,8 @@
 const struct bd_flow_step *fw_flow_steps(const struct bd_flow *flow);
 struct bd_step_task *fw_flow_tasks(const struct bd_flow *flow);
 const char *fw_flow_text(const struct bd_flow *flow);
+const char *fw_task_checkpoint(
+    const struct bd_flow *flow, const struct bd_step_task *task);
 bool fw_flow_ended(const struct bd_flow *flow);
 bool fw_flow_drained(const struct bd_flow *flow);
 uint32_t fw_flow_public_state(const struct bd_flow *flow);
@@ -112,7 +114,9 @@
 int fw_job_decode(const void *data, size_t bytes, struct bd_flow **out);
 int fw_progress_encode(const struct bd_flow *flow, size_t record_bytes_max,
     void **out, size_t *bytes);
-int fw_progress_decode(const void *data, size_t bytes, struct bd_flow *flow);
+int fw_progress_decode(const void *data, size_t bytes, struct bd_flow **flow);
+uint32_t fw_checkpoints_left_out(
+    const struct bd_flow *flow, size_t record_bytes_max);
 int fw_state_encode(const struct bd_flow *flow, void **out, size_t *bytes);
 int fw_state_decode(const void *data, size_t bytes, struct bd_flow *flow);
 int fw_record_apply(struct bd_board *board, const struct fw_record *record);
@@ -249,8 +253,8 @@
 struct fw_listed_run {
 	struct fw_task_ref task;
 	uint32_t run;
-	uint32_t percent; /* progress of the run, 0 to 100 */
-	char checkpoint[BD_CHECKPOINT_BYTES];
+	uint32_t percent;          /* progress of the run, 0 to 100 */
+	struct bd_text checkpoint; /* in the report */
 };
 
 enum fw_end {
@@ -272,7 +276,7 @@
 	struct fw_task_ref task;
 	uint32_t run;
 	enum fw_end end;
-	char checkpoint[BD_CHECKPOINT_BYTES];
+	struct bd_text checkpoint; /* in the report */
 };
 
 /* Answer of a worker. Only the answer to a hold carries the lists. */
@@ -287,8 +291,12 @@
 	uint32_t end_count;
 	struct fw_listed_run *runs;
 	struct fw_listed_end *ends;
+	char *texts; /* that the lists refer to */
+	size_t text_bytes;
 };
 
+const char *fw_report_text(
+    const struct fw_report *report, const struct bd_text *text);
 int fw_report_copy(const struct fw_report *from, struct fw_report *to);
 void fw_report_free(struct fw_report *report);
 
@@ -311,8 +319,9 @@
 	uint32_t run;
 	const char *text; /* start only, as are the next two */
 	uint32_t text_bytes;
-	const char *checkpoint; /* to resume from, "": none */
-	bool last;              /* hold: no further order is expected soon */
+	const char *checkpoint; /* to resume from */
+	uint32_t checkpoint_bytes;
+	bool last; /* hold: no further order is expected soon */
 	void (*done)(void *ctx, const struct fw_report *report);
 	void *ctx;
 };
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -172,7 +172,8 @@
 	 * it is known whether the worker has crashed; 0: is known. */
 	int64_t silent_loss_ms;
 	bool crash_uncharged; /* the crash was found after the run had ended */
-	char checkpoint[BD_CHECKPOINT_BYTES];
+	char *checkpoint; /* latest one that its worker listed, no terminator */
+	uint32_t checkpoint_bytes;
 };
 
 /*
@@ -446,8 +447,17 @@
 bool fw_within_guarantee(const struct fw_view *view,
     const struct bd_board *board, const struct bd_flow *flow);
 
-void fw_run_end_apply(struct bd_flow *flow, uint32_t index, enum fw_end end,
-    const char *checkpoint, int64_t wall_ms);
+void fw_run_end_apply(
+    struct bd_flow *flow, uint32_t index, enum fw_end end, int64_t wall_ms);
+void fw_checkpoints_clear(struct bd_flow *flow);
+struct bd_text fw_checkpoint_append(struct bd_flow *flow,
+    const struct bd_text *last, const char *text, uint32_t bytes);
+int fw_checkpoints_reserve(struct bd_flow **flow, size_t bytes);
+int fw_checkpoint_note(
+    struct bd_flow **flow, uint32_t index, const char *text, uint32_t bytes);
+void fw_run_keep_checkpoint(struct fw_run *run, const struct fw_report *report,
+    const struct bd_text *listed);
+void fw_run_drop_checkpoint(struct fw_run *run);
 bool fw_group_of(const struct bd_flow *flow, uint32_t index, uint32_t *first,
     uint32_t *count);
 void fw_flow_end(struct bd_flow *flow, uint32_t state, int64_t wall_ms);
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -151,6 +151,7 @@
 {
 	struct fw_worker_state *worker =
 	    &placer->tables.worker_states[run->worker];
+	const struct bd_step_task *task = &fw_flow_tasks(flow)[run->index];
 	struct fw_order order = {.kind = FW_ORDER_START};
 
 	order_init(placer, worker, &order);
@@ -158,7 +159,8 @@
 	    worker, now_ms, placer->parts.settings.lease_ms);
 	order.text = fw_flow_text(flow);
 	order.text_bytes = flow->text_bytes;
-	order.checkpoint = fw_flow_tasks(flow)[run->index].checkpoint;
+	order.checkpoint = fw_task_checkpoint(flow, task);
+	order.checkpoint_bytes = task->checkpoint.bytes;
 	send_run_order(placer, run, &order);
 	if (!run->order_in_flight)
 		return;
--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -20,9 +20,11 @@
  * and how many of them are presumed. They come last, as versions that do not
  * know them ignore what follows the others. */
 #define TASK_FIELDS 9
-/* Largest encoded size of a task with a run: its numbers and its checkpoint; of
- * one with crashes as well, up to its run 65,535. */
+/* Largest encoded size of a task with a run: its numbers and a checkpoint of 39
+ * bytes, for which each task has room; of one with crashes as well, up to its
+ * run 65,535. Longer checkpoints are stored as far as the record has room. */
 #define TASK_BYTES_MAX 87
+#define CHECKPOINT_BYTES_MIN 39
 /* Numbers of a task among the places, and their largest encoded size. */
 #define PLACE_FIELDS 3
 #define PLACE_BYTES_MAX 21
@@ -48,7 +50,8 @@
 static void next_text(struct cursor *cursor, char *text, size_t capacity);
 static void next_array(struct cursor *cursor, struct cursor *array);
 static void read_step(struct cursor *cursor, struct bd_flow_step *step);
-static void read_task(struct cursor *cursor, struct bd_flow *flow);
+static void read_task(
+    struct cursor *cursor, struct bd_flow *flow, struct bd_text *last);
 static int read_job(struct cursor *cursor, struct bd_flow **out);
 static bool open_record(msgpack_unpacked *unpacked, const void *data,
     size_t bytes, struct cursor *cursor);
@@ -140,10 +143,112 @@
 			    : cw_error_set(FW_ENOMEM, "no memory for a record");
 }
 
+/* Returns whether a task's place is stored: the worker that may run it, or that
+ * may carry out a start of it. */
+static bool
+has_place(const struct bd_step_task *task)
+{
+	return task->run > 0 &&
+	    ((task->state == BD_STEP_TASK_PLACED && task->address != 0) ||
+		task->late_until_ms > 0);
+}
+
+/* Returns the encoded size of a text. */
+static size_t
+packed_bytes(size_t bytes)
+{
+	return bytes + (bytes <= UINT8_MAX ? 2 : bytes <= UINT16_MAX ? 3 : 5);
+}
+
+/* Returns the size of a task's checkpoint in the record, 0 without a run. */
+static size_t
+checkpoint_bytes_of(const struct bd_step_task *task)
+{
+	return task->run > 0 ? packed_bytes(task->checkpoint.bytes) : 0;
+}
+
+/* Returns what a record needs at its largest besides the checkpoints. */
+static size_t
+bytes_without_checkpoints(
+    const struct bd_flow *flow, uint32_t started, uint32_t places)
+{
+	return fw_record_bytes(flow->name,
+	    PROGRESS_HEAD_BYTES_MAX + (size_t)places * PLACE_BYTES_MAX +
+		(size_t)started *
+		    (TASK_BYTES_MAX - packed_bytes(CHECKPOINT_BYTES_MIN)));
+}
+
+/* Counts the tasks that a record has: those with a run, and the places. No
+ * places are stored if they could make the record larger than record_bytes_max
+ * beside the checkpoints for which each task has room. */
 static void
-pack_task(
-    msgpack_packer *packer, uint32_t index, const struct bd_step_task *task)
+count_tasks(const struct bd_flow *flow, size_t record_bytes_max,
+    uint32_t *started, uint32_t *places)
 {
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t count = fw_flow_task_count(flow);
+	uint32_t i;
+
+	*started = *places = 0;
+	for (i = 0; i < count; i++) {
+		*started += tasks[i].run > 0;
+		*places += has_place(&tasks[i]);
+	}
+	if (bytes_without_checkpoints(flow, *started, *places) +
+		*started * packed_bytes(CHECKPOINT_BYTES_MIN) >
+	    record_bytes_max)
+		*places = 0;
+}
+
+/* Returns the encoded size of the longest checkpoint that a record has room
+ * for: any if all fit, otherwise an equal part of the room for each task. */
+static size_t
+checkpoint_bytes_max(const struct bd_flow *flow, size_t record_bytes_max,
+    uint32_t started, uint32_t places)
+{
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t count = fw_flow_task_count(flow);
+	size_t used = bytes_without_checkpoints(flow, started, places);
+	size_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		sum += checkpoint_bytes_of(&tasks[i]);
+	if (started == 0 || used + sum <= record_bytes_max)
+		return SIZE_MAX;
+	return used < record_bytes_max ? (record_bytes_max - used) / started
+				       : 0;
+}
+
+/* Returns the number of tasks whose checkpoint the record of a job's progress
+ * has no room for: they start anew after a change of the placer. */
+uint32_t
+fw_checkpoints_left_out(const struct bd_flow *flow, size_t record_bytes_max)
+{
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t count = fw_flow_task_count(flow);
+	uint32_t left_out = 0;
+	uint32_t started;
+	uint32_t places;
+	size_t bytes_max;
+	uint32_t i;
+
+	count_tasks(flow, record_bytes_max, &started, &places);
+	bytes_max =
+	    checkpoint_bytes_max(flow, record_bytes_max, started, places);
+	for (i = 0; i < count; i++)
+		left_out += tasks[i].checkpoint.bytes > 0 &&
+		    checkpoint_bytes_of(&tasks[i]) > bytes_max;
+	return left_out;
+}
+
+static void
+pack_task(msgpack_packer *packer, const struct bd_flow *flow, uint32_t index,
+    size_t bytes_max)
+{
+	const struct bd_step_task *task = &fw_flow_tasks(flow)[index];
+	bool has_room = checkpoint_bytes_of(task) <= bytes_max;
+
 	msgpack_pack_array(packer, TASK_FIELDS + (task->crashes > 0 ? 2 : 0));
 	msgpack_pack_uint32(packer, index);
 	msgpack_pack_uint32(packer, task->run);
@@ -153,23 +258,14 @@
 	msgpack_pack_uint64(packer, task->host);
 	msgpack_pack_int64(packer, task->incarnation_ms);
 	msgpack_pack_int64(packer, task->changed_ms);
-	pack_text(packer, task->checkpoint, strlen(task->checkpoint));
+	pack_text(packer, fw_task_checkpoint(flow, task),
+	    has_room ? task->checkpoint.bytes : 0);
 	if (task->crashes > 0) {
 		msgpack_pack_uint16(packer, task->crashes);
 		msgpack_pack_uint16(packer, task->presumed_crashes);
 	}
 }
 
-/* Returns whether a task's place is stored: the worker that may run it, or that
- * may carry out a start of it. */
-static bool
-has_place(const struct bd_step_task *task)
-{
-	return task->run > 0 &&
-	    ((task->state == BD_STEP_TASK_PLACED && task->address != 0) ||
-		task->late_until_ms > 0);
-}
-
 static void
 pack_places(msgpack_packer *packer, const struct bd_step_task *tasks,
     uint32_t count, uint32_t places)
@@ -188,8 +284,8 @@
 
 /*
  * Encodes the progress of a job: its state, each task with a run, the end of
- * late starts, and the places of tasks unless they could make the record larger
- * than record_bytes_max. The caller frees *out. Returns FW_ENOMEM.
+ * late starts, and the places and the checkpoints of tasks as far as a record
+ * of record_bytes_max bytes has room. The caller frees *out. Returns FW_ENOMEM.
  */
 int
 fw_progress_encode(const struct bd_flow *flow, size_t record_bytes_max,
@@ -200,20 +296,17 @@
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	int64_t late_until_ms = 0;
-	uint32_t started = 0;
-	uint32_t places = 0;
+	size_t bytes_max;
+	uint32_t started;
+	uint32_t places;
 	uint32_t i;
 
-	for (i = 0; i < count; i++) {
-		started += tasks[i].run > 0;
-		places += has_place(&tasks[i]);
+	count_tasks(flow, record_bytes_max, &started, &places);
+	bytes_max =
+	    checkpoint_bytes_max(flow, record_bytes_max, started, places);
+	for (i = 0; i < count; i++)
 		if (tasks[i].late_until_ms > late_until_ms)
 			late_until_ms = tasks[i].late_until_ms;
-	}
-	if (fw_record_bytes(flow->name,
-		PROGRESS_HEAD_BYTES_MAX + (size_t)started * TASK_BYTES_MAX +
-		    (size_t)places * PLACE_BYTES_MAX) > record_bytes_max)
-		places = 0;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(
@@ -224,7 +317,7 @@
 	msgpack_pack_array(&packer, started);
 	for (i = 0; i < count; i++)
 		if (tasks[i].run > 0)
-			pack_task(&packer, i, &tasks[i]);
+			pack_task(&packer, flow, i, bytes_max);
 	msgpack_pack_int64(&packer, late_until_ms);
 	if (places > 0)
 		pack_places(&packer, tasks, count, places);
@@ -379,10 +472,13 @@
 	return CW_OK;
 }
 
+/* Reads a task into a row that has room for its checkpoint. *last is the
+ * checkpoint that was read last. */
 static void
-read_task(struct cursor *cursor, struct bd_flow *flow)
+read_task(struct cursor *cursor, struct bd_flow *flow, struct bd_text *last)
 {
 	struct bd_step_task task = {0};
+	const msgpack_object *checkpoint;
 	struct cursor fields;
 	uint32_t index;
 
@@ -396,15 +492,20 @@
 	task.host = next_id(&fields);
 	task.incarnation_ms = next_int(&fields, INT64_MAX);
 	task.changed_ms = next_int(&fields, INT64_MAX);
-	next_text(&fields, task.checkpoint, sizeof(task.checkpoint));
+	checkpoint = next_object(&fields, MSGPACK_OBJECT_BIN);
 	if (fields.remaining > 0)
 		task.crashes = (uint16_t)next_int(&fields, FW_CRASHES_MAX);
 	if (fields.remaining > 0)
 		task.presumed_crashes =
 		    (uint16_t)next_int(&fields, task.crashes);
 	cursor->malformed |= fields.malformed;
-	if (!cursor->malformed)
-		fw_flow_tasks(flow)[index] = task;
+	if (cursor->malformed)
+		return;
+	task.checkpoint = fw_checkpoint_append(
+	    flow, last, checkpoint->via.bin.ptr, checkpoint->via.bin.size);
+	if (task.checkpoint.bytes > 0)
+		*last = task.checkpoint;
+	fw_flow_tasks(flow)[index] = task;
 }
 
 static void
@@ -462,36 +563,51 @@
 	return true;
 }
 
-/* Decodes progress into a copy of the job's row. Returns FW_EBADRECORD, after
- * which the copy is partly overwritten and must not be used. */
+/* Reads the fields of a progress record into a copy of a row that has room for
+ * the checkpoints. Returns false if it is malformed. */
+static bool
+read_progress(struct cursor *cursor, struct bd_flow *flow)
+{
+	struct bd_text last = {0, 0};
+	struct cursor list = {0};
+	int64_t late_until_ms = 0;
+
+	cursor->malformed |= next_int(cursor, LAYOUT_VERSION) != LAYOUT_VERSION;
+	flow->state = (uint32_t)next_int(cursor, BD_FLOW_CANCELLED);
+	flow->changed_ms = next_int(cursor, INT64_MAX);
+	next_array(cursor, &list);
+	while (!cursor->malformed && !list.malformed && list.remaining > 0)
+		read_task(&list, flow, &last);
+	if (cursor->remaining > 0)
+		late_until_ms = next_int(cursor, INT64_MAX);
+	if (cursor->remaining > 0)
+		read_places(cursor, flow);
+	else if (!cursor->malformed)
+		spread_late_until(flow, late_until_ms);
+	return !cursor->malformed && !list.malformed;
+}
+
+/* Decodes progress into a copy of the job's row; *flow may move. Returns
+ * FW_EBADRECORD, after which the copy is partly overwritten and must not be
+ * used, or FW_ENOMEM. */
 int
-fw_progress_decode(const void *data, size_t bytes, struct bd_flow *flow)
+fw_progress_decode(const void *data, size_t bytes, struct bd_flow **flow)
 {
 	msgpack_unpacked unpacked;
 	struct cursor cursor = {.malformed = true};
-	struct cursor list = {0};
-	int64_t late_until_ms = 0;
+	int code = FW_EBADRECORD;
 
+	fw_checkpoints_clear(*flow);
+	/* The checkpoints are not longer than their record. */
 	if (open_record(&unpacked, data, bytes, &cursor)) {
-		cursor.malformed |=
-		    next_int(&cursor, LAYOUT_VERSION) != LAYOUT_VERSION;
-		flow->state = (uint32_t)next_int(&cursor, BD_FLOW_CANCELLED);
-		flow->changed_ms = next_int(&cursor, INT64_MAX);
-		next_array(&cursor, &list);
-		while (
-		    !cursor.malformed && !list.malformed && list.remaining > 0)
-			read_task(&list, flow);
-		if (cursor.remaining > 0)
-			late_until_ms = next_int(&cursor, INT64_MAX);
-		if (cursor.remaining > 0)
-			read_places(&cursor, flow);
-		else if (!cursor.malformed)
-			spread_late_until(flow, late_until_ms);
+		code = fw_checkpoints_reserve(flow, bytes);
+		if (code == CW_OK && !read_progress(&cursor, *flow))
+			code = FW_EBADRECORD;
 	}
 	msgpack_unpacked_destroy(&unpacked);
-	if (cursor.malformed || list.malformed)
-		return cw_error_set(FW_EBADRECORD, "malformed progress record");
-	return CW_OK;
+	return code == FW_EBADRECORD
+	    ? cw_error_set(code, "malformed progress record")
+	    : code;
 }
 
 /* Encodes the state of a job as its new public state; the caller frees
--- a/lib/flow/report.c
+++ b/lib/flow/report.c
@@ -6,8 +6,8 @@
 static uint32_t find_run(const struct fw_tables *tables,
     const struct bd_board *board, const struct fw_task_ref *ref, uint32_t run,
     uint32_t worker);
-static void update_run(
-    struct fw_run *run, const struct fw_listed_run *listed, int64_t now_ms);
+static void update_run(struct fw_run *run, const struct fw_report *report,
+    const struct fw_listed_run *listed, int64_t now_ms);
 static const struct bd_flow *row_of_end(const struct bd_board *board,
     const struct fw_listed_end *end, uint32_t *index);
 static bool done_in_row(const struct bd_board *board,
@@ -37,6 +37,7 @@
 	*to = *from;
 	to->runs = NULL;
 	to->ends = NULL;
+	to->texts = NULL;
 	if (from->run_count > 0) {
 		to->runs = malloc(from->run_count * sizeof(*to->runs));
 		if (to->runs == NULL)
@@ -53,6 +54,14 @@
 		memcpy(
 		    to->ends, from->ends, from->end_count * sizeof(*to->ends));
 	}
+	if (from->text_bytes > 0) {
+		to->texts = malloc(from->text_bytes);
+		if (to->texts == NULL) {
+			fw_report_free(to);
+			return FW_ENOMEM;
+		}
+		memcpy(to->texts, from->texts, from->text_bytes);
+	}
 	return CW_OK;
 }
 
@@ -62,8 +71,11 @@
 {
 	free(report->runs);
 	free(report->ends);
+	free(report->texts);
 	report->runs = NULL;
 	report->ends = NULL;
+	report->texts = NULL;
+	report->text_bytes = 0;
 	report->run_count = report->end_count = 0;
 }
 
@@ -87,8 +99,8 @@
 }
 
 static void
-update_run(
-    struct fw_run *run, const struct fw_listed_run *listed, int64_t now_ms)
+update_run(struct fw_run *run, const struct fw_report *report,
+    const struct fw_listed_run *listed, int64_t now_ms)
 {
 	if (run->phase == FW_PHASE_ENDED)
 		return;
@@ -100,9 +112,7 @@
 		run->percent = listed->percent;
 		run->progressed_ms = now_ms;
 	}
-	if (listed->checkpoint[0] != '\0')
-		memcpy(run->checkpoint, listed->checkpoint,
-		    sizeof(run->checkpoint));
+	fw_run_keep_checkpoint(run, report, &listed->checkpoint);
 }
 
 /* Returns the row of an end's job and sets *index to its task, or returns NULL
@@ -236,9 +246,7 @@
 	if (found == FW_NONE)
 		return;
 	run = &tables->runs[found];
-	if (end->checkpoint[0] != '\0')
-		memcpy(
-		    run->checkpoint, end->checkpoint, sizeof(run->checkpoint));
+	fw_run_keep_checkpoint(run, &worker->report, &end->checkpoint);
 	if (run->end_listed_ms == 0)
 		run->end_listed_ms = now_ms;
 	run->last_listed_ms = worker->report.sent_ms;
@@ -334,7 +342,8 @@
 
 		if (found == FW_NONE)
 			continue;
-		update_run(&tables->runs[found], &report->runs[i], now_ms);
+		update_run(
+		    &tables->runs[found], report, &report->runs[i], now_ms);
 		tables->runs[found].incarnation_ms = report->incarnation_ms;
 		/* A list is made when a long poll ends: one that was asked for
 		 * later may have been made earlier. */
--- a/lib/flow/row.c
+++ b/lib/flow/row.c
@@ -43,7 +43,7 @@
 {
 	return sizeof(*flow) + flow->step_count * sizeof(struct bd_flow_step) +
 	    fw_flow_task_count(flow) * sizeof(struct bd_step_task) +
-	    flow->text_bytes;
+	    flow->text_bytes + flow->checkpoint_bytes;
 }
 
 /* Returns whether the state of a job is final. */
@@ -97,7 +97,7 @@
 	*row = *flow;
 	row->compacted = 1;
 	row->occurrences = row->step_count = row->step_tasks = 1;
-	row->text_bytes = 0;
+	row->text_bytes = row->checkpoint_bytes = 0;
 	step = (struct bd_flow_step *)row->data;
 	step->count = 1;
 	return row;
--- a/lib/flow/run_end.c
+++ b/lib/flow/run_end.c
@@ -56,8 +56,8 @@
  * attempts.
  */
 void
-fw_run_end_apply(struct bd_flow *flow, uint32_t index, enum fw_end end,
-    const char *checkpoint, int64_t wall_ms)
+fw_run_end_apply(
+    struct bd_flow *flow, uint32_t index, enum fw_end end, int64_t wall_ms)
 {
 	struct bd_step_task *tasks = fw_flow_tasks(flow);
 	const struct bd_flow_step *steps = fw_flow_steps(flow);
@@ -86,9 +86,6 @@
 			tasks[i].failures++;
 			tasks[i].failed_run = run;
 		}
-		if (checkpoint[0] != '\0')
-			cw_name_copy(tasks[i].checkpoint,
-			    sizeof(tasks[i].checkpoint), checkpoint);
 	}
 	if (end == FW_END_DONE && all_done(flow))
 		fw_flow_end(flow, BD_FLOW_COMPLETED, wall_ms);
--- a/lib/flow/stall.c
+++ b/lib/flow/stall.c
@@ -33,7 +33,7 @@
 	if (run->phase != FW_PHASE_RUNNING || run->last_listed_ms == 0)
 		return;
 	if (run->pace_from_ms == 0) {
-		bool whole = !run->taken_over && task->checkpoint[0] == '\0';
+		bool whole = !run->taken_over && task->checkpoint.bytes == 0;
 
 		run->pace_from_ms = whole ? run->placed_ms : run->progressed_ms;
 		run->pace_from_percent = whole ? 0 : run->percent;
--- a/lib/flow/tables.c
+++ b/lib/flow/tables.c
@@ -56,6 +56,9 @@
 
 	for (i = 0; i < tables->worker_state_count; i++)
 		fw_report_free(&tables->worker_states[i].report);
+	for (i = 0; i < tables->run_count; i++)
+		if (tables->runs[i].used)
+			fw_run_drop_checkpoint(&tables->runs[i]);
 	tables->worker_state_count = tables->run_count = 0;
 	tables->run_free = FW_NONE;
 	clear_buckets(tables);
@@ -194,6 +197,7 @@
 	uint32_t *link = &tables->buckets[bucket_of(run->flow, run->index)];
 
 	assert(run->used);
+	fw_run_drop_checkpoint(run);
 	while (*link != handle)
 		link = &tables->runs[*link].next;
 	*link = run->next;
--- a/tests/flow_fixture.h
+++ b/tests/flow_fixture.h
@@ -244,7 +244,10 @@
 		copy = (struct bd_flow *)malloc(fw_flow_bytes(row));
 		memcpy(copy, row, fw_flow_bytes(row));
 		bd_read_end();
-		fw_run_end_apply(copy, index, outcome, checkpoint, 3000);
+		EXPECT_EQ(CW_OK,
+		    fw_checkpoint_note(&copy, index, checkpoint,
+			(uint32_t)strlen(checkpoint)));
+		fw_run_end_apply(copy, index, outcome, 3000);
 		store_progress(copy);
 		free(copy);
 	}
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -51,7 +51,7 @@
 	if (fw_job_encode(flow, &value, &bytes) != CW_OK)
 		abort();
 	free(value);
-	if (fw_progress_decode(text, size, flow) == CW_OK ||
+	if (fw_progress_decode(text, size, &flow) == CW_OK ||
 	    fw_state_decode(text, size, flow) == CW_OK)
 		abort();
 	free(flow);
--- a/tests/sim/emulator.h
+++ b/tests/sim/emulator.h
@@ -42,6 +42,10 @@
 	std::atomic<bool> config_silent{false};  /* no answer about keyed.op */
 	std::atomic<int> drop_worker_answers{0};
 	std::atomic<int> odd_list{-1}; /* worker that lists a malformed run */
+	/* Lengths that texts of workers are filled up to; set before start. */
+	size_t name_bytes = 0;
+	size_t label_bytes = 0;
+	size_t checkpoint_bytes = 0; /* 0: no checkpoints */
 	/* Time for which a worker answers 503 and does nothing, once the answer
 	 * to an order was dropped. */
 	std::atomic<int> busy_after_drop_ms{0};
@@ -119,7 +123,9 @@
 		for (int i = 0; i < count; i++) {
 			SimWorker &row = workers[(size_t)i];
 
-			row.id = row.address = "i-" + std::to_string(i);
+			row.id = row.address =
+			    filled("i-" + std::to_string(i), name_bytes);
+			row.checkpoint_bytes = checkpoint_bytes;
 			row.room = {64000, 64000, 8};
 			row.on_back = [this](SimWorker &back,
 					  const std::string &former) {
@@ -168,10 +174,11 @@
 			    "Zone", "z", "State", "ready", "Capacity", "Cpu",
 			    (int)workers[i].room.cores_milli, "MemMb",
 			    (int)workers[i].room.memory_mb, "Gpu",
-			    (int)workers[i].room.accels, "Labels", "a",
-			    workers[i].rack.c_str(), "ClockMs",
-			    (json_int_t)workers[i].clock(now_ms()), "born",
-			    (json_int_t)workers[i].incarnation_ms);
+			    (int)workers[i].room.accels, "Labels",
+			    filled("a", label_bytes).c_str(),
+			    filled(workers[i].rack, label_bytes).c_str(),
+			    "ClockMs", (json_int_t)workers[i].clock(now_ms()),
+			    "born", (json_int_t)workers[i].incarnation_ms);
 			char *text = json_dumps(entry, JSON_COMPACT);
 
 			put("keyed.servers", workers[i].id, text);
--- a/tests/sim/emulator_worker.h
+++ b/tests/sim/emulator_worker.h
@@ -29,6 +29,9 @@
 		return (int64_t)json_integer_value(json_object_get(call, name));
 	};
 	const char *task = json_string_value(json_object_get(call, "Task"));
+	const char *resumed =
+	    json_string_value(json_object_get(call, "Checkpoint"));
+	std::string checkpoint = resumed != nullptr ? resumed : "";
 	const char *header =
 	    mg_get_header(connection, "Camphorworks-Expected-Instance");
 	std::string id = header != nullptr ? header : "";
@@ -41,6 +44,9 @@
 	int64_t wait_ms = number("WaitMs");
 	bool is_start = path == "/camphorworks/run-start";
 	bool is_hold = path == "/camphorworks/hold";
+	bool is_odd = !checkpoint.empty() &&
+	    (checkpoint.size() != checkpoint_bytes ||
+		checkpoint.compare(0, name.size() + 1, name + "#") != 0);
 	std::string reason;
 	json_t *root;
 
@@ -83,6 +89,9 @@
 	int64_t incarnation_ms = worker.incarnation_ms;
 
 	worker.called = true;
+	if (is_start && !checkpoint.empty())
+		run_checker.resumed[name]++;
+	run_checker.odd_checkpoints += is_odd;
 	root = json_object();
 	reason = is_hold
 	    ? hold(guard, worker, until, acked, token, wait_ms, root)
@@ -134,12 +143,13 @@
 	for (const auto &run : worker.runs)
 		json_array_append_new(running,
 		    json_pack("[s,i,s,i]", run.second.task.c_str(),
-			(int)run.second.run, "",
+			(int)run.second.run, run.second.checkpoint.c_str(),
 			(int)worker.percent(run.second, now_ms())));
 	for (const SimEnd &end : worker.ends)
 		json_array_append_new(ended,
 		    json_pack("[I,s,i,s,s]", (json_int_t)end.number,
-			end.task.c_str(), (int)end.run, end.how.c_str(), ""));
+			end.task.c_str(), (int)end.run, end.how.c_str(),
+			end.checkpoint.c_str()));
 	json_object_set_new(root, "Running", running);
 	json_object_set_new(root, "EndedRuns", ended);
 	return reason;
--- a/tests/sim/run_checker.h
+++ b/tests/sim/run_checker.h
@@ -53,6 +53,8 @@
 	std::set<std::string> done;     /* ended as done, acknowledged */
 	std::set<std::string> finished; /* ended as done */
 	std::map<std::string, int> started;
+	std::map<std::string, int> resumed; /* starts with a checkpoint */
+	int odd_checkpoints = 0; /* starts with one of another task, or cut */
 	std::map<std::string, int> stopped;         /* runs that were stopped */
 	std::map<std::string, SimRoom> needs;       /* by job and step */
 	std::map<std::string, uint32_t> gang_sizes; /* by job and step */
--- a/tests/sim/worker_sim.h
+++ b/tests/sim/worker_sim.h
@@ -14,6 +14,14 @@
 /* Model of the workers. Time is an argument. */
 
 /* One worker. Its clock counts from the start of its incarnation. */
+/* Fills a text up to a length. */
+inline std::string
+filled(const std::string &text, size_t bytes)
+{
+	return text +
+	    std::string(bytes > text.size() ? bytes - text.size() : 0, 'x');
+}
+
 struct SimWorker {
 	/* A capacity that has shrunk still counts for a contact time and a
 	 * heartbeat. */
@@ -53,6 +61,7 @@
 	int64_t crash_ms = 0;  /* time at which it will crash, 0: none */
 	int64_t back_ms = 0;   /* crashed: time at which it is back, 0: is up */
 	int64_t crash_down_ms = CRASH_DOWN_MS;
+	size_t checkpoint_bytes = 0; /* of its runs, 0: they have none */
 	std::map<std::pair<std::string, uint32_t>, SimRun> runs;
 	std::vector<SimEnd> ends;
 	std::map<std::string, uint32_t> highest_ended_run; /* by task */
@@ -308,6 +317,10 @@
 		row.work_ms = work_ms;
 		if (job_work_ms.count(run_checker->job_of(task)) != 0)
 			row.work_ms = job_work_ms[run_checker->job_of(task)];
+		if (checkpoint_bytes > 0)
+			row.checkpoint =
+			    filled(task + "#" + std::to_string(run) + "@" + id,
+				checkpoint_bytes);
 		runs[{task, run}] = row;
 		note_start(task, run, now_ms, refusable);
 		if (run_checker->is_deadly(task) && crash_ms == 0)
--- a/tests/test_flow_apply.cc
+++ b/tests/test_flow_apply.cc
@@ -299,9 +299,16 @@
 		task->host = task->address = UINT64_MAX;
 		task->incarnation_ms = task->changed_ms = INT64_MAX;
 		task->late_until_ms = INT64_MAX;
-		memset(task->checkpoint, 'c', sizeof(task->checkpoint) - 1);
+	}
+	for (uint32_t i = 0; i < FW_TASKS_MAX; i++) {
+		std::string checkpoint = std::to_string(i);
+
+		checkpoint.resize(39, 'c');
+		ASSERT_EQ(
+		    CW_OK, fw_checkpoint_note(&copy, i, checkpoint.data(), 39));
 	}
 	copy->changed_ms = INT64_MAX;
+	EXPECT_EQ(0U, fw_checkpoints_left_out(copy, FW_RECORD_BYTES_MAX));
 	ASSERT_EQ(CW_OK,
 	    fw_progress_encode(copy, FW_RECORD_BYTES_MAX, &value, &bytes));
 	EXPECT_LE(bytes, fw_progress_bytes_max(copy));
@@ -350,7 +357,7 @@
 	}
 	ASSERT_EQ(CW_OK,
 	    fw_progress_encode(copy, FW_RECORD_BYTES_MAX, &value, &bytes));
-	ASSERT_EQ(CW_OK, fw_progress_decode(value, bytes, read));
+	ASSERT_EQ(CW_OK, fw_progress_decode(value, bytes, &read));
 	for (uint32_t i = 0; i < 3; i++) {
 		EXPECT_EQ(fw_flow_tasks(copy)[i].address,
 		    fw_flow_tasks(read)[i].address);
--- a/tests/test_flow_run_end.cc
+++ b/tests/test_flow_run_end.cc
@@ -67,7 +67,16 @@
 	EXPECT_EQ(0U, fixture.place_ready());
 	fixture.end_run(JOB, 1, FW_END_MEMBER_ENDED);
 	EXPECT_EQ(1U, fixture.place_ready());
-	EXPECT_STREQ("c1", task(fixture, 1).checkpoint);
+	bd_read_begin();
+	const struct bd_flow *row = fixture.find_flow(JOB);
+	for (uint32_t i = 0; i < 2; i++) {
+		const struct bd_step_task *member = &fw_flow_tasks(row)[i];
+
+		EXPECT_EQ("c1",
+		    std::string(fw_task_checkpoint(row, member),
+			member->checkpoint.bytes));
+	}
+	bd_read_end();
 	EXPECT_EQ(0U, task(fixture, 1).failures);
 }
 
--- a/tests/test_platform_system.cc
+++ b/tests/test_platform_system.cc
@@ -475,3 +475,67 @@
 	}
 	EXPECT_TRUE(deployment.all_done(3));
 }
+
+/* Guards against texts that are turned away, with all that came with them,
+ * because of their length: names of a configuration, names and labels of
+ * workers, labels of jobs, checkpoints. */
+TEST(PlatformSystem, TextsOfAnyLengthAreServed)
+{
+	const std::string prefix = "/" + std::string(300, 'p') + "/";
+	const std::string tenant(58, 't');
+	Deployment deployment;
+	Emulator &platform = deployment.platform;
+
+	platform.name_bytes = 250;
+	platform.label_bytes = 300;
+	platform.checkpoint_bytes = 20000;
+	ASSERT_TRUE(platform.start(2, 3000));
+	{
+		std::lock_guard<std::mutex> guard(platform.lock);
+
+		platform.put("keyed.op", "config",
+		    "{\"Version\":1,\"Routes\":[{\"Name\":\"" +
+			std::string(90, 'q') +
+			"\",\"Host\":\"h.example\",\"PathPrefix\":\"" + prefix +
+			"\",\"Service\":\"pool\",\"Priority\":1,"
+			"\"MaxAttempts\":3,\"Stretch\":3,"
+			"\"TargetLatencyMs\":1000}],\"Services\":[{\"Name\":"
+			"\"pool\"}],\"Tenants\":[{\"Name\":\"" +
+			tenant + "\",\"ApiKeys\":[\"" + std::string(900, 'k') +
+			"\"]}]}");
+	}
+	deployment.spawn();
+	ASSERT_TRUE(deployment.ready(0));
+	const std::string key =
+	    "Authorization: Bearer " + std::string(900, 'k');
+	const std::string body = "{\"Spec\":\"s\",\"Steps\":[{\"Count\":8,"
+				 "\"Cpu\":1000,\"MemMb\":100,\"Gpu\":1,"
+				 "\"EstimateMs\":3000,\"Checkpointing\":true,"
+				 "\"Requirements\":\"" +
+	    filled("a", 300) + "\"}]}";
+	EXPECT_EQ(401,
+	    deployment.call(
+		deployment.front_addresses[0], prefix + job(1), body));
+	ASSERT_EQ(200,
+	    deployment.call(deployment.front_addresses[0], prefix + job(1),
+		body, nullptr, key.c_str()));
+	ASSERT_TRUE(deployment.wait([&] {
+		std::lock_guard<std::mutex> guard(platform.lock);
+
+		return platform.run_checker.starts >= 8;
+	}));
+	std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+	{
+		std::lock_guard<std::mutex> guard(platform.lock);
+		SimWorker &worker = platform.workers[0];
+
+		/* One with tasks: all may be on the other one. */
+		(worker.runs.empty() ? platform.workers[1] : worker)
+		    .crash(Emulator::now_ms());
+	}
+	ASSERT_TRUE(deployment.all_done(8));
+	std::lock_guard<std::mutex> guard(platform.lock);
+	EXPECT_FALSE(platform.run_checker.resumed.empty());
+	EXPECT_EQ(0, platform.run_checker.odd_checkpoints);
+	EXPECT_EQ(0, platform.run_checker.concurrent_runs);
+}
--- a/tests/test_platform_wire.cc
+++ b/tests/test_platform_wire.cc
@@ -815,3 +815,60 @@
 		EXPECT_STREQ(host.rack, job.steps[0].data_rack);
 	}
 }
+
+/* Guards against a worker whose list of runs is turned away because of the
+ * length of a checkpoint, after which it counts as silent, and against a start
+ * with another checkpoint than the one that was listed. */
+TEST(PlatformWire, CheckpointsOfAnyLengthAreReadAndSent)
+{
+	std::string runs;
+	std::string ends;
+	std::vector<std::string> texts;
+	struct fw_report report = {};
+
+	for (size_t bytes : {0, 1, 39, 40, 64, 255, 5000, 100000})
+		texts.push_back(std::string(bytes, 'a' + (char)texts.size()));
+	for (size_t i = 0; i < texts.size(); i++) {
+		std::string comma = i > 0 ? "," : "";
+		std::string task =
+		    "\"00000000000000a1.0.1." + std::to_string(i) + "\"";
+
+		runs += comma + "[" + task + ",2,\"" + texts[i] + "\",41]";
+		ends += comma + "[" + std::to_string(i + 1) + "," + task +
+		    ",1,\"stopped\",\"e" + texts[i] + "\"]";
+	}
+	std::string text = "{\"ClockMs\":5,\"born\":6,\"Running\":[" + runs +
+	    "],\"EndedRuns\":[" + ends + "]}";
+	ASSERT_EQ(CW_OK, pl_report_parse(text.data(), text.size(), &report));
+	ASSERT_EQ(texts.size(), report.run_count);
+	ASSERT_EQ(texts.size(), report.end_count);
+	struct fw_report copy;
+	ASSERT_EQ(CW_OK, fw_report_copy(&report, &copy));
+	fw_report_free(&report);
+	for (size_t i = 0; i < texts.size(); i++) {
+		const struct bd_text *run = &copy.runs[i].checkpoint;
+		const struct bd_text *end = &copy.ends[i].checkpoint;
+		struct fw_order order = {};
+		char *body = nullptr;
+
+		EXPECT_EQ(texts[i],
+		    std::string(fw_report_text(&copy, run), run->bytes));
+		EXPECT_EQ("e" + texts[i],
+		    std::string(fw_report_text(&copy, end), end->bytes));
+		order.kind = FW_ORDER_START;
+		order.task = copy.runs[i].task;
+		order.text = "s";
+		order.text_bytes = 1;
+		order.checkpoint = fw_report_text(&copy, run);
+		order.checkpoint_bytes = run->bytes;
+		ASSERT_GT(pl_order_format(&order, &body), 0U);
+		EXPECT_EQ(!texts[i].empty(),
+		    strstr(body,
+			("\"Checkpoint\":\"" + texts[i] + "\"").c_str()) !=
+			nullptr);
+		EXPECT_EQ(
+		    texts[i].empty(), strstr(body, "Checkpoint") == nullptr);
+		free(body);
+	}
+	fw_report_free(&copy);
+}
