--- a/tests/test_platform_settings.cc
+++ b/tests/test_platform_settings.cc
@@ -162,3 +162,70 @@
 	EXPECT_LT(
 	    large.connections_max + 4 * large.front_threads, 512U - 200 + 1);
 }
+
+/* Guards against a daemon that does not start because of the length of a text:
+ * the pages set none. Nodes stay told apart. */
+TEST(PlatformSettings, TextsOfAnyLengthAreRead)
+{
+	auto parse_texts = [](const std::string &node, const std::string &zone,
+			       struct pl_settings *settings) {
+		std::string text = "{\"NodeName\":\"" + node +
+		    "\",\"Zone\":\"" + zone + "\",\"Region\":\"" + zone +
+		    "\",\"ListenAddrs\":{\"Front\":\"10.0.0.1:1\"},"
+		    "\"platform\":{\"Address\":\"10.0.0.9:3\"}}";
+
+		return pl_settings_parse(text.data(), text.size(), settings);
+	};
+	static struct pl_settings settings;
+	static struct pl_settings other;
+
+	for (size_t bytes : {1, 40, 62, 63, 64, 65, 255, 5000}) {
+		std::string text(bytes, 'n');
+
+		ASSERT_EQ(CW_OK, parse_texts(text + "a", text, &settings))
+		    << cw_error_last();
+		ASSERT_EQ(CW_OK, parse_texts(text + "b", text, &other));
+		EXPECT_STRNE(settings.node, other.node) << bytes;
+		EXPECT_EQ(0,
+		    strncmp(
+			settings.node, text.c_str(), 39 < bytes ? 39 : bytes));
+		ASSERT_EQ(CW_OK, parse_texts(text + "a", text, &other));
+		EXPECT_STREQ(settings.node, other.node);
+	}
+	/* A name is not taken for that of a node with a longer one. */
+	ASSERT_EQ(CW_OK, parse_texts(std::string(64, 'n'), "z", &settings));
+	ASSERT_EQ(CW_OK, parse_texts(settings.node, "z", &other));
+	EXPECT_STRNE(settings.node, other.node);
+}
+
+/* Guards against a daemon that does not start with times that a platform may
+ * well set. */
+TEST(PlatformSettings, LongTimesAreRead)
+{
+	static struct pl_settings settings;
+
+	ASSERT_EQ(CW_OK, parse("Bounds", "status_s", "2592000", &settings))
+	    << cw_error_last();
+	EXPECT_EQ(2592000000U, settings.flow.retention_ms);
+	for (const char *field : {"MaxHoldMs", "StopTimeoutMs", "GangTimeoutMs",
+		 "ReclaimMs", "AckTimeoutMs", "cancel_ms", "ConfigApplyMs"})
+		EXPECT_EQ(CW_OK, parse("Bounds", field, "86400000", &settings))
+		    << field << " " << cw_error_last();
+	EXPECT_EQ(CW_OK, parse("Bounds", "GraceS", "172800", &settings));
+}
+
+/* Guards against an address that is cut. */
+TEST(PlatformSettings, LongestIpIsReadWhole)
+{
+	static struct pl_settings settings;
+	std::string ip = "0000:0000:0000:0000:0000:ffff:255.255.255.255";
+	std::string text = "{\"NodeName\":\"n\",\"Zone\":\"z\",\"Region\":"
+			   "\"r\",\"Ip\":\"" +
+	    ip +
+	    "\",\"InternalPorts\":[65535],\"ListenAddrs\":{\"Front\":"
+	    "\"10.0.0.1:1\"},\"platform\":{\"Address\":\"10.0.0.9:3\"}}";
+
+	ASSERT_EQ(
+	    CW_OK, pl_settings_parse(text.data(), text.size(), &settings));
+	EXPECT_EQ("[" + ip + "]:65535", settings.metrics_address);
+}
