--- a/tests/sim/deployment.h
+++ b/tests/sim/deployment.h
@@ -31,6 +31,7 @@
 	struct lk_http_client *client = nullptr;
 	struct lk_async *async = nullptr;
 	std::string folder;
+	std::string store_settings; /* more members of "platform" */
 
 	Deployment()
 	{
@@ -136,7 +137,7 @@
 		    << "\",\"Ready\":\"" << ready_addresses[n] << "\"},"
 		    << "\"Bounds\":{\"MaxHoldMs\":3000,\"GraceS\":6},"
 		    << "\"platform\":{\"Address\":\"" << at << platform.port
-		    << "\"}}";
+		    << "\"" << store_settings << "}}";
 		pids.push_back(0);
 		run(n);
 		return n;
--- a/tests/test_platform_system.cc
+++ b/tests/test_platform_system.cc
@@ -539,3 +539,33 @@
 	EXPECT_EQ(0, platform.run_checker.odd_checkpoints);
 	EXPECT_EQ(0, platform.run_checker.concurrent_runs);
 }
+
+/* Guards against a record that no read returns, as it is larger than what the
+ * reads ask for: the platform's settings name the largest one. */
+TEST(PlatformSystem, RecordsOfTheSizeInTheSettingsAreRead)
+{
+	Deployment deployment;
+	const std::string name(600000, 'n');
+
+	deployment.store_settings = ",\"RecordBytes\":1048576";
+	ASSERT_TRUE(deployment.platform.start(1, 200));
+	deployment.configure();
+	deployment.spawn();
+	ASSERT_TRUE(deployment.ready(0));
+	{
+		std::lock_guard<std::mutex> guard(deployment.platform.lock);
+
+		deployment.platform.put("keyed.op", "config",
+		    "{\"Version\":" + std::to_string(++deployment.version) +
+			",\"Routes\":[{\"Name\":\"q\",\"Host\":\"h.example\","
+			"\"PathPrefix\":\"/large/\",\"Service\":\"pool\"}],"
+			"\"Tenants\":[{\"Name\":\"" +
+			name + "\",\"ApiKeys\":[\"key\"]}]}");
+	}
+	EXPECT_TRUE(deployment.wait([&] {
+		return deployment.call(deployment.front_addresses[0],
+			   "/large/" + job(1),
+			   "{\"Steps\":[{\"Count\":1,\"Cpu\":1000}]}") == 200;
+	}));
+	EXPECT_TRUE(deployment.all_done(1));
+}
