The completion target of a job has room for the largest values

What callers saw: a job of many long steps on a queue with a large Stretch could count as far past its target when it came, and waited behind all others.

Cause: estimated run time times Stretch is computed in 64 bits, and both may have the largest values that a job and a configuration are read with.

Change: whole seconds and the rest of a second are multiplied separately.

Measured: FlowPlace.LargestTargetOfAJobIsNotTooLate fails without the change and passes with it.

--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -100,8 +100,9 @@
     const struct fw_settings *settings)
 {
 	int64_t run_ms = estimate_run_ms(flow);
-	int64_t target_ms =
-	    run_ms * flow->stretch_milli / 1000 + flow->target_ms;
+	/* Their product may have more than 64 bits. */
+	int64_t target_ms = run_ms / 1000 * flow->stretch_milli +
+	    run_ms % 1000 * flow->stretch_milli / 1000 + flow->target_ms;
 
 	group->slack_ms = target_ms - run_ms - group->age_ms;
 	group->too_late = !group->lasts &&
--- a/tests/test_flow_place.cc
+++ b/tests/test_flow_place.cc
@@ -569,3 +569,31 @@
 		EXPECT_EQ(1U, fixture.place_late(1000 + 2900));
 	}
 }
+
+/* Guards against a target that overflows, after which a job counts as too late
+ * and waits behind all others: a long job on a queue that is in no hurry. */
+TEST(FlowPlace, LargestTargetOfAJobIsNotTooLate)
+{
+	FlowFixture fixture;
+	std::vector<struct bd_flow_step> steps(
+	    FW_STEPS_MAX, FlowFixture::make_step(1, 1));
+	struct fw_groups groups;
+	struct fw_view view;
+
+	for (size_t i = 0; i < steps.size(); i++) {
+		steps[i].estimate_ms = INT32_MAX;
+		steps[i].after = i > 0 ? 1ULL << (i - 1) : 0;
+	}
+	fixture.queue.stretch_milli = fixture.queue.target_ms = UINT32_MAX;
+	fixture.add_host("1", "r1");
+	ASSERT_EQ(CW_OK, fixture.submit(JOB, steps, 1000));
+	bd_read_begin();
+	fw_view_build(&view, fixture.board, &fixture.settings, 500000, 500000);
+	fw_groups_ready(&groups, &view);
+	ASSERT_EQ(1U, groups.count);
+	EXPECT_GT(groups.items[0].slack_ms, INT64_MAX / 100);
+	EXPECT_FALSE(groups.items[0].too_late);
+	fw_groups_free(&groups);
+	fw_view_free(&view);
+	bd_read_end();
+}
