Long checkpoints are stored where earlier versions ignore them

What callers would see: during an update, a placer of an earlier version cannot read a progress record whose tasks have checkpoints of over 39 bytes, passes it over, and places tasks that run.

Cause: the checkpoint was written into the field of its task at any length, and earlier versions reject the record then.

Change: one of over 39 bytes is stored in a seventh field of the record, with the index of its task, which earlier versions ignore. What one record has room for is planned in one place.

--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -15,25 +15,40 @@
  * address. */
 #define PROGRESS_FIELDS 5
 #define PROGRESS_FIELDS_PLACES 6
+/* The seventh one has the checkpoints that are longer than versions before it
+ * can read as a field of their task. */
+#define PROGRESS_FIELDS_LONG 7
 #define STATE_FIELDS 3
 /* A task under which workers have crashed has two more fields: their number,
  * and how many of them are presumed. They come last, as versions that do not
  * know them ignore what follows the others. */
 #define TASK_FIELDS 9
-/* Largest encoded size of a task with a run: its numbers and a checkpoint of 39
- * bytes, for which each task has room; of one with crashes as well, up to its
- * run 65,535. Longer checkpoints are stored as far as the record has room. */
+/* Largest encoded size of a task with a run: its numbers and a checkpoint of up
+ * to 39 bytes; of one with crashes as well, up to its run 65,535. */
 #define TASK_BYTES_MAX 87
-#define CHECKPOINT_BYTES_MIN 39
+#define CHECKPOINT_SHORT_BYTES 39
+/* Numbers of a long checkpoint, and the largest encoded size of an index. */
+#define LONG_FIELDS 2
+#define INDEX_BYTES_MAX 5
 /* Numbers of a task among the places, and their largest encoded size. */
 #define PLACE_FIELDS 3
 #define PLACE_BYTES_MAX 21
-/* The same of what precedes and follows the tasks, without places. */
+/* The same of what precedes and follows the tasks, without places and without
+ * long checkpoints. */
 #define PROGRESS_HEAD_BYTES_MAX 32
 
 _Static_assert(FW_TASKS_MAX *TASK_BYTES_MAX < FW_RECORD_BYTES_MAX,
     "the progress of the largest job fits into one record");
 
+/* What the record of a job's progress has. */
+struct progress_plan {
+	uint32_t started;      /* tasks with a run */
+	uint32_t places;       /* tasks whose place is stored */
+	uint32_t long_count;   /* tasks with a long checkpoint that fits */
+	uint32_t left_out;     /* tasks with one that does not */
+	size_t long_bytes_max; /* largest encoded size of one that fits */
+};
+
 /* Reads the elements of one array in order. An element that is missing, out of
  * range or of a wrong type marks the cursor as malformed. */
 struct cursor {
@@ -160,64 +175,59 @@
 	return bytes + (bytes <= UINT8_MAX ? 2 : bytes <= UINT16_MAX ? 3 : 5);
 }
 
-/* Returns the size of a task's checkpoint in the record, 0 without a run. */
-static size_t
-checkpoint_bytes_of(const struct bd_step_task *task)
+/* Returns whether a task's checkpoint is stored apart from its other fields. */
+static bool
+has_long_checkpoint(const struct bd_step_task *task)
 {
-	return task->run > 0 ? packed_bytes(task->checkpoint.bytes) : 0;
+	return task->run > 0 && task->checkpoint.bytes > CHECKPOINT_SHORT_BYTES;
 }
 
-/* Returns what a record needs at its largest besides the checkpoints. */
+/* Returns the encoded size of a long checkpoint, with the index of its task. */
 static size_t
-bytes_without_checkpoints(
-    const struct bd_flow *flow, uint32_t started, uint32_t places)
+long_bytes(const struct bd_step_task *task)
 {
-	return fw_record_bytes(flow->name,
-	    PROGRESS_HEAD_BYTES_MAX + (size_t)places * PLACE_BYTES_MAX +
-		(size_t)started *
-		    (TASK_BYTES_MAX - packed_bytes(CHECKPOINT_BYTES_MIN)));
+	return INDEX_BYTES_MAX + packed_bytes(task->checkpoint.bytes);
 }
 
-/* Counts the tasks that a record has: those with a run, and the places. No
- * places are stored if they could make the record larger than record_bytes_max
- * beside the checkpoints for which each task has room. */
+/* Plans the record of a job's progress. No places are stored if they could make
+ * it larger than record_bytes_max. Long checkpoints share what room is left
+ * then: all of them if they fit, otherwise those within an equal part of it. */
 static void
-count_tasks(const struct bd_flow *flow, size_t record_bytes_max,
-    uint32_t *started, uint32_t *places)
+plan_progress(const struct bd_flow *flow, size_t record_bytes_max,
+    struct progress_plan *plan)
 {
 	const struct bd_step_task *tasks = fw_flow_tasks(flow);
 	uint32_t count = fw_flow_task_count(flow);
+	uint32_t with_long = 0;
+	size_t sum = 0;
+	size_t used;
+	size_t left;
 	uint32_t i;
 
-	*started = *places = 0;
+	memset(plan, 0, sizeof(*plan));
 	for (i = 0; i < count; i++) {
-		*started += tasks[i].run > 0;
-		*places += has_place(&tasks[i]);
+		plan->started += tasks[i].run > 0;
+		plan->places += has_place(&tasks[i]);
+		if (has_long_checkpoint(&tasks[i])) {
+			with_long++;
+			sum += long_bytes(&tasks[i]);
+		}
 	}
-	if (bytes_without_checkpoints(flow, *started, *places) +
-		*started * packed_bytes(CHECKPOINT_BYTES_MIN) >
-	    record_bytes_max)
-		*places = 0;
-}
-
-/* Returns the encoded size of the longest checkpoint that a record has room
- * for: any if all fit, otherwise an equal part of the room for each task. */
-static size_t
-checkpoint_bytes_max(const struct bd_flow *flow, size_t record_bytes_max,
-    uint32_t started, uint32_t places)
-{
-	const struct bd_step_task *tasks = fw_flow_tasks(flow);
-	uint32_t count = fw_flow_task_count(flow);
-	size_t used = bytes_without_checkpoints(flow, started, places);
-	size_t sum = 0;
-	uint32_t i;
-
+	used = fw_record_bytes(flow->name,
+	    PROGRESS_HEAD_BYTES_MAX + (size_t)plan->started * TASK_BYTES_MAX +
+		(size_t)plan->places * PLACE_BYTES_MAX);
+	left = used < record_bytes_max ? record_bytes_max - used : 0;
+	if (used > record_bytes_max)
+		plan->places = 0;
+	if (with_long > 0)
+		plan->long_bytes_max = sum <= left ? sum : left / with_long;
 	for (i = 0; i < count; i++)
-		sum += checkpoint_bytes_of(&tasks[i]);
-	if (started == 0 || used + sum <= record_bytes_max)
-		return SIZE_MAX;
-	return used < record_bytes_max ? (record_bytes_max - used) / started
-				       : 0;
+		if (has_long_checkpoint(&tasks[i])) {
+			if (long_bytes(&tasks[i]) <= plan->long_bytes_max)
+				plan->long_count++;
+			else
+				plan->left_out++;
+		}
 }
 
 /* Returns the number of tasks whose checkpoint the record of a job's progress
@@ -225,29 +235,16 @@
 uint32_t
 fw_checkpoints_left_out(const struct bd_flow *flow, size_t record_bytes_max)
 {
-	const struct bd_step_task *tasks = fw_flow_tasks(flow);
-	uint32_t count = fw_flow_task_count(flow);
-	uint32_t left_out = 0;
-	uint32_t started;
-	uint32_t places;
-	size_t bytes_max;
-	uint32_t i;
+	struct progress_plan plan;
 
-	count_tasks(flow, record_bytes_max, &started, &places);
-	bytes_max =
-	    checkpoint_bytes_max(flow, record_bytes_max, started, places);
-	for (i = 0; i < count; i++)
-		left_out += tasks[i].checkpoint.bytes > 0 &&
-		    checkpoint_bytes_of(&tasks[i]) > bytes_max;
-	return left_out;
+	plan_progress(flow, record_bytes_max, &plan);
+	return plan.left_out;
 }
 
 static void
-pack_task(msgpack_packer *packer, const struct bd_flow *flow, uint32_t index,
-    size_t bytes_max)
+pack_task(msgpack_packer *packer, const struct bd_flow *flow, uint32_t index)
 {
 	const struct bd_step_task *task = &fw_flow_tasks(flow)[index];
-	bool has_room = checkpoint_bytes_of(task) <= bytes_max;
 
 	msgpack_pack_array(packer, TASK_FIELDS + (task->crashes > 0 ? 2 : 0));
 	msgpack_pack_uint32(packer, index);
@@ -259,7 +256,7 @@
 	msgpack_pack_int64(packer, task->incarnation_ms);
 	msgpack_pack_int64(packer, task->changed_ms);
 	pack_text(packer, fw_task_checkpoint(flow, task),
-	    has_room ? task->checkpoint.bytes : 0);
+	    has_long_checkpoint(task) ? 0 : task->checkpoint.bytes);
 	if (task->crashes > 0) {
 		msgpack_pack_uint16(packer, task->crashes);
 		msgpack_pack_uint16(packer, task->presumed_crashes);
@@ -282,10 +279,32 @@
 	}
 }
 
+/* Packs the index and the long checkpoint of each task that has one for which
+ * there is room. */
+static void
+pack_long_checkpoints(msgpack_packer *packer, const struct bd_flow *flow,
+    const struct progress_plan *plan)
+{
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t count = fw_flow_task_count(flow);
+	uint32_t i;
+
+	msgpack_pack_array(packer, (size_t)plan->long_count * LONG_FIELDS);
+	for (i = 0; i < count; i++) {
+		if (!has_long_checkpoint(&tasks[i]) ||
+		    long_bytes(&tasks[i]) > plan->long_bytes_max)
+			continue;
+		msgpack_pack_uint32(packer, i);
+		pack_text(packer, fw_task_checkpoint(flow, &tasks[i]),
+		    tasks[i].checkpoint.bytes);
+	}
+}
+
 /*
  * Encodes the progress of a job: its state, each task with a run, the end of
- * late starts, and the places and the checkpoints of tasks as far as a record
- * of record_bytes_max bytes has room. The caller frees *out. Returns FW_ENOMEM.
+ * late starts, and the places and the long checkpoints of tasks as far as a
+ * record of record_bytes_max bytes has room. The caller frees *out. Returns
+ * FW_ENOMEM.
  */
 int
 fw_progress_encode(const struct bd_flow *flow, size_t record_bytes_max,
@@ -293,34 +312,34 @@
 {
 	const struct bd_step_task *tasks = fw_flow_tasks(flow);
 	uint32_t count = fw_flow_task_count(flow);
+	struct progress_plan plan;
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	int64_t late_until_ms = 0;
-	size_t bytes_max;
-	uint32_t started;
-	uint32_t places;
 	uint32_t i;
 
-	count_tasks(flow, record_bytes_max, &started, &places);
-	bytes_max =
-	    checkpoint_bytes_max(flow, record_bytes_max, started, places);
+	plan_progress(flow, record_bytes_max, &plan);
 	for (i = 0; i < count; i++)
 		if (tasks[i].late_until_ms > late_until_ms)
 			late_until_ms = tasks[i].late_until_ms;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(
-	    &packer, places > 0 ? PROGRESS_FIELDS_PLACES : PROGRESS_FIELDS);
+	msgpack_pack_array(&packer,
+	    plan.long_count > 0   ? PROGRESS_FIELDS_LONG
+		: plan.places > 0 ? PROGRESS_FIELDS_PLACES
+				  : PROGRESS_FIELDS);
 	msgpack_pack_uint32(&packer, LAYOUT_VERSION);
 	msgpack_pack_uint32(&packer, flow->state);
 	msgpack_pack_int64(&packer, flow->changed_ms);
-	msgpack_pack_array(&packer, started);
+	msgpack_pack_array(&packer, plan.started);
 	for (i = 0; i < count; i++)
 		if (tasks[i].run > 0)
-			pack_task(&packer, flow, i, bytes_max);
+			pack_task(&packer, flow, i);
 	msgpack_pack_int64(&packer, late_until_ms);
-	if (places > 0)
-		pack_places(&packer, tasks, count, places);
+	if (plan.places > 0 || plan.long_count > 0)
+		pack_places(&packer, tasks, count, plan.places);
+	if (plan.long_count > 0)
+		pack_long_checkpoints(&packer, flow, &plan);
 	release_buffer(&buffer, out, bytes);
 	return *out != NULL ? CW_OK
 			    : cw_error_set(FW_ENOMEM, "no memory for a record");
@@ -528,6 +547,28 @@
 	cursor->malformed |= list.malformed;
 }
 
+static void
+read_long_checkpoints(
+    struct cursor *cursor, struct bd_flow *flow, struct bd_text *last)
+{
+	struct cursor list;
+
+	next_array(cursor, &list);
+	while (!list.malformed && list.remaining > 0) {
+		uint32_t index = (uint32_t)next_int(
+		    &list, (int64_t)fw_flow_task_count(flow) - 1);
+		const msgpack_object *text =
+		    next_object(&list, MSGPACK_OBJECT_BIN);
+
+		if (list.malformed)
+			break;
+		*last = fw_checkpoint_append(
+		    flow, last, text->via.bin.ptr, text->via.bin.size);
+		fw_flow_tasks(flow)[index].checkpoint = *last;
+	}
+	cursor->malformed |= list.malformed;
+}
+
 /* Takes the end of late starts of a job for that of each of its tasks with a
  * run: the record has no places. */
 static void
@@ -584,6 +625,8 @@
 		read_places(cursor, flow);
 	else if (!cursor->malformed)
 		spread_late_until(flow, late_until_ms);
+	if (cursor->remaining > 0)
+		read_long_checkpoints(cursor, flow, &last);
 	return !cursor->malformed && !list.malformed;
 }
 
--- a/tests/test_flow_checkpoint.cc
+++ b/tests/test_flow_checkpoint.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <msgpack.h>
+
 #include "flow_fixture.h"
 
 namespace {
@@ -184,3 +186,42 @@
 	fw_run_drop_checkpoint(&run);
 	EXPECT_EQ(nullptr, run.checkpoint);
 }
+
+/* Guards against a record that VMs of an earlier version cannot read during an
+ * update: they would place tasks that run. They read tasks with checkpoints of
+ * up to 39 bytes, and ignore what follows the sixth field. */
+TEST(FlowCheckpoint, EarlierVersionsReadTheRestOfTheRecord)
+{
+	FlowFixture fixture;
+	msgpack_unpacked unpacked;
+	struct bd_flow *flow;
+	void *value;
+	size_t bytes;
+
+	ASSERT_EQ(CW_OK, fixture.submit(JOB, {FlowFixture::make_step(3, 0)}));
+	flow = copy_row(fixture);
+	note(&flow, 0, std::string(39, 'a'));
+	note(&flow, 1, std::string(40, 'b'));
+	note(&flow, 2, std::string(5000, 'c'));
+	ASSERT_EQ(CW_OK,
+	    fw_progress_encode(flow, FW_RECORD_BYTES_MAX, &value, &bytes));
+	msgpack_unpacked_init(&unpacked);
+	ASSERT_EQ(MSGPACK_UNPACK_SUCCESS,
+	    msgpack_unpack_next(
+		&unpacked, (const char *)value, bytes, nullptr));
+	ASSERT_EQ(7U, unpacked.data.via.array.size);
+	const msgpack_object *fields = unpacked.data.via.array.ptr;
+	ASSERT_EQ(3U, fields[3].via.array.size);
+	for (uint32_t i = 0; i < 3; i++) {
+		const msgpack_object &task = fields[3].via.array.ptr[i];
+
+		ASSERT_EQ(9U, task.via.array.size);
+		EXPECT_EQ(
+		    i == 0 ? 39U : 0U, task.via.array.ptr[8].via.bin.size);
+	}
+	EXPECT_EQ(0U, fields[5].via.array.size);
+	EXPECT_EQ(4U, fields[6].via.array.size);
+	msgpack_unpacked_destroy(&unpacked);
+	free(value);
+	free(flow);
+}
