--- a/tests/test_platform_config.cc
+++ b/tests/test_platform_config.cc
@@ -1,7 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <cstring>
 #include <string>
+#include <thread>
+#include <utility>
 
 #include "adapter.h"
 
@@ -215,3 +218,205 @@
 	EXPECT_EQ(8U, pl_config_version(board));
 	bd_board_destroy(board);
 }
+
+/* Guards against queues and keys that remain after a configuration without
+ * them, and against applying an older version that arrives later. */
+TEST(PlatformWire, NewerConfigurationReplacesOlderOne)
+{
+	const std::string head = "{\"Version\":";
+	const std::string first = head +
+	    "2,\"Routes\":[{\"Name\":\"r1\",\"Host\":\"h\",\"PathPrefix\":"
+	    "\"/a/\",\"Service\":\"s\",\"Priority\":0,\"MaxAttempts\":2,"
+	    "\"Stretch\":1.5,\"TargetLatencyMs\":600}],\"Tenants\":[{"
+	    "\"Name\":\"t\",\"ApiKeys\":[\"k1\",\"k2\"],\"Guaranteed\":{"
+	    "\"Gpu\":72}}],\"Services\":[{\"Name\":\"s\"}]}";
+	const std::string second = head +
+	    "3,\"Routes\":[],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":"
+	    "[\"k2\"]}],\"Services\":[{\"Name\":\"s\"}]}";
+	struct bd_board *board;
+
+	ASSERT_EQ(CW_OK, bd_board_create(&board));
+	ASSERT_EQ(CW_OK, pl_config_apply(board, first.data(), first.size()));
+	bd_read_begin();
+	const struct bd_queue *queue =
+	    fw_queue_find(fw_setup(board), "h", "/a/x");
+	ASSERT_NE(nullptr, queue);
+	EXPECT_EQ(1500U, queue->stretch_milli);
+	EXPECT_EQ(nullptr, fw_queue_find(fw_setup(board), "other", "/a/x"));
+	EXPECT_EQ(2U, fw_setup(board)->key_count);
+	bd_read_end();
+	ASSERT_EQ(CW_OK, pl_config_apply(board, second.data(), second.size()));
+	bd_read_begin();
+	EXPECT_EQ(0U, fw_setup(board)->queue_count);
+	EXPECT_EQ(1U, fw_setup(board)->key_count);
+	bd_read_end();
+	EXPECT_EQ(CW_OK, pl_config_apply(board, first.data(), first.size()));
+	bd_read_begin();
+	EXPECT_EQ(0U, fw_setup(board)->queue_count);
+	bd_read_end();
+	EXPECT_EQ(CW_EINVAL, pl_config_apply(board, "{", 1));
+	bd_board_destroy(board);
+}
+
+/* Guards against queues and keys of a version that as a whole is invalid. */
+TEST(PlatformWire, InvalidConfigurationChangesNothing)
+{
+	const std::string good =
+	    "{\"Version\":2,\"Routes\":[{\"Name\":\"r1\",\"Host\":\"h\","
+	    "\"PathPrefix\":\"/a/\",\"Service\":\"s\"}],\"Tenants\":[{"
+	    "\"Name\":\"t\",\"ApiKeys\":[\"k1\"]}]}";
+	const std::string route =
+	    "{\"Name\":\"r2\",\"Host\":\"h\",\"PathPrefix\":\"/b/\","
+	    "\"Service\":\"s\"}";
+	struct bd_board *board;
+
+	ASSERT_EQ(CW_OK, bd_board_create(&board));
+	ASSERT_EQ(CW_OK, pl_config_apply(board, good.data(), good.size()));
+	for (const std::string &rest :
+	    {"[" + route + ",{\"Name\":\"r3\"}]", std::string("{}"),
+		"[" + route + "],\"Tenants\":[{\"ApiKeys\":[\"k2\"]}]",
+		"[" + route +
+		    "],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k2\",5]"
+		    "}]"}) {
+		std::string bad = "{\"Version\":3,\"Routes\":" + rest + "}";
+
+		EXPECT_EQ(
+		    CW_EINVAL, pl_config_apply(board, bad.data(), bad.size()))
+		    << bad;
+		bd_read_begin();
+		const struct bd_setup *setup = fw_setup(board);
+		EXPECT_EQ(2U, setup->version);
+		EXPECT_NE(nullptr, fw_queue_find(setup, "h", "/a/x"));
+		EXPECT_EQ(nullptr, fw_queue_find(setup, "h", "/b/x"));
+		EXPECT_NE(
+		    nullptr, fw_access_key_find(setup, cw_id_from_name("k1")));
+		EXPECT_EQ(
+		    nullptr, fw_access_key_find(setup, cw_id_from_name("k2")));
+		bd_read_end();
+	}
+	bd_board_destroy(board);
+}
+
+/* Guards against a negative version, which would count as the highest one for
+ * ever, and against numbers that are cut to the field's size. One that the
+ * field cannot hold keeps no version out of force: it counts as the largest
+ * one. */
+TEST(PlatformWire, NumbersOfConfigurationsOutOfRangeAreNotCut)
+{
+	auto configuration = [](const std::string &version,
+				 const std::string &route,
+				 const std::string &gpu,
+				 const std::string &limit) {
+		return "{\"Version\":" + version +
+		    ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
+		    "\"PathPrefix\":\"/a/\",\"Service\":\"s\"" +
+		    route +
+		    "}],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[],"
+		    "\"Guaranteed\":{\"Gpu\":" +
+		    gpu + "}}],\"Limits\":{\"MaxBodyBytes\":" + limit + "}}";
+	};
+	struct bd_board *board;
+	auto apply = [&](const std::string &text) {
+		return pl_config_apply(board, text.data(), text.size());
+	};
+	const char *const bad_numbers[] = {
+	    "-1", "-1e300", "-9223372036854775808", "\"5\"", "[5]"};
+	const char *const large_numbers[] = {"4294967295", "4294967296",
+	    "4294967298", "9223372036854775807", "18446744073709551616",
+	    "1e300"};
+	const std::pair<const char *, uint32_t bd_queue::*> fields[] = {
+	    {"Priority", &bd_queue::priority},
+	    {"MaxAttempts", &bd_queue::attempts_max},
+	    {"Stretch", &bd_queue::stretch_milli},
+	    {"TargetLatencyMs", &bd_queue::target_ms},
+	    {"TimeoutMs", &bd_queue::timeout_ms},
+	};
+	int version = 3;
+
+	ASSERT_EQ(CW_OK, bd_board_create(&board));
+	ASSERT_EQ(CW_OK, apply(configuration("2", "", "1", "1000")));
+	for (const char *bad : bad_numbers) {
+		for (const auto &field : fields) {
+			/* A Stretch of another type counts as missing. */
+			if (strcmp(field.first, "Stretch") == 0 &&
+			    bad[0] != '-')
+				continue;
+			EXPECT_EQ(CW_EINVAL,
+			    apply(configuration("3",
+				",\"" + std::string(field.first) + "\":" + bad,
+				"1", "1000")))
+			    << field.first << bad;
+		}
+		EXPECT_EQ(CW_EINVAL, apply(configuration("3", "", bad, "1")))
+		    << bad;
+		EXPECT_EQ(CW_EINVAL, apply(configuration("3", "", "1", bad)))
+		    << bad;
+		EXPECT_EQ(2U, pl_config_version(board)) << bad;
+	}
+	for (const char *bad : {"-1", "1e300", "-9223372036854775808", "\"5\""})
+		EXPECT_EQ(CW_EINVAL, apply(configuration(bad, "", "1", "1000")))
+		    << bad;
+	for (const char *large : large_numbers)
+		for (const auto &field : fields) {
+			ASSERT_EQ(CW_OK,
+			    apply(configuration(std::to_string(version),
+				",\"" + std::string(field.first) +
+				    "\":" + large,
+				large, large)))
+			    << field.first << large;
+			bd_read_begin();
+			const struct bd_setup *setup = fw_setup(board);
+			EXPECT_EQ((uint64_t)version++, setup->version);
+			EXPECT_EQ(
+			    UINT32_MAX, fw_setup_queues(setup)[0].*field.second)
+			    << field.first << large;
+			EXPECT_EQ(UINT32_MAX,
+			    fw_setup_clients(setup)[0].guaranteed_accels);
+			EXPECT_EQ(UINT32_MAX, setup->body_bytes_max);
+			bd_read_end();
+		}
+	bd_board_destroy(board);
+}
+
+/* Guards against a version that is seen in force and goes back. */
+TEST(PlatformWire, ReadersSeeOneVersionOfTheConfiguration)
+{
+	auto version = [](int number) {
+		std::string name = number % 2 == 0 ? "even" : "odd";
+
+		return "{\"Version\":" + std::to_string(number) +
+		    ",\"Routes\":[{\"Name\":\"" + name +
+		    "\",\"Host\":\"h\",\"PathPrefix\":\"/" + name +
+		    "/\",\"Service\":\"s\"}],\"Tenants\":[{\"Name\":\"t\","
+		    "\"ApiKeys\":[\"" +
+		    name + "\"]}]}";
+	};
+	struct bd_board *board;
+	std::atomic<bool> stop{false};
+	int mixed = 0;
+
+	ASSERT_EQ(CW_OK, bd_board_create(&board));
+	ASSERT_EQ(CW_OK,
+	    pl_config_apply(board, version(1).data(), version(1).size()));
+	std::thread reader([&] {
+		while (!stop) {
+			bd_read_begin();
+			const struct bd_setup *setup = fw_setup(board);
+			for (const char *name : {"even", "odd"})
+				mixed += (fw_queue_find(setup, "h",
+					      ("/" + std::string(name) + "/")
+						  .c_str()) != nullptr) !=
+				    (fw_access_key_find(setup,
+					 cw_id_from_name(name)) != nullptr);
+			bd_read_end();
+		}
+	});
+	for (int i = 2; i < 3000; i++)
+		EXPECT_EQ(CW_OK,
+		    pl_config_apply(
+			board, version(i).data(), version(i).size()));
+	stop = true;
+	reader.join();
+	EXPECT_EQ(0, mixed);
+	bd_board_destroy(board);
+}
--- a/tests/test_platform_settings.cc
+++ b/tests/test_platform_settings.cc
@@ -3,7 +3,7 @@
 #include <cstring>
 #include <string>
 
-#include "adapter.h"
+#include "platform_messages.h"
 
 namespace {
 
@@ -229,3 +229,36 @@
 	    CW_OK, pl_settings_parse(text.data(), text.size(), &settings));
 	EXPECT_EQ("[" + ip + "]:65535", settings.metrics_address);
 }
+
+/* Guards against rejecting the settings of a newer platform because of an
+ * unknown field. */
+TEST(PlatformWire, SettingsWithUnknownFieldsAreParsed)
+{
+	struct pl_settings settings;
+
+	ASSERT_EQ(CW_OK,
+	    pl_settings_parse(settings_text, strlen(settings_text), &settings))
+	    << cw_error_last();
+	EXPECT_STREQ("10.0.0.1:7000", settings.metrics_address);
+	EXPECT_EQ(6000U, settings.flow.lease_ms);
+	EXPECT_EQ(6000U, settings.grace_ms);
+	EXPECT_EQ(4000U, settings.config_age_max_ms);
+	EXPECT_EQ(3000U, settings.flow.cancel_ms);
+	EXPECT_EQ(120000U, settings.flow.retention_ms);
+}
+
+/* Guards against a start with incomplete settings; the error names the missing
+ * field. */
+TEST(PlatformWire, IncompleteSettingsAreRejected)
+{
+	struct pl_settings settings;
+
+	EXPECT_EQ(CW_EINVAL, pl_settings_parse("{}", 2, &settings));
+	EXPECT_NE(nullptr, strstr(cw_error_last(), "NodeName"));
+	EXPECT_EQ(CW_EINVAL, pl_settings_parse("{", 1, &settings));
+	std::string bad(settings_text);
+	bad.replace(bad.find("\"MaxHoldMs\""), 0, "\"ConfigApplyMs\":9,");
+	EXPECT_EQ(
+	    CW_EINVAL, pl_settings_parse(bad.data(), bad.size(), &settings));
+	EXPECT_NE(nullptr, strstr(cw_error_last(), "ConfigApplyMs"));
+}
