An address of a listener is not cut

What operators would see: with an IPv6 address in full and a port, 48 characters or more, the daemon listened on another port than the one in its settings.

Cause: the address was printed into an array for names.

Change: the array has room for the longest ip:port; a longer text is refused.

Measured: LinkHttp.AddressIsNotCut fails before and passes now.

--- a/lib/link/http_server.c
+++ b/lib/link/http_server.c
@@ -13,6 +13,8 @@
  * packet. */
 #define SINGLE_WRITE_BYTES_MAX 8192
 #define HEAD_BYTES 2560
+/* "[ip]:port" at its longest has 53 characters. */
+#define ADDRESS_BYTES 56
 /* One thread in this many, and at least one, is reserved: keep-alive
  * connections cannot occupy it. */
 #define KEEPALIVE_RESERVE_DIVISOR 8
@@ -327,7 +329,7 @@
 	    config->tls_certificate != NULL && *config->tls_certificate != '\0';
 	struct lk_http_server *server = calloc(1, sizeof(*server));
 	struct mg_server_port ports[2] = {0};
-	char port[CW_NAME_BYTES + 2];
+	char port[ADDRESS_BYTES + 1]; /* "s" follows for TLS */
 	char numbers[5][12];
 	const char *options[32] = {"listening_ports", port, "num_threads",
 	    numbers[0], "connection_queue", numbers[1], "max_request_size",
@@ -336,6 +338,12 @@
 	    "tcp_nodelay", "1", "decode_url", "yes", NULL};
 
 	assert(config->route_count <= LK_HTTP_ROUTES_MAX);
+	if (strlen(config->address) >= ADDRESS_BYTES) {
+		free(server);
+		return cw_error_set(LK_ESERVER,
+		    "address %.64s is longer than ip:port can be",
+		    config->address);
+	}
 	if (server == NULL)
 		return cw_error_set(
 		    CW_ENOMEM, "out of memory while starting the HTTP server");
--- a/tests/test_link_http.cc
+++ b/tests/test_link_http.cc
@@ -367,3 +367,31 @@
 }
 
 } // namespace
+
+/* Guards against a server that listens on another port than the one that was
+ * given, as its address was cut. */
+TEST(LinkHttp, AddressIsNotCut)
+{
+	/* The longest one of IPv6 has 53 characters. */
+	const std::string longest = "127.0.0.1:" + std::string(38, '0');
+	struct lk_http_server_config config;
+	struct lk_http_server *server = nullptr;
+	std::string address;
+	uint16_t port;
+
+	lk_http_server_config_default(&config);
+	config.address = "127.0.0.1:0";
+	ASSERT_EQ(CW_OK, lk_http_server_start(&server, &config));
+	port = lk_http_server_port(server);
+	lk_http_server_stop(server);
+	address = longest + std::to_string(port);
+	ASSERT_LE(address.size(), 53U);
+	config.address = address.c_str();
+	ASSERT_EQ(CW_OK, lk_http_server_start(&server, &config))
+	    << cw_error_last();
+	EXPECT_EQ(port, lk_http_server_port(server));
+	lk_http_server_stop(server);
+	address = longest + std::string(8, '0') + std::to_string(port);
+	config.address = address.c_str();
+	EXPECT_EQ(LK_ESERVER, lk_http_server_start(&server, &config));
+}
