A member that is no list is not taken for an empty one

What callers saw: a step whose After is a number ran beside the step that it should wait for; a tenant whose ApiKeys is a text lost its keys, silently.

Cause: the length of what is no list counts as 0.

--- a/tests/test_platform_config.cc
+++ b/tests/test_platform_config.cc
@@ -275,6 +275,8 @@
 	for (const std::string &rest :
 	    {"[" + route + ",{\"Name\":\"r3\"}]", std::string("{}"),
 		"[" + route + "],\"Tenants\":[{\"ApiKeys\":[\"k2\"]}]",
+		"[" + route +
+		    "],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":\"k1\"}]",
 		"[" + route +
 		    "],\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k2\",5]"
 		    "}]"}) {
--- a/tests/test_platform_job.cc
+++ b/tests/test_platform_job.cc
@@ -39,6 +39,7 @@
 	    "{\"Steps\":[{\"Count\":1,\"After\":[99]}]}",
 	    "{\"Spec\":1,\"Steps\":[{\"Count\":1}]}",
 	    "{\"Steps\":[{\"Count\":1,\"DataRack\":5}]}",
+	    "{\"Steps\":[{\"Count\":1},{\"Count\":1,\"After\":0}]}",
 	    "{\"Steps\":[{\"Count\":1,\"Requirements\":[\"a\"]}]}"};
 
 	for (const char *body : bodies)
