An empty text at the end of a message is read without its address

What was seen: fuzz_peer with an empty text as the last item of a message: memchr with a null pointer, which the undefined-behaviour sanitizer reports. In a build without it nothing is read there.

Cause: msgpack gives no address for an empty text at the end.

Change: it is not looked at. The same for the copy of an empty text of a job's record.

--- a/lib/fleet/msg_decode.c
+++ b/lib/fleet/msg_decode.c
@@ -140,6 +140,11 @@
 
 	if (item == NULL)
 		return;
+	/* msgpack gives no address for an empty text at the end. */
+	if (item->via.str.size == 0) {
+		memset(text, 0, CW_NAME_BYTES);
+		return;
+	}
 	if (item->via.str.size >= CW_NAME_BYTES ||
 	    memchr(item->via.str.ptr, 0, item->via.str.size) != NULL) {
 		reader->malformed = true;
--- a/lib/flow/record_fields.c
+++ b/lib/flow/record_fields.c
@@ -91,7 +91,8 @@
 		cursor->malformed = true;
 		return;
 	}
-	memcpy(text, object->via.bin.ptr, object->via.bin.size);
+	if (object->via.bin.size > 0)
+		memcpy(text, object->via.bin.ptr, object->via.bin.size);
 	text[object->via.bin.size] = '\0';
 }
 
