The test of long texts waits until a checkpoint was read

Cause, by the log of that run: the test slept for 1 s before the crash of a worker, and the first list of its runs comes at the end of a long poll of up to 2 s. The placer could not know of a checkpoint yet; the product was right.

Change: the worker crashes once another hold has come after one whose answer listed a checkpoint. Checks and bounds are the same; the tasks work for 6 s, so that some are left to resume.

--- a/tests/sim/emulator_worker.h
+++ b/tests/sim/emulator_worker.h
@@ -130,6 +130,8 @@
     json_t *root)
 {
 	int64_t end_ms = now_ms() + wait_ms;
+
+	worker.checkpoint_is_read |= worker.listed_checkpoint;
 	std::string reason = worker.hold(until, acked, token, now_ms());
 	json_t *running = json_array();
 	json_t *ended = json_array();
@@ -140,11 +142,13 @@
 	}
 	if (odd_list >= 0 && &worker == &workers[(size_t)odd_list])
 		json_array_append_new(running, json_pack("[s,f]", "x", 1e300));
-	for (const auto &run : worker.runs)
+	for (const auto &run : worker.runs) {
+		worker.listed_checkpoint |= !run.second.checkpoint.empty();
 		json_array_append_new(running,
 		    json_pack("[s,i,s,i]", run.second.task.c_str(),
 			(int)run.second.run, run.second.checkpoint.c_str(),
 			(int)worker.percent(run.second, now_ms())));
+	}
 	for (const SimEnd &end : worker.ends)
 		json_array_append_new(ended,
 		    json_pack("[I,s,i,s,s]", (json_int_t)end.number,
--- a/tests/sim/worker_sim.h
+++ b/tests/sim/worker_sim.h
@@ -61,7 +61,9 @@
 	int64_t crash_ms = 0;  /* time at which it will crash, 0: none */
 	int64_t back_ms = 0;   /* crashed: time at which it is back, 0: is up */
 	int64_t crash_down_ms = CRASH_DOWN_MS;
-	size_t checkpoint_bytes = 0; /* of its runs, 0: they have none */
+	size_t checkpoint_bytes = 0;     /* of its runs, 0: they have none */
+	bool listed_checkpoint = false;  /* in the answer to a hold */
+	bool checkpoint_is_read = false; /* another hold came after that */
 	std::map<std::pair<std::string, uint32_t>, SimRun> runs;
 	std::vector<SimEnd> ends;
 	std::map<std::string, uint32_t> highest_ended_run; /* by task */
--- a/tests/test_platform_system.cc
+++ b/tests/test_platform_system.cc
@@ -489,7 +489,7 @@
 	platform.name_bytes = 250;
 	platform.label_bytes = 300;
 	platform.checkpoint_bytes = 20000;
-	ASSERT_TRUE(platform.start(2, 3000));
+	ASSERT_TRUE(platform.start(2, 6000));
 	{
 		std::lock_guard<std::mutex> guard(platform.lock);
 
@@ -519,20 +519,17 @@
 	ASSERT_EQ(200,
 	    deployment.call(deployment.front_addresses[0], prefix + job(1),
 		body, nullptr, key.c_str()));
+	/* A worker whose checkpoints the placer has read crashes. */
 	ASSERT_TRUE(deployment.wait([&] {
 		std::lock_guard<std::mutex> guard(platform.lock);
 
-		return platform.run_checker.starts >= 8;
+		for (SimWorker &worker : platform.workers)
+			if (worker.checkpoint_is_read && !worker.runs.empty()) {
+				worker.crash(Emulator::now_ms());
+				return true;
+			}
+		return false;
 	}));
-	std::this_thread::sleep_for(std::chrono::milliseconds(1000));
-	{
-		std::lock_guard<std::mutex> guard(platform.lock);
-		SimWorker &worker = platform.workers[0];
-
-		/* One with tasks: all may be on the other one. */
-		(worker.runs.empty() ? platform.workers[1] : worker)
-		    .crash(Emulator::now_ms());
-	}
 	ASSERT_TRUE(deployment.all_done(8));
 	std::lock_guard<std::mutex> guard(platform.lock);
 	EXPECT_FALSE(platform.run_checker.resumed.empty());
