Draws of a simulated fault are made in one stated order

Cause: submit(), submit_lasting() and the cut of one VM gave two or three draws as arguments of one call.

--- a/tests/sim/flow_faults.h
+++ b/tests/sim/flow_faults.h
@@ -169,9 +169,12 @@
 
 		snprintf(name, sizeof(name), "%016zx", 0x1000 + jobs.size());
 		for (int i = 0; i < count; i++) {
-			struct bd_flow_step step = FlowFixture::make_step(
-			    (uint32_t)draw(1, 4), (uint32_t)draw(0, 2),
-			    chance(30) ? BD_STEP_GANG : 0);
+			/* Seeds on record were drawn in this order. */
+			uint32_t flags = chance(30) ? BD_STEP_GANG : 0;
+			uint32_t accels = (uint32_t)draw(0, 2);
+			uint32_t tasks = (uint32_t)draw(1, 4);
+			struct bd_flow_step step =
+			    FlowFixture::make_step(tasks, accels, flags);
 
 			step.cores_milli = (uint32_t)draw(1, 3) * 1000;
 			step.memory_mb = (uint32_t)draw(1, 4) * 1000;
@@ -193,9 +196,10 @@
 	submit_lasting()
 	{
 		char name[BD_FLOW_NAME_BYTES];
-		struct bd_flow_step step =
-		    FlowFixture::make_step((uint32_t)draw_added(1, 3),
-			(uint32_t)draw_added(0, 2), BD_STEP_LONG_RUNNING);
+		uint32_t accels = (uint32_t)draw_added(0, 2);
+		uint32_t tasks = (uint32_t)draw_added(1, 3);
+		struct bd_flow_step step = FlowFixture::make_step(
+		    tasks, accels, BD_STEP_LONG_RUNNING);
 
 		snprintf(
 		    name, sizeof(name), "%016zx", 0x2000 + lasting_jobs.size());
@@ -326,9 +330,12 @@
 		case WORKER_CUT:
 			cut(worker.address, draw(300, 9000), nullptr);
 			break;
-		case WORKER_CUT_ONE:
-			cut(worker.address, draw(300, 9000), any_vm());
+		case WORKER_CUT_ONE: {
+			SimVm *vm = any_vm();
+
+			cut(worker.address, draw(300, 9000), vm);
 			break;
+		}
 		default:
 			if (worker.room.accels == room.accels)
 				room = {room.cores_milli / 2,
--- a/tests/sim/soak.h
+++ b/tests/sim/soak.h
@@ -137,11 +137,12 @@
 		for (int i = 0; i < plan.lasting_jobs; i++) {
 			std::string name = job(0x1000 + i);
 			SimRoom need = add_job(name, false);
+			unsigned first = (unsigned)draw(0, VMS - 1);
+			int tasks = draw(1, 3);
 
 			set_work_ms(name, INT32_MAX);
 			lasting_jobs.insert(name);
-			submit(
-			    name, draw(1, 3), (unsigned)draw(0, VMS - 1), need);
+			submit(name, tasks, first, need);
 		}
 	}
 
