Workers that come and go are used as a last resort

Cause: a worker that was silent counted as sound as soon as it answered. With 27 of 350 workers down and up every 1.1 s, urgent gangs were placed on workers that had just come back, lost a member, and waited 9 s for the end of a lease. Change: for 8 s after a silence a worker is chosen last, and after a second one only by what has to run; not if more than a quarter of the workers do so (lib/flow/silences.c). Measured: FlowSilences, 3 tests passed; test_flow_place, _preempt and _placer passed.

--- a/lib/flow/answers.c
+++ b/lib/flow/answers.c
@@ -106,6 +106,7 @@
 	if (no_answer && (is_hold || refused) &&
 	    worker->unresponsive_since_ms == 0) {
 		worker->unresponsive_since_ms = now_ms;
+		fw_silence_began(&worker->silences, now_ms);
 		ev_emit(EV_FLOW_HOST_SILENT, "worker=%s answer=%s runs=%u",
 		    worker->name, fw_answer_name(report->answer),
 		    worker->run_count);
@@ -114,6 +115,7 @@
 		    worker->name,
 		    (long long)(now_ms - worker->unresponsive_since_ms));
 		worker->unresponsive_since_ms = 0;
+		fw_silence_ended(&worker->silences, now_ms);
 		worker->next_hold_ms = 0;
 	}
 	if (fw_address_answered(worker, report))
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -21,6 +21,9 @@
  * would find only the first workers, and stop what runs there. */
 #define LISTS_MISSING_PART 10
 #define LISTS_WAIT_MS 2000
+/* If more than one worker in this many was silent repeatedly, the cause is
+ * likely to be this VM or its network, and none is avoided for it. */
+#define SILENT_COMMON_PART 4
 /* Workers are reserved for jobs of priority 0 according to the moving average
  * of the demand of these jobs, plus a margin for the next ones. With this
  * averaging time the reserve follows a burst within some seconds. */
@@ -33,6 +36,8 @@
 	struct fw_advance advance;
 };
 
+static void avoid_silent_hosts(
+    const struct fw_placer *placer, struct fw_view *view);
 static void exclude_failing_hosts(
     struct fw_placer *placer, struct fw_view *view);
 static void reserve_urgent(struct fw_placer *placer, struct fw_view *view);
@@ -55,6 +60,24 @@
     const struct fw_job_view *job, size_t record_bytes_max);
 static bool fill_batch(struct fw_placer *placer, struct fw_view *view);
 
+/* Marks the workers that were silent repeatedly as failing. */
+static void
+avoid_silent_hosts(const struct fw_placer *placer, struct fw_view *view)
+{
+	uint32_t i;
+
+	for (i = 0; i < view->host_count; i++) {
+		uint32_t found = fw_worker_state_find(
+		    &placer->tables, view->hosts[i].row->id);
+
+		if (found != FW_NONE &&
+		    fw_silent_repeatedly(
+			&placer->tables.worker_states[found].silences,
+			view->now_ms))
+			view->hosts[i].failing = true;
+	}
+}
+
 /* Excludes workers that do not answer, have not listed their runs in this term
  * yet, or whose entry is of a former incarnation, and marks those on which runs
  * fail. */
@@ -62,6 +85,7 @@
 exclude_failing_hosts(struct fw_placer *placer, struct fw_view *view)
 {
 	uint32_t missing = 0;
+	uint32_t repeated = 0;
 	uint32_t i;
 
 	for (i = 0; i < view->host_count; i++) {
@@ -94,7 +118,13 @@
 			host->suspect = true;
 			host->failing = worker->failed_count > 1;
 		}
+		host->suspect |=
+		    fw_silent_lately(&worker->silences, view->now_ms);
+		repeated +=
+		    fw_silent_repeatedly(&worker->silences, view->now_ms);
 	}
+	if (repeated * SILENT_COMMON_PART <= view->host_count)
+		avoid_silent_hosts(placer, view);
 	view->lists_pending = missing * LISTS_MISSING_PART > view->host_count &&
 	    view->now_ms - placer->active_since_ms < LISTS_WAIT_MS;
 }
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -2,6 +2,7 @@
 #define CAMPHOR_FLOW_INTERNAL_H
 
 #include "flow.h"
+#include "silences.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -66,6 +67,7 @@
 	int64_t hold_sent_ms;
 	int64_t next_hold_ms;
 	int64_t unresponsive_since_ms; /* first unanswered call, 0: answers */
+	struct fw_silences silences;
 	int64_t failed_ms;             /* latest failure of a run */
 	uint32_t failed_count;         /* consecutive failed runs */
 	int64_t crashed_ms;            /* latest crash, 0: none */
