Groups leave free what timely groups of higher priority wait for

Cause: only waiting groups of priority 0 had accelerators left free for them. Small tasks of low priority took each accelerator that became free before a gang of the middle kind, which was then late.

A group leaves free what waiting groups of any higher priority need: all of it for priority 0, and up to 40 % of the service for others that can still meet their target and wait for free capacity only. The order itself is unchanged. fw_settings.rules_off switches the rule off, so that a test can compare both under one load.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -360,6 +360,7 @@
 	uint32_t request_bytes; /* most bytes of records in one append */
 	bool
 	    fallback_only; /* takes the placing duty only if no other VM does */
+	uint32_t rules_off; /* of enum fw_cost_rule: decided as without them */
 };
 
 /*
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -490,20 +490,19 @@
 	}
 }
 
-/* Returns whether a group may be placed beside the waiting groups of priority 0
- * of its service: enough accelerators stay free for them, or it has waited for
- * long and has to run. Without this limit, in a burst of urgent jobs on a fully
- * used deployment, small tasks of lower priority took every accelerator that
- * became free. */
+/* Returns whether a group may be placed beside the waiting groups that come
+ * before it in its service: enough accelerators stay free for them, or it has
+ * waited for long and has to run. */
 bool
-fw_group_leaves_urgent(const struct fw_view *view, const struct fw_group *group)
+fw_group_leaves_backlog(
+    const struct fw_view *view, const struct fw_group *group)
 {
 	int64_t need = (int64_t)group->count * step_of(view, group)->accels;
 	int64_t backlog;
 
 	if (group->service == FW_NONE || need == 0)
 		return true;
-	backlog = view->services[group->service].urgent_backlog;
+	backlog = fw_backlog_before(&view->services[group->service], group);
 	return backlog == 0 ||
 	    (group->waited_ms > RESERVED_WAIT_MS && has_to_run(group)) ||
 	    fw_view_free_accels(view, group->service) >= need + backlog;
@@ -536,18 +535,18 @@
 			continue;
 		last_failed = false;
 		if ((group->priority == 0 ||
-			fw_group_leaves_urgent(view, group)) &&
+			fw_group_leaves_backlog(view, group)) &&
 		    fw_group_fit(view, group, hosts, false)) {
 			fw_group_place(view, group, hosts);
 			(*placed)++;
 			continue;
 		}
 		last_failed = true;
-		if (group->priority == 0 && !group->too_late &&
-		    group->service != FW_NONE)
-			view->services[group->service].urgent_backlog +=
+		if (group->service != FW_NONE)
+			fw_backlog_add(&view->services[group->service], group,
 			    (int64_t)group->count *
-			    step_of(view, group)->accels;
+				step_of(view, group)->accels,
+			    view->settings->rules_off);
 		if (blocked != NULL)
 			blocked(ctx, view, group);
 	}
@@ -557,10 +556,10 @@
 /*
  * Places groups in the given order, with backfilling: a group may overtake one
  * that does not fit, but may not use the accelerators that waiting groups of
- * priority 0 need. blocked is called for each group that does not fit and may
- * withhold capacity from the groups after it. Those that are not reached have
- * their turn in later decisions, some of them in each. Returns the number of
- * groups placed.
+ * higher priority need (fw_backlog_before). blocked is called for each group
+ * that does not fit and may withhold capacity from the groups after it. Those
+ * that are not reached have their turn in later decisions, some of them in
+ * each. Returns the number of groups placed.
  */
 uint32_t
 fw_place(struct fw_view *view, const struct fw_groups *groups,
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -7,10 +7,6 @@
  * some tens of ms. */
 #define DUE_MARGIN_MS 60
 
-/* A task that lasts comes before all but priority 0 after this wait: it has to
- * run within 3 s however full its service is. */
-#define LASTING_WAIT_MS 1500
-
 /* A job that completes later than this multiple of its completion target is of
  * no use to its caller. */
 #define USEFUL_TARGET_FACTOR 3
@@ -27,7 +23,6 @@
     const struct bd_flow *flow, const struct fw_settings *settings);
 static int add_step(struct fw_groups *groups, const struct fw_view *view,
     uint32_t job, uint32_t occurrence, uint32_t step, bool suspect);
-static uint32_t rank(const struct fw_group *group);
 static int compare_groups(const void *a, const void *b);
 
 static bool
@@ -254,41 +249,11 @@
 	return CW_OK;
 }
 
-/* Returns the priority of a group in the placement order: 0, then tasks that
- * last and have waited for long, then the others. */
-static uint32_t
-rank(const struct fw_group *group)
-{
-	if (group->priority == 0)
-		return 0;
-	if (group->lasts && group->waited_ms > LASTING_WAIT_MS)
-		return 1;
-	return group->priority + 1;
-}
-
-/*
- * Placement order. Jobs that are too late to be useful come last. The others
- * are ordered by rank; then jobs that can still meet their target come
- * before those that cannot; then by least slack. Under overload this completes
- * the most jobs of a priority in time.
- */
+/* Compares two groups for qsort. */
 static int
 compare_groups(const void *a, const void *b)
 {
-	const struct fw_group *x = a;
-	const struct fw_group *y = b;
-
-	if (x->too_late != y->too_late)
-		return x->too_late ? 1 : -1;
-	if (rank(x) != rank(y))
-		return rank(x) < rank(y) ? -1 : 1;
-	if ((x->slack_ms < 0) != (y->slack_ms < 0))
-		return x->slack_ms < 0 ? 1 : -1;
-	if (x->slack_ms != y->slack_ms)
-		return x->slack_ms < y->slack_ms ? -1 : 1;
-	if (x->job != y->job)
-		return x->job < y->job ? -1 : 1;
-	return (x->first > y->first) - (x->first < y->first);
+	return fw_group_compare(a, b);
 }
 
 /* Sorts groups into placement order. */
--- a/lib/flow/wait_cause.c
+++ b/lib/flow/wait_cause.c
@@ -164,7 +164,7 @@
 		return FW_WAIT_NO_WORKER;
 	if (i != BARRIER_NONE)
 		return reasons[i];
-	if (group->priority != 0 && !fw_group_leaves_urgent(view, group))
+	if (group->priority != 0 && !fw_group_leaves_backlog(view, group))
 		return FW_WAIT_URGENT_BACKLOG;
 	if (view->hosts_scanned >= FW_HOSTS_SCANNED_MAX)
 		return FW_WAIT_SCAN_LIMIT;
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -523,7 +523,7 @@
 	/* Appends the record that a VM writes when it accepts a job. */
 	void
 	submit(const char *name, const std::vector<struct bd_flow_step> &steps,
-	    uint32_t priority = 1)
+	    uint32_t priority = 1, uint64_t client = 0)
 	{
 		FlowFixture scratch;
 		struct fw_job_spec spec = {};
@@ -547,6 +547,7 @@
 		scratch.queue.priority = priority;
 		spec.name = name;
 		spec.queue = &scratch.queue;
+		spec.client = client;
 		spec.accepted_ms = now_ms;
 		spec.occurrences = 1;
 		spec.steps = steps.data();
--- /dev/null
+++ b/tests/test_flow_caller_cost.cc
@@ -0,0 +1,321 @@
+#include <gtest/gtest.h>
+
+#include "sim/flow_sim.h"
+
+#define FILLING "00000000000000c1"
+#define GANG "00000000000000c2"
+#define SMALL "00000000000000c3"
+
+namespace {
+
+constexpr uint64_t FLOOD = 1;
+constexpr uint64_t OTHER = 2;
+constexpr uint64_t GUARANTEED = 3;
+
+/* What changes during a load. */
+enum Change {
+	BURST = 0,   /* 2.6 times the load that the deployment can serve */
+	LOST = 1,    /* a third of the workers leaves */
+	OFF = 2,     /* estimates are off by up to 0.9 */
+	FLOODS = 4,  /* one account sends three quarters of the load */
+	RECLAIM = 8, /* an account asks for its guarantee */
+};
+
+/* A load of three priorities on 12 workers of 8 accelerators: urgent gangs,
+ * gangs of the middle kind, and small tasks. */
+struct Load : FlowSim {
+	struct Job {
+		std::string name;
+		uint32_t priority;
+		uint32_t tasks;
+		uint64_t client;
+		int64_t accepted_ms;
+		int64_t estimate_ms;
+	};
+
+	SimVm *vm;
+	int changes;
+	uint64_t seed;
+	std::vector<Job> jobs;
+
+	Load(int load_changes, uint32_t rules_off, uint64_t load_seed)
+	    : changes(load_changes), seed(load_seed)
+	{
+		alignas(
+		    struct bd_setup) unsigned char row[sizeof(struct bd_setup) +
+		    sizeof(struct bd_client)] = {};
+		struct bd_setup *setup = (struct bd_setup *)row;
+
+		setup->client_count = 1;
+		fw_setup_clients(setup)[0] = {GUARANTEED, 32, 0};
+		for (int i = 0; i < 12; i++)
+			add_worker("w" + std::to_string(i));
+		vm = add_vm("a");
+		vm->placer->parts.settings.rules_off = rules_off;
+		bd_put(vm->fixture.board, BD_TABLE_setup, BD_WRITER_FLOW,
+		    BD_CONFIG_ID, row, sizeof(row), nullptr);
+		run_for(1000);
+		send(4000, 0.9);
+		if ((changes & LOST) != 0)
+			for (int i = 8; i < 12; i++) {
+				SimWorker &lost =
+				    workers["w" + std::to_string(i)];
+
+				lost.crash_down_ms = INT32_MAX;
+				lost.crash(now_ms);
+				remove_host(vm, lost.id);
+			}
+		if ((changes & RECLAIM) != 0)
+			schedule(3000, [this] {
+				for (int i = 0; i < 4; i++)
+					add(0, 2, GUARANTEED, 2500);
+			});
+		send(8000, 2.6);
+		send(8000, 0.7);
+		run_for(60000);
+	}
+
+	uint32_t
+	draw(uint32_t most)
+	{
+		seed = seed * 6364136223846793005U + 1442695040888963407U;
+		return (uint32_t)(seed >> 33) % (most + 1);
+	}
+
+	void
+	add(uint32_t priority, uint32_t tasks, uint64_t client, int64_t work_ms)
+	{
+		static const uint32_t accels[] = {4, 8, 1};
+		uint32_t off = draw(1800);
+		char name[BD_FLOW_NAME_BYTES];
+		struct bd_flow_step step =
+		    FlowFixture::make_step(tasks, accels[priority],
+			priority < 2 ? (uint32_t)BD_STEP_GANG : 0U);
+
+		snprintf(name, sizeof(name), "%016zx", 0x1000 + jobs.size());
+		step.estimate_ms = (uint32_t)work_ms;
+		if ((changes & OFF) != 0)
+			work_ms = work_ms * (100 + off) / 1000;
+		for (auto &entry : workers)
+			entry.second.job_work_ms[name] = work_ms;
+		jobs.push_back({name, priority, tasks, client, now_ms,
+		    (int64_t)step.estimate_ms});
+		submit(name, {step}, priority, client);
+	}
+
+	void
+	send(int64_t duration_ms, double factor)
+	{
+		static const double rates[] = {1.2, 1.8, 1.2};
+		static const uint32_t tasks[] = {2, 2, 8};
+		static const int64_t work_ms[] = {1500, 1000, 4000};
+		double credit[3] = {};
+
+		for (int64_t i = 0; i < duration_ms / 250; i++) {
+			for (uint32_t kind = 0; kind < 3; kind++)
+				for (credit[kind] += rates[kind] * factor / 4;
+				     credit[kind] >= 1; credit[kind]--) {
+					uint32_t size = draw(9) == 0 ? 3 : 1;
+					uint64_t client = draw(3) == 0 ||
+						(changes & FLOODS) == 0
+					    ? OTHER
+					    : FLOOD;
+
+					add(kind, tasks[kind] * size, client,
+					    work_ms[kind]);
+				}
+			run_for(250);
+		}
+	}
+
+	/* Returns the mean value that the callers of the selected jobs get: 1
+	 * in time, a fifth within three times the target, then nothing. */
+	double
+	value(const std::function<bool(const Job &)> &selected)
+	{
+		double sum = 0;
+		int count = 0;
+
+		bd_read_begin();
+		for (const Job &job : jobs) {
+			const struct bd_flow *flow =
+			    vm->fixture.find_flow(job.name.c_str());
+			int64_t took_ms = flow->changed_ms - job.accepted_ms;
+			int64_t target_ms = 3 * job.estimate_ms + 1500;
+
+			if (!selected(job))
+				continue;
+			count++;
+			EXPECT_EQ(BD_FLOW_COMPLETED, flow->state) << job.name;
+			if (took_ms <= 3 * target_ms)
+				sum += took_ms <= target_ms ? 1 : 0.2;
+		}
+		bd_read_end();
+		return count > 0 ? sum / count : 1;
+	}
+
+	double
+	value_of(uint32_t priority)
+	{
+		return value([priority](const Job &job) {
+			return job.priority == priority;
+		});
+	}
+
+	double
+	value_of_all()
+	{
+		return value([](const Job &) {
+			return true;
+		});
+	}
+
+	int
+	stops() const
+	{
+		int count = 0;
+
+		for (const auto &entry : run_checker.stopped)
+			count += entry.second;
+		return count;
+	}
+};
+
+/* What callers get of the same loads, summed over some seeds. */
+struct Sum {
+	double value[3] = {};
+	double all = 0;
+	int stops = 0;
+
+	Sum(int changes, uint32_t rules_off)
+	{
+		for (uint64_t seed = 1; seed <= 4; seed++) {
+			Load load(changes, rules_off, seed);
+
+			for (uint32_t i = 0; i < 3; i++)
+				value[i] += load.value_of(i);
+			all += load.value_of_all();
+			stops += load.stops();
+		}
+		printf("changes=%d rules_off=%x value=%.2f,%.2f,%.2f all=%.2f "
+		       "stops=%d\n",
+		    changes, rules_off, value[0] / 4, value[1] / 4,
+		    value[2] / 4, all / 4, stops);
+	}
+};
+
+} // namespace
+
+/* Returns a waiting group with 4 s of slack. */
+static struct fw_group
+waiting_group(uint32_t priority)
+{
+	struct fw_group group = {};
+
+	group.priority = priority;
+	group.slack_ms = 4000;
+	return group;
+}
+
+/* Guards against work of high priority that finds its accelerators taken by
+ * work of lower priority, and against a backlog that keeps a service idle: of
+ * jobs that are late anyway, or of more than its limit. */
+TEST(FlowCallerCost, GroupsLeaveWhatHigherPrioritiesNeed)
+{
+	struct fw_service_view service = {};
+	struct fw_group first = waiting_group(0);
+	struct fw_group second = waiting_group(1);
+	struct fw_group third = waiting_group(2);
+	struct fw_group last = waiting_group(1000);
+
+	service.accel_total = 100;
+	fw_backlog_add(&service, &second, 30, 0);
+	fw_backlog_add(&service, &third, 5, 0);
+	fw_backlog_add(&service, &last, 7, 0);
+	EXPECT_EQ(0, fw_backlog_before(&service, &first));
+	EXPECT_EQ(0, fw_backlog_before(&service, &second));
+	EXPECT_EQ(30, fw_backlog_before(&service, &third));
+	EXPECT_EQ(35, fw_backlog_before(&service, &last));
+	fw_backlog_add(&service, &third, 50, 0);
+	EXPECT_EQ(40, fw_backlog_before(&service, &last));
+	fw_backlog_add(&service, &first, 90, 0);
+	EXPECT_EQ(0, fw_backlog_before(&service, &first));
+	EXPECT_EQ(90, fw_backlog_before(&service, &second));
+	EXPECT_EQ(130, fw_backlog_before(&service, &last));
+	service = {};
+	service.accel_total = 100;
+	second.slack_ms = -1;
+	fw_backlog_add(&service, &second, 30, 0);
+	second = waiting_group(1);
+	second.suspect = true;
+	fw_backlog_add(&service, &second, 30, 0);
+	second.suspect = false;
+	second.bound = true;
+	fw_backlog_add(&service, &second, 30, 0);
+	first.too_late = true;
+	fw_backlog_add(&service, &first, 30, 0);
+	EXPECT_EQ(0, fw_backlog_before(&service, &third));
+}
+
+/* Places what is ready, as a placer that knows the capacity of services. */
+static uint32_t
+decide(FlowFixture &fixture)
+{
+	struct fw_groups groups;
+	struct fw_view view;
+	uint32_t placed;
+
+	bd_read_begin();
+	fw_view_build(&view, fixture.board, &fixture.settings, 5000, 2000);
+	fw_view_reserve_urgent(&view, 0);
+	fw_groups_ready(&groups, &view);
+	fw_groups_sort(&groups);
+	placed = fw_place(&view, &groups, nullptr, nullptr);
+	fw_groups_free(&groups);
+	fixture.store_changed_jobs(&view);
+	fw_view_free(&view);
+	bd_read_end();
+	return placed;
+}
+
+/* Guards against small tasks of low priority that take each accelerator that
+ * becomes free while a gang of the middle kind can still be in time. Without
+ * the rule they take them, and with it the gang starts first. */
+TEST(FlowCallerCost, FreedCapacityIsLeftToGangsThatCanBeInTime)
+{
+	for (uint32_t off : {(uint32_t)FW_RULE_LEAVE_TIMELY, 0U}) {
+		FlowFixture fixture;
+
+		fixture.settings.rules_off = off;
+		fixture.add_host("1", "r1");
+		fixture.add_host("2", "r1");
+		fixture.submit(FILLING, {FlowFixture::make_step(16, 1)});
+		EXPECT_EQ(16U, fixture.place_ready());
+		fixture.submit(
+		    GANG, {FlowFixture::make_step(1, 6, BD_STEP_GANG)});
+		fixture.queue.priority = 2;
+		fixture.submit(SMALL, {FlowFixture::make_step(4, 1)});
+		for (uint32_t i = 0; i < 4; i++)
+			fixture.end_run(FILLING, i, FW_END_DONE);
+		EXPECT_EQ(off != 0 ? 4U : 0U, decide(fixture));
+		for (uint32_t i = 4; i < 8; i++)
+			fixture.end_run(FILLING, i, FW_END_DONE);
+		decide(fixture);
+		bd_read_begin();
+		EXPECT_EQ(off != 0 ? BD_FLOW_QUEUED : BD_FLOW_RUNNING,
+		    fixture.find_flow(GANG)->state);
+		bd_read_end();
+	}
+}
+
+/* Guards against a rule that costs callers more than it gains them. */
+TEST(FlowCallerCost, LeavingFreeForTheMiddleKindPaysInABurst)
+{
+	Sum former(BURST, ~0U);
+	Sum ours(BURST, 0);
+
+	EXPECT_GE(ours.value[0], former.value[0]);
+	EXPECT_GE(ours.value[1], former.value[1]);
+	EXPECT_GE(ours.all, former.all);
+	EXPECT_LT(ours.stops, former.stops);
+}
