Nothing is started in a zone that an operator asks to evacuate

Cause: a record evacuate/ZONE in the configuration topic was passed over, so that tasks went on to start in a zone that operators wanted to empty. Decisions treat workers of such a zone like draining ones, and each start checks it again when it is sent: a start that was not sent ends as not sent, an unanswered one is resolved by a stop, runs go on. Where the settings have EvacuateMs, a placer starts tasks only by a copy of at most EvacuateMs less 1 s, read after the latest freeze of its VM; ends are applied all the same. Cold workers are chosen last where ColdOverage is above 1. The host functions of view.c and the stop rules of sync.c moved to files of their own.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -134,3 +134,7 @@
 EV(1150, EV_FLOW_ROW_BAD, EV_LEVEL_WARN,
     "row of a worker's list cannot be read")
 EV(1151, EV_FLOW_DEPARTED, EV_LEVEL_INFO, "worker has left, by the store's log")
+EV(1152, EV_FLOW_ZONE_EVACUATED, EV_LEVEL_INFO, "evacuation of a zone read")
+EV(1153, EV_FLOW_ZONE_OPEN, EV_LEVEL_INFO, "evacuation of a zone withdrawn")
+EV(1154, EV_FLOW_ZONE_NOT_HELD, EV_LEVEL_ERROR,
+    "evacuation of a zone not held, is read again")
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -18,6 +18,8 @@
 /* "[ip]:port" at its longest has 53 characters. */
 #define BD_HOST_ADDRESS_BYTES 56
 #define BD_FLOW_NAME_BYTES 24
+/* The name of a zone is a part of a key of the store, up to 255 bytes. */
+#define BD_ZONE_NAME_BYTES 256
 
 /* A text of any length among the texts of a row, which tells where they start.
  * It has no terminator, and may contain any bytes. */
@@ -92,6 +94,8 @@
 	int64_t incarnation_ms; /* start of this incarnation, 0: not given */
 	int64_t clock_ms; /* the worker's clock when it wrote the record */
 	int64_t heard_ms; /* monotonic time at which the record was read */
+	uint64_t zone;    /* cw_id_from_name(name of its zone) */
+	int64_t cold_until_ms; /* monotonic: it is slow until then */
 	char name[BD_HOST_NAME_BYTES];
 	char address[BD_HOST_ADDRESS_BYTES];
 	char kind[BD_LABEL_BYTES];
@@ -104,6 +108,15 @@
 	uint32_t reserved;
 };
 
+/* Table "evacuation": an availability zone in which nothing is started, by
+ * request of an operator. */
+struct bd_evacuation {
+	uint64_t id;      /* cw_id_from_name(zone) */
+	uint64_t offset;  /* of its newest record in the log */
+	int64_t since_ms; /* monotonic time at which this VM first read it */
+	char zone[BD_ZONE_NAME_BYTES];
+};
+
 /* Table "departure": a worker whose entry was removed, as far as the store's
  * log was read back. */
 struct bd_departure {
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -55,15 +55,17 @@
     const struct fw_job_view *job, size_t record_bytes_max);
 static bool fill_batch(struct fw_placer *placer, struct fw_view *view);
 
-/* Excludes workers that do not answer, have not listed their runs in this term
- * yet, or whose entry is of a former incarnation, and marks those on which runs
- * fail. */
+/* Excludes all workers while the copy of the evacuations is too old: ends are
+ * applied all the same. Excludes those that do not answer, have not listed
+ * their runs in this term yet, or whose entry is of a former incarnation, and
+ * marks those on which runs fail. */
 static void
 exclude_failing_hosts(struct fw_placer *placer, struct fw_view *view)
 {
 	uint32_t missing = 0;
 	uint32_t i;
 
+	view->zones_old = !fw_zones_recent(placer, view->now_ms);
 	for (i = 0; i < view->host_count; i++) {
 		struct fw_host_view *host = &view->hosts[i];
 		uint32_t found =
@@ -75,6 +77,8 @@
 			continue;
 		}
 		worker = &placer->tables.worker_states[found];
+		if (view->zones_old)
+			host->schedulable = false;
 		missing +=
 		    !worker->reported && worker->unresponsive_since_ms == 0;
 		if (!worker->reported || worker->unresponsive_since_ms != 0 ||
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -351,6 +351,10 @@
 	uint32_t reclaim_ms;      /* guaranteed jobs start within this time */
 	uint32_t ack_timeout_ms;  /* listed ends are acknowledged by then */
 	uint32_t cancel_ms;     /* no task of a cancelled job starts after it */
+	/* No task starts in an evacuated zone after it, 0: without a bound. */
+	uint32_t evacuate_ms;
+	/* Run time of a task on a cold worker, by that on others. */
+	uint32_t cold_overage_milli;
 	uint32_t remote_factor; /* factor of the run time on other racks */
 	uint32_t retention_ms;  /* retention period of ended jobs */
 	uint32_t join_ttl_ms;
@@ -442,6 +446,7 @@
 	struct fw_follower *jobs;
 	struct fw_follower *progress;
 	struct fw_follower *hosts;
+	struct fw_follower *config; /* of evacuations, NULL: without a bound */
 	struct fw_departures *departures;
 	struct fw_duty *duty;
 	struct fw_settings settings;
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -2,6 +2,7 @@
 #define CAMPHOR_FLOW_PLACER_H
 
 /* Included by flow_internal.h only. */
+#include "evacuation.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -118,6 +119,7 @@
 	struct fw_reservation *reservations;
 	struct fw_waits waits; /* for the log */
 	struct fw_undecided undecided;
+	struct fw_freeze freeze;
 	/* Average demand of priority 0, in thousandths of an accelerator, and
 	 * the time of its last update. */
 	uint64_t urgent_average_milli;
@@ -135,6 +137,11 @@
 #define FW_HOSTS_AGE_MAX_MS 3000
 
 bool fw_jobs_recent(const struct fw_placer *placer, int64_t now_ms);
+bool fw_zones_recent(const struct fw_placer *placer, int64_t now_ms);
+bool fw_may_start_on(
+    const struct fw_placer *placer, const struct fw_worker_state *worker);
+bool fw_run_continues(
+    struct fw_placer *placer, struct fw_run *run, int64_t now_ms);
 void fw_callbacks_add(struct fw_placer *placer, int added);
 void fw_orders_send(struct fw_placer *placer, int64_t now_ms);
 void fw_answers_handle(struct fw_placer *placer, int64_t now_ms);
--- a/lib/flow/flow_waits.h
+++ b/lib/flow/flow_waits.h
@@ -25,6 +25,8 @@
 	FW_WAIT_RESERVATION,    /* capacity is being freed for it */
 	FW_WAIT_NO_WORKER,      /* it fits on no worker, not even an idle one */
 	FW_WAIT_WORKERS_SILENT, /* only on workers that get no runs now */
+	FW_WAIT_ZONE,           /* only in zones that are evacuated */
+	FW_WAIT_ZONES_OLD,      /* evacuations may be unknown */
 	FW_WAIT_LATE_ROOM,      /* only in room kept for late starts */
 	FW_WAIT_KEPT,           /* only in room kept for other groups */
 	FW_WAIT_TRIAL,          /* trials of suspects refuse the workers */
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -340,9 +340,15 @@
 	    fw_lease_end_is_noted(placer->parts.board, worker) ||
 	    fw_worker_state_entry_outdated(worker) ||
 	    !fw_jobs_recent(placer, now_ms) ||
+	    !fw_zones_recent(placer, now_ms) ||
 	    !(fw_step_may_run_twice(flow, run->task.step) ||
 		fw_start_is_alone(&placer->tables, run, now_ms)))
 		return;
+	if (!fw_may_start_on(placer, worker)) {
+		if (run->phase == FW_PHASE_STARTING)
+			fw_run_stop(placer, run, "zone_evacuated");
+		return;
+	}
 	if (!fw_start_is_covered(
 		flow, run, placer->parts.wall_ms(placer->parts.ctx))) {
 		run->note_due = placer->decision_due = true;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -129,14 +129,17 @@
 }
 
 /* Returns whether worker a is preferred to worker b for a task. Suspect workers
- * come last; priority 0 prefers reserved workers, other jobs the rest; then
- * best fit: the fewest free accelerators, so that whole workers stay free. */
+ * come last, and cold ones before them; priority 0 prefers reserved workers,
+ * other jobs the rest; then best fit: the fewest free accelerators, so that
+ * whole workers stay free. */
 static bool
 is_preferred(const struct fw_host_view *a, const struct fw_host_view *b,
     uint32_t priority)
 {
 	if (a->suspect != b->suspect)
 		return b->suspect;
+	if (a->cold != b->cold)
+		return b->cold;
 	if (a->urgent != b->urgent)
 		return a->urgent == (priority == 0);
 	if (a->accels != b->accels)
@@ -212,7 +215,7 @@
 	for (i = 0; i < view->host_count; i++)
 		if (view->hosts[i].schedulable && !view->hosts[i].failing &&
 		    !crashed_there(view, flow, group, &view->hosts[i]) &&
-		    fw_host_task_capacity(view->hosts[i].row, flow, step) > 0)
+		    fw_host_task_capacity(&view->hosts[i], flow, step) > 0)
 			return true;
 	return false;
 }
@@ -387,8 +390,8 @@
 		uint64_t count = 0;
 
 		for (; i < end; i++)
-			count += fw_host_task_capacity(
-			    view->hosts[i].row, flow, step);
+			count +=
+			    fw_host_task_capacity(&view->hosts[i], flow, step);
 		if (count >= group->count)
 			return true;
 	}
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -139,6 +139,28 @@
 	    (int64_t)placer->parts.settings.cancel_ms - START_TRANSIT_MAX_MS;
 }
 
+/* Returns whether the copy of the evacuations is recent enough to start tasks.
+ */
+bool
+fw_zones_recent(const struct fw_placer *placer, int64_t now_ms)
+{
+	return placer->parts.config == NULL ||
+	    fw_zones_known(&placer->freeze, placer->parts.settings.evacuate_ms,
+		fw_follower_age_ms(placer->parts.config, now_ms), now_ms);
+}
+
+/* Returns whether tasks may be started on a worker by the evacuations that are
+ * known now. Of a worker that had no entry in this term the zone is not known.
+ * Call within a read section. */
+bool
+fw_may_start_on(
+    const struct fw_placer *placer, const struct fw_worker_state *worker)
+{
+	if (worker->zone == 0)
+		return !fw_any_zone_evacuated(placer->parts.board);
+	return !fw_zone_evacuated(placer->parts.board, worker->zone);
+}
+
 /* Makes a decision if one is due, publishes the states of jobs, and sends
  * orders to the workers. */
 static void
@@ -176,6 +198,8 @@
 	uint64_t term =
 	    fw_duty_term(placer->parts.duty, &placer->duty_confirmed_ms);
 
+	fw_freeze_look(
+	    &placer->freeze, now_ms, placer->parts.wall_ms(placer->parts.ctx));
 	if (term == 0)
 		go_idle(placer);
 	else if (term != placer->term)
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -3,17 +3,9 @@
 
 #include "flow_internal.h"
 
-/* A gang that is not complete within this part of gang_timeout_ms is stopped as
- * a whole, before its workers give up on it. */
-#define GANG_START_MILLI 600
-/* A worker that has left a start unanswered for this long is avoided. */
-#define START_SLOW_MS 2500
 /* The entry of a silent worker is deleted after three heartbeats; a draining
  * worker writes its entry with each one. */
 #define LEFT_HEARTBEATS_MAX 2
-/* Draining workers continue for some seconds after the notice that they
- * announce; workers that are removed do not. */
-#define DRAIN_EXTRA_MS 4000
 /* Interval at which workers' entries are read even if the topic's position has
  * not changed. */
 #define HOSTS_SYNC_MS 500
@@ -23,11 +15,6 @@
 static void sync_hosts(struct fw_placer *placer, int64_t now_ms);
 static void sync_flow(
     struct fw_placer *placer, const struct bd_flow *flow, int64_t now_ms);
-static bool continue_or_stop(
-    struct fw_placer *placer, struct fw_run *run, int64_t now_ms);
-static bool gang_intact(struct fw_placer *placer, const struct bd_flow *flow,
-    const struct fw_run *run, int64_t now_ms);
-static bool lasts(const struct bd_flow *flow, const struct fw_run *run);
 static bool may_start_late(const struct fw_run *run, int64_t incarnation_ms);
 static bool revoke_late_start(
     struct fw_run *run, const struct fw_worker_state *worker, int64_t now_ms);
@@ -35,8 +22,6 @@
     const struct fw_worker_state *worker, int64_t now_ms);
 static bool worker_gone(
     const struct fw_worker_state *worker, uint32_t heartbeat_ms);
-static bool should_migrate(const struct bd_flow *flow, const struct fw_run *run,
-    const struct bd_host *host, int64_t now_ms);
 static bool is_listed(const struct fw_run *run, const struct fw_report *report);
 static void probe_after_late_start(
     struct fw_worker_state *worker, const struct fw_run *run, int64_t now_ms);
@@ -72,6 +57,7 @@
 	worker->registered = true;
 	worker->departed = false;
 	worker->leaving = row->leaving != 0;
+	worker->zone = row->zone;
 	if (worker->address[0] == '\0' || worker->misaddressed ||
 	    (row->incarnation_ms != worker->incarnation_ms &&
 		row->heard_ms > 0))
@@ -186,101 +172,6 @@
 	    run->percent);
 }
 
-/* Returns whether a gang may continue. A gang cannot run without one of its
- * members, so it is stopped as a whole if one has ended or does not start in
- * time. Once one member is done, all are. */
-static bool
-gang_intact(struct fw_placer *placer, const struct bd_flow *flow,
-    const struct fw_run *run, int64_t now_ms)
-{
-	const struct bd_step_task *tasks = fw_flow_tasks(flow);
-	int64_t start_limit_ms =
-	    (int64_t)placer->parts.settings.gang_timeout_ms * GANG_START_MILLI /
-	    1000;
-	uint32_t first;
-	uint32_t count;
-	bool intact = true;
-	uint32_t i;
-
-	if (!fw_group_of(flow, run->index, &first, &count))
-		return true;
-	for (i = first; i < first + count; i++) {
-		const struct fw_run *member;
-		uint32_t found;
-
-		if (tasks[i].state != BD_STEP_TASK_PLACED ||
-		    tasks[i].run != run->run) {
-			intact = false;
-			continue;
-		}
-		found = fw_run_find(&placer->tables, flow->id, i, tasks[i].run);
-		if (found == FW_NONE)
-			continue;
-		member = &placer->tables.runs[found];
-		if (member->phase == FW_PHASE_ENDED &&
-		    member->end == FW_END_DONE)
-			return true;
-		if (member->stop_requested || member->phase == FW_PHASE_ENDED ||
-		    (member->phase == FW_PHASE_STARTING &&
-			now_ms - member->placed_ms > start_limit_ms))
-			intact = false;
-	}
-	return intact;
-}
-
-/* Returns whether a run is of a step that runs until its job is cancelled. */
-static bool
-lasts(const struct bd_flow *flow, const struct fw_run *run)
-{
-	struct fw_task_ref ref;
-
-	fw_task_ref_of(flow, run->index, &ref);
-	return (fw_flow_steps(flow)[ref.step].flags & BD_STEP_LONG_RUNNING) !=
-	    0;
-}
-
-/* Returns whether a run is to continue; requests its stop if not. */
-static bool
-continue_or_stop(struct fw_placer *placer, struct fw_run *run, int64_t now_ms)
-{
-	const struct bd_flow *flow =
-	    bd_flow_lookup(placer->parts.board, run->flow);
-	struct fw_worker_state *worker =
-	    &placer->tables.worker_states[run->worker];
-	const struct bd_host *host =
-	    bd_host_lookup(placer->parts.board, worker->host);
-
-	if (flow == NULL || run->stop_requested)
-		return false;
-	fw_run_note_pace(&placer->tables, flow, run);
-	if (run->phase == FW_PHASE_STARTING && run->start_uncertain &&
-	    now_ms - run->placed_ms > START_SLOW_MS)
-		worker->unanswered_ms = now_ms;
-	if (fw_flow_ended(flow) || flow->cancelled != 0)
-		fw_run_stop(placer, run, "job_ended");
-	else if (!gang_intact(placer, flow, run, now_ms))
-		fw_run_stop(placer, run, "gang_incomplete");
-	else if (run->phase == FW_PHASE_STARTING &&
-	    now_ms - run->placed_ms > FW_START_REPEATED_MS) {
-		fw_run_stop(placer, run, "start_unanswered");
-		run->start_given_up = true;
-	} else if (host != NULL && host->leaving != 0 &&
-	    (run->phase == FW_PHASE_STARTING ||
-		should_migrate(flow, run, host, now_ms)))
-		fw_run_stop(placer, run, "worker_leaving");
-	else if (run->phase == FW_PHASE_STARTING && !run->start_sent &&
-	    (worker->unresponsive_since_ms != 0 || worker->misaddressed))
-		fw_run_stop(placer, run, "worker_silent");
-	else if (fw_ends_need_lapse(worker) && lasts(flow, run))
-		fw_run_stop(placer, run, "ends_held_up");
-	else if (fw_run_stalled(&placer->tables, flow, run)) {
-		fw_run_stop(placer, run, "no_progress");
-		worker->failed_count += 2;
-		worker->failed_ms = now_ms;
-	}
-	return !run->stop_requested;
-}
-
 /* Returns whether a report lists a run, as running or as ended. */
 static bool
 is_listed(const struct fw_run *run, const struct fw_report *report)
@@ -352,26 +243,6 @@
 	    (int64_t)heartbeat_ms * LEFT_HEARTBEATS_MAX;
 }
 
-/* Returns whether a run should migrate from a leaving worker because it would
- * not complete in time. A run without checkpoints loses its work by migrating,
- * so it stays if it may complete before a draining worker ends. */
-static bool
-should_migrate(const struct bd_flow *flow, const struct fw_run *run,
-    const struct bd_host *host, int64_t now_ms)
-{
-	int64_t remaining_ms = host->heard_ms + host->notice_ms - now_ms;
-	const struct bd_flow_step *step;
-	struct fw_task_ref ref;
-
-	fw_task_ref_of(flow, run->index, &ref);
-	step = &fw_flow_steps(flow)[ref.step];
-	if ((step->flags & BD_STEP_CHECKPOINTS) == 0)
-		remaining_ms += DRAIN_EXTRA_MS;
-	return (int64_t)step->estimate_ms * (100 - (int64_t)run->percent) /
-	    100 >
-	    remaining_ms;
-}
-
 /* Asks a worker for a list as soon as a late start is refused or can no longer
  * arrive there. The answer to a long poll may take some seconds more. */
 static void
@@ -548,7 +419,7 @@
 	}
 	settle_adopted(placer, run, now_ms);
 	settle_restarted(placer, run, now_ms);
-	if (!continue_or_stop(placer, run, now_ms) && !run->start_sent &&
+	if (!fw_run_continues(placer, run, now_ms) && !run->start_sent &&
 	    !run->order_in_flight) {
 		fw_run_mark_ended(run, FW_END_STOPPED, FW_OVER_NOT_SENT);
 		return;
--- a/lib/flow/trials.c
+++ b/lib/flow/trials.c
@@ -56,7 +56,7 @@
 		if (!host->schedulable || host->failing || host->suspect ||
 		    host->trial != 0 ||
 		    (host->urgent && group->priority != 0) ||
-		    fw_host_task_capacity(host->row, flow, step) == 0)
+		    fw_host_task_capacity(host, flow, step) == 0)
 			continue;
 		if (best == FW_NONE ||
 		    fw_host_is_emptier(host, &view->hosts[best]))
@@ -94,7 +94,7 @@
 				break;
 			fw_view_hold(view, group->job, host);
 			held += fw_host_task_capacity(
-			    view->hosts[host].row, flow, step);
+			    &view->hosts[host], flow, step);
 		}
 	}
 }
--- a/lib/flow/wait_cause.c
+++ b/lib/flow/wait_cause.c
@@ -10,7 +10,9 @@
 	BARRIER_KEPT,
 	BARRIER_LIMIT,
 	BARRIER_SILENT,
+	BARRIER_ZONE, /* an evacuated one that has room */
 	BARRIER_FULL,
+	BARRIER_ZONE_FULL,
 	BARRIER_COUNT,
 };
 
@@ -42,6 +44,8 @@
 	    [FW_WAIT_RESERVATION] = "reservation",
 	    [FW_WAIT_NO_WORKER] = "no_worker",
 	    [FW_WAIT_WORKERS_SILENT] = "workers_silent",
+	    [FW_WAIT_ZONE] = "zone_evacuated",
+	    [FW_WAIT_ZONES_OLD] = "zones_old",
 	    [FW_WAIT_LATE_ROOM] = "late_room",
 	    [FW_WAIT_KEPT] = "kept",
 	    [FW_WAIT_TRIAL] = "trial",
@@ -97,9 +101,12 @@
 	free_host.accels += host->kept.accels;
 	*fitting = count_fitting(&free_host, flow, step, most);
 	if (*fitting == 0) {
-		*fitting = fw_host_task_capacity(host->row, flow, step);
-		return BARRIER_FULL;
+		free_host.evacuated = false;
+		*fitting = fw_host_task_capacity(&free_host, flow, step);
+		return host->evacuated ? BARRIER_ZONE_FULL : BARRIER_FULL;
 	}
+	if (host->evacuated)
+		return BARRIER_ZONE;
 	if (!host->schedulable || host->failing)
 		return BARRIER_SILENT;
 	if (step->host_max > 0) {
@@ -141,6 +148,8 @@
 	    [BARRIER_KEPT] = FW_WAIT_KEPT,
 	    [BARRIER_LIMIT] = FW_WAIT_WORKER_LIMIT,
 	    [BARRIER_SILENT] = FW_WAIT_WORKERS_SILENT,
+	    [BARRIER_ZONE] = FW_WAIT_ZONE,
+	    [BARRIER_ZONE_FULL] = FW_WAIT_ZONE,
 	    [BARRIER_FULL] = FW_WAIT_NO_ROOM};
 	const struct bd_flow_step *step = &fw_flow_steps(
 	    fw_job_current(&view->jobs[group->job]))[group->step];
@@ -148,6 +157,8 @@
 	uint64_t sum = 0;
 	uint32_t i;
 
+	if (view->zones_old)
+		return FW_WAIT_ZONES_OLD;
 	fw_group_count_tasks(view, group);
 	for (i = 0; i < view->host_count; i++) {
 		uint32_t fits;
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -6,6 +6,7 @@
 
 #include "../flow_fixture.h"
 #include "platform_sim.h"
+#include "zones_sim.h"
 
 /*
  * Deterministic simulation of the placers of several VMs against the simulated
@@ -21,6 +22,8 @@
 	struct fw_follower *jobs = nullptr;
 	struct fw_follower *progress = nullptr;
 	struct fw_follower *hosts = nullptr;
+	struct fw_follower *config = nullptr; /* of evacuations, see SimZones */
+	struct fw_evacuations evacuations = {};
 	struct fw_snapshot_ids seen_progress = {};
 	struct fw_snapshot_ids seen_leases = {};
 	struct fw_departures *departures = nullptr;
@@ -28,8 +31,9 @@
 	struct fw_placer *placer = nullptr;
 	bool alive = true;
 	bool store_unreachable = false;
-	bool jobs_unreadable = false; /* reads of the jobs topic fail */
-	bool paused = false;          /* the placer is not stepped */
+	bool jobs_unreadable = false;   /* reads of the jobs topic fail */
+	bool config_unreadable = false; /* so do those of the configuration */
+	bool paused = false;            /* the placer is not stepped */
 	uint64_t seen_version = 0;
 	int64_t next_step_ms = 0;
 };
@@ -65,6 +69,8 @@
 	int64_t now_ms = 1000;
 	SimLog job_log;
 	SimLog progress_log;
+	SimLog config_log;
+	SimZones zones;
 	std::map<std::string, int> progress_reads; /* by VM */
 	SimGroup group;
 	SimRunChecker run_checker;
@@ -208,6 +214,8 @@
 		host.clock_ms = worker.clock(now_ms);
 		host.heard_ms = now_ms;
 		host.leaving = draining.count(worker.id) != 0;
+		if (!worker.zone.empty())
+			host.zone = cw_id_from_name(worker.zone.c_str());
 		bd_put(vm->fixture.board, BD_TABLE_host, BD_WRITER_FLOW, id,
 		    &host, sizeof(host), nullptr);
 	}
@@ -252,7 +260,9 @@
 	SimLog &
 	topic_log(enum fw_topic name)
 	{
-		return name == FW_TOPIC_PROGRESS ? progress_log : job_log;
+		return name == FW_TOPIC_PROGRESS ? progress_log
+		    : name == FW_TOPIC_CONFIG    ? config_log
+						 : job_log;
 	}
 
 	/* Changes the entry of a worker on the board of a VM, which reads it
@@ -389,6 +399,56 @@
 		return sim->now_ms + sim->wall_ahead_ms;
 	}
 
+	static int
+	on_zone(void *ctx, const struct fw_record *record, int64_t now_ms)
+	{
+		return fw_evacuation_apply(&((SimVm *)ctx)->evacuations,
+		    record->key, record->offset, record->value != nullptr,
+		    now_ms);
+	}
+
+	/* Lets a VM follow the evacuations, as platform/system.c does. */
+	static void
+	follow_zones(SimVm *vm, const struct fw_store &store)
+	{
+		struct fw_follow_spec spec = {};
+
+		fw_evacuations_init(&vm->evacuations, vm->fixture.board);
+		spec.topic = FW_TOPIC_CONFIG;
+		spec.newest_suffices = true;
+		spec.read_interval_ms = 50;
+		spec.wait_ms = 1000;
+		spec.first = [](void *ctx) {
+			fw_evacuations_load_begin(&((SimVm *)ctx)->evacuations);
+		};
+		spec.record = on_zone;
+		spec.last = [](void *ctx) {
+			fw_evacuations_load_end(&((SimVm *)ctx)->evacuations);
+		};
+		spec.ctx = vm;
+		fw_follower_start(
+		    &vm->config, vm->fixture.board, &store, &spec);
+	}
+
+	/* The store acknowledges an operator's request for a zone. */
+	void
+	evacuate(const std::string &zone, const std::string &value = "{}")
+	{
+		uint64_t end;
+
+		config_log.append({{zone, value}}, 0, 0, &end);
+		zones.request(zone, now_ms);
+	}
+
+	void
+	withdraw(const std::string &zone)
+	{
+		uint64_t end;
+
+		config_log.append({{zone, ""}}, 0, 0, &end);
+		zones.withdraw(zone);
+	}
+
 	SimVm *
 	add_vm(const std::string &name, bool fallback_only = false)
 	{
@@ -407,6 +467,7 @@
 		parts.settings.fallback_only = fallback_only;
 		parts.settings.record_bytes = record_bytes;
 		parts.settings.request_bytes = request_bytes;
+		parts.settings.evacuate_ms = zones.bound_ms;
 		if (ack_timeout_ms > 0)
 			parts.settings.ack_timeout_ms = ack_timeout_ms;
 		parts.wall_ms = wall_clock;
@@ -429,6 +490,8 @@
 		spec.record = ignore_host;
 		fw_follower_start(
 		    &vm->hosts, vm->fixture.board, &parts.store, &spec);
+		if (zones.bound_ms > 0)
+			follow_zones(vm, parts.store);
 		struct fw_departures_spec past = {
 		    vm->fixture.board, parts.store, decode_entry, vm};
 		fw_departures_create(&vm->departures, &past);
@@ -438,6 +501,7 @@
 		parts.jobs = vm->jobs;
 		parts.progress = vm->progress;
 		parts.hosts = vm->hosts;
+		parts.config = vm->config;
 		parts.duty = vm->duty;
 		fw_placer_create(&vm->placer, &parts);
 		for (auto &entry : workers)
@@ -459,6 +523,8 @@
 		fw_follower_stop(vm->jobs);
 		fw_follower_stop(vm->progress);
 		fw_follower_stop(vm->hosts);
+		if (vm->config != nullptr)
+			fw_follower_stop(vm->config);
 		fw_departures_stop(vm->departures);
 		vm->alive = false;
 		run_for(DRAIN_MS);
@@ -469,6 +535,8 @@
 		fw_snapshot_ids_free(&vm->seen_progress);
 		fw_snapshot_ids_free(&vm->seen_leases);
 		fw_follower_free(vm->hosts);
+		fw_follower_free(vm->config);
+		fw_evacuations_free(&vm->evacuations);
 		fw_departures_free(vm->departures);
 	}
 
--- a/tests/sim/flow_sim_orders.h
+++ b/tests/sim/flow_sim_orders.h
@@ -35,6 +35,7 @@
 	}
 	if (late_ms == 0)
 		worker.called = true;
+	int starts = run_checker.starts;
 	if (call.kind == FW_ORDER_START)
 		reason = worker.start(task, call.run, call.until_ms, call.token,
 		    now_ms,
@@ -44,6 +45,9 @@
 	else
 		reason = worker.hold(
 		    call.until_ms, call.end_ack, call.token, now_ms);
+	/* An order that is carried out late was sent in time. */
+	if (run_checker.starts > starts && late_ms == 0)
+		zones.note_start(worker.zone, task, now_ms);
 	report->clock_ms = worker.clock(now_ms);
 	report->partial = worker.ends.size() >= SimWorker::ENDS_LISTED_MAX;
 	report->answer = reason.empty() ? FW_ANSWER_DONE
--- a/tests/sim/flow_sim_store.h
+++ b/tests/sim/flow_sim_store.h
@@ -75,7 +75,8 @@
     SimVm *vm, struct fw_read call, int64_t sent_ms, int64_t until_ms)
 {
 	if (store_down || vm->store_unreachable ||
-	    (vm->jobs_unreadable && call.topic == FW_TOPIC_JOBS)) {
+	    (vm->jobs_unreadable && call.topic == FW_TOPIC_JOBS) ||
+	    (vm->config_unreadable && call.topic == FW_TOPIC_CONFIG)) {
 		schedule(READ_TIMEOUT_MS, [this, call, sent_ms] {
 			call.done(call.ctx, FW_RESULT_UNKNOWN, false, 0,
 			    sent_ms, now_ms);
@@ -95,6 +96,16 @@
 		});
 		return;
 	}
+	if (call.end_only) {
+		call.done(call.ctx, FW_RESULT_DONE, false, source.end(),
+		    sent_ms, now_ms);
+		return;
+	}
+	if (!call.newest && call.from < source.first) {
+		call.done(call.ctx, FW_RESULT_EXPIRED, false, source.end(),
+		    sent_ms, now_ms);
+		return;
+	}
 	if (!call.newest && source.end() <= call.from && now_ms < until_ms) {
 		schedule(reads_ignore_appends ? until_ms - now_ms : 1,
 		    [this, vm, call, sent_ms, until_ms] {
@@ -118,8 +129,8 @@
 			    entry.second.second);
 	else
 		for (uint64_t i = call.from; i < source.end(); i++)
-			deliver(
-			    i, source.records[i].key, source.records[i].value);
+			deliver(i, source.records[i - source.first].key,
+			    source.records[i - source.first].value);
 	call.done(
 	    call.ctx, FW_RESULT_DONE, false, source.end(), sent_ms, now_ms);
 }
--- a/tests/sim/log_sim.h
+++ b/tests/sim/log_sim.h
@@ -20,6 +20,8 @@
 	uint64_t epoch = 0;
 	int64_t last_sequence = -1;
 	std::map<int64_t, uint64_t> answers; /* by sequence: log end */
+	/* The newest records that are no longer in the log. */
+	std::map<std::string, std::pair<uint64_t, std::string>> kept;
 
 	uint64_t
 	end() const
@@ -65,7 +67,8 @@
 	std::map<std::string, std::pair<uint64_t, std::string>>
 	newest() const
 	{
-		std::map<std::string, std::pair<uint64_t, std::string>> out;
+		std::map<std::string, std::pair<uint64_t, std::string>> out =
+		    kept;
 
 		for (size_t i = 0; i < records.size(); i++) {
 			if (records[i].value.empty())
@@ -76,6 +79,16 @@
 		}
 		return out;
 	}
+
+	/* The records of the log so far expire; the newest of each key stay in
+	 * snapshots. */
+	void
+	expire()
+	{
+		kept = newest();
+		first = end();
+		records.clear();
+	}
 };
 
 /* Consumer group of the placers; its owner holds the placing duty. */
--- a/tests/sim/worker_sim.h
+++ b/tests/sim/worker_sim.h
@@ -38,6 +38,7 @@
 	std::string id;
 	std::string address; /* name of the connection point */
 	std::string rack = "r1-1";
+	std::string zone; /* "": its entry names none */
 	int64_t incarnation_ms = 1;
 	int64_t start_ms = 0;       /* of this incarnation */
 	int64_t clock_milli = 1000; /* rate of its clock */
--- /dev/null
+++ b/tests/test_flow_evacuation.cc
@@ -0,0 +1,555 @@
+#include <gtest/gtest.h>
+
+#include "sim/flow_placer_tests.h"
+
+namespace {
+
+/* Three zones of two workers each, and short jobs all the time. */
+struct Zones {
+	static constexpr int64_t JOB_GAP_MS = 60;
+
+	FlowSim sim;
+	SimVm *a;
+	SimVm *b;
+	int jobs = 0;
+	int64_t next_job_ms = 0;
+
+	Zones()
+	{
+		sim.zones.bound_ms = 5000;
+		for (int i = 0; i < 6; i++) {
+			SimWorker &worker =
+			    sim.add_worker("w" + std::to_string(i));
+
+			worker.zone = "z" + std::to_string(i / 2);
+			worker.work_ms = 300;
+		}
+		a = sim.add_vm("a");
+		b = sim.add_vm("b");
+		for (SimVm *vm : {a, b})
+			for (auto &worker : sim.workers)
+				sim.update_host(vm, worker.second);
+		run(3000);
+		EXPECT_TRUE(
+		    fw_placer_active(a->placer) || fw_placer_active(b->placer));
+	}
+
+	static std::string
+	name_of(int job)
+	{
+		char name[24];
+
+		snprintf(name, sizeof(name), "%016x", job + 0xa000);
+		return name;
+	}
+
+	SimVm *
+	placer()
+	{
+		return fw_placer_active(a->placer) ? a : b;
+	}
+
+	SimVm *
+	other()
+	{
+		return placer() == a ? b : a;
+	}
+
+	/* Runs while jobs come in. */
+	void
+	run(int64_t ms)
+	{
+		int64_t end_ms = sim.now_ms + ms;
+
+		while (sim.now_ms < end_ms) {
+			if (sim.now_ms >= next_job_ms) {
+				sim.submit(name_of(jobs++).c_str(),
+				    {FlowFixture::make_step(1, 8)});
+				next_job_ms = sim.now_ms + JOB_GAP_MS;
+			}
+			sim.run_for(20);
+			sim.advance_workers();
+		}
+	}
+
+	/* Runs until all jobs are done, or for a minute. */
+	void
+	finish()
+	{
+		int64_t end_ms = sim.now_ms + 60000;
+
+		while (sim.now_ms < end_ms && unfinished() > 0)
+			sim.run_for(100);
+		EXPECT_EQ(0, unfinished());
+	}
+
+	int
+	unfinished()
+	{
+		SimVm *vm = a->alive ? a : b;
+		int count = 0;
+
+		for (int i = 0; i < jobs; i++) {
+			bd_read_begin();
+			const struct bd_flow *flow =
+			    vm->fixture.find_flow(name_of(i).c_str());
+			count += flow == nullptr ||
+			    fw_flow_public_state(flow) != BD_FLOW_COMPLETED;
+			bd_read_end();
+		}
+		return count;
+	}
+
+	size_t
+	running_in(const std::string &zone)
+	{
+		size_t count = 0;
+
+		for (const auto &worker : sim.workers)
+			if (worker.second.zone == zone)
+				count += worker.second.runs.size();
+		return count;
+	}
+
+	bool
+	held_by(SimVm *vm, const std::string &zone)
+	{
+		return fw_zone_evacuated(
+		    vm->fixture.board, cw_id_from_name(zone.c_str()));
+	}
+
+	/* Returns the starts in a zone during a time. */
+	int
+	starts_in(const std::string &zone, int64_t ms)
+	{
+		int starts = 0;
+
+		sim.run_checker.observer = [&](const char *what,
+					       const std::string &, uint32_t,
+					       const void *worker) {
+			starts += strcmp(what, "start") == 0 &&
+			    ((const SimWorker *)worker)->zone == zone;
+		};
+		run(ms);
+		sim.run_checker.observer = nullptr;
+		return starts;
+	}
+
+	void
+	expect_kept()
+	{
+		for (const std::string &late : sim.zones.late_starts)
+			ADD_FAILURE() << late;
+		expect_no_violations(sim);
+	}
+};
+
+/* Guards against starts in an evacuated zone, against work that is kept from
+ * the other zones, and against runs that are stopped for an evacuation. */
+TEST(FlowEvacuation, NothingStartsInTheZoneAndRunsGoOn)
+{
+	for (int64_t phase_ms = 0; phase_ms < 400; phase_ms += 70) {
+		Zones zones;
+
+		zones.run(phase_ms);
+		EXPECT_GT(zones.running_in("z1"), 0u);
+		zones.sim.evacuate("z1");
+		zones.run(1000);
+		EXPECT_EQ(0, zones.starts_in("z1", 8000));
+		EXPECT_EQ(0u, zones.running_in("z1"));
+		zones.finish();
+		EXPECT_TRUE(zones.sim.run_checker.stopped.empty());
+		zones.expect_kept();
+	}
+}
+
+/* Guards against a withdrawal that is not noticed, and against a second request
+ * within seconds that is taken for the first. */
+TEST(FlowEvacuation, WithdrawnAndAskedAgain)
+{
+	for (int64_t gap_ms : {1, 200, 6000}) {
+		Zones zones;
+
+		zones.sim.evacuate("z1");
+		zones.run(2500);
+		EXPECT_TRUE(zones.held_by(zones.a, "z1"));
+		zones.sim.withdraw("z1");
+		zones.run(gap_ms);
+		zones.sim.evacuate("z1");
+		zones.run(2500);
+		EXPECT_TRUE(zones.held_by(zones.a, "z1"));
+		EXPECT_TRUE(zones.held_by(zones.b, "z1"));
+		EXPECT_EQ(0, zones.starts_in("z1", 4000));
+		zones.sim.withdraw("z1");
+		EXPECT_GT(zones.starts_in("z1", 4000), 0);
+		zones.finish();
+		zones.expect_kept();
+	}
+}
+
+/* Guards against one zone's request that hides another's, and against a zone
+ * without workers that disturbs anything. */
+TEST(FlowEvacuation, TwoZonesAtOnceAndOneWithoutWorkers)
+{
+	Zones zones;
+
+	zones.sim.evacuate("nowhere");
+	zones.sim.evacuate("z0");
+	zones.sim.evacuate("z2");
+	zones.run(2000);
+	EXPECT_EQ(0, zones.starts_in("z0", 2000));
+	EXPECT_EQ(0, zones.starts_in("z2", 2000));
+	zones.sim.withdraw("z0");
+	EXPECT_GT(zones.starts_in("z0", 3000), 0);
+	EXPECT_EQ(0, zones.starts_in("z2", 3000));
+	zones.finish();
+	zones.expect_kept();
+}
+
+/* Guards against a successor that does not know the evacuations, whenever the
+ * placer is killed. */
+TEST(FlowEvacuation, PlacerIsKilled)
+{
+	for (int64_t before_ms : {-1000, -20, 20, 500, 2000}) {
+		Zones zones;
+
+		if (before_ms < 0) {
+			zones.sim.kill(zones.placer());
+			zones.run(-before_ms);
+			zones.sim.evacuate("z1");
+		} else {
+			zones.sim.evacuate("z1");
+			zones.run(before_ms);
+			zones.sim.kill(zones.placer());
+		}
+		zones.run(12000);
+		EXPECT_EQ(0u, zones.running_in("z1"));
+		zones.finish();
+		zones.expect_kept();
+	}
+}
+
+/* Guards against a placer that was paused and goes on with what it knew. */
+TEST(FlowEvacuation, PlacerIsPaused)
+{
+	for (int64_t pause_ms : {1400, 4200, 9000}) {
+		Zones zones;
+		SimVm *placer = zones.placer();
+
+		zones.run(100);
+		placer->paused = placer->config_unreadable = true;
+		zones.run(200);
+		zones.sim.evacuate("z1");
+		zones.run(pause_ms);
+		placer->paused = false;
+		zones.run(1000);
+		placer->config_unreadable = false;
+		zones.run(8000);
+		zones.finish();
+		zones.expect_kept();
+	}
+}
+
+/* Guards against starts by a copy that is too old to know each evacuation, and
+ * against a placer that stays idle once the copy is recent again. */
+TEST(FlowEvacuation, StaleCopyStartsNothing)
+{
+	Zones zones;
+	SimVm *placer = zones.placer();
+	int starts;
+
+	placer->config_unreadable = true;
+	zones.sim.evacuate("z1");
+	zones.run(5000);
+	starts = zones.sim.run_checker.starts;
+	zones.run(4000);
+	EXPECT_EQ(starts, zones.sim.run_checker.starts);
+	placer->config_unreadable = false;
+	zones.run(3000);
+	EXPECT_GT(zones.sim.run_checker.starts, starts);
+	EXPECT_EQ(0, zones.starts_in("z1", 4000));
+	zones.finish();
+	zones.expect_kept();
+}
+
+/* Guards against a VM whose monotonic clock stood still in a freeze, so that an
+ * old copy seems to be recent. */
+TEST(FlowEvacuation, CopyFromBeforeAFreezeStartsNothing)
+{
+	Zones zones;
+	SimVm *placer = zones.placer();
+	int starts;
+
+	zones.run(1100);
+	placer->config_unreadable = true;
+	zones.run(100);
+	zones.sim.wall_ahead_ms += 6000;
+	zones.sim.run_for(10);
+	starts = zones.sim.run_checker.starts;
+	zones.run(1500);
+	EXPECT_EQ(starts, zones.sim.run_checker.starts);
+	placer->config_unreadable = false;
+	zones.run(4000);
+	EXPECT_GT(zones.sim.run_checker.starts, starts);
+	zones.finish();
+	zones.expect_kept();
+}
+
+/* Guards against an outage of the store that hides a request or a withdrawal.
+ */
+TEST(FlowEvacuation, StoreOutage)
+{
+	for (int64_t outage_ms : {1000, 9000}) {
+		Zones zones;
+
+		zones.sim.evacuate("z1");
+		zones.sim.store_down = true;
+		zones.run(outage_ms);
+		zones.sim.store_down = false;
+		zones.run(6000);
+		EXPECT_EQ(0, zones.starts_in("z1", 3000));
+		zones.sim.store_down = true;
+		zones.sim.withdraw("z1");
+		zones.run(outage_ms);
+		zones.sim.store_down = false;
+		zones.run(9000);
+		EXPECT_GT(zones.starts_in("z1", 3000), 0);
+		zones.finish();
+		zones.expect_kept();
+	}
+}
+
+/* Guards against a store that does not wake waiting reads. */
+TEST(FlowEvacuation, ReadsThatAreNotWoken)
+{
+	Zones zones;
+
+	zones.sim.reads_ignore_appends = true;
+	zones.run(700);
+	zones.sim.evacuate("z1");
+	zones.run(3000);
+	EXPECT_EQ(0, zones.starts_in("z1", 6000));
+	zones.expect_kept();
+}
+
+/* Guards against a VM that reads late, after the history has expired: the
+ * newest record of each key tells what was asked for, and what is missing was
+ * withdrawn. */
+TEST(FlowEvacuation, HistoryExpiresBeforeItIsRead)
+{
+	Zones zones;
+
+	zones.sim.evacuate("z0");
+	zones.run(3000);
+	for (SimVm *vm : {zones.a, zones.b})
+		vm->config_unreadable = true;
+	zones.run(200);
+	zones.sim.withdraw("z0");
+	zones.sim.evacuate("z1");
+	zones.sim.withdraw("z1");
+	zones.sim.evacuate("z2");
+	zones.sim.config_log.expire();
+	zones.run(2000);
+	for (SimVm *vm : {zones.a, zones.b})
+		vm->config_unreadable = false;
+	zones.run(4000);
+	for (SimVm *vm : {zones.a, zones.b}) {
+		EXPECT_FALSE(zones.held_by(vm, "z0"));
+		EXPECT_FALSE(zones.held_by(vm, "z1"));
+		EXPECT_TRUE(zones.held_by(vm, "z2"));
+	}
+	EXPECT_GT(zones.starts_in("z0", 3000), 0);
+	EXPECT_EQ(0, zones.starts_in("z2", 3000));
+	zones.finish();
+	zones.expect_kept();
+}
+
+/* Guards against a start that is repeated in an evacuated zone: its answer was
+ * lost, and its worker may or may not have carried it out. */
+TEST(FlowEvacuation, UnansweredStartsAreNotRepeated)
+{
+	for (bool carried_out : {false, true}) {
+		Zones zones;
+
+		zones.sim.order_fault = [&](const SimVm *,
+					    const std::string &address,
+					    enum fw_order_kind kind) {
+			SimOrderFault fault;
+			bool hit = kind == FW_ORDER_START &&
+			    zones.sim.workers[address].zone == "z1";
+
+			fault.answer_lost = hit && carried_out;
+			fault.unreachable = hit && !carried_out;
+			return fault;
+		};
+		zones.run(500);
+		zones.sim.evacuate("z1");
+		zones.run(1500);
+		zones.sim.order_fault = nullptr;
+		zones.run(12000);
+		zones.finish();
+		zones.expect_kept();
+	}
+}
+
+/* Guards against a gang of which some members have started in an evacuated zone
+ * while the others wait for one. */
+TEST(FlowEvacuation, GangsRunWholeOrNotAtAll)
+{
+	for (int64_t after_ms : {0, 8, 12, 30}) {
+		Zones zones;
+
+		zones.sim.submit(
+		    JOB_A, {FlowFixture::make_step(4, 8, BD_STEP_GANG)}, 0);
+		zones.run(after_ms);
+		zones.sim.evacuate("z1");
+		zones.run(14000);
+		zones.finish();
+		for (int i = 0; i < 4; i++)
+			EXPECT_EQ(1u,
+			    zones.sim.run_checker.done.count(
+				std::string(JOB_A ".0.0.") + std::to_string(i)))
+			    << after_ms;
+		zones.expect_kept();
+	}
+}
+
+/* A board with two hosts in two zones. */
+struct Decision : FlowFixture {
+	struct fw_evacuations evacuations;
+
+	Decision()
+	{
+		fw_evacuations_init(&evacuations, board);
+		set_zone(add_host("w1", "r1"), "z1");
+		set_zone(add_host("w2", "r2"), "z2");
+	}
+
+	~Decision()
+	{
+		fw_evacuations_free(&evacuations);
+	}
+
+	void
+	set_zone(uint64_t id, const char *zone, int64_t cold_until_ms = 0)
+	{
+		bd_read_begin();
+		struct bd_host row = *bd_host_lookup(board, id);
+		bd_read_end();
+		row.zone = cw_id_from_name(zone);
+		row.cold_until_ms = cold_until_ms;
+		bd_put(board, BD_TABLE_host, BD_WRITER_FLOW, id, &row,
+		    sizeof(row), nullptr);
+	}
+
+	uint64_t
+	evacuated_count()
+	{
+		return bd_row_count(board, BD_TABLE_evacuation);
+	}
+};
+
+/* Guards against a record that cannot be held and is passed over: the follower
+ * has to stop before it. */
+TEST(FlowEvacuation, FullTableIsReported)
+{
+	Decision decision;
+	int held = 0;
+
+	while (held < 1000 &&
+	    fw_evacuation_apply(&decision.evacuations,
+		("zone" + std::to_string(held)).c_str(), (uint64_t)held, true,
+		1) == CW_OK)
+		held++;
+	EXPECT_EQ(256, held);
+	EXPECT_EQ(BD_EFULL,
+	    fw_evacuation_apply(
+		&decision.evacuations, "zone256", 256, true, 1));
+	EXPECT_EQ(CW_OK,
+	    fw_evacuation_apply(&decision.evacuations, "zone3", 257, false, 1));
+	EXPECT_EQ(CW_OK,
+	    fw_evacuation_apply(
+		&decision.evacuations, "zone256", 258, true, 1));
+}
+
+/* Guards against a snapshot that keeps what was withdrawn, or drops what it
+ * contains. */
+TEST(FlowEvacuation, SnapshotReplacesTheTable)
+{
+	Decision decision;
+	struct fw_evacuations *table = &decision.evacuations;
+
+	fw_evacuation_apply(table, "z1", 1, true, 10);
+	fw_evacuation_apply(table, "z2", 2, true, 10);
+	fw_evacuations_load_begin(table);
+	fw_evacuation_apply(table, "z2", 2, true, 20);
+	fw_evacuation_apply(table, "z3", 3, true, 20);
+	fw_evacuations_load_end(table);
+	EXPECT_EQ(2u, decision.evacuated_count());
+	bd_read_begin();
+	EXPECT_FALSE(fw_zone_evacuated(decision.board, cw_id_from_name("z1")));
+	EXPECT_EQ(10,
+	    bd_evacuation_lookup(decision.board, cw_id_from_name("z2"))
+		->since_ms);
+	EXPECT_TRUE(fw_zone_evacuated(decision.board, cw_id_from_name("z3")));
+	bd_read_end();
+}
+
+/* Guards against a decision that places on an evacuated worker, and against a
+ * wait whose reason does not name the evacuation. */
+TEST(FlowEvacuation, DecisionsPassTheZoneOver)
+{
+	Decision decision;
+
+	fw_evacuation_apply(&decision.evacuations, "z1", 1, true, 10);
+	decision.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+	decision.submit(JOB_B, {FlowFixture::make_step(1, 8)});
+	EXPECT_EQ(1u, decision.place_ready());
+	for (const char *job : {JOB_A, JOB_B}) {
+		if (decision.task(job, 0).state != BD_STEP_TASK_PLACED)
+			continue;
+		EXPECT_EQ(cw_id_from_name("w2"), decision.task(job, 0).host);
+	}
+	fw_evacuation_apply(&decision.evacuations, "z1", 2, false, 10);
+	EXPECT_EQ(1u, decision.place_ready());
+}
+
+/* Guards against a cold worker that is taken while a warm one is free, and
+ * against one that is never taken. */
+TEST(FlowEvacuation, ColdWorkersComeLast)
+{
+	for (const char *cold : {"w1", "w2"}) {
+		Decision decision;
+		uint64_t id = cw_id_from_name(cold);
+
+		decision.settings.cold_overage_milli = 1500;
+		decision.set_zone(id, "z1", 6000);
+		decision.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+		EXPECT_EQ(1u, decision.place_ready());
+		EXPECT_NE(id, decision.task(JOB_A, 0).host);
+		decision.submit(JOB_B, {FlowFixture::make_step(1, 8)});
+		EXPECT_EQ(1u, decision.place_ready());
+		EXPECT_EQ(id, decision.task(JOB_B, 0).host);
+	}
+}
+
+/* Guards against a bound that is not kept at its edge, and against one where
+ * the settings have none. */
+TEST(FlowEvacuation, AgeOfTheCopy)
+{
+	struct fw_freeze freeze = {};
+
+	fw_freeze_look(&freeze, 1000, 500000);
+	EXPECT_TRUE(fw_zones_known(&freeze, 0, INT64_MAX / 8, 1000));
+	EXPECT_TRUE(fw_zones_known(&freeze, 5000, 4000, 1000));
+	EXPECT_FALSE(fw_zones_known(&freeze, 5000, 4001, 1000));
+	fw_freeze_look(&freeze, 1100, 500200);
+	EXPECT_TRUE(fw_zones_known(&freeze, 5000, 10, 1100));
+	fw_freeze_look(&freeze, 1200, 503300);
+	EXPECT_FALSE(fw_zones_known(&freeze, 5000, 0, 1200));
+	fw_freeze_look(&freeze, 1300, 503400);
+	EXPECT_FALSE(fw_zones_known(&freeze, 5000, 100, 1300));
+	EXPECT_TRUE(fw_zones_known(&freeze, 5000, 99, 1300));
+}
+
+} // namespace
