--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -78,9 +78,10 @@
 	}
 }
 
-/* Excludes workers that do not answer, have not listed their runs in this term
- * yet, or whose entry is of a former incarnation, and marks those on which runs
- * fail. */
+/* Excludes all workers while the copy of the evacuations is too old: ends are
+ * applied all the same. Excludes those that do not answer, have not listed
+ * their runs in this term yet, or whose entry is of a former incarnation, and
+ * marks those on which runs fail. */
 static void
 exclude_failing_hosts(struct fw_placer *placer, struct fw_view *view)
 {
@@ -88,6 +89,7 @@
 	uint32_t repeated = 0;
 	uint32_t i;
 
+	view->zones_old = !fw_zones_recent(placer, view->now_ms);
 	for (i = 0; i < view->host_count; i++) {
 		struct fw_host_view *host = &view->hosts[i];
 		uint32_t found =
@@ -99,6 +101,8 @@
 			continue;
 		}
 		worker = &placer->tables.worker_states[found];
+		if (view->zones_old)
+			host->schedulable = false;
 		missing +=
 		    !worker->reported && worker->unresponsive_since_ms == 0;
 		if (!worker->reported || worker->unresponsive_since_ms != 0 ||
