Operators see evacuated zones; a soak plays evacuations

Cause: nothing told which zones a VM holds as evacuated and what still runs there, and no test met evacuations together with other faults. The emulated platform has zones and checks each start against the bound; the soak has a plan with evacuations, by random numbers of its own.

--- a/programs/camphorctl/cmd_view.c
+++ b/programs/camphorctl/cmd_view.c
@@ -76,6 +76,12 @@
     {"HEARD", "heard_ms", CLI_CELL_TIME},
     {"DIGEST", "digest", CLI_CELL_TEXT},
 };
+static const struct cli_column zone_columns[] = {
+    {"ZONE", "name", CLI_CELL_TEXT},
+    {"SINCE", "since_ms", CLI_CELL_TIME},
+    {"WORKERS", "workers", CLI_CELL_NUMBER},
+    {"RUNS", "runs", CLI_CELL_NUMBER},
+};
 static const struct cli_column event_columns[] = {
     {"SEQUENCE", "sequence", CLI_CELL_NUMBER},
     {"TIME", "time_ms", CLI_CELL_TIME},
@@ -94,7 +100,8 @@
 		ctl_message("%s", cw_error_last());
 }
 
-/* camphorctl accounts, workers, upstreams and members; ctx is the view. */
+/* camphorctl accounts, workers, upstreams, members and zones; ctx is the view.
+ */
 static enum cli_exit
 run_view(const void *ctx, struct ctl_session *ctl)
 {
@@ -222,6 +229,8 @@
 static const struct view members = {
     "/v1/members", "members", CTL_OPTIONS(member_columns)};
 
+static const struct view zones = {"/zones", "zones", CTL_OPTIONS(zone_columns)};
+
 static const struct ctl_option event_options[] = {
     {"after", CTL_TEXT, "N", "events after this sequence number (0)"},
     {"limit", CTL_TEXT, "N", "number of events, 1 to 1024 (1024)"},
@@ -243,6 +252,9 @@
 	&upstreams, false},
     {"members", "list entry VMs as seen by the queried one",
 	"  camphorctl members\n", NULL, 0, run_view, &members, false},
+    {"zones", "list evacuated zones, by a metrics port of camphord --platform",
+	"  camphorctl zones --server 10.1.1.1:7000\n", NULL, 0, run_view,
+	&zones, false},
     {"events", "print the latest events of a VM, see docs/events.md",
 	"  camphorctl events --server 10.1.1.1:8080 --limit 50\n",
 	CTL_OPTIONS(event_options), run_events, NULL, false},
--- a/tests/sim/emulator_worker.h
+++ b/tests/sim/emulator_worker.h
@@ -93,9 +93,12 @@
 		run_checker.resumed[name]++;
 	run_checker.odd_checkpoints += is_odd;
 	root = json_object();
+	int starts = run_checker.starts;
 	reason = is_hold
 	    ? hold(guard, worker, until, acked, token, wait_ms, root)
 	    : execute();
+	if (is_start && run_checker.starts > starts)
+		zones.note_start(worker.zone, name, now_ms());
 	/* A restart breaks the connections. */
 	if (worker.is_down() || worker.incarnation_ms != incarnation_ms) {
 		guard.unlock();
--- a/tests/test_platform_records.cc
+++ b/tests/test_platform_records.cc
@@ -166,3 +166,40 @@
 	EXPECT_EQ(CW_EINVAL,
 	    pl_snapshot_page_parse(body, strlen(body), &read, &more, &end));
 }
+
+/* Guards against a request to evacuate a zone that is passed over as its value
+ * cannot be read: the record's presence is the request. Other records with such
+ * values name nothing. */
+TEST(PlatformWire, RequestsWithUnreadableValuesAreRead)
+{
+	const char body[] =
+	    "{\"items\":[{\"Key\":\"config\",\"Value\":5,\"Offset\":1},"
+	    "{\"Key\":\"evacuate/z1\",\"Value\":\"?\",\"Offset\":2},"
+	    "{\"Key\":\"evacuate/z2\",\"Value\":null,\"Offset\":3},"
+	    "{\"Key\":\"evacuate/z3\",\"Value\":\"\",\"Offset\":4}],"
+	    "\"HasMore\":false,\"End\":6}";
+	std::vector<std::string> seen;
+	struct fw_read read = {};
+	uint64_t end = 0;
+	bool more = true;
+
+	read.ctx = &seen;
+	read.record = [](void *ctx, const struct fw_record *record) {
+		if (record->value != nullptr)
+			((std::vector<std::string> *)ctx)
+			    ->push_back(std::string(record->key) + "@" +
+				std::to_string(record->offset));
+	};
+	for (enum fw_topic topic : {FW_TOPIC_CONFIG, FW_TOPIC_JOBS}) {
+		seen.clear();
+		read.topic = topic;
+		ASSERT_EQ(CW_OK,
+		    pl_snapshot_page_parse(
+			body, strlen(body), &read, &more, &end));
+		EXPECT_EQ(topic == FW_TOPIC_CONFIG
+			? std::vector<std::string>({"evacuate/z1@2",
+			      "evacuate/z2@3", "evacuate/z3@4"})
+			: std::vector<std::string>({"evacuate/z3@4"}),
+		    seen);
+	}
+}
--- a/tests/test_platform_settings.cc
+++ b/tests/test_platform_settings.cc
@@ -45,6 +45,7 @@
 	    {"Bounds", "ReclaimMs"},
 	    {"Bounds", "cancel_ms"},
 	    {"Bounds", "RemoteFactor"},
+	    {"Bounds", "EvacuateMs"},
 	    {"Bounds", "status_s"},
 	    {"Limits", "CpuShare"},
 	    {"Limits", "MemoryMb"},
@@ -79,6 +80,18 @@
 	}
 	ASSERT_EQ(CW_OK, parse("Bounds", "GraceS", "1.5", &settings));
 	EXPECT_EQ(1500U, settings.grace_ms);
+	/* Without the field nothing is bounded; a bound that no placer could
+	 * keep is an error. */
+	EXPECT_EQ(0U, settings.flow.evacuate_ms);
+	EXPECT_EQ(1000U, settings.flow.cold_overage_milli);
+	EXPECT_EQ(CW_EINVAL, parse("Bounds", "EvacuateMs", "1999", &settings));
+	ASSERT_EQ(CW_OK, parse("Bounds", "EvacuateMs", "5000", &settings));
+	EXPECT_EQ(5000U, settings.flow.evacuate_ms);
+	ASSERT_EQ(CW_OK, parse("Bounds", "ColdOverage", "1.5", &settings));
+	EXPECT_EQ(1500U, settings.flow.cold_overage_milli);
+	EXPECT_EQ(CW_EINVAL, parse("Bounds", "ColdOverage", "-1", &settings));
+	ASSERT_EQ(CW_OK, parse("Bounds", "ColdSlack", "5", &settings));
+	EXPECT_EQ(5000U, settings.cold_slack_milli);
 	ASSERT_EQ(CW_OK, parse("Limits", "CpuShare", "0.25", &settings));
 	EXPECT_EQ(250U, settings.cpu_milli);
 	ASSERT_EQ(CW_OK, parse("Bounds", "status_s", "86400", &settings));
--- a/tests/test_platform_soak.cc
+++ b/tests/test_platform_soak.cc
@@ -139,3 +139,17 @@
 	EXPECT_EQ(soak.calls.size(), soak.accept_latencies_ms.size());
 	EXPECT_LT(soak.accept_latencies_ms.back(), 3000);
 }
+
+/* Guards against starts in evacuated zones while placers are killed, frozen and
+ * replaced, the store is away or slow, and its history expires. */
+TEST(PlatformSoak, NothingStartsInEvacuatedZones)
+{
+	std::istringstream seeds =
+	    seeds_to_play("601 602", "601 602 603 604 605 606");
+	SoakPlan plan;
+	unsigned seed;
+
+	plan.evacuations = true;
+	while (seeds >> seed && !HasFailure())
+		run_soak(seed, plan, 400, 8);
+}
