--- a/tests/test_platform_soak.cc
+++ b/tests/test_platform_soak.cc
@@ -175,3 +175,17 @@
 		    << text;
 	}
 }
+
+/* Guards against starts in evacuated zones while placers are killed, frozen and
+ * replaced, the store is away or slow, and its history expires. */
+TEST(PlatformSoak, NothingStartsInEvacuatedZones)
+{
+	std::istringstream seeds =
+	    seeds_to_play("601 602", "601 602 603 604 605 606");
+	SoakPlan plan;
+	unsigned seed;
+
+	plan.evacuations = true;
+	while (seeds >> seed && !HasFailure())
+		run_soak(seed, plan, 400, 8);
+}
