Peer link: idle connections are closed, unsent messages reported

Cause: calls that are forwarded during a store outage of a VM open a connection to each peer. It stayed open, with a heartbeat every 10 s, until the process ended. A sender could not tell a message that was dropped for lack of a connection from one that was sent, and so not answer truthfully.

Change: options idle_close_ms and dropped; the counters tell how many connections are kept. Both are off unless set.

--- a/lib/link/peer.c
+++ b/lib/link/peer.c
@@ -175,6 +175,9 @@
 			atomic_fetch_add(&peer->sent_bytes, message->bytes);
 		} else {
 			atomic_fetch_add(&peer->dropped, 1);
+			if (peer->options.dropped != NULL)
+				peer->options.dropped(peer->options.ctx,
+				    message->data, message->bytes);
 		}
 		free(message);
 		message = next;
@@ -194,10 +197,14 @@
 		    {NULL, peer->wake_fd, ZMQ_POLLIN, 0},
 		};
 		uint64_t wake_count;
+		long wait_ms;
 
 		if (stop)
 			break;
-		if (zmq_poll(poll_items, 3, -1) < 0 && errno != EINTR)
+		wait_ms =
+		    (long)lk_peer_links_close_idle(peer, cw_clock_mono_ms());
+		atomic_store(&peer->links_kept, peer->link_count);
+		if (zmq_poll(poll_items, 3, wait_ms) < 0 && errno != EINTR)
 			break;
 		if ((poll_items[1].revents & ZMQ_POLLIN) != 0)
 			lk_peer_authenticate(peer);
@@ -319,6 +326,7 @@
 {
 	counters->sent = atomic_load(&peer->sent);
 	counters->sent_bytes = atomic_load(&peer->sent_bytes);
+	counters->links = atomic_load(&peer->links_kept);
 	counters->received = atomic_load(&peer->received);
 	counters->dropped = atomic_load(&peer->dropped);
 	counters->auth_failures = atomic_load(&peer->auth_failures);
--- a/lib/link/peer.h
+++ b/lib/link/peer.h
@@ -52,6 +52,12 @@
 	/* Receives one message, on the link's thread; data is valid during the
 	 * call only. */
 	void (*receive)(void *ctx, const void *data, size_t bytes);
+	/* Learns of a message that lk_peer_send has queued and of which no part
+	 * was sent, on the link's thread; NULL: not wanted. */
+	void (*dropped)(void *ctx, const void *data, size_t bytes);
+	/* A connection to a peer is closed once nothing was sent over it for
+	 * this time; 0: never. */
+	uint32_t idle_close_ms;
 	void *ctx;
 };
 
@@ -72,6 +78,7 @@
 	uint64_t received;
 	uint64_t dropped;       /* no connection, or a queue was full */
 	uint64_t auth_failures; /* clients refused for an unknown key */
+	uint32_t links;         /* connections to peers that are kept */
 };
 
 void lk_peer_counters(struct lk_peer *peer, struct lk_peer_counts *counters);
--- a/lib/link/peer_internal.h
+++ b/lib/link/peer_internal.h
@@ -22,6 +22,7 @@
 	char address[LK_PEER_ADDRESS_BYTES];
 	void *dealer;
 	uint64_t last_use; /* value of use_counter at the last use */
+	int64_t used_ms;   /* monotonic time of the last use */
 };
 
 struct lk_peer {
@@ -49,6 +50,7 @@
 	atomic_uint_least64_t received;
 	atomic_uint_least64_t dropped;
 	atomic_uint_least64_t auth_failures;
+	atomic_uint links_kept; /* link_count, for other threads */
 	unsigned char receive_buffer[LK_PEER_MESSAGE_BYTES_MAX];
 };
 
@@ -57,6 +59,7 @@
 struct lk_peer_link *lk_peer_link_get(
     struct lk_peer *peer, const char *address);
 void lk_peer_links_close(struct lk_peer *peer);
+int64_t lk_peer_links_close_idle(struct lk_peer *peer, int64_t now_ms);
 int lk_peer_set_limits(void *socket);
 
 #endif
--- a/lib/link/peer_links.c
+++ b/lib/link/peer_links.c
@@ -128,6 +128,7 @@
 	for (i = 0; i < peer->link_count; i++)
 		if (strcmp(peer->links[i].address, address) == 0) {
 			peer->links[i].last_use = ++peer->use_counter;
+			peer->links[i].used_ms = cw_clock_mono_ms();
 			return &peer->links[i];
 		}
 	dealer = connect_dealer(peer, address);
@@ -137,9 +138,36 @@
 	memcpy(link->address, address, strlen(address) + 1);
 	link->dealer = dealer;
 	link->last_use = ++peer->use_counter;
+	link->used_ms = cw_clock_mono_ms();
 	return link;
 }
 
+/* Closes the links that have been idle for too long. Returns the time until the
+ * next one may have to be closed, -1 if there is none. */
+int64_t
+lk_peer_links_close_idle(struct lk_peer *peer, int64_t now_ms)
+{
+	int64_t next_ms = -1;
+	uint32_t i = 0;
+
+	if (peer->options.idle_close_ms == 0)
+		return -1;
+	while (i < peer->link_count) {
+		int64_t left_ms = peer->links[i].used_ms +
+		    (int64_t)peer->options.idle_close_ms - now_ms;
+
+		if (left_ms <= 0) {
+			zmq_close(peer->links[i].dealer);
+			peer->links[i] = peer->links[--peer->link_count];
+			continue;
+		}
+		if (next_ms < 0 || left_ms < next_ms)
+			next_ms = left_ms;
+		i++;
+	}
+	return next_ms;
+}
+
 /* Closes every link; queued messages are sent for up to LINGER_MS. */
 void
 lk_peer_links_close(struct lk_peer *peer)
--- a/tests/test_link_peer.cc
+++ b/tests/test_link_peer.cc
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <zmq.h>
@@ -25,7 +26,7 @@
 // The link of one daemon, and the messages that it received.
 struct PeerFixture {
 	explicit PeerFixture(const Key *key, const char *bind = "127.0.0.1:*",
-	    const Key *server = nullptr)
+	    const Key *server = nullptr, uint32_t idle_close_ms = 0)
 	{
 		struct lk_peer_options options = {};
 		options.bind = bind;
@@ -39,6 +40,8 @@
 		if (server != nullptr)
 			options.lookup_key = lookup_key;
 		options.receive = receive;
+		options.dropped = note_dropped;
+		options.idle_close_ms = idle_close_ms;
 		options.ctx = this;
 		EXPECT_EQ(lk_peer_start(&peer, &options), CW_OK)
 		    << cw_error_last();
@@ -73,6 +76,15 @@
 		    static_cast<const char *>(data), bytes);
 		fixture->changed.notify_all();
 	}
+	static void
+	note_dropped(void *ctx, const void *data, size_t bytes)
+	{
+		PeerFixture *fixture = static_cast<PeerFixture *>(ctx);
+		std::lock_guard<std::mutex> guard(fixture->lock);
+		fixture->dropped.emplace_back(
+		    static_cast<const char *>(data), bytes);
+		fixture->changed.notify_all();
+	}
 	// Sends a message repeatedly until the other end has received it;
 	// returns false on timeout.
 	bool
@@ -96,6 +108,7 @@
 	std::mutex lock;
 	std::condition_variable changed;
 	std::vector<std::string> received;
+	std::vector<std::string> dropped;
 };
 
 // Guards against truncated messages, and against a link that does not reconnect
@@ -165,6 +178,51 @@
 	EXPECT_EQ(counters.sent, 0u);
 }
 
+// Guards against connections that stay open, with their heartbeats, once
+// nothing is sent over them, and against a link that cannot be used again.
+TEST(LinkPeer, IdleConnectionsAreClosed)
+{
+	PeerFixture b(nullptr);
+	PeerFixture a(nullptr, "127.0.0.1:*", nullptr, 200);
+	struct lk_peer_counts counters = {};
+	uint64_t dropped;
+
+	ASSERT_TRUE(a.send_until_received(b, "one"));
+	auto deadline = std::chrono::steady_clock::now() + kTimeout;
+	do {
+		std::this_thread::sleep_for(std::chrono::milliseconds(20));
+		lk_peer_counters(a.peer, &counters);
+	} while (
+	    counters.links > 0 && std::chrono::steady_clock::now() < deadline);
+	EXPECT_EQ(counters.links, 0u);
+	dropped = counters.dropped;
+	// The connection is gone: its first message is dropped.
+	ASSERT_TRUE(a.send_until_received(b, "two"));
+	lk_peer_counters(a.peer, &counters);
+	EXPECT_GT(counters.dropped, dropped);
+}
+
+// Guards against a sender that takes a message for sent that has not left, or
+// the reverse: a call without an answer may then be told a wrong outcome.
+TEST(LinkPeer, MessagesThatWereNotSentAreReported)
+{
+	PeerFixture a(nullptr);
+	PeerFixture b(nullptr);
+	struct lk_peer_counts counters = {};
+
+	ASSERT_TRUE(a.send_until_received(b, "good"));
+	ASSERT_EQ(lk_peer_send(a.peer, "127.0.0.1:1", "lost", 4), CW_OK);
+	std::unique_lock<std::mutex> guard(a.lock);
+	EXPECT_TRUE(a.changed.wait_for(guard, kTimeout, [&] {
+		return !a.dropped.empty() && a.dropped.back() == "lost";
+	}));
+	// The messages before it have been handled by now.
+	lk_peer_counters(a.peer, &counters);
+	EXPECT_EQ(counters.dropped, a.dropped.size());
+	for (size_t i = 0; i + 1 < a.dropped.size(); i++)
+		EXPECT_EQ(a.dropped[i], "good");
+}
+
 // Guards against a start with an invalid key or address.
 TEST(LinkPeer, StartFailsWithAnInvalidKeyOrAddress)
 {
