Decisions for calls that are forwarded to another VM

Cause: for 8 to 12 s the store rejects a third of the VMs while it serves the others. Callers of the rejected VMs got 503 although another VM could have served them.

Change: VMs announce themselves by records v/... in the jobs topic (table peer, deleted by the placer after 15 minutes). lib/flow/relay.c decides which calls are forwarded to which VM, what an outcome means for the caller, and which calls a peer serves; relay_message.c encodes the messages. Nothing uses them yet. A full table of VMs does not stop the follower of the jobs.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -134,3 +134,11 @@
 EV(1150, EV_FLOW_ROW_BAD, EV_LEVEL_WARN,
     "row of a worker's list cannot be read")
 EV(1151, EV_FLOW_DEPARTED, EV_LEVEL_INFO, "worker has left, by the store's log")
+EV(1160, EV_RELAY_FORWARDED, EV_LEVEL_INFO, "call forwarded to a peer")
+EV(1161, EV_RELAY_PEER_FAILED, EV_LEVEL_WARN, "peer has not answered")
+EV(1162, EV_RELAY_NO_LINK, EV_LEVEL_ERROR, "peer link cannot be opened")
+EV(1163, EV_RELAY_SERVED, EV_LEVEL_INFO, "forwarded call served")
+EV(1164, EV_RELAY_BAD_MESSAGE, EV_LEVEL_WARN, "message of a peer ignored")
+EV(1165, EV_RELAY_ANNOUNCED, EV_LEVEL_INFO, "this VM announced to its peers")
+EV(1166, EV_RELAY_PEER_UNHELD, EV_LEVEL_WARN,
+    "announcement of a VM cannot be held")
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -125,6 +125,21 @@
 	int64_t until_ms; /* wall time at which its last lease ends */
 };
 
+#define BD_PEER_TEXT_BYTES 64
+#define BD_PEER_ADDRESS_BYTES 48
+
+/* Table "peer": a VM of this deployment that serves calls which other VMs
+ * forward, as it last announced itself. */
+struct bd_peer {
+	uint64_t id;          /* cw_id_from_name(name) */
+	uint64_t incarnation; /* of its process */
+	int64_t wall_ms;      /* time of the announcement */
+	char name[BD_PEER_TEXT_BYTES];
+	char address[BD_PEER_ADDRESS_BYTES]; /* "ip:port" of its peer link */
+	char zone[BD_PEER_TEXT_BYTES];       /* availability zone */
+	char region[BD_PEER_TEXT_BYTES];
+};
+
 enum bd_flow_state {
 	BD_FLOW_QUEUED,
 	BD_FLOW_RUNNING,
--- a/lib/flow/apply.c
+++ b/lib/flow/apply.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "flow_internal.h"
+#include "relay.h"
 
 static struct bd_flow *copy_row(const struct bd_board *board, uint64_t id);
 static int put_row(struct bd_board *board, const struct bd_flow *flow);
@@ -252,7 +253,7 @@
 }
 
 /*
- * Applies one record to the table of jobs, or to that of the ends of leases;
+ * Applies one record to the table of jobs, of the ends of leases or of VMs;
  * applying it again has no effect. Returns FW_EBADRECORD for a malformed
  * record, in which case the table is unchanged, or a status code of the board.
  */
@@ -284,6 +285,8 @@
 			return apply_lease(board, record, id);
 		bd_remove(board, BD_TABLE_last_lease, BD_WRITER_FLOW, id);
 		return CW_OK;
+	case FW_RECORD_PEER:
+		return fw_peer_apply(board, record, id);
 	default:
 		return cw_error_set(FW_EBADRECORD,
 		    "key %s has an unknown record kind", record->key);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -95,6 +95,7 @@
 	FW_RECORD_CANCEL = 'c',
 	FW_RECORD_STATE = 's',
 	FW_RECORD_LEASE = 'l', /* named by the id of a worker */
+	FW_RECORD_PEER = 'v',  /* named by the id of a VM */
 };
 
 struct fw_record {
--- a/lib/flow/hold.c
+++ b/lib/flow/hold.c
@@ -1,6 +1,7 @@
 #include <stdatomic.h>
 
 #include "flow_internal.h"
+#include "relay.h"
 
 /* A call is held for less than half of the time that its caller waits, so that
  * the caller can still try another VM. */
@@ -16,7 +17,6 @@
 #define OUTAGE_KNOWN_MAX_MS 60000
 
 static int64_t outage_ms(const struct fw_front *front, int64_t now_ms);
-static bool has_store(const struct fw_front *front, int64_t now_ms);
 
 /*
  * Returns for how long, in ms, a call is held while the store does not answer;
@@ -53,8 +53,8 @@
 
 /* Returns whether this VM can accept jobs: the store answers, and the copies of
  * the jobs and of the configuration are recent. */
-static bool
-has_store(const struct fw_front *front, int64_t now_ms)
+bool
+fw_front_has_store(const struct fw_front *front, int64_t now_ms)
 {
 	return fw_config_in_force(front, now_ms) &&
 	    fw_follower_loaded(front->jobs) &&
@@ -85,7 +85,7 @@
 	int64_t until_ms;
 	uint32_t held;
 
-	if (has_store(front, start_ms))
+	if (fw_front_has_store(front, start_ms))
 		return;
 	held = atomic_fetch_add(&front->held, 1);
 	until_ms = start_ms +
@@ -94,7 +94,7 @@
 	while (now_ms < until_ms) {
 		uint64_t seen = bd_notify_count(front->board);
 
-		if (has_store(front, now_ms))
+		if (fw_front_has_store(front, now_ms))
 			break;
 		bd_wait(front->board, seen, until_ms - now_ms);
 		now_ms = cw_clock_mono_ms();
@@ -103,5 +103,5 @@
 	if (until_ms > start_ms)
 		ev_emit(EV_FLOW_HELD, "ms=%lld served=%d held=%u",
 		    (long long)(now_ms - start_ms),
-		    has_store(front, now_ms) ? 1 : 0, held + 1);
+		    fw_front_has_store(front, now_ms) ? 1 : 0, held + 1);
 }
--- a/lib/flow/publish.c
+++ b/lib/flow/publish.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "flow_internal.h"
+#include "relay.h"
 
 /* Time between two publications of newly running jobs; ended jobs are published
  * at once. Each batch ends the pending reads of all VMs. */
@@ -174,6 +175,8 @@
 		code = is_stale(&placer->tables, row, running)
 		    ? add_state(writer, row)
 		    : add_cleanup(placer, row, wall_ms, &changes_left);
+	if (code == CW_OK)
+		code = fw_peers_prune(writer, parts->board, wall_ms);
 	if (code != CW_OK)
 		ev_emit(EV_FLOW_NO_MEMORY, "what=state reason=\"%s\"",
 		    cw_error_last());
