A restarted peer's refusal counts for its own copy of a call only

Cause: a request is repeated until it is acknowledged. A peer that served the first copy and restarted would refuse the second one, and the caller would get 503 for a job that may be stored.

Change: answers carry the incarnation of the process. A refusal by another process than the one that was asked, after more than one copy, means that the outcome is not known.

--- a/lib/flow/relay.c
+++ b/lib/flow/relay.c
@@ -159,6 +159,24 @@
 	relay->no_store_until_ms = now_ms + FW_RELAY_NO_STORE_MS;
 }
 
+/* Returns what the answer of a peer, or NULL, means for a request that was sent
+ * to the process with this incarnation; sent is the number of its copies that
+ * may have left this VM. Another process tells about the copy that has reached
+ * it only: an earlier copy may have been served before the restart. */
+enum fw_relay_outcome
+fw_relay_outcome_of(
+    const struct fw_relay_message *answer, uint64_t incarnation, uint32_t sent)
+{
+	if (answer == NULL)
+		return sent == 0 ? FW_RELAY_NOT_SENT : FW_RELAY_NO_ANSWER;
+	if (answer->kind == FW_RELAY_ANSWER)
+		return FW_RELAY_ANSWERED;
+	if (answer->incarnation != incarnation && sent > 1)
+		return FW_RELAY_NO_ANSWER;
+	return answer->kind == FW_RELAY_ANSWER_BUSY ? FW_RELAY_BUSY
+						    : FW_RELAY_NO_STORE;
+}
+
 /* Returns whether another peer may be tried after so many tries: not if the
  * last one may have served the call. */
 bool
--- a/lib/flow/relay.h
+++ b/lib/flow/relay.h
@@ -163,11 +163,12 @@
 
 struct fw_relay_message {
 	enum fw_relay_kind kind;
-	uint64_t call;        /* random, not 0 */
-	const char *from;     /* peer address of the sender */
-	uint64_t incarnation; /* of the process that the request is for */
-	uint32_t left_ms;     /* request: the origin waits so long */
-	uint32_t status;      /* answer, as the next one */
+	uint64_t call;    /* random, not 0 */
+	const char *from; /* peer address of the sender */
+	/* Of the process that a request or a query is for, or that answers. */
+	uint64_t incarnation;
+	uint32_t left_ms; /* request: the origin waits so long */
+	uint32_t status;  /* answer, as the next one */
 	uint32_t retry_after_s;
 	const char *method; /* request, as the next three */
 	const char *host;
@@ -181,6 +182,8 @@
     const struct fw_relay_message *message, void **out, size_t *bytes);
 int fw_relay_decode(
     const void *data, size_t bytes, struct fw_relay_message **out);
+enum fw_relay_outcome fw_relay_outcome_of(
+    const struct fw_relay_message *answer, uint64_t incarnation, uint32_t sent);
 
 #ifdef __cplusplus
 }
--- a/tests/test_flow_relay.cc
+++ b/tests/test_flow_relay.cc
@@ -320,6 +320,32 @@
 		    fw_relay_status(FW_RELAY_ANSWERED, status, false, true));
 }
 
+/* A peer restarts after it has served the first copy of a request, and its
+ * successor has not served the second one: the job may be stored. Guards
+ * against 503 for it, and against 504 where nothing can have been done. */
+TEST(FlowRelay, ARestartedPeerTellsAboutItsOwnCopyOnly)
+{
+	struct fw_relay_message answer = {};
+
+	EXPECT_EQ(FW_RELAY_NOT_SENT, fw_relay_outcome_of(nullptr, 7, 0));
+	EXPECT_EQ(FW_RELAY_NO_ANSWER, fw_relay_outcome_of(nullptr, 7, 1));
+	for (uint64_t incarnation : {7, 8})
+		for (uint32_t sent : {1, 2}) {
+			bool sure = incarnation == 7 || sent == 1;
+
+			answer.incarnation = incarnation;
+			answer.kind = FW_RELAY_ANSWER;
+			EXPECT_EQ(FW_RELAY_ANSWERED,
+			    fw_relay_outcome_of(&answer, 7, sent));
+			answer.kind = FW_RELAY_ANSWER_BUSY;
+			EXPECT_EQ(sure ? FW_RELAY_BUSY : FW_RELAY_NO_ANSWER,
+			    fw_relay_outcome_of(&answer, 7, sent));
+			answer.kind = FW_RELAY_ANSWER_NO_STORE;
+			EXPECT_EQ(sure ? FW_RELAY_NO_STORE : FW_RELAY_NO_ANSWER,
+			    fw_relay_outcome_of(&answer, 7, sent));
+		}
+}
+
 /* Guards against a call that a peer serves twice because the origin repeats its
  * request. */
 TEST(FlowRelay, RepeatedRequestsAreServedOnce)
