Emulated store: it can reject or ignore single VMs

Cause: the tests could only take the store from all VMs at a time.

Change: it listens on 127.0.0.1 to 127.0.0.8. With has_peers, daemon N uses 127.0.0.(N + 1) and gets a second internal port; rejected_vms and silent_vms name the VMs that get 503 or no answer.

--- a/tests/sim/deployment.h
+++ b/tests/sim/deployment.h
@@ -32,6 +32,9 @@
 	struct lk_async *async = nullptr;
 	std::string folder;
 	std::string store_settings; /* more members of "platform" */
+	/* Daemons get a port for peers, and daemon N the store's address
+	 * 127.0.0.(N + 1), where it can be rejected alone. */
+	bool has_peers = false;
 
 	Deployment()
 	{
@@ -132,12 +135,15 @@
 		    << "{\"NodeName\":\"n" << n
 		    << "\",\"Zone\":\"z\",\"Region\":\"r\",\"Ip\":\"127.0.0."
 		       "1\","
-		    << "\"InternalPorts\":[" << base + 2 << "],"
+		    << "\"InternalPorts\":[" << base + 2
+		    << (has_peers ? "," + std::to_string(base + 3) : "") << "],"
 		    << "\"ListenAddrs\":{\"Front\":\"" << front_addresses[n]
 		    << "\",\"Ready\":\"" << ready_addresses[n] << "\"},"
 		    << "\"Bounds\":{\"MaxHoldMs\":3000,\"GraceS\":6},"
-		    << "\"platform\":{\"Address\":\"" << at << platform.port
-		    << "\"" << store_settings << "}}";
+		    << "\"platform\":{\"Address\":\""
+		    << (has_peers ? "127.0.0." + std::to_string(n + 1) + ":"
+				  : at)
+		    << platform.port << "\"" << store_settings << "}}";
 		pids.push_back(0);
 		run(n);
 		return n;
--- a/tests/sim/emulator.h
+++ b/tests/sim/emulator.h
@@ -35,6 +35,13 @@
 	int port = 0;
 	struct mg_context *context = nullptr;
 	std::atomic<bool> store_down{false}; /* answers all calls with 503 */
+	/* The store listens on 127.0.0.1 to 127.0.0.VMS_MAX. A daemon that uses
+	 * 127.0.0.N is rejected if bit N is set, or gets no answer. */
+	enum {
+		VMS_MAX = 8
+	};
+	std::atomic<uint32_t> rejected_vms{0};
+	std::atomic<uint32_t> silent_vms{0};
 	std::atomic<int> drop_append_answers{0}; /* count */
 	std::atomic<int> slow_ms{0};             /* delay of each answer */
 	std::atomic<int> link_bytes_per_s{0};    /* of each answer, 0: any */
@@ -111,6 +118,9 @@
 				ports += (i > 0 ? "," : "") +
 				    std::string("127.0.0.1:") +
 				    std::to_string(base + i);
+			for (int i = 2; i <= VMS_MAX; i++)
+				ports += ",127.0.0." + std::to_string(i) + ":" +
+				    std::to_string(base);
 			const char *options[] = {"listening_ports",
 			    ports.c_str(), "num_threads", "96",
 			    "enable_keep_alive", "yes", "tcp_nodelay", "1",
@@ -275,7 +285,8 @@
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(emulator->slow_ms));
 		if (target_port == emulator->port)
-			emulator->serve_store(connection, info, body);
+			emulator->serve_store(
+			    connection, info, host + strlen("127.0.0."), body);
 		else if (target_port > emulator->port &&
 		    target_port <=
 			emulator->port + (int)emulator->workers.size()) {
@@ -352,7 +363,8 @@
 	static std::vector<SimRecord> parse_records(const std::string &body);
 	static void put_number(std::string &out, uint64_t value, int bytes);
 	void serve_store(struct mg_connection *connection,
-	    const struct mg_request_info *info, const std::string &body);
+	    const struct mg_request_info *info, const char *vm,
+	    const std::string &body);
 	void serve_append(struct mg_connection *connection,
 	    const struct mg_request_info *info, const std::string &body);
 	void serve_read(struct mg_connection *connection,
--- a/tests/sim/emulator_store.h
+++ b/tests/sim/emulator_store.h
@@ -32,11 +32,19 @@
 
 inline void
 Emulator::serve_store(struct mg_connection *connection,
-    const struct mg_request_info *info, const std::string &body)
+    const struct mg_request_info *info, const char *vm, const std::string &body)
 {
 	std::string path = info->local_uri;
+	uint32_t vm_bit = 1U << atoi(vm);
 
-	if (store_down) {
+	if ((silent_vms & vm_bit) != 0) {
+		while ((silent_vms & vm_bit) != 0)
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(20));
+		mg_close_connection(connection);
+		return;
+	}
+	if (store_down || (rejected_vms & vm_bit) != 0) {
 		answer(connection, 503, "{}");
 		return;
 	}
