--- a/tests/test_platform_settings.cc
+++ b/tests/test_platform_settings.cc
@@ -111,7 +111,7 @@
 	EXPECT_EQ(CW_EINVAL,
 	    parse("platform", "Address", "\"10.0.0.9:65536\"", &settings));
 	for (const char *ports : {"[0]", "[-1]", "[65536]", "[4294967297]",
-		 "[\"7000\"]", "[7000.5]"}) {
+		 "[\"7000\"]", "[7000.5]", "[7000,0]", "[7000,\"7015\"]"}) {
 		EXPECT_EQ(
 		    CW_EINVAL, parse("", "InternalPorts", ports, &settings))
 		    << ports;
@@ -119,6 +119,9 @@
 	}
 	ASSERT_EQ(CW_OK, parse("", "InternalPorts", "[65535]", &settings));
 	EXPECT_STREQ("10.0.0.1:65535", settings.metrics_address);
+	EXPECT_STREQ("", settings.peer_address);
+	ASSERT_EQ(CW_OK, parse("", "InternalPorts", "[7000,7015]", &settings));
+	EXPECT_STREQ("10.0.0.1:7015", settings.peer_address);
 }
 
 /* A VM without processor, memory or descriptors can serve nobody: the daemon
