--- a/lib/flow/peer_list.c
+++ b/lib/flow/peer_list.c
@@ -20,6 +20,7 @@
 static void announce(void *ctx, int64_t now_ms);
 static void on_announced(void *ctx, enum fw_result result, uint64_t end);
 static bool is_address(const char *text);
+static void next_text(struct fw_cursor *cursor, char *text, size_t capacity);
 
 /* Encodes an announcement. The caller frees *out. */
 int
@@ -56,6 +57,17 @@
 	    strspn(text, "0123456789abcdefABCDEF.:[]") == strlen(text);
 }
 
+/* Reads a text. Nothing is left behind a terminator within it. */
+static void
+next_text(struct fw_cursor *cursor, char *text, size_t capacity)
+{
+	size_t bytes;
+
+	fw_next_text(cursor, text, capacity);
+	bytes = strnlen(text, capacity);
+	memset(text + bytes, 0, capacity - bytes);
+}
+
 /* Decodes an announcement. Returns FW_EBADRECORD if it is malformed. */
 int
 fw_peer_decode(const void *data, size_t bytes, struct bd_peer *out)
@@ -68,10 +80,10 @@
 	good = fw_open_record(&unpacked, data, bytes, &cursor) &&
 	    fw_next_int(&cursor, UINT32_MAX) == FW_LAYOUT_VERSION;
 	if (good) {
-		fw_next_text(&cursor, out->name, sizeof(out->name));
-		fw_next_text(&cursor, out->address, sizeof(out->address));
-		fw_next_text(&cursor, out->zone, sizeof(out->zone));
-		fw_next_text(&cursor, out->region, sizeof(out->region));
+		next_text(&cursor, out->name, sizeof(out->name));
+		next_text(&cursor, out->address, sizeof(out->address));
+		next_text(&cursor, out->zone, sizeof(out->zone));
+		next_text(&cursor, out->region, sizeof(out->region));
 		out->incarnation = fw_next_id(&cursor);
 		out->wall_ms = fw_next_int(&cursor, INT64_MAX / 4);
 		good = !cursor.malformed && is_address(out->address);
