--- a/lib/flow/relay.h
+++ b/lib/flow/relay.h
@@ -136,8 +136,10 @@
 
 struct fw_relay_offer {
 	uint64_t call;
-	int64_t left_ms;    /* the origin waits so long */
-	bool accepts;       /* this process takes calls of others */
+	int64_t left_ms; /* the origin waits so long */
+	/* This process takes calls of others, and its configuration is recent
+	 * enough for this one. */
+	bool accepts;
 	bool has_store;     /* see fw_front_has_store */
 	uint32_t own_calls; /* of this VM's callers, being served */
 	uint32_t own_calls_max;
@@ -167,6 +169,10 @@
 	const char *from; /* peer address of the sender */
 	/* Of the process that a request or a query is for, or that answers. */
 	uint64_t incarnation;
+	/* Request: oldest version of the configuration that may decide it, as a
+	 * caller of the origin was answered from it. Answer: newest one that
+	 * may have decided it. */
+	uint64_t version;
 	uint32_t left_ms; /* request: the origin waits so long */
 	uint32_t status;  /* answer, as the next one */
 	uint32_t retry_after_s;
--- a/lib/flow/relay_message.c
+++ b/lib/flow/relay_message.c
@@ -4,7 +4,7 @@
 #include "record_fields.h"
 #include "relay.h"
 
-#define FIELDS 13
+#define FIELDS 14
 /* A caller waits 60 s at most. */
 #define LEFT_MAX_MS 60000
 
@@ -34,6 +34,7 @@
 	msgpack_pack_uint64(&packer, message->call);
 	pack_text(&packer, message->from);
 	msgpack_pack_uint64(&packer, message->incarnation);
+	msgpack_pack_uint64(&packer, message->version);
 	msgpack_pack_uint32(&packer, message->left_ms);
 	msgpack_pack_uint32(&packer, message->status);
 	msgpack_pack_uint32(&packer, message->retry_after_s);
@@ -92,6 +93,7 @@
 		message->call = fw_next_id(&cursor);
 		message->from = copy_text(&cursor, &at);
 		message->incarnation = fw_next_id(&cursor);
+		message->version = fw_next_id(&cursor);
 		message->left_ms = (uint32_t)fw_next_int(&cursor, LEFT_MAX_MS);
 		message->status = (uint32_t)fw_next_int(&cursor, 599);
 		message->retry_after_s =
--- a/tests/sim/soak.h
+++ b/tests/sim/soak.h
@@ -153,6 +153,7 @@
 	{
 		const Emulator &platform = deployment.platform;
 		bool out = !repairs.empty() || platform.store_down ||
+		    platform.rejected_vms != 0 || platform.silent_vms != 0 ||
 		    platform.slow_ms > 0 || platform.drop_append_answers > 0 ||
 		    platform.drop_worker_answers > 0 ||
 		    platform.late_orders > 0;
--- a/tests/test_flow_relay.cc
+++ b/tests/test_flow_relay.cc
@@ -416,6 +416,7 @@
 	message.call = UINT64_MAX;
 	message.from = "10.0.0.1:7015";
 	message.incarnation = 7;
+	message.version = 8;
 	message.left_ms = 900;
 	message.method = "POST";
 	message.host = "h.example";
@@ -430,6 +431,7 @@
 	EXPECT_EQ(UINT64_MAX, read->call);
 	EXPECT_STREQ(message.from, read->from);
 	EXPECT_EQ(7U, read->incarnation);
+	EXPECT_EQ(8U, read->version);
 	EXPECT_EQ(900U, read->left_ms);
 	EXPECT_STREQ(message.method, read->method);
 	EXPECT_STREQ(message.host, read->host);
--- a/tests/test_platform_relay.cc
+++ b/tests/test_platform_relay.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "sim/deployment.h"
+#include <sstream>
+
+#include "sim/soak.h"
 
 namespace {
 
@@ -357,3 +359,60 @@
 	EXPECT_TRUE(deployment.all_done(1));
 	EXPECT_EQ(0U, deployment.announced());
 }
+
+/* Random faults, while the store rejects or ignores single VMs in turn and
+ * operators change the configuration. Guards against jobs that are lost, that
+ * run although all attempts were rejected, or that run twice, and against a VM
+ * whose callers see an older version of the configuration again. */
+TEST(PlatformRelay, GuaranteesHoldWhileSingleVmsAreRejected)
+{
+	const char *seeds = getenv("SOAK_SEEDS");
+	std::istringstream list(
+	    seeds != nullptr && seeds[0] != '\0' ? seeds : "701");
+	unsigned seed;
+
+	while (list >> seed && !HasFailure()) {
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		Soak soak(seed);
+		std::atomic<bool> stopping{false};
+
+		soak.deployment.has_peers = true;
+		soak.start(400);
+		std::thread faults([&soak, &stopping, seed] {
+			std::mt19937 random(seed);
+
+			while (!stopping) {
+				uint32_t vms = 1U << (1 + random() % Soak::VMS);
+				bool silent = random() % 3 == 0;
+				unsigned lasts_ms = 300 + random() % 3000;
+
+				(silent ? soak.deployment.platform.silent_vms
+					: soak.deployment.platform
+					      .rejected_vms) = vms;
+				for (unsigned i = 0; i < lasts_ms && !stopping;
+				     i += 20)
+					std::this_thread::sleep_for(
+					    std::chrono::milliseconds(20));
+				soak.deployment.platform.silent_vms = 0;
+				soak.deployment.platform.rejected_vms = 0;
+				std::this_thread::sleep_for(
+				    std::chrono::milliseconds(300));
+			}
+		});
+		soak.run(10, 5, true);
+		stopping = true;
+		faults.join();
+		soak.check_at_end();
+		soak.config.check_at_end();
+		soak.print_report();
+		std::ifstream log(soak.deployment.folder + "/log");
+		std::string line;
+		size_t forwarded = 0;
+
+		while (std::getline(log, line))
+			forwarded += line.find("\"event\":\"1163\"") !=
+			    std::string::npos;
+		printf("soak seed=%u forwarded=%zu\n", seed, forwarded);
+		EXPECT_GT(forwarded, 0U);
+	}
+}
