Test: a revoked key does not come back through a peer

Change: a test in which the peer may still act on the version before the one that the origin has shown. The emulated store can keep the configuration from single VMs.

--- a/tests/sim/emulator.h
+++ b/tests/sim/emulator.h
@@ -42,11 +42,12 @@
 	};
 	std::atomic<uint32_t> rejected_vms{0};
 	std::atomic<uint32_t> silent_vms{0};
-	std::atomic<int> drop_append_answers{0}; /* count */
-	std::atomic<int> slow_ms{0};             /* delay of each answer */
-	std::atomic<int> link_bytes_per_s{0};    /* of each answer, 0: any */
-	std::atomic<size_t> page_items{500};     /* of a snapshot */
-	std::atomic<bool> config_silent{false};  /* no answer about keyed.op */
+	std::atomic<uint32_t> config_silent_vms{0}; /* as config_silent */
+	std::atomic<int> drop_append_answers{0};    /* count */
+	std::atomic<int> slow_ms{0};                /* delay of each answer */
+	std::atomic<int> link_bytes_per_s{0};       /* of each answer, 0: any */
+	std::atomic<size_t> page_items{500};        /* of a snapshot */
+	std::atomic<bool> config_silent{false}; /* no answer about keyed.op */
 	std::atomic<int> drop_worker_answers{0};
 	std::atomic<int> odd_list{-1}; /* worker that lists a malformed run */
 	/* Lengths that texts of workers are filled up to; set before start. */
--- a/tests/sim/emulator_store.h
+++ b/tests/sim/emulator_store.h
@@ -48,7 +48,8 @@
 		answer(connection, 503, "{}");
 		return;
 	}
-	while (config_silent && query(info, "Topic") == "keyed.op")
+	while ((config_silent || (config_silent_vms & vm_bit) != 0) &&
+	    query(info, "Topic") == "keyed.op")
 		std::this_thread::sleep_for(std::chrono::milliseconds(20));
 	if (path == "/camphorworks/log-append")
 		serve_append(connection, info, body);
--- a/tests/test_platform_relay.cc
+++ b/tests/test_platform_relay.cc
@@ -319,6 +319,40 @@
 	EXPECT_EQ(401, status(0));
 }
 
+/* A key is revoked, and a VM that knows it is rejected by the store, while its
+ * peer may still act on the version before. Guards against a key that is
+ * accepted again. */
+TEST(PlatformRelay, ARevokedKeyDoesNotComeBack)
+{
+	PeerDeployment deployment;
+	const char *other = "Authorization: Bearer other";
+	auto status = [&](size_t n) {
+		return deployment.call(deployment.front_addresses[n],
+		    "/jobs/" + job(1), "{}", nullptr, other);
+	};
+
+	ASSERT_TRUE(deployment.start(2));
+	deployment.configure(",\"other\"");
+	for (size_t n = 0; n < 2; n++)
+		ASSERT_TRUE(deployment.wait([&] {
+			return status(n) == 400;
+		}));
+	deployment.platform.config_silent_vms = 1U << 2;
+	/* A read that waits at the store is answered for up to 1 s more. */
+	std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+	deployment.configure();
+	ASSERT_TRUE(deployment.wait([&] {
+		return status(0) == 401;
+	}));
+	ASSERT_TRUE(deployment.reject(1));
+	for (int i = 0; i < 20; i++)
+		EXPECT_NE(400, status(0));
+	deployment.platform.config_silent_vms = 0;
+	EXPECT_TRUE(deployment.wait([&] {
+		return status(0) == 401;
+	}));
+}
+
 /* Guards against a VM that does not start, or does not serve its own callers,
  * because the peer port is taken. */
 TEST(PlatformRelay, AVmWithoutThePeerPortServesItsCallers)
