--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -138,3 +138,11 @@
 EV(1153, EV_FLOW_ZONE_OPEN, EV_LEVEL_INFO, "evacuation of a zone withdrawn")
 EV(1154, EV_FLOW_ZONE_NOT_HELD, EV_LEVEL_ERROR,
     "evacuation of a zone not held, is read again")
+EV(1160, EV_RELAY_FORWARDED, EV_LEVEL_INFO, "call forwarded to a peer")
+EV(1161, EV_RELAY_PEER_FAILED, EV_LEVEL_WARN, "peer has not answered")
+EV(1162, EV_RELAY_NO_LINK, EV_LEVEL_ERROR, "peer link cannot be opened")
+EV(1163, EV_RELAY_SERVED, EV_LEVEL_INFO, "forwarded call served")
+EV(1164, EV_RELAY_BAD_MESSAGE, EV_LEVEL_WARN, "message of a peer ignored")
+EV(1165, EV_RELAY_ANNOUNCED, EV_LEVEL_INFO, "this VM announced to its peers")
+EV(1166, EV_RELAY_PEER_UNHELD, EV_LEVEL_WARN,
+    "announcement of a VM cannot be held")
--- a/tests/sim/deployment.h
+++ b/tests/sim/deployment.h
@@ -33,6 +33,9 @@
 	std::string folder;
 	std::string store_settings; /* more members of "platform" */
 	std::string bounds;         /* more members of "Bounds" */
+	/* Daemons get a port for peers, and daemon N the store's address
+	 * 127.0.0.(N + 1), where it can be rejected alone. */
+	bool has_peers = false;
 
 	Deployment()
 	{
@@ -133,13 +136,16 @@
 		    << "{\"NodeName\":\"n" << n
 		    << "\",\"Zone\":\"z\",\"Region\":\"r\",\"Ip\":\"127.0.0."
 		       "1\","
-		    << "\"InternalPorts\":[" << base + 2 << "],"
+		    << "\"InternalPorts\":[" << base + 2
+		    << (has_peers ? "," + std::to_string(base + 3) : "") << "],"
 		    << "\"ListenAddrs\":{\"Front\":\"" << front_addresses[n]
 		    << "\",\"Ready\":\"" << ready_addresses[n] << "\"},"
 		    << "\"Bounds\":{\"MaxHoldMs\":3000,\"GraceS\":6" << bounds
 		    << "},"
-		    << "\"platform\":{\"Address\":\"" << at << platform.port
-		    << "\"" << store_settings << "}}";
+		    << "\"platform\":{\"Address\":\""
+		    << (has_peers ? "127.0.0." + std::to_string(n + 1) + ":"
+				  : at)
+		    << platform.port << "\"" << store_settings << "}}";
 		pids.push_back(0);
 		run(n);
 		return n;
