Configurations are checked with the parser of the VMs

Cause: an operator learnt that a VM rejects a configuration, or that an entry of it never matches, only after it was sent. There was no check of the JSON one. Change: platform/config.c has one path from text to row, which a VM puts into force and a check drops after it has listed all entries that cannot be read. platform/config_check.c and config_routes.c warn of what is accepted and cannot be meant; lib/config/warn.c does so for the TOML configuration. cw_json_place finds the line and column of a value, which jansson tells for syntax errors only.

--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -155,6 +155,16 @@
 
 bool cw_json_is_shallow(const void *text, size_t bytes, uint32_t depth_max);
 
+/* A step from a JSON value to one within it. */
+struct cw_json_step {
+	const char *member; /* of an object; NULL: an element of an array */
+	size_t index;
+};
+
+void cw_json_place(const char *text, size_t bytes,
+    const struct cw_json_step *steps, size_t step_count, uint32_t *line,
+    uint32_t *column);
+
 /*
  * 7. Happens-before annotations for ThreadSanitizer. liburcu is not built with
  * it, so its synchronisation is invisible there: writes before the release of
--- a/lib/config/config.h
+++ b/lib/config/config.h
@@ -90,6 +90,12 @@
     struct cfg_errors *errors);
 void cfg_config_free(struct cfg_config *config);
 
+/* What is accepted and probably not meant. accels is the number of accelerators
+ * of the deployment, 0 if it is unknown. */
+int cfg_config_warn(const char *text, size_t bytes,
+    const struct cfg_config *config, uint32_t accels,
+    struct cfg_errors *warnings);
+
 /*
  * 4. Access keys of accounts.
  */
@@ -103,6 +109,7 @@
  */
 int cfg_file_read(const char *path, size_t bytes_max, char **text,
     size_t *bytes, struct cfg_errors *errors);
+size_t cfg_name_distance(const char *a, const char *b);
 void cfg_errors_add(struct cfg_errors *errors, uint32_t line, uint32_t column,
     const char *format, ...) __attribute__((format(printf, 4, 5)));
 
--- a/lib/config/reader.c
+++ b/lib/config/reader.c
@@ -15,7 +15,6 @@
 	size_t key_count;
 };
 
-static size_t edit_distance(const char *a, const char *b);
 static const char *closest_key(
     const struct cfg_key_spec *keys, size_t count, const char *name);
 static void check_key_known(
@@ -23,8 +22,8 @@
 
 /* Returns the Levenshtein distance of two keys, of which the first
  * COMPARED_BYTES_MAX bytes are compared. */
-static size_t
-edit_distance(const char *a, const char *b)
+size_t
+cfg_name_distance(const char *a, const char *b)
 {
 	size_t row[COMPARED_BYTES_MAX + 1];
 	size_t a_bytes = strnlen(a, COMPARED_BYTES_MAX);
@@ -63,7 +62,7 @@
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		size_t distance = edit_distance(keys[i].name, name);
+		size_t distance = cfg_name_distance(keys[i].name, name);
 
 		if (distance < best) {
 			best = distance;
