--- a/lib/cli/cli.h
+++ b/lib/cli/cli.h
@@ -114,6 +114,7 @@
 	CLI_FILE_UNKNOWN,
 	CLI_FILE_SETTINGS, /* settings of one camphord */
 	CLI_FILE_CONFIG,   /* configuration: accounts, services, guarantees */
+	CLI_FILE_OPERATOR, /* configuration of the users' operator, JSON */
 };
 
 enum cli_file_kind cli_file_kind(const char *text);
--- a/lib/cli/config_file.c
+++ b/lib/cli/config_file.c
@@ -40,6 +40,9 @@
 	size_t i;
 
 	assert(text != NULL);
+	/* No line of TOML begins with a brace. */
+	if (text[strspn(text, " \t\r\n")] == '{')
+		return CLI_FILE_OPERATOR;
 	while (line != NULL && *line != '\0') {
 		line += strspn(line, " \t");
 		for (i = 0; i < sizeof(settings_keys) / sizeof(*settings_keys);
--- a/programs/camphorctl/cmd_config.c
+++ b/programs/camphorctl/cmd_config.c
@@ -3,20 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "config.h"
 #include "ctl.h"
-
-/* Limit of the server, see docs/api.md. */
-#define CONFIG_BYTES_MAX (256UL * 1024)
-
-/* The active configuration. */
-struct active_config {
-	struct cli_answer answer; /* owns the strings below */
-	int64_t version;
-	const char *author;
-	int64_t accepted_ms;
-	const char *text;
-};
+#include "ctl_config.h"
 
 /* A configuration file. */
 struct config_file {
@@ -27,20 +15,10 @@
 	int64_t base;     /* from the version line, -1: none */
 };
 
-static void print_errors(
-    const char *path, const struct cfg_errors *errors, int64_t line_offset);
-static bool has_operator(const struct cfg_config *config);
-static enum cli_exit check_config(const char *path, const char *text,
-    size_t bytes, int64_t line_offset, bool is_quiet);
-static enum cli_exit check_settings(
-    const char *path, const char *text, size_t bytes);
-static enum cli_exit run_check(const void *ctx, struct ctl_session *ctl);
 static bool read_config_file(const struct ctl_session *ctl,
     struct config_file *config_file, enum cli_exit *code);
-static enum cli_exit fetch_active_config(
-    const struct ctl_session *ctl, struct active_config *active_config);
-static void print_active_config(
-    FILE *out, const char *heading, const struct active_config *active_config);
+static void print_active_config(FILE *out, const char *heading,
+    const struct ctl_active_config *active_config);
 static enum cli_exit find_base(const struct ctl_session *ctl,
     const struct config_file *config_file, int64_t *base);
 static enum cli_exit resolve_apply(const struct ctl_session *ctl,
@@ -52,129 +30,6 @@
 static enum cli_exit run_history(const void *ctx, struct ctl_session *ctl);
 static enum cli_exit run_show(const void *ctx, struct ctl_session *ctl);
 
-/* Prints errors found locally as FILE:LINE:COLUMN: text. line_offset is the
- * number of lines that precede the configuration in the file. */
-static void
-print_errors(
-    const char *path, const struct cfg_errors *errors, int64_t line_offset)
-{
-	size_t i;
-
-	for (i = 0; i < errors->count; i++) {
-		const struct cfg_error *error = &errors->errors[i];
-
-		fprintf(stderr, "%s:%" PRId64 ":%" PRIu32 ": ", path,
-		    error->line == 0 ? 1 : error->line + line_offset,
-		    error->column == 0 ? 1 : error->column);
-		cli_text_print_sanitized(stderr, error->text);
-		fputc('\n', stderr);
-	}
-}
-
-static bool
-has_operator(const struct cfg_config *config)
-{
-	size_t i;
-
-	for (i = 0; i < config->account_count; i++)
-		if (config->accounts[i].role == BD_ROLE_OPERATOR)
-			return true;
-	return false;
-}
-
-/* Checks a configuration and prints its errors. line_offset is the number of
- * lines that precede it in the file. */
-static enum cli_exit
-check_config(const char *path, const char *text, size_t bytes,
-    int64_t line_offset, bool is_quiet)
-{
-	struct cfg_errors errors = {0};
-	struct cfg_config *parsed = NULL;
-
-	if (cfg_config_parse(text, bytes, &parsed, &errors) != CW_OK) {
-		print_errors(path, &errors, line_offset);
-		if (errors.count == 0)
-			ctl_message("%s: %s", path, cw_error_last());
-		return CLI_EXIT_REFUSED;
-	}
-	/* Without an operator account the configuration can no longer be
-	 * changed. */
-	if (!has_operator(parsed)) {
-		fprintf(stderr,
-		    "%s:1:1: no account has role = \"operator\"; nobody could "
-		    "change the configuration afterwards\n",
-		    path);
-		cfg_config_free(parsed);
-		return CLI_EXIT_REFUSED;
-	}
-	if (!is_quiet)
-		printf("%s: configuration, %zu accounts, %zu guaranteed "
-		       "shapes, %zu services, %zu upstreams\n",
-		    path, parsed->account_count, parsed->promise_count,
-		    parsed->service_count, parsed->runner_count);
-	cfg_config_free(parsed);
-	return CLI_EXIT_OK;
-}
-
-/* Checks the settings of one camphord and prints their errors. */
-static enum cli_exit
-check_settings(const char *path, const char *text, size_t bytes)
-{
-	struct cfg_settings settings;
-	struct cfg_errors errors = {0};
-
-	if (cfg_settings_parse(text, bytes, &settings, &errors) != CW_OK) {
-		print_errors(path, &errors, 0);
-		return CLI_EXIT_REFUSED;
-	}
-	printf("%s: settings of camphord \"%s\", HTTP on %s%s, %" PRIu32
-	       " peers%s\n",
-	    path, settings.name, settings.http_address,
-	    settings.tls_certificate[0] == '\0' ? " without encryption"
-						: " with TLS",
-	    settings.peer_count,
-	    settings.curve_public[0] == '\0' ? " without encryption"
-					     : " with CURVE");
-	return CLI_EXIT_OK;
-}
-
-/* camphorctl check FILE */
-static enum cli_exit
-run_check(const void *ctx, struct ctl_session *ctl)
-{
-	const char *path = ctl_args_text(ctl->args, "file");
-	enum cli_exit code = CLI_EXIT_REFUSED;
-	struct cfg_settings settings;
-	struct cfg_errors errors = {0};
-	char *text;
-	size_t bytes;
-
-	(void)ctx;
-	if (!ctl_file_read(path, CONFIG_BYTES_MAX, &text, &bytes))
-		return CLI_EXIT_USAGE;
-	switch (cli_file_kind(text)) {
-	case CLI_FILE_SETTINGS:
-		code = check_settings(path, text, bytes);
-		break;
-	case CLI_FILE_CONFIG:
-		code = check_config(path, text, bytes, 0, false);
-		break;
-	case CLI_FILE_UNKNOWN:
-	default:
-		/* A syntax error may be why the kind is unknown. */
-		if (cfg_settings_parse(text, bytes, &settings, &errors) ==
-		    CFG_ESYNTAX)
-			print_errors(path, &errors, 0);
-		fprintf(stderr,
-		    "%s:1:1: neither the settings of a camphord (with "
-		    "http_address, peer_address, ...) nor a configuration "
-		    "(with [fleet], [[account]], [[service]])\n",
-		    path);
-	}
-	free(text);
-	return code;
-}
-
 /* Reads the file of apply or diff. The caller frees config_file->contents. On
  * failure prints a message, sets *code and returns false. */
 static bool
@@ -184,7 +39,7 @@
 	memset(config_file, 0, sizeof(*config_file));
 	config_file->path = ctl_args_text(ctl->args, "file");
 	*code = CLI_EXIT_USAGE;
-	if (!ctl_file_read(config_file->path, CONFIG_BYTES_MAX + 256,
+	if (!ctl_file_read(config_file->path, CTL_CONFIG_BYTES_MAX + 256,
 		&config_file->contents, &config_file->bytes))
 		return false;
 	if (strlen(config_file->contents) != config_file->bytes) {
@@ -201,41 +56,9 @@
 	return true;
 }
 
-/* Fetches the active configuration. The caller frees active_config->answer,
- * also on failure. */
-static enum cli_exit
-fetch_active_config(
-    const struct ctl_session *ctl, struct active_config *active_config)
-{
-	struct cli_call call;
-	enum cli_exit code;
-	const json_t *text;
-	const json_t *author;
-
-	memset(active_config, 0, sizeof(*active_config));
-	ctl_call_init(ctl, &call, "GET", "/v1/config");
-	code = ctl_call_run(ctl, &call, &active_config->answer);
-	if (code != CLI_EXIT_OK)
-		return code;
-	text = json_object_get(active_config->answer.json, "text");
-	author = json_object_get(active_config->answer.json, "author");
-	if (!json_is_string(text) || !json_is_string(author)) {
-		ctl_message("%s returned no configuration",
-		    active_config->answer.server);
-		return CLI_EXIT_REFUSED;
-	}
-	active_config->text = json_string_value(text);
-	active_config->author = json_string_value(author);
-	active_config->version = json_integer_value(
-	    json_object_get(active_config->answer.json, "version"));
-	active_config->accepted_ms = json_integer_value(
-	    json_object_get(active_config->answer.json, "accepted_ms"));
-	return CLI_EXIT_OK;
-}
-
 static void
-print_active_config(
-    FILE *out, const char *heading, const struct active_config *active_config)
+print_active_config(FILE *out, const char *heading,
+    const struct ctl_active_config *active_config)
 {
 	char time[CLI_TIME_BYTES];
 
@@ -256,7 +79,7 @@
     int64_t *base)
 {
 	struct cli_diff diff;
-	struct active_config active_config;
+	struct ctl_active_config active_config;
 	enum cli_exit code;
 
 	*base = config_file->base;
@@ -264,7 +87,7 @@
 		return CLI_EXIT_USAGE;
 	if (*base >= 0)
 		return CLI_EXIT_OK;
-	code = fetch_active_config(ctl, &active_config);
+	code = ctl_active_config(ctl, &active_config);
 	if (code == CLI_EXIT_UNAUTHORISED) {
 		/* Without a configuration no key is valid; if there is one,
 		 * base 0 is refused. */
@@ -296,12 +119,12 @@
     const struct config_file *config_file, int64_t base,
     const struct cli_answer *answer, enum cli_exit code)
 {
-	struct active_config active_config;
+	struct ctl_active_config active_config;
 	bool is_applied;
 
 	if (code != CLI_EXIT_CONFLICT && code != CLI_EXIT_UNKNOWN)
 		return code;
-	if (fetch_active_config(ctl, &active_config) != CLI_EXIT_OK) {
+	if (ctl_active_config(ctl, &active_config) != CLI_EXIT_OK) {
 		cli_answer_free(&active_config.answer);
 		return code;
 	}
@@ -343,8 +166,8 @@
 	if (!read_config_file(ctl, &config_file, &code))
 		return code;
 	line_offset = config_file.text != config_file.contents;
-	code = check_config(config_file.path, config_file.text,
-	    config_file.bytes, line_offset, true);
+	code = ctl_check_config(
+	    config_file.path, config_file.text, config_file.bytes, line_offset);
 	if (code == CLI_EXIT_OK && !is_check)
 		code = find_base(ctl, &config_file, &base);
 	if (code != CLI_EXIT_OK) {
@@ -386,14 +209,14 @@
 run_diff(const void *ctx, struct ctl_session *ctl)
 {
 	struct config_file config_file;
-	struct active_config active_config;
+	struct ctl_active_config active_config;
 	struct cli_diff diff = {0};
 	enum cli_exit code;
 
 	(void)ctx;
 	if (!read_config_file(ctl, &config_file, &code))
 		return code;
-	code = fetch_active_config(ctl, &active_config);
+	code = ctl_active_config(ctl, &active_config);
 	if (code == CLI_EXIT_OK) {
 		print_active_config(stdout, "--- version", &active_config);
 		printf("+++ %s\n", config_file.path);
@@ -439,8 +262,8 @@
 static enum cli_exit
 run_show(const void *ctx, struct ctl_session *ctl)
 {
-	struct active_config active_config;
-	enum cli_exit code = fetch_active_config(ctl, &active_config);
+	struct ctl_active_config active_config;
+	enum cli_exit code = ctl_active_config(ctl, &active_config);
 
 	(void)ctx;
 	if (code == CLI_EXIT_OK && ctl->is_json) {
@@ -455,9 +278,6 @@
 	return code;
 }
 
-static const struct ctl_option check_options[] = {
-    {"file", CTL_OPERAND, "FILE", "settings or configuration file"},
-};
 static const struct ctl_option apply_options[] = {
     {"file", CTL_OPERAND, "FILE", "configuration file"},
     {"base", CTL_TEXT, "N",
@@ -475,10 +295,6 @@
 };
 
 static const struct ctl_command commands[] = {
-    {"check", "check a settings or configuration file without a server",
-	"  camphorctl check /etc/camphor/camphord.toml\n"
-	"  camphorctl check examples/himal.toml\n",
-	CTL_OPTIONS(check_options), run_check, NULL, true},
     {"apply", "replace the active configuration",
 	"  camphorctl show >config.toml; $EDITOR config.toml\n"
 	"  camphorctl apply config.toml\n"
--- a/programs/camphorctl/ctl.h
+++ b/programs/camphorctl/ctl.h
@@ -90,6 +90,7 @@
 	size_t count;
 };
 
+extern const struct ctl_group ctl_check_group;
 extern const struct ctl_group ctl_config_group;
 extern const struct ctl_group ctl_job_group;
 extern const struct ctl_group ctl_request_group;
--- a/programs/camphorctl/main.c
+++ b/programs/camphorctl/main.c
@@ -22,8 +22,9 @@
 static enum cli_exit run_command(
     const struct ctl_command *command, struct ctl_session *ctl);
 
-const struct ctl_group *const ctl_groups[] = {&ctl_config_group, &ctl_job_group,
-    &ctl_request_group, &ctl_view_group, &ctl_key_group, &ctl_completion_group};
+const struct ctl_group *const ctl_groups[] = {&ctl_check_group,
+    &ctl_config_group, &ctl_job_group, &ctl_request_group, &ctl_view_group,
+    &ctl_key_group, &ctl_completion_group};
 const size_t ctl_group_count = sizeof(ctl_groups) / sizeof(ctl_groups[0]);
 
 const struct ctl_option ctl_global_options[] = {
