--- a/tests/test_platform_config_check.cc
+++ b/tests/test_platform_config_check.cc
@@ -310,19 +310,24 @@
 }
 
 /* Guards against texts that exhaust the stack, or the time that an operator
- * waits: 20,000 routes are compared with each other. */
+ * waits: 20,000 routes are compared with each other and with as many services.
+ */
 TEST(PlatformConfigCheck, LargeAndDeepTextsAreChecked)
 {
 	std::string routes = route;
+	std::string services = "{\"Name\": \"s\"}";
 
 	EXPECT_EQ(CW_EINVAL, Review(std::string(100000, '[')).code);
 	EXPECT_EQ(CW_EINVAL,
 	    Review("{\"Version\":1,\"Routes\":" + std::string(100000, '{'))
 		.code);
 	EXPECT_EQ(CW_EINVAL, Review("").code);
-	for (int i = 0; i < 20000; i++)
+	for (int i = 0; i < 20000; i++) {
 		routes += "," + route;
-	Review review(configuration(routes, tenant));
+		services += ",{\"Name\": \"s" + std::to_string(i) + "\"}";
+	}
+	Review review(changed(
+	    configuration(routes, tenant), "{\"Name\": \"pool\"}", services));
 	EXPECT_EQ(CW_OK, review.code);
 	EXPECT_EQ((size_t)CFG_ERRORS_MAX, review.result->warnings.count);
 	EXPECT_NE(std::string::npos,
