--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -69,10 +69,10 @@
 	int64_t next_hold_ms;
 	int64_t unresponsive_since_ms; /* first unanswered call, 0: answers */
 	struct fw_silences silences;
-	int64_t failed_ms;             /* latest failure of a run */
-	uint32_t failed_count;         /* consecutive failed runs */
-	int64_t crashed_ms;            /* latest crash, 0: none */
-	int64_t unanswered_ms;         /* when a start was given up, 0: never */
+	int64_t failed_ms;     /* latest failure of a run */
+	uint32_t failed_count; /* consecutive failed runs */
+	int64_t crashed_ms;    /* latest crash, 0: none */
+	int64_t unanswered_ms; /* when a start was given up, 0: never */
 	int64_t reborn_ms;  /* when another incarnation was first heard, or 0 */
 	int64_t moved_ms;   /* latest progress of a run there, 0: none */
 	int64_t stalled_ms; /* when it was found to stand still, 0: never */
