Stops cost what the stopped job still earns, and each one doubles it

Cause: the runs that lost least were stopped, so a run that had been stopped and started again a moment ago was the cheapest one and was stopped again. Work that was of no use to its caller any more counted as much as work that could still be in time.

Change: the price of a stop is the lost work, nothing if the job can earn nothing any more, a quarter if it is late, and twice as much with each earlier stop for the sake of others. After two of them only a job within its account's guarantee stops the group again. Guarantees are not weakened: their jobs still stop any run of lower priority.

Stops are counted by group (a gang or a single task) in lib/flow/stops.c for the term of the placer. For jobs accepted before the term they are estimated from the run numbers in the job's row: earlier runs that neither failed nor crashed their worker. This counts runs lost with their worker as well, which protects such a job more; nothing further is stored.

--- a/lib/flow/advance.c
+++ b/lib/flow/advance.c
@@ -26,8 +26,6 @@
 	const struct bd_flow_step *step;
 };
 
-static int64_t remaining_ms(
-    const struct fw_run *run, const struct bd_flow_step *step, int64_t now_ms);
 static int compare_releases(const void *a, const void *b);
 static bool collect_releases(
     struct fw_advance *advance, const struct fw_view *view);
@@ -39,8 +37,8 @@
     uint32_t *hosts);
 
 /* Returns the expected time until a run ends. */
-static int64_t
-remaining_ms(
+int64_t
+fw_run_left_ms(
     const struct fw_run *run, const struct bd_flow_step *step, int64_t now_ms)
 {
 	int64_t left_ms =
@@ -107,7 +105,8 @@
 		flow = fw_job_current(&view->jobs[job]);
 		fw_task_ref_of(flow, run->index, &ref);
 		release->step = &fw_flow_steps(flow)[ref.step];
-		release->in_ms = remaining_ms(run, release->step, view->now_ms);
+		release->in_ms =
+		    fw_run_left_ms(run, release->step, view->now_ms);
 		advance->count++;
 	}
 	if (advance->count > 1)
--- a/lib/flow/caller_cost.c
+++ b/lib/flow/caller_cost.c
@@ -11,9 +11,119 @@
  * however many jobs of a higher one wait. */
 #define TIMELY_BACKLOG_MAX_MILLI 400
 
+/* A job that completes later than this multiple of its completion target is of
+ * no use to its caller. */
+#define USEFUL_TARGET_FACTOR 3
+
+/* A job that is late earns about this part of what it would have earned in
+ * time: a fifth to a third, by kind. */
+#define LATE_VALUE_DIVISOR 4
+/* Stops after which the cost of one more does not double any further. */
+#define DOUBLINGS_MAX 16
+
+static int64_t estimate_run_ms(const struct bd_flow *flow);
+static int64_t target_ms(const struct bd_flow *flow);
+static bool is_useless(int64_t age_ms, int64_t left_ms, int64_t target_ms,
+    const struct fw_settings *settings);
 static uint32_t rank(const struct fw_group *group);
 static uint32_t level_of(const struct fw_group *group);
 
+/* Returns the estimated run time of a job, in ms: the sum over its first step
+ * and the steps with dependencies, as if these ran one after another. */
+static int64_t
+estimate_run_ms(const struct bd_flow *flow)
+{
+	const struct bd_flow_step *steps = fw_flow_steps(flow);
+	int64_t run_ms = 0;
+	uint32_t s;
+
+	for (s = 0; s < flow->step_count; s++)
+		if (s == 0 || steps[s].after != 0)
+			run_ms += steps[s].estimate_ms;
+	return run_ms;
+}
+
+/* Returns the completion target of a job, in ms after its acceptance. */
+static int64_t
+target_ms(const struct bd_flow *flow)
+{
+	int64_t run_ms = estimate_run_ms(flow);
+
+	/* Their product may have more than 64 bits. */
+	return run_ms / 1000 * flow->stretch_milli +
+	    run_ms % 1000 * flow->stretch_milli / 1000 + flow->target_ms;
+}
+
+/* Returns whether a job that needs left_ms more is of no use to its caller. No
+ * job counts as such before twice the start limit of guaranteed jobs, as it may
+ * have a guarantee until then. */
+static bool
+is_useless(int64_t age_ms, int64_t left_ms, int64_t target_ms,
+    const struct fw_settings *settings)
+{
+	return age_ms + left_ms > target_ms * USEFUL_TARGET_FACTOR &&
+	    age_ms > (int64_t)settings->reclaim_ms * 2;
+}
+
+/* Computes how long a job can wait and still meet its completion target, and
+ * whether it is too late to be useful; one that lasts never is. */
+void
+fw_group_set_limits(struct fw_group *group, const struct bd_flow *flow,
+    const struct fw_settings *settings)
+{
+	int64_t run_ms = estimate_run_ms(flow);
+	int64_t target = target_ms(flow);
+
+	group->slack_ms = target - run_ms - group->age_ms;
+	group->too_late = !group->lasts &&
+	    is_useless(group->age_ms, run_ms, target, settings);
+}
+
+/* Returns what a job can still earn for its caller if a run of it, which needs
+ * run_left_ms more, continues. */
+enum fw_earning
+fw_flow_earning(const struct bd_flow *flow, uint32_t index, int64_t run_left_ms,
+    int64_t wall_ms, const struct fw_settings *settings)
+{
+	const struct bd_flow_step *steps = fw_flow_steps(flow);
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	int64_t age_ms = wall_ms - flow->accepted_ms;
+	int64_t left_ms = run_left_ms;
+	struct fw_task_ref ref;
+	uint32_t s;
+
+	fw_task_ref_of(flow, index, &ref);
+	if ((steps[ref.step].flags & BD_STEP_LONG_RUNNING) != 0)
+		return FW_EARNS_FULLY;
+	tasks += ref.occurrence * flow->step_tasks;
+	/* A step begins after those that it depends on. */
+	for (s = ref.step + 1; s < flow->step_count; s++)
+		if (steps[s].after != 0 &&
+		    tasks[steps[s].first_task].state != BD_STEP_TASK_DONE)
+			left_ms += steps[s].estimate_ms;
+	if (age_ms + left_ms <= target_ms(flow))
+		return FW_EARNS_FULLY;
+	return is_useless(age_ms, left_ms, target_ms(flow), settings)
+	    ? FW_EARNS_NOTHING
+	    : FW_EARNS_LATE;
+}
+
+/*
+ * Returns what the stop of a group costs its caller: the work that is lost,
+ * nothing if the job earns nothing any more, and a part of it if the job is
+ * late. Each earlier stop for the sake of others doubles it, so that the same
+ * job is not chosen again and again as the one that has lost most already.
+ */
+uint64_t
+fw_stop_cost(uint64_t loss, enum fw_earning earning, uint32_t stops)
+{
+	if (earning == FW_EARNS_NOTHING)
+		return 0;
+	if (earning == FW_EARNS_LATE)
+		loss /= LATE_VALUE_DIVISOR;
+	return loss << (stops < DOUBLINGS_MAX ? stops : DOUBLINGS_MAX);
+}
+
 /* Returns the priority of a group in the placement order: 0, then tasks that
  * last and have waited for long, then the others. */
 static uint32_t
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -3,6 +3,8 @@
 
 /* Included by flow_internal.h only. */
 
+#include "stops.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -116,6 +118,7 @@
 	struct fw_writer progress;
 	struct fw_writer job_states; /* jobs topic: public states, clean-up */
 	struct fw_reservation *reservations;
+	struct fw_stops stops; /* for the sake of others, in this term */
 	struct fw_waits waits; /* for the log */
 	struct fw_undecided undecided;
 	/* Average demand of priority 0, in thousandths of an accelerator, and
--- a/lib/flow/flow_preempt.h
+++ b/lib/flow/flow_preempt.h
@@ -18,7 +18,10 @@
 	uint32_t first; /* first task of its group, the same for a whole gang */
 	uint32_t host;  /* index in the view */
 	uint32_t priority;
-	uint64_t cost; /* core-milliseconds that its gang loses */
+	uint64_t cost;  /* to its callers, in core-milliseconds */
+	uint64_t loss;  /* core-milliseconds of work that its gang loses */
+	uint32_t stops; /* of its gang for the sake of others, so far */
+	bool spared;    /* is stopped within a guarantee only */
 	const struct bd_flow_step *step;
 	uint32_t gang_next;     /* ring of the members of its gang */
 	uint32_t selected_next; /* list of the tentative ones */
@@ -43,6 +46,9 @@
     void *ctx, struct fw_view *view, const struct fw_group *group);
 void fw_preempt_end(struct fw_preempt *preempt);
 
+int64_t fw_run_left_ms(
+    const struct fw_run *run, const struct bd_flow_step *step, int64_t now_ms);
+
 struct fw_release;
 
 /* The capacity that one decision keeps for waiting gangs. */
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -54,6 +54,7 @@
 	fw_writer_reset(&placer->job_states);
 	fw_reservations_clear(&placer->reservations);
 	fw_waits_clear(&placer->waits);
+	fw_stops_clear(&placer->stops);
 	fw_tables_clear(&placer->tables);
 	fw_departures_end(placer->parts.departures);
 	fw_follower_set_read_interval(placer->parts.jobs, READ_GAP_IDLE_MS);
@@ -246,6 +247,7 @@
 	fw_writer_free(&placer->progress);
 	fw_writer_free(&placer->job_states);
 	fw_waits_clear(&placer->waits);
+	fw_stops_clear(&placer->stops);
 	fw_reservations_clear(&placer->reservations);
 	fw_tables_free(&placer->tables);
 	pthread_mutex_destroy(&placer->lock);
--- a/lib/flow/preempt.c
+++ b/lib/flow/preempt.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "flow_internal.h"
 
@@ -16,6 +17,10 @@
 /* Time from the order to stop a run to its end, without the run's own. */
 #define STOP_TRANSIT_MS 100
 
+static void set_cost(const struct fw_placer *placer, const struct fw_view *view,
+    const struct fw_run *run, uint32_t members, struct fw_victim *victim);
+static void note_stop(struct fw_placer *placer, const struct fw_view *view,
+    const struct fw_victim *victim, const struct bd_flow *by);
 static void collect_victims(struct fw_preempt *preempt, struct fw_view *view);
 
 /* Returns the size of a task of a step in thousandths of a core. */
@@ -66,6 +71,32 @@
 	    : group->work * UNGUARANTEED_COST_MILLI / 1000;
 }
 
+/* Sets what the stop of a run costs its callers. */
+static void
+set_cost(const struct fw_placer *placer, const struct fw_view *view,
+    const struct fw_run *run, uint32_t members, struct fw_victim *victim)
+{
+	const struct bd_flow *flow = fw_job_current(&view->jobs[victim->job]);
+	const struct bd_flow_step *step;
+	struct fw_task_ref ref;
+	enum fw_earning earning;
+
+	fw_task_ref_of(flow, run->index, &ref);
+	step = &fw_flow_steps(flow)[ref.step];
+	victim->loss = fw_run_loss(
+	    step, view->now_ms - run->placed_ms, members, view->settings);
+	victim->cost = victim->loss;
+	if ((view->settings->rules_off & FW_RULE_STOP_COST) != 0)
+		return;
+	earning = fw_flow_earning(flow, run->index,
+	    fw_run_left_ms(run, step, view->now_ms), view->wall_ms,
+	    view->settings);
+	victim->stops = fw_stops_of(&placer->stops, flow, victim->first,
+	    members, view->wall_ms - (view->now_ms - placer->active_since_ms));
+	victim->spared = victim->stops >= FW_STOPS_FOR_OTHERS_MAX;
+	victim->cost = fw_stop_cost(victim->loss, earning, victim->stops);
+}
+
 /* Collects the runs that may be preempted, with the work that each would lose:
  * those of another priority than 0, and those that are being stopped already.
  */
@@ -83,7 +114,6 @@
 		const struct fw_run *run = &placer->tables.runs[i];
 		struct fw_victim *victim = &preempt->victims[preempt->count];
 		const struct bd_flow *flow;
-		struct fw_task_ref ref;
 		uint32_t members;
 
 		if (!run->used || run->superseded_since_ms != 0 ||
@@ -98,16 +128,29 @@
 		flow = fw_job_current(&view->jobs[victim->job]);
 		if (flow->priority == 0 && !run->stop_requested)
 			continue;
-		fw_task_ref_of(flow, run->index, &ref);
 		fw_group_of(flow, run->index, &victim->first, &members);
 		victim->priority = flow->priority;
 		victim->stopping = run->stop_requested;
-		victim->cost = fw_run_loss(&fw_flow_steps(flow)[ref.step],
-		    view->now_ms - run->placed_ms, members, view->settings);
+		set_cost(placer, view, run, members, victim);
 		preempt->count++;
 	}
 }
 
+/* Counts the stop of a run for another job. */
+static void
+note_stop(struct fw_placer *placer, const struct fw_view *view,
+    const struct fw_victim *victim, const struct bd_flow *by)
+{
+	struct fw_stop stop = {
+	    .flow = fw_job_current(&view->jobs[victim->job])->id,
+	    .first = victim->first,
+	    .cost = victim->loss,
+	    .at_ms = view->now_ms};
+
+	memcpy(stop.by, by->name, sizeof(stop.by));
+	fw_stops_note(&placer->stops, placer->parts.board, &stop);
+}
+
 /* Preempts runs for a group that does not fit, and reserves their capacity for
  * it. ctx is a struct fw_preempt. */
 void
@@ -144,6 +187,7 @@
 		if (!preempt->victims[i].to_preempt || run->stop_requested)
 			continue;
 		run->stop_requested = true;
+		note_stop(placer, view, &preempt->victims[i], flow);
 		ev_emit(EV_FLOW_STOP,
 		    "job=%016llx task=%u run=%u worker=%s reason=reclaimed "
 		    "for=%s percent=%u",
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -7,16 +7,9 @@
  * some tens of ms. */
 #define DUE_MARGIN_MS 60
 
-/* A job that completes later than this multiple of its completion target is of
- * no use to its caller. */
-#define USEFUL_TARGET_FACTOR 3
-
 static bool step_done(
     const struct bd_flow *flow, uint32_t occurrence, uint32_t step);
 static uint64_t estimate_work(const struct bd_flow *flow);
-static int64_t estimate_run_ms(const struct bd_flow *flow);
-static void set_time_limits(struct fw_group *group, const struct bd_flow *flow,
-    const struct fw_settings *settings);
 static int64_t turn_ms(
     const struct bd_flow *flow, const struct fw_group *group);
 static bool is_storable(
@@ -71,40 +64,6 @@
 	return work;
 }
 
-/* Returns the estimated run time of a job, in ms: the sum over its first step
- * and the steps with dependencies, as if these ran one after another. */
-static int64_t
-estimate_run_ms(const struct bd_flow *flow)
-{
-	const struct bd_flow_step *steps = fw_flow_steps(flow);
-	int64_t run_ms = 0;
-	uint32_t s;
-
-	for (s = 0; s < flow->step_count; s++)
-		if (s == 0 || steps[s].after != 0)
-			run_ms += steps[s].estimate_ms;
-	return run_ms;
-}
-
-/* Computes how long a job can wait and still meet its completion target, and
- * whether it is too late to be useful; one that lasts never is. No job counts
- * as too late before twice the start limit of guaranteed jobs, as it may have a
- * guarantee until then. */
-static void
-set_time_limits(struct fw_group *group, const struct bd_flow *flow,
-    const struct fw_settings *settings)
-{
-	int64_t run_ms = estimate_run_ms(flow);
-	/* Their product may have more than 64 bits. */
-	int64_t target_ms = run_ms / 1000 * flow->stretch_milli +
-	    run_ms % 1000 * flow->stretch_milli / 1000 + flow->target_ms;
-
-	group->slack_ms = target_ms - run_ms - group->age_ms;
-	group->too_late = !group->lasts &&
-	    group->age_ms + run_ms > target_ms * USEFUL_TARGET_FACTOR &&
-	    group->age_ms > (int64_t)settings->reclaim_ms * 2;
-}
-
 /* Returns the wall time at which the turn of a group came: its job was accepted
  * and due, the steps before were done, and its latest runs had ended. */
 static int64_t
@@ -152,7 +111,7 @@
 	group->service = fw_view_service_index(view, flow->pool);
 	group->ample = fw_view_ample(view, group->service, step->accels);
 	group->lasts = (step->flags & BD_STEP_LONG_RUNNING) != 0;
-	set_time_limits(group, flow, view->settings);
+	fw_group_set_limits(group, flow, view->settings);
 	group->work = estimate_work(flow);
 	group->suspect = suspect;
 	fw_group_set_trial(group, flow);
--- a/lib/flow/reclaim.c
+++ b/lib/flow/reclaim.c
@@ -23,6 +23,7 @@
 	struct fw_victim *victims; /* sorted by worker */
 	uint32_t count;
 	uint32_t selected; /* first of the tentative victims, or NO_VICTIM */
+	bool guaranteed;   /* no cost is too high */
 	/* Cost of one task on each worker, or COST_UNKNOWN. A selection changes
 	 * that of few workers; all others are not searched again. */
 	uint64_t *costs;
@@ -121,13 +122,15 @@
 	return victim->cost * (victim->priority == 1 ? 2 : 1) + 1;
 }
 
-/* Returns whether a run may be selected: it has a lower priority than the
- * group, or is being stopped. */
+/* Returns whether a run may be selected: it is being stopped, or it has a lower
+ * priority than the group and was not stopped too often before. */
 static bool
 may_preempt(const struct search *search, const struct fw_victim *victim)
 {
 	return !victim->tentative && !victim->to_preempt &&
-	    (victim->stopping || victim->priority > search->group->priority);
+	    (victim->stopping ||
+		(victim->priority > search->group->priority &&
+		    (!victim->spared || search->guaranteed)));
 }
 
 /* Finds the cheapest runs on one worker whose preemption lets one task of the
@@ -369,7 +372,8 @@
 	    .flow = fw_job_current(&view->jobs[group->job]),
 	    .victims = victims,
 	    .count = count,
-	    .selected = NO_VICTIM};
+	    .selected = NO_VICTIM,
+	    .guaranteed = cost_max == UINT64_MAX};
 	bool found;
 	uint32_t i;
 
