Priority 1 preempts late, useless and cheap runs of lower priority

Cause: only priority 0 preempted. A gang of priority 1 missed its target behind runs of lower priority that had missed theirs already.

Change: a group of priority 1 that has waited for 500 ms, can still meet its target and has at most 2 s of slack left may preempt runs of lower priority that cost at most a tenth of its own job's work. A run of a late job costs a tenth of its price here, a useless one nothing. One group at most preempts in a decision, none while urgent groups of its service wait, and none takes workers reserved for priority 0 that it could not use otherwise.

Result (test_flow_caller_cost): a gang that arrives on a deployment full of late runs completes within its target with the rule, after two stops, and not without it.

--- a/lib/flow/caller_cost.h
+++ b/lib/flow/caller_cost.h
@@ -26,6 +26,7 @@
 enum fw_cost_rule {
 	FW_RULE_LEAVE_TIMELY = 1, /* backlog of priorities other than 0 */
 	FW_RULE_STOP_COST = 2,    /* what a stopped job earns, earlier stops */
+	FW_RULE_MIDDLE_PREEMPTS = 4, /* priority 1 preempts lower ones */
 };
 
 /* What a job can still earn for its caller. */
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -434,9 +434,8 @@
 
 	if (group->bound)
 		return;
-	if (group->priority == 0)
-		fw_preempt_for_group(&waiting->preempt, view, group);
-	else
+	if (!fw_preempt_for_group(&waiting->preempt, view, group) &&
+	    group->priority != 0)
 		fw_advance_for_group(&waiting->advance, view, group);
 }
 
--- a/lib/flow/flow_preempt.h
+++ b/lib/flow/flow_preempt.h
@@ -11,7 +11,7 @@
  * Runs that are preempted, and capacity that is kept, for waiting groups.
  */
 
-/* A run that may be preempted by a job of priority 0. */
+/* A run that may be preempted by a job of higher priority. */
 struct fw_victim {
 	uint32_t run;   /* handle */
 	uint32_t job;   /* index in the view */
@@ -21,6 +21,7 @@
 	uint64_t cost;  /* to its callers, in core-milliseconds */
 	uint64_t loss;  /* core-milliseconds of work that its gang loses */
 	uint32_t stops; /* of its gang for the sake of others, so far */
+	bool timely;    /* its job can still meet its target */
 	bool spared;    /* is stopped within a guarantee only */
 	const struct bd_flow_step *step;
 	uint32_t gang_next;     /* ring of the members of its gang */
@@ -36,14 +37,16 @@
 	struct fw_victim *victims; /* NULL until a group needs them */
 	uint32_t count;
 	uint32_t searches;
+	uint32_t middle_searches; /* of these, for groups of priority 1 */
+	bool middle_done;         /* one of them has preempted runs */
 };
 
 uint64_t fw_step_size(const struct bd_flow_step *step);
 uint64_t fw_run_loss(const struct bd_flow_step *step, int64_t age_ms,
     uint32_t members, const struct fw_settings *settings);
 uint64_t fw_preempt_cost_max(const struct fw_group *group, bool guaranteed);
-void fw_preempt_for_group(
-    void *ctx, struct fw_view *view, const struct fw_group *group);
+bool fw_preempt_for_group(struct fw_preempt *preempt, struct fw_view *view,
+    const struct fw_group *group);
 void fw_preempt_end(struct fw_preempt *preempt);
 
 int64_t fw_run_left_ms(
--- a/lib/flow/preempt.c
+++ b/lib/flow/preempt.c
@@ -9,6 +9,19 @@
 /* A job of priority 0 that exceeds its account's guarantee may preempt runs
  * whose loss is at most this share, in thousandths, of the job's own work. */
 #define UNGUARANTEED_COST_MILLI 500
+/* A group of priority 1 preempts only after this wait, in which the capacity
+ * for it often becomes free by itself. */
+#define MIDDLE_DELAY_MS 500
+/* And only if its slack is at most this: with more of it there is time to wait
+ * for runs to end, and in trials at most as much was gained by twice the stops.
+ */
+#define MIDDLE_SLACK_MS 2000
+/* It may preempt runs whose cost is at most this share, in thousandths, of its
+ * job's own work; late and useless ones are cheaper, see reclaim.c. */
+#define MIDDLE_COST_MILLI 100
+/* Largest number of groups of priority 1 for which one decision searches, of
+ * which one at most preempts. */
+#define MIDDLE_SEARCHES_MAX 2
 /* Largest number of groups for which one decision searches runs to preempt: a
  * search visits all workers. The others follow in the next decisions. */
 #define SEARCHES_MAX 8
@@ -17,6 +30,8 @@
 /* Time from the order to stop a run to its end, without the run's own. */
 #define STOP_TRANSIT_MS 100
 
+static bool may_middle_search(const struct fw_preempt *preempt,
+    const struct fw_view *view, const struct fw_group *group);
 static void set_cost(const struct fw_placer *placer, const struct fw_view *view,
     const struct fw_run *run, uint32_t members, struct fw_victim *victim);
 static void note_stop(struct fw_placer *placer, const struct fw_view *view,
@@ -51,19 +66,27 @@
 }
 
 /*
- * Returns the largest loss, in core-milliseconds, at which runs may be
- * preempted for a waiting group; 0: none are. Only jobs of priority 0 preempt.
- * Within its account's guarantee a job may preempt at any cost, otherwise only
- * while it can still meet its target, and only if little is lost. Load
- * answered: bursts of urgent jobs on a full deployment.
+ * Returns the largest cost, in core-milliseconds, at which runs may be
+ * preempted for a waiting group; 0: none are. Within its account's guarantee a
+ * job of priority 0 may preempt at any cost, otherwise only while it can still
+ * meet its target, and only if little is lost. Load answered: bursts of urgent
+ * jobs on a full deployment. The same holds for priority 1 after a longer wait
+ * and at a lower cost: gangs of the middle kind missed their target behind long
+ * runs of lower priority that were late already or had hardly begun.
  */
 uint64_t
 fw_preempt_cost_max(const struct fw_group *group, bool guaranteed)
 {
 	/* A suspect job would start among the runs that are left there. */
-	if (group->priority != 0 || group->suspect ||
+	if (group->priority > 1 || group->suspect ||
 	    group->age_ms < PREEMPT_DELAY_MS)
 		return 0;
+	if (group->priority == 1)
+		return group->waited_ms < MIDDLE_DELAY_MS ||
+			group->slack_ms < 0 ||
+			group->slack_ms > MIDDLE_SLACK_MS || group->too_late
+		    ? 0
+		    : group->work * MIDDLE_COST_MILLI / 1000;
 	if (guaranteed)
 		return UINT64_MAX;
 	return group->slack_ms < 0
@@ -71,6 +94,20 @@
 	    : group->work * UNGUARANTEED_COST_MILLI / 1000;
 }
 
+/* Returns whether the decision may search runs to preempt for a group of
+ * priority 1: none was preempted for another one yet, and no urgent group waits
+ * for the same capacity. */
+static bool
+may_middle_search(const struct fw_preempt *preempt, const struct fw_view *view,
+    const struct fw_group *group)
+{
+	return !preempt->middle_done &&
+	    preempt->middle_searches < MIDDLE_SEARCHES_MAX &&
+	    (view->settings->rules_off & FW_RULE_MIDDLE_PREEMPTS) == 0 &&
+	    group->service != FW_NONE &&
+	    view->services[group->service].urgent_backlog == 0;
+}
+
 /* Sets what the stop of a run costs its callers. */
 static void
 set_cost(const struct fw_placer *placer, const struct fw_view *view,
@@ -86,6 +123,7 @@
 	victim->loss = fw_run_loss(
 	    step, view->now_ms - run->placed_ms, members, view->settings);
 	victim->cost = victim->loss;
+	victim->timely = true;
 	if ((view->settings->rules_off & FW_RULE_STOP_COST) != 0)
 		return;
 	earning = fw_flow_earning(flow, run->index,
@@ -94,6 +132,7 @@
 	victim->stops = fw_stops_of(&placer->stops, flow, victim->first,
 	    members, view->wall_ms - (view->now_ms - placer->active_since_ms));
 	victim->spared = victim->stops >= FW_STOPS_FOR_OTHERS_MAX;
+	victim->timely = earning == FW_EARNS_FULLY;
 	victim->cost = fw_stop_cost(victim->loss, earning, victim->stops);
 }
 
@@ -152,12 +191,11 @@
 }
 
 /* Preempts runs for a group that does not fit, and reserves their capacity for
- * it. ctx is a struct fw_preempt. */
-void
-fw_preempt_for_group(
-    void *ctx, struct fw_view *view, const struct fw_group *group)
+ * it. Returns whether it did. */
+bool
+fw_preempt_for_group(struct fw_preempt *preempt, struct fw_view *view,
+    const struct fw_group *group)
 {
-	struct fw_preempt *preempt = ctx;
 	struct fw_placer *placer = preempt->placer;
 	const struct bd_flow *flow = fw_job_current(&view->jobs[group->job]);
 	uint64_t cost_max = fw_preempt_cost_max(group,
@@ -167,15 +205,18 @@
 	uint32_t i;
 
 	if (cost_max == 0 || view->lists_pending ||
-	    preempt->searches >= SEARCHES_MAX)
-		return;
+	    preempt->searches >= SEARCHES_MAX ||
+	    (group->priority == 1 && !may_middle_search(preempt, view, group)))
+		return false;
 	preempt->searches++;
+	preempt->middle_searches += group->priority == 1;
 	if (preempt->victims == NULL)
 		collect_victims(preempt, view);
 	if (preempt->victims == NULL ||
 	    !fw_reclaim(
 		view, group, preempt->victims, preempt->count, cost_max, hosts))
-		return;
+		return false;
+	preempt->middle_done |= group->priority == 1;
 	if (fw_reservation_add(&placer->reservations, view, group, hosts) !=
 	    CW_OK)
 		ev_emit(EV_FLOW_NO_MEMORY, "what=plan");
@@ -195,6 +236,7 @@
 		    placer->tables.worker_states[run->worker].name, flow->name,
 		    run->percent);
 	}
+	return true;
 }
 
 /* Frees what the decision has collected. */
--- a/lib/flow/reclaim.c
+++ b/lib/flow/reclaim.c
@@ -5,6 +5,10 @@
 
 /* End of the list of selected victims. */
 #define NO_VICTIM UINT32_MAX
+/* For a group of another priority than 0, a run of a late job costs this part:
+ * such a group may stop little work that is in time, but late work up to what
+ * its own is worth. */
+#define LATE_DIVISOR 10
 /* Costs of a worker that was not searched yet, or on which no task fits. */
 #define COST_UNKNOWN (UINT64_MAX - 1)
 #define COST_NEVER UINT64_MAX
@@ -33,7 +37,8 @@
     const struct fw_view *view, const struct fw_victim *victim);
 static void select_gang(struct search *search, uint32_t one);
 static void release_all(struct search *search);
-static uint64_t weighted_cost(const struct fw_victim *victim);
+static uint64_t weighted_cost(
+    const struct search *search, const struct fw_victim *victim);
 static uint64_t cost_on(struct search *search, uint32_t host);
 static bool search_all(
     struct search *search, uint64_t cost_max, uint32_t *hosts);
@@ -115,11 +120,15 @@
  * anyway. By what callers pay, a core-second of priority 1 is worth about twice
  * as much as one of a lower priority. */
 static uint64_t
-weighted_cost(const struct fw_victim *victim)
+weighted_cost(const struct search *search, const struct fw_victim *victim)
 {
+	uint64_t cost = victim->cost;
+
 	if (victim->stopping)
 		return 0;
-	return victim->cost * (victim->priority == 1 ? 2 : 1) + 1;
+	if (search->group->priority != 0 && !victim->timely)
+		cost /= LATE_DIVISOR;
+	return cost * (victim->priority == 1 ? 2 : 1) + 1;
 }
 
 /* Returns whether a run may be selected: it is being stopped, or it has a lower
@@ -151,7 +160,7 @@
 
 		for (i = trial.first_victim; i < end; i++) {
 			const struct fw_victim *victim = &search->victims[i];
-			uint64_t own = weighted_cost(victim) + 1;
+			uint64_t own = weighted_cost(search, victim) + 1;
 
 			if (may_preempt(search, victim) && own > least &&
 			    own < next)
@@ -164,7 +173,7 @@
 			const struct fw_victim *victim = &search->victims[i];
 
 			if (!may_preempt(search, victim) ||
-			    weighted_cost(victim) + 1 != next ||
+			    weighted_cost(search, victim) + 1 != next ||
 			    fw_host_fits(&trial, search->flow, search->step))
 				continue;
 			*cost += next - 1;
@@ -202,6 +211,8 @@
 			const struct fw_host_view *host = &view->hosts[i];
 
 			if (host->failing ||
+			    (search->group->priority != 0 &&
+				!fw_group_may_use(view, host, search->group)) ||
 			    (step->host_max > 0 &&
 				host->same_step_tasks >= step->host_max))
 				continue;
--- a/tests/test_flow_caller_cost.cc
+++ b/tests/test_flow_caller_cost.cc
@@ -509,3 +509,72 @@
 	EXPECT_LE(ours.total, former.total);
 	EXPECT_GE(ours.done, former.done);
 }
+
+/* Guards against priority 1 that preempts at once, in vain, or at a high cost.
+ */
+TEST(FlowCallerCost, MiddlePriorityPreemptsLateAndAtLowCostOnly)
+{
+	struct fw_group group = waiting_group(1);
+
+	group.work = 1000;
+	group.age_ms = group.waited_ms = 500;
+	group.slack_ms = 2000;
+	EXPECT_EQ(100U, fw_preempt_cost_max(&group, false));
+	EXPECT_EQ(100U, fw_preempt_cost_max(&group, true));
+	group.waited_ms = 499;
+	EXPECT_EQ(0U, fw_preempt_cost_max(&group, false));
+	group.waited_ms = 500;
+	for (int64_t slack_ms : {-1, 2001}) {
+		group.slack_ms = slack_ms;
+		EXPECT_EQ(0U, fw_preempt_cost_max(&group, false));
+	}
+	group.slack_ms = 2000;
+	group.priority = 2;
+	EXPECT_EQ(0U, fw_preempt_cost_max(&group, false));
+}
+
+/* Guards against gangs of priority 1 that miss their target behind runs of
+ * lower priority which are late already. One gang preempts in a decision, and
+ * not before its wait; all callers get their results. */
+TEST(FlowCallerCost, LateRunsYieldToGangsThatCanBeInTime)
+{
+	for (uint32_t off : {(uint32_t)FW_RULE_MIDDLE_PREEMPTS, 0U}) {
+		FlowSim sim;
+		struct bd_flow_step low = FlowFixture::make_step(1, 8);
+		struct bd_flow_step gang =
+		    FlowFixture::make_step(2, 8, BD_STEP_GANG);
+		char name[BD_FLOW_NAME_BYTES];
+
+		/* Target 3 s, for work that takes 20 s. */
+		low.estimate_ms = 500;
+		gang.estimate_ms = 2000;
+		for (int i = 0; i < 8; i++) {
+			sim.add_worker("w" + std::to_string(i)).work_ms = 20000;
+			sim.workers["w" + std::to_string(i)].job_work_ms[GANG] =
+			    2000;
+		}
+		SimVm *vm = sim.add_vm("a");
+
+		vm->placer->parts.settings.rules_off = off;
+		sim.run_for(1000);
+		for (int i = 0; i < 8; i++) {
+			snprintf(name, sizeof(name), "%016x", 0x100 + i);
+			sim.submit(name, {low}, 2);
+		}
+		sim.run_for(1000);
+		sim.submit(GANG, {gang}, 1);
+		sim.run_for(400);
+		EXPECT_TRUE(sim.run_checker.stopped.empty());
+		sim.run_for(7100);
+		EXPECT_EQ(off != 0 ? BD_FLOW_QUEUED : BD_FLOW_COMPLETED,
+		    sim.state(vm, GANG));
+		EXPECT_EQ(off != 0 ? 0U : 2U, sim.run_checker.stopped.size());
+		sim.run_for(60000);
+		for (int i = 0; i < 8; i++) {
+			snprintf(name, sizeof(name), "%016x", 0x100 + i);
+			EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, name));
+		}
+		EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, GANG));
+		EXPECT_EQ(0, sim.run_checker.capacity_violations);
+	}
+}
