Event 1180 tells for whom a run was stopped and what that cost

Cause: 1114 names the job that needed the room, but neither what its stop cost nor how often the stopped group had been stopped before.

Change: event 1180, one line for each gang or task that is stopped for another job; it is counted in camphor_events_total.

Result: test_events and test_flow_caller_cost (*Third*: one line for each stop) pass. GET /jobs/ID and camphorctl why are not part of this change.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -134,3 +134,4 @@
 EV(1150, EV_FLOW_ROW_BAD, EV_LEVEL_WARN,
     "row of a worker's list cannot be read")
 EV(1151, EV_FLOW_DEPARTED, EV_LEVEL_INFO, "worker has left, by the store's log")
+EV(1180, EV_FLOW_STOP_COST, EV_LEVEL_INFO, "run stopped for another job")
--- a/lib/flow/preempt.c
+++ b/lib/flow/preempt.c
@@ -35,7 +35,7 @@
 static void set_cost(const struct fw_placer *placer, const struct fw_view *view,
     const struct fw_run *run, uint32_t members, struct fw_victim *victim);
 static void note_stop(struct fw_placer *placer, const struct fw_view *view,
-    const struct fw_victim *victim, const struct bd_flow *by);
+    const struct fw_victim *victim, const struct bd_flow *by, bool guaranteed);
 static void collect_victims(struct fw_preempt *preempt, struct fw_view *view);
 
 /* Returns the size of a task of a step in thousandths of a core. */
@@ -175,19 +175,29 @@
 	}
 }
 
-/* Counts the stop of a run for another job. */
+/* Counts the stop of a run for another job, and logs it once for its group. */
 static void
 note_stop(struct fw_placer *placer, const struct fw_view *view,
-    const struct fw_victim *victim, const struct bd_flow *by)
+    const struct fw_victim *victim, const struct bd_flow *by, bool guaranteed)
 {
-	struct fw_stop stop = {
-	    .flow = fw_job_current(&view->jobs[victim->job])->id,
+	const struct bd_flow *flow = fw_job_current(&view->jobs[victim->job]);
+	const struct fw_stop *before =
+	    fw_stops_find(&placer->stops, flow->id, victim->first);
+	struct fw_stop stop = {.flow = flow->id,
 	    .first = victim->first,
 	    .cost = victim->loss,
 	    .at_ms = view->now_ms};
 
+	if (before != NULL && before->at_ms == view->now_ms)
+		return;
 	memcpy(stop.by, by->name, sizeof(stop.by));
 	fw_stops_note(&placer->stops, placer->parts.board, &stop);
+	ev_emit(EV_FLOW_STOP_COST,
+	    "job=%s task=%u priority=%u for=%s for_priority=%u guaranteed=%d "
+	    "stop=%u lost_core_ms=%llu cost=%llu in_time=%d",
+	    flow->name, victim->first, victim->priority, by->name, by->priority,
+	    guaranteed, victim->stops + 1, (unsigned long long)victim->loss,
+	    (unsigned long long)victim->cost, victim->timely);
 }
 
 /* Preempts runs for a group that does not fit, and reserves their capacity for
@@ -228,7 +238,8 @@
 		if (!preempt->victims[i].to_preempt || run->stop_requested)
 			continue;
 		run->stop_requested = true;
-		note_stop(placer, view, &preempt->victims[i], flow);
+		note_stop(placer, view, &preempt->victims[i], flow,
+		    cost_max == UINT64_MAX);
 		ev_emit(EV_FLOW_STOP,
 		    "job=%016llx task=%u run=%u worker=%s reason=reclaimed "
 		    "for=%s percent=%u",
--- a/tests/test_flow_caller_cost.cc
+++ b/tests/test_flow_caller_cost.cc
@@ -502,8 +502,12 @@
 TEST(FlowCallerCost, NoRunIsStoppedAThirdTimeForOthers)
 {
 	Repeated former(FW_RULE_STOP_COST);
+	unsigned long long logged = ev_count(EV_FLOW_STOP_COST);
 	Repeated ours(0);
 
+	/* Each stop of these single tasks has a line for operators. */
+	EXPECT_EQ(logged + (unsigned)ours.total, ev_count(EV_FLOW_STOP_COST));
+
 	EXPECT_GT(former.most, FW_STOPS_FOR_OTHERS_MAX);
 	EXPECT_LE(ours.most, FW_STOPS_FOR_OTHERS_MAX);
 	EXPECT_LE(ours.total, former.total);
