--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -146,3 +146,4 @@
 EV(1165, EV_RELAY_ANNOUNCED, EV_LEVEL_INFO, "this VM announced to its peers")
 EV(1166, EV_RELAY_PEER_UNHELD, EV_LEVEL_WARN,
     "announcement of a VM cannot be held")
+EV(1180, EV_FLOW_STOP_COST, EV_LEVEL_INFO, "run stopped for another job")
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -4,6 +4,8 @@
 /* Included by flow_internal.h only. */
 #include "evacuation.h"
 
+#include "stops.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -117,6 +119,7 @@
 	struct fw_writer progress;
 	struct fw_writer job_states; /* jobs topic: public states, clean-up */
 	struct fw_reservation *reservations;
+	struct fw_stops stops; /* for the sake of others, in this term */
 	struct fw_waits waits; /* for the log */
 	struct fw_undecided undecided;
 	struct fw_freeze freeze;
--- a/tests/test_flow_caller_cost.cc
+++ b/tests/test_flow_caller_cost.cc
@@ -319,3 +319,255 @@
 	EXPECT_GE(ours.all, former.all);
 	EXPECT_LT(ours.stops, former.stops);
 }
+/* Guards against a price of stops that ignores what a job can still earn, or
+ * how often it was stopped before. */
+TEST(FlowCallerCost, StopsCostByWhatTheJobEarnsAndEarlierStops)
+{
+	EXPECT_EQ(0U, fw_stop_cost(1000, FW_EARNS_NOTHING, 5));
+	EXPECT_EQ(250U, fw_stop_cost(1000, FW_EARNS_LATE, 0));
+	EXPECT_EQ(1000U, fw_stop_cost(1000, FW_EARNS_FULLY, 0));
+	EXPECT_EQ(4000U, fw_stop_cost(1000, FW_EARNS_FULLY, 2));
+	EXPECT_LT(fw_stop_cost(1000, FW_EARNS_FULLY, 16), 1U << 27);
+	EXPECT_EQ(fw_stop_cost(1000, FW_EARNS_FULLY, 16),
+	    fw_stop_cost(1000, FW_EARNS_FULLY, 1000));
+}
+
+/* Guards against work that counts as lost while it can still be in time, by
+ * what the steps after it need and by its own progress. */
+TEST(FlowCallerCost, EarningFollowsTargetAndWhatIsLeft)
+{
+	FlowFixture fixture;
+	struct bd_flow_step first = FlowFixture::make_step(1, 1);
+	struct bd_flow_step second = FlowFixture::make_step(1, 1);
+
+	/* Two steps of 1 s, target 7.5 s, useless after 22.5 s. */
+	second.after = 1;
+	fixture.submit(GANG, {first, second}, 1000);
+	bd_read_begin();
+	const struct bd_flow *flow = fixture.find_flow(GANG);
+	auto earning = [&](uint32_t index, int64_t left_ms, int64_t age_ms) {
+		return fw_flow_earning(
+		    flow, index, left_ms, 1000 + age_ms, &fixture.settings);
+	};
+
+	EXPECT_EQ(FW_EARNS_FULLY, earning(0, 500, 6000));
+	EXPECT_EQ(FW_EARNS_LATE, earning(0, 501, 6000));
+	EXPECT_EQ(FW_EARNS_FULLY, earning(1, 1500, 6000));
+	EXPECT_EQ(FW_EARNS_LATE, earning(0, 500, 21000));
+	EXPECT_EQ(FW_EARNS_NOTHING, earning(0, 501, 21000));
+	EXPECT_EQ(FW_EARNS_LATE, earning(0, 90000, 5400));
+	bd_read_end();
+	FlowFixture lasting;
+
+	first.flags = BD_STEP_LONG_RUNNING;
+	lasting.submit(GANG, {first}, 1000);
+	bd_read_begin();
+	EXPECT_EQ(FW_EARNS_FULLY,
+	    fw_flow_earning(lasting.find_flow(GANG), 0, INT64_MAX, 90000,
+		&lasting.settings));
+	bd_read_end();
+}
+
+/* Guards against priority 1 that preempts at once, in vain, or at a high cost.
+ */
+TEST(FlowCallerCost, MiddlePriorityPreemptsLateAndAtLowCostOnly)
+{
+	struct fw_group group = waiting_group(1);
+
+	group.work = 1000;
+	group.age_ms = group.waited_ms = 500;
+	group.slack_ms = 2000;
+	EXPECT_EQ(100U, fw_preempt_cost_max(&group, false));
+	EXPECT_EQ(100U, fw_preempt_cost_max(&group, true));
+	group.waited_ms = 499;
+	EXPECT_EQ(0U, fw_preempt_cost_max(&group, false));
+	group.waited_ms = 500;
+	for (int64_t slack_ms : {-1, 2001}) {
+		group.slack_ms = slack_ms;
+		EXPECT_EQ(0U, fw_preempt_cost_max(&group, false));
+	}
+	group.slack_ms = 2000;
+	group.priority = 2;
+	EXPECT_EQ(0U, fw_preempt_cost_max(&group, false));
+}
+
+/* Guards against gangs of priority 1 that miss their target behind runs of
+ * lower priority which are late already. One gang preempts in a decision, and
+ * not before its wait; all callers get their results. */
+TEST(FlowCallerCost, LateRunsYieldToGangsThatCanBeInTime)
+{
+	for (uint32_t off : {(uint32_t)FW_RULE_MIDDLE_PREEMPTS, 0U}) {
+		FlowSim sim;
+		struct bd_flow_step low = FlowFixture::make_step(1, 8);
+		struct bd_flow_step gang =
+		    FlowFixture::make_step(2, 8, BD_STEP_GANG);
+		char name[BD_FLOW_NAME_BYTES];
+
+		/* Target 3 s, for work that takes 20 s. */
+		low.estimate_ms = 500;
+		gang.estimate_ms = 2000;
+		for (int i = 0; i < 8; i++) {
+			sim.add_worker("w" + std::to_string(i)).work_ms = 20000;
+			sim.workers["w" + std::to_string(i)].job_work_ms[GANG] =
+			    2000;
+		}
+		SimVm *vm = sim.add_vm("a");
+
+		vm->placer->parts.settings.rules_off = off;
+		sim.run_for(1000);
+		for (int i = 0; i < 8; i++) {
+			snprintf(name, sizeof(name), "%016x", 0x100 + i);
+			sim.submit(name, {low}, 2);
+		}
+		sim.run_for(1000);
+		sim.submit(GANG, {gang}, 1);
+		sim.run_for(400);
+		EXPECT_TRUE(sim.run_checker.stopped.empty());
+		sim.run_for(7100);
+		EXPECT_EQ(off != 0 ? BD_FLOW_QUEUED : BD_FLOW_COMPLETED,
+		    sim.state(vm, GANG));
+		EXPECT_EQ(off != 0 ? 0U : 2U, sim.run_checker.stopped.size());
+		sim.run_for(60000);
+		for (int i = 0; i < 8; i++) {
+			snprintf(name, sizeof(name), "%016x", 0x100 + i);
+			EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, name));
+		}
+		EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, GANG));
+		EXPECT_EQ(0, sim.run_checker.capacity_violations);
+	}
+}
+
+/* Guards against saved work that stays idle behind new work, against jobs in
+ * hand that come before ones about to miss their target, and against groups
+ * that are forgotten, or of which the late ones take everything. */
+TEST(FlowCallerCost, OrderWeighsSavedWorkAndAgesWhatWasPassedOver)
+{
+	FlowFixture fixture;
+	struct bd_flow_step first = FlowFixture::make_step(1, 1);
+	struct bd_flow_step second = FlowFixture::make_step(1, 1);
+	struct fw_group fresh = waiting_group(1);
+	struct fw_group begun = waiting_group(1);
+	int aged = 0;
+
+	begun.job = 1;
+	begun.slack_ms = 5500;
+	EXPECT_GT(fw_group_compare(&begun, &fresh), 0);
+	begun.saved_ms = 9000;
+	EXPECT_LT(fw_group_compare(&begun, &fresh), 0);
+	begun.slack_ms = 6500;
+	EXPECT_GT(fw_group_compare(&begun, &fresh), 0);
+	begun.slack_ms = -50000;
+	begun.too_late = true;
+	EXPECT_GT(fw_group_compare(&begun, &fresh), 0);
+	begun.aged = true;
+	EXPECT_LT(fw_group_compare(&begun, &fresh), 0);
+	fresh.priority = 0;
+	EXPECT_GT(fw_group_compare(&begun, &fresh), 0);
+
+	second.after = 1;
+	fixture.add_host("1", "r1");
+	fixture.submit(GANG, {first, second}, 1000);
+	ASSERT_EQ(1U, fixture.place_ready());
+	fixture.end_run(GANG, 0, FW_END_DONE);
+	bd_read_begin();
+	const struct bd_flow *flow = fixture.find_flow(GANG);
+
+	begun = waiting_group(1);
+	begun.step = begun.first = begun.count = 1;
+	/* The target of two steps of 1 s is 7.5 s. */
+	for (int64_t waited_ms : {7500, 7501})
+		for (int64_t at_ms = 0; at_ms < 8000; at_ms += 250) {
+			begun.waited_ms = waited_ms;
+			fw_group_set_limits(
+			    &begun, flow, at_ms, &fixture.settings);
+			EXPECT_EQ(1000, begun.saved_ms);
+			EXPECT_TRUE(waited_ms > 7500 || !begun.aged);
+			aged += begun.aged;
+		}
+	EXPECT_EQ(2, aged);
+	bd_read_end();
+}
+
+/* Guards against jobs that a lasting load of younger jobs of their kind passes
+ * over without end: of the jobs of the first 15 s, the former order left more
+ * behind. All complete once the load ends. */
+TEST(FlowCallerCost, JobsPassedOverAreServedUnderALastingLoad)
+{
+	int behind[2] = {};
+
+	for (uint32_t off : {(uint32_t)FW_RULE_ORDER, 0U}) {
+		FlowSim sim;
+		struct bd_flow_step small = FlowFixture::make_step(8, 1);
+		char name[BD_FLOW_NAME_BYTES];
+
+		small.estimate_ms = 1000;
+		for (int i = 0; i < 2; i++)
+			sim.add_worker("w" + std::to_string(i)).work_ms = 1000;
+		SimVm *vm = sim.add_vm("a");
+
+		vm->placer->parts.settings.rules_off = off;
+		sim.run_for(1000);
+		for (int i = 0; i < 200; i++) {
+			snprintf(name, sizeof(name), "%016x", 0x1000 + i);
+			sim.submit(name, {small}, 2);
+			sim.run_for(250);
+		}
+		for (int i = 0; i < 60; i++) {
+			snprintf(name, sizeof(name), "%016x", 0x1000 + i);
+			behind[off == 0] +=
+			    sim.state(vm, name) != BD_FLOW_COMPLETED;
+		}
+		printf("rules_off=%x behind=%d\n", off, behind[off == 0]);
+		sim.run_for(90000);
+		for (int i = 0; i < 200; i++) {
+			snprintf(name, sizeof(name), "%016x", 0x1000 + i);
+			EXPECT_EQ(BD_FLOW_COMPLETED, sim.state(vm, name));
+		}
+	}
+	EXPECT_LT(behind[1], behind[0]);
+}
+
+/* Guards against rules that cost urgent callers, an account beside a flood, or
+ * all callers together, more than they gain. */
+TEST(FlowCallerCost, CallersGetNoLessUnderAnyLoad)
+{
+	for (int changes : {LOST, OFF, FLOODS, RECLAIM}) {
+		Load former(changes, ~0U, 1);
+		Load ours(changes, 0, 1);
+		auto others = [](const Load::Job &job) {
+			return job.client == OTHER;
+		};
+		auto guaranteed = [](const Load::Job &job) {
+			return job.client == GUARANTEED;
+		};
+		printf("changes=%d former=%.2f,%.2f,%.2f,%.2f,%.2f "
+		       "ours=%.2f,%.2f,%.2f,%.2f,%.2f\n",
+		    changes, former.value_of(0), former.value_of(1),
+		    former.value_of(2), former.value_of_all(),
+		    former.value(others), ours.value_of(0), ours.value_of(1),
+		    ours.value_of(2), ours.value_of_all(), ours.value(others));
+		EXPECT_GE(ours.value_of(0), former.value_of(0) - 0.02);
+		EXPECT_GE(ours.value(guaranteed), former.value(guaranteed));
+		EXPECT_GE(ours.value_of_all(), former.value_of_all() - 0.05);
+		EXPECT_GE(ours.value(others), former.value(others) - 0.05);
+	}
+}
+
+/* Guards against an order that starves the largest jobs: the largest tenth of
+ * the jobs of a kind has to be served at least half as often as the kind. */
+TEST(FlowCallerCost, LargestJobsOfAKindAreServedHalfAsOften)
+{
+	for (int changes : {LOST, OFF, FLOODS, RECLAIM}) {
+		Load load(changes, 0, 1);
+
+		for (uint32_t kind = 0; kind < 3; kind++) {
+			auto large = [kind](const Load::Job &job) {
+				return job.priority == kind &&
+				    job.tasks == (kind == 2 ? 24U : 6U);
+			};
+
+			EXPECT_GE(load.value(large), load.value_of(kind) / 2)
+			    << "changes " << changes << " kind " << kind;
+		}
+	}
+}
