Tests find a start that is repeated late, and a stop of one on its way

Change: starts stay unanswered for longer than the bound, and a test evacuates a zone just after starts were sent there.

--- a/tests/test_flow_evacuation.cc
+++ b/tests/test_flow_evacuation.cc
@@ -384,7 +384,8 @@
 		};
 		zones.run(500);
 		zones.sim.evacuate("z1");
-		zones.run(1500);
+		/* Repeated starts would arrive after the bound. */
+		zones.run(6500);
 		zones.sim.order_fault = nullptr;
 		zones.run(12000);
 		zones.finish();
@@ -392,6 +393,33 @@
 	}
 }
 
+/* Guards against a stop of a run whose start was on its way when the request
+ * was read, and whose worker has carried it out in time. */
+TEST(FlowEvacuation, StartsOnTheirWayGoOn)
+{
+	for (int64_t phase_ms = 0; phase_ms < 400; phase_ms += 100) {
+		Zones zones;
+
+		for (auto &worker : zones.sim.workers)
+			worker.second.work_ms = 1500;
+		zones.sim.order_fault = [](const SimVm *, const std::string &,
+					    enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (kind == FW_ORDER_START)
+				fault.answer_delay_ms = 400;
+			return fault;
+		};
+		zones.run(1000 + phase_ms);
+		for (int i = 0; i < 500 && zones.starts_in("z1", 20) == 0; i++)
+			;
+		zones.sim.evacuate("z1");
+		zones.run(3000);
+		EXPECT_TRUE(zones.sim.run_checker.stopped.empty());
+		zones.expect_kept();
+	}
+}
+
 /* Guards against a gang of which some members have started in an evacuated zone
  * while the others wait for one. */
 TEST(FlowEvacuation, GangsRunWholeOrNotAtAll)
