The cost of a stop does not depend on whether the job is late

Cause: runs of late jobs cost priority 0 a quarter and useless ones nothing. Estimates are off by up to 0.9, so many of these jobs could still be in time, and were stopped more often. Change: the cost is the lost work, doubled by each earlier stop. Priority 1 still stops late runs at the same price as before, a fortieth.

--- a/lib/flow/caller_cost.c
+++ b/lib/flow/caller_cost.c
@@ -15,9 +15,6 @@
  * no use to its caller. */
 #define USEFUL_TARGET_FACTOR 3
 
-/* A job that is late earns about this part of what it would have earned in
- * time: a fifth to a third, by kind. */
-#define LATE_VALUE_DIVISOR 4
 /* Stops after which the cost of one more does not double any further. */
 #define DOUBLINGS_MAX 16
 
@@ -157,18 +154,15 @@
 }
 
 /*
- * Returns what the stop of a group costs its caller: the work that is lost,
- * nothing if the job earns nothing any more, and a part of it if the job is
- * late. Each earlier stop for the sake of others doubles it, so that the same
- * job is not chosen again and again as the one that has lost most already.
+ * Returns what the stop of a group costs its caller: the work that is lost.
+ * Each earlier stop for the sake of others doubles it, so that the same job is
+ * not chosen again and again as the one that has lost most already. Whether the
+ * job is late does not lower it: estimates are off by up to 0.9, and a discount
+ * let urgent jobs stop many runs that could still be in time.
  */
 uint64_t
-fw_stop_cost(uint64_t loss, enum fw_earning earning, uint32_t stops)
+fw_stop_cost(uint64_t loss, uint32_t stops)
 {
-	if (earning == FW_EARNS_NOTHING)
-		return 0;
-	if (earning == FW_EARNS_LATE)
-		loss /= LATE_VALUE_DIVISOR;
 	return loss << (stops < DOUBLINGS_MAX ? stops : DOUBLINGS_MAX);
 }
 
--- a/lib/flow/caller_cost.h
+++ b/lib/flow/caller_cost.h
@@ -45,7 +45,7 @@
     int64_t wall_ms, const struct fw_settings *settings);
 enum fw_earning fw_flow_earning(const struct bd_flow *flow, uint32_t index,
     int64_t run_left_ms, int64_t wall_ms, const struct fw_settings *settings);
-uint64_t fw_stop_cost(uint64_t loss, enum fw_earning earning, uint32_t stops);
+uint64_t fw_stop_cost(uint64_t loss, uint32_t stops);
 
 int fw_group_compare(const struct fw_group *x, const struct fw_group *y);
 void fw_backlog_add(struct fw_service_view *service,
--- a/lib/flow/preempt.c
+++ b/lib/flow/preempt.c
@@ -133,7 +133,7 @@
 	    members, view->wall_ms - (view->now_ms - placer->active_since_ms));
 	victim->spared = victim->stops >= FW_STOPS_FOR_OTHERS_MAX;
 	victim->timely = earning == FW_EARNS_FULLY;
-	victim->cost = fw_stop_cost(victim->loss, earning, victim->stops);
+	victim->cost = fw_stop_cost(victim->loss, victim->stops);
 }
 
 /* Collects the runs that may be preempted, with the work that each would lose:
--- a/lib/flow/reclaim.c
+++ b/lib/flow/reclaim.c
@@ -6,9 +6,9 @@
 /* End of the list of selected victims. */
 #define NO_VICTIM UINT32_MAX
 /* For a group of another priority than 0, a run of a late job costs this part:
- * such a group may stop little work that is in time, but late work up to what
- * its own is worth. */
-#define LATE_DIVISOR 10
+ * such a group may stop little work that is in time, but late work, which earns
+ * a quarter at most, up to what its own is worth. */
+#define LATE_DIVISOR 40
 /* Costs of a worker that was not searched yet, or on which no task fits. */
 #define COST_UNKNOWN (UINT64_MAX - 1)
 #define COST_NEVER UINT64_MAX
