--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -399,55 +399,11 @@
 		return sim->now_ms + sim->wall_ahead_ms;
 	}
 
-	static int
-	on_zone(void *ctx, const struct fw_record *record, int64_t now_ms)
-	{
-		return fw_evacuation_apply(&((SimVm *)ctx)->evacuations,
-		    record->key, record->offset, record->value != nullptr,
-		    now_ms);
-	}
-
-	/* Lets a VM follow the evacuations, as platform/system.c does. */
-	static void
-	follow_zones(SimVm *vm, const struct fw_store &store)
-	{
-		struct fw_follow_spec spec = {};
-
-		fw_evacuations_init(&vm->evacuations, vm->fixture.board);
-		spec.topic = FW_TOPIC_CONFIG;
-		spec.newest_suffices = true;
-		spec.read_interval_ms = 50;
-		spec.wait_ms = 1000;
-		spec.first = [](void *ctx) {
-			fw_evacuations_load_begin(&((SimVm *)ctx)->evacuations);
-		};
-		spec.record = on_zone;
-		spec.last = [](void *ctx) {
-			fw_evacuations_load_end(&((SimVm *)ctx)->evacuations);
-		};
-		spec.ctx = vm;
-		fw_follower_start(
-		    &vm->config, vm->fixture.board, &store, &spec);
-	}
-
-	/* The store acknowledges an operator's request for a zone. */
-	void
-	evacuate(const std::string &zone, const std::string &value = "{}")
-	{
-		uint64_t end;
-
-		config_log.append({{zone, value}}, 0, 0, &end);
-		zones.request(zone, now_ms);
-	}
-
-	void
-	withdraw(const std::string &zone)
-	{
-		uint64_t end;
-
-		config_log.append({{zone, ""}}, 0, 0, &end);
-		zones.withdraw(zone);
-	}
+	static int on_zone(
+	    void *ctx, const struct fw_record *record, int64_t now_ms);
+	static void follow_zones(SimVm *vm, const struct fw_store &store);
+	void evacuate(const std::string &zone, const std::string &value = "{}");
+	void withdraw(const std::string &zone);
 
 	SimVm *
 	add_vm(const std::string &name, bool fallback_only = false)
@@ -677,5 +633,6 @@
 
 #include "flow_sim_orders.h"
 #include "flow_sim_store.h"
+#include "flow_sim_zones.h"
 
 #endif
