Sums of committed work and its record

Admission counts rows, not work: nothing tells how much work accepted jobs still need, or by when. fw_ledger_sum sums up, over the placer's view, the accelerator and core time of running and waiting tasks by service, priority, slack and account, and the capacity that is present, returning, leaving, held or reserved. Estimates are corrected by the median ratio of run time to estimate of each queue. Only services in which running and ready tasks need more than the capacity are named.

The record b/ carries it in the jobs topic and the table ledger. The target and the run time of a job are functions of ready.c now, as the ledger and admission need them.

--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -471,6 +471,7 @@
 	BD_TABLE(host, struct bd_host, BD_WRITER_FLOW, 4096)                \
 	BD_TABLE(departure, struct bd_departure, BD_WRITER_FLOW, 4096)      \
 	BD_TABLE(last_lease, struct bd_last_lease, BD_WRITER_FLOW, 8192)    \
+	BD_TABLE(ledger, struct bd_ledger, BD_WRITER_FLOW, 1)               \
 	BD_TABLE(flow, struct bd_flow, BD_WRITER_FLOW, 98304)
 
 enum bd_table_number {
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -125,6 +125,75 @@
 	int64_t until_ms; /* wall time at which its last lease ends */
 };
 
+/* Limits of the ledger, with which its record stays below 4 KB. */
+#define BD_LEDGER_POOLS 4
+#define BD_LEDGER_ACCOUNTS 16
+#define BD_LEDGER_QUEUES 16
+#define BD_LEDGER_LEVELS 3 /* priorities 0, 1, and 2 or more */
+#define BD_LEDGER_SLACKS 8 /* classes of waiting work by slack */
+
+/* Work, as the time for which it occupies accelerators and cores. */
+struct bd_work {
+	uint64_t accel_ms;
+	uint64_t core_ms;
+};
+
+struct bd_room {
+	uint64_t accels;
+	uint64_t cores_milli;
+};
+
+/* Committed work of one priority. */
+struct bd_ledger_level {
+	struct bd_work running; /* what running tasks still need */
+	struct bd_work waiting[BD_LEDGER_SLACKS];
+};
+
+/* The committed work of a service, and the capacity for it. */
+struct bd_ledger_pool {
+	uint64_t id;
+	struct bd_room present;   /* of workers that are given new runs */
+	struct bd_room returning; /* of registered ones that are not now */
+	struct bd_room leaving;   /* of draining ones */
+	struct bd_room held;      /* by tasks that last */
+	struct bd_room reserved;  /* of workers reserved for priority 0 */
+	/* Free now, in total and on the emptiest worker: on all workers, and
+	 * on those that are not reserved for priority 0. */
+	struct bd_room free[2];
+	struct bd_room free_widest[2];
+	struct bd_ledger_level levels[BD_LEDGER_LEVELS];
+	/* By account, in the order of the ledger's accounts. */
+	struct bd_work accounts[BD_LEDGER_ACCOUNTS][BD_LEDGER_LEVELS];
+};
+
+struct bd_ledger_account {
+	uint64_t id;
+	uint64_t urgent_accels; /* needed by its live jobs of priority 0 */
+	uint64_t guaranteed_accels;
+};
+
+/* Ratio of run times to estimates, in thousandths. */
+struct bd_ledger_queue {
+	uint64_t id;
+	uint64_t ratio_milli;
+};
+
+/* Table "ledger", one row with id BD_CONFIG_ID: the work that accepted jobs
+ * still need, as the placer published it. It names only services in which work
+ * waits for capacity; without one, pool_count is 0. */
+struct bd_ledger {
+	uint64_t term;      /* of the placer */
+	int64_t at_ms;      /* wall time of the sums */
+	uint64_t late_jobs; /* live jobs too late to be useful */
+	uint32_t left_out;  /* 1: some services or accounts are not named */
+	uint32_t pool_count;
+	uint32_t account_count;
+	uint32_t queue_count;
+	struct bd_ledger_pool pools[BD_LEDGER_POOLS];
+	struct bd_ledger_account accounts[BD_LEDGER_ACCOUNTS];
+	struct bd_ledger_queue queues[BD_LEDGER_QUEUES];
+};
+
 enum bd_flow_state {
 	BD_FLOW_QUEUED,
 	BD_FLOW_RUNNING,
--- a/lib/flow/apply.c
+++ b/lib/flow/apply.c
@@ -252,8 +252,8 @@
 }
 
 /*
- * Applies one record to the table of jobs, or to that of the ends of leases;
- * applying it again has no effect. Returns FW_EBADRECORD for a malformed
+ * Applies one record to the table of jobs, to that of the ends of leases or to
+ * that of the ledger; applying it again has no effect. Returns FW_EBADRECORD for a malformed
  * record, in which case the table is unchanged, or a status code of the board.
  */
 int
@@ -284,6 +284,8 @@
 			return apply_lease(board, record, id);
 		bd_remove(board, BD_TABLE_last_lease, BD_WRITER_FLOW, id);
 		return CW_OK;
+	case FW_RECORD_LEDGER:
+		return id == 0 ? fw_ledger_apply(board, record) : CW_OK;
 	default:
 		return cw_error_set(FW_EBADRECORD,
 		    "key %s has an unknown record kind", record->key);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -18,11 +18,12 @@
 	FW_EBADJOB = CW_BASE_FLOW - 1,    /* the job's description is invalid */
 	FW_EBADRECORD = CW_BASE_FLOW - 2, /* a record cannot be decoded */
 	FW_ENOMEM = CW_BASE_FLOW - 3,
-	FW_ESTORE = CW_BASE_FLOW - 4,   /* not stored, and will not be */
-	FW_EUNKNOWN = CW_BASE_FLOW - 5, /* no answer: may be stored */
-	FW_ENOJOB = CW_BASE_FLOW - 6,   /* the queue has no such job */
-	FW_ESTALE = CW_BASE_FLOW - 7,   /* this VM's copy is out of date */
-	FW_EFULL = CW_BASE_FLOW - 8,    /* no room for another job */
+	FW_ESTORE = CW_BASE_FLOW - 4,    /* not stored, and will not be */
+	FW_EUNKNOWN = CW_BASE_FLOW - 5,  /* no answer: may be stored */
+	FW_ENOJOB = CW_BASE_FLOW - 6,    /* the queue has no such job */
+	FW_ESTALE = CW_BASE_FLOW - 7,    /* this VM's copy is out of date */
+	FW_EFULL = CW_BASE_FLOW - 8,     /* no room for another job */
+	FW_EOVERLOAD = CW_BASE_FLOW - 9, /* it would complete too late */
 };
 
 const char *fw_status_name(int code);
@@ -94,7 +95,8 @@
 	FW_RECORD_PROGRESS = 'p',
 	FW_RECORD_CANCEL = 'c',
 	FW_RECORD_STATE = 's',
-	FW_RECORD_LEASE = 'l', /* named by the id of a worker */
+	FW_RECORD_LEASE = 'l',  /* named by the id of a worker */
+	FW_RECORD_LEDGER = 'b', /* the ledger of committed work */
 };
 
 struct fw_record {
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -3,6 +3,8 @@
 
 /* Included by flow_internal.h only. */
 
+#include "ledger.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -118,6 +120,7 @@
 	struct fw_reservation *reservations;
 	struct fw_waits waits; /* for the log */
 	struct fw_undecided undecided;
+	struct fw_ledger_book ledger;
 	/* Average demand of priority 0, in thousandths of an accelerator, and
 	 * the time of its last update. */
 	uint64_t urgent_average_milli;
--- a/lib/flow/names.c
+++ b/lib/flow/names.c
@@ -23,6 +23,8 @@
 		return "store not heard";
 	case FW_EFULL:
 		return "no room for another job";
+	case FW_EOVERLOAD:
+		return "it would complete too late";
 	default:
 		return cw_status_name(code);
 	}
--- a/lib/flow/ready.c
+++ b/lib/flow/ready.c
@@ -11,14 +11,9 @@
  * run within 3 s however full its service is. */
 #define LASTING_WAIT_MS 1500
 
-/* A job that completes later than this multiple of its completion target is of
- * no use to its caller. */
-#define USEFUL_TARGET_FACTOR 3
-
 static bool step_done(
     const struct bd_flow *flow, uint32_t occurrence, uint32_t step);
 static uint64_t estimate_work(const struct bd_flow *flow);
-static int64_t estimate_run_ms(const struct bd_flow *flow);
 static void set_time_limits(struct fw_group *group, const struct bd_flow *flow,
     const struct fw_settings *settings);
 static int64_t turn_ms(
@@ -78,8 +73,8 @@
 
 /* Returns the estimated run time of a job, in ms: the sum over its first step
  * and the steps with dependencies, as if these ran one after another. */
-static int64_t
-estimate_run_ms(const struct bd_flow *flow)
+int64_t
+fw_flow_run_ms(const struct bd_flow *flow)
 {
 	const struct bd_flow_step *steps = fw_flow_steps(flow);
 	int64_t run_ms = 0;
@@ -91,23 +86,38 @@
 	return run_ms;
 }
 
+/* Returns the completion target of a job with this estimated run time, in ms.
+ * Their product may have more than 64 bits. */
+int64_t
+fw_flow_target_ms(const struct bd_flow *flow, int64_t run_ms)
+{
+	return run_ms / 1000 * flow->stretch_milli +
+	    run_ms % 1000 * flow->stretch_milli / 1000 + flow->target_ms;
+}
+
+/* Returns whether a job of this age would complete too late to be useful. None
+ * counts as too late before twice the start limit of guaranteed jobs, as it may
+ * have a guarantee until then. */
+bool
+fw_flow_too_late(int64_t age_ms, int64_t run_ms, int64_t target_ms,
+    const struct fw_settings *settings)
+{
+	return age_ms + run_ms > target_ms * FW_USEFUL_TARGET_FACTOR &&
+	    age_ms > (int64_t)settings->reclaim_ms * 2;
+}
+
 /* Computes how long a job can wait and still meet its completion target, and
- * whether it is too late to be useful; one that lasts never is. No job counts
- * as too late before twice the start limit of guaranteed jobs, as it may have a
- * guarantee until then. */
+ * whether it is too late to be useful; one that lasts never is. */
 static void
 set_time_limits(struct fw_group *group, const struct bd_flow *flow,
     const struct fw_settings *settings)
 {
-	int64_t run_ms = estimate_run_ms(flow);
-	/* Their product may have more than 64 bits. */
-	int64_t target_ms = run_ms / 1000 * flow->stretch_milli +
-	    run_ms % 1000 * flow->stretch_milli / 1000 + flow->target_ms;
+	int64_t run_ms = fw_flow_run_ms(flow);
+	int64_t target_ms = fw_flow_target_ms(flow, run_ms);
 
 	group->slack_ms = target_ms - run_ms - group->age_ms;
 	group->too_late = !group->lasts &&
-	    group->age_ms + run_ms > target_ms * USEFUL_TARGET_FACTOR &&
-	    group->age_ms > (int64_t)settings->reclaim_ms * 2;
+	    fw_flow_too_late(group->age_ms, run_ms, target_ms, settings);
 }
 
 /* Returns the wall time at which the turn of a group came: its job was accepted
