The placer publishes the ledger while work waits for capacity

No VM but the placer knows how much work runs, so the others could not decide by it. The placer makes the sums at most every 500 ms and adds them to its batch for the jobs topic: at a change of a tenth or every 2 s while work waits, never more often than every 500 ms, and once when nothing waits any more. Nothing is summed or published without a completion target and a priority above 0 in the configuration. A successor goes on with the ratios of the record that it finds.

--- a/lib/base/ev_list.h
+++ b/lib/base/ev_list.h
@@ -134,3 +134,14 @@
 EV(1150, EV_FLOW_ROW_BAD, EV_LEVEL_WARN,
     "row of a worker's list cannot be read")
 EV(1151, EV_FLOW_DEPARTED, EV_LEVEL_INFO, "worker has left, by the store's log")
+EV(1170, EV_FLOW_LEDGER_WAITS, EV_LEVEL_WARN,
+    "accepted work needs more than the capacity")
+EV(1171, EV_FLOW_LEDGER_CLEAR, EV_LEVEL_INFO,
+    "there is capacity for all accepted work")
+EV(1172, EV_FLOW_LEDGER_LEFT_OUT, EV_LEVEL_WARN,
+    "ledger does not name all services or accounts")
+EV(1173, EV_FLOW_REJECTED, EV_LEVEL_INFO,
+    "job rejected, as it would complete too late")
+EV(1174, EV_FLOW_REJECTED_EARLY, EV_LEVEL_WARN,
+    "rejected jobs could have been done")
+EV(1175, EV_FLOW_DONE_LATE, EV_LEVEL_INFO, "job done too late to be useful")
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -234,6 +234,7 @@
 		}
 		end = run->done_late ? FW_END_DONE : run->end;
 		record_end(placer, run, end, view->now_ms);
+		fw_ledger_note_end(placer, copy, run, view->now_ms);
 		if (fw_checkpoint_note(&view->jobs[job].copy, run->index,
 			run->checkpoint, run->checkpoint_bytes) != CW_OK)
 			ev_emit(EV_FLOW_NO_MEMORY, "what=checkpoint");
@@ -479,6 +480,7 @@
 		fw_groups_free(&groups);
 	} else
 		ev_emit(EV_FLOW_NO_MEMORY, "what=groups");
+	fw_ledger_update(placer, &view);
 	any = fill_batch(placer, &view);
 	fw_preempt_end(&waiting.preempt);
 	fw_advance_end(&waiting.advance);
--- a/lib/flow/ledger.c
+++ b/lib/flow/ledger.c
@@ -57,7 +57,6 @@
     const struct fw_view *view, const struct bd_flow *flow);
 static bool work_waits(const struct pool_sums *sums);
 static bool differs(uint64_t a, uint64_t b);
-static struct bd_work total_of(const struct bd_ledger_pool *pool);
 
 static int
 compare_milli(const void *a, const void *b)
@@ -434,8 +433,8 @@
 }
 
 /* Returns all committed work of a service. */
-static struct bd_work
-total_of(const struct bd_ledger_pool *pool)
+struct bd_work
+fw_ledger_total(const struct bd_ledger_pool *pool)
 {
 	struct bd_work total = {0};
 	uint32_t i;
@@ -462,8 +461,8 @@
 	if (a->pool_count != b->pool_count)
 		return true;
 	for (i = 0; i < a->pool_count; i++) {
-		struct bd_work x = total_of(&a->pools[i]);
-		struct bd_work y = total_of(&b->pools[i]);
+		struct bd_work x = fw_ledger_total(&a->pools[i]);
+		struct bd_work y = fw_ledger_total(&b->pools[i]);
 
 		if (a->pools[i].id != b->pools[i].id ||
 		    differs(x.accel_ms, y.accel_ms) ||
--- a/lib/flow/publish.c
+++ b/lib/flow/publish.c
@@ -12,6 +12,7 @@
     const struct fw_tables *tables, const struct bd_flow *row);
 static bool is_stale(
     const struct fw_tables *tables, const struct bd_flow *row, bool running);
+static void log_late_end(const struct bd_flow *row);
 static int add_state(struct fw_writer *writer, const struct bd_flow *row);
 static int add_compacted(struct fw_writer *writer, const struct bd_flow *row);
 static int add_deletion(struct fw_writer *writer, const struct bd_flow *row);
@@ -58,6 +59,23 @@
 	return fw_flow_ended(row) || (running && has_begun(tables, row));
 }
 
+/* Logs a job that was done too late to be useful to its caller. */
+static void
+log_late_end(const struct bd_flow *row)
+{
+	int64_t target_ms = fw_flow_target_ms(row, fw_flow_run_ms(row));
+	int64_t age_ms = row->changed_ms - row->accepted_ms;
+
+	if (row->state == BD_FLOW_COMPLETED && target_ms > 0 &&
+	    row->first_due_ms == 0 &&
+	    age_ms > target_ms * FW_USEFUL_TARGET_FACTOR)
+		ev_emit(EV_FLOW_DONE_LATE,
+		    "job=%s account=%016llx priority=%u age_ms=%lld "
+		    "target_ms=%lld",
+		    row->name, (unsigned long long)row->client, row->priority,
+		    (long long)age_ms, (long long)target_ms);
+}
+
 static int
 add_state(struct fw_writer *writer, const struct bd_flow *row)
 {
@@ -67,6 +85,7 @@
 
 	if (code != CW_OK)
 		return code;
+	log_late_end(row);
 	return fw_writer_add(writer, FW_RECORD_STATE, row->name, value, bytes);
 }
 
@@ -152,10 +171,10 @@
 }
 
 /*
- * Publishes the states of jobs whose progress is stored, and cleans up the
- * records of ended jobs. Every VM follows the jobs topic, while only the placer
- * reads progress. Call within a read section, while the writer of the jobs
- * topic has no open batch.
+ * Publishes the states of jobs whose progress is stored and the ledger, and
+ * cleans up the records of ended jobs. Every VM follows the jobs topic, while
+ * only the placer reads progress. Call within a read section, while the writer
+ * of the jobs topic has no open batch.
  */
 void
 fw_publish_states(struct fw_placer *placer, int64_t now_ms)
@@ -174,6 +193,8 @@
 		code = is_stale(&placer->tables, row, running)
 		    ? add_state(writer, row)
 		    : add_cleanup(placer, row, wall_ms, &changes_left);
+	if (code == CW_OK)
+		code = fw_ledger_publish(placer, now_ms);
 	if (code != CW_OK)
 		ev_emit(EV_FLOW_NO_MEMORY, "what=state reason=\"%s\"",
 		    cw_error_last());
--- a/tests/flow_fixture.h
+++ b/tests/flow_fixture.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHOR_TESTS_FLOW_FIXTURE_H
 #define CAMPHOR_TESTS_FLOW_FIXTURE_H
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <string>
@@ -68,6 +69,27 @@
 		return row.id;
 	}
 
+	/* Puts a configuration with these queues and clients into force. */
+	void
+	put_setup(const std::vector<struct bd_queue> &queues,
+	    const std::vector<struct bd_client> &clients = {})
+	{
+		std::vector<uint64_t> bytes(sizeof(struct bd_setup) / 8 +
+		    queues.size() * sizeof(struct bd_queue) / 8 +
+		    clients.size() * sizeof(struct bd_client) / 8);
+		struct bd_setup *setup = (struct bd_setup *)bytes.data();
+
+		setup->version = 1;
+		setup->queue_count = (uint32_t)queues.size();
+		setup->client_count = (uint32_t)clients.size();
+		std::copy(queues.begin(), queues.end(), fw_setup_queues(setup));
+		std::copy(
+		    clients.begin(), clients.end(), fw_setup_clients(setup));
+		fw_setup_sort(setup);
+		bd_put(board, BD_TABLE_setup, BD_WRITER_FLOW, BD_CONFIG_ID,
+		    setup, fw_setup_bytes(setup), nullptr);
+	}
+
 	static struct bd_flow_step
 	make_step(uint32_t count, uint32_t accels, uint32_t flags = 0)
 	{
--- a/tests/test_flow_ledger.cc
+++ b/tests/test_flow_ledger.cc
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-#include "flow_fixture.h"
+#include "sim/flow_sim.h"
 
 namespace {
 
@@ -316,3 +316,120 @@
 	printf("least_us=%lld\n", (long long)least_us);
 	EXPECT_LT(least_us, 200000);
 }
+
+namespace {
+
+/* A simulated placer of a deployment with targets and several priorities. */
+struct LedgerPlay {
+	FlowSim sim;
+	SimVm *vm;
+	std::vector<struct bd_ledger> ledgers; /* as published */
+	std::vector<int64_t> times;
+
+	explicit LedgerPlay(bool enabled = true)
+	{
+		sim.add_worker("w1").room = {100000, 100000, 8};
+		vm = sim.add_vm("a");
+		if (enabled)
+			vm->fixture.put_setup({vm->fixture.queue});
+		sim.run_for(1000);
+	}
+
+	void
+	run_for(int64_t ms)
+	{
+		for (int64_t i = 0; i < ms; i += 5) {
+			sim.run_for(5);
+			bd_read_begin();
+			const struct bd_ledger *row =
+			    bd_ledger_lookup(vm->fixture.board, BD_CONFIG_ID);
+			if (row != nullptr &&
+			    (ledgers.empty() ||
+				ledgers.back().at_ms != row->at_ms)) {
+				ledgers.push_back(*row);
+				times.push_back(sim.now_ms);
+			}
+			bd_read_end();
+		}
+	}
+
+	void
+	submit(uint32_t first, uint32_t count)
+	{
+		char name[24];
+
+		for (uint32_t i = first; i < first + count; i++) {
+			snprintf(name, sizeof(name), "%016x", i);
+			sim.submit(name, {FlowFixture::make_step(1, 8)});
+		}
+	}
+};
+
+} // namespace
+
+/* Guards against records of a placer that has capacity for all work, and
+ * against any in a deployment without targets or priorities. */
+TEST(FlowLedger, NothingIsPublishedWhereNothingWaits)
+{
+	LedgerPlay play;
+
+	play.submit(1, 1);
+	play.run_for(6000);
+	EXPECT_TRUE(play.ledgers.empty());
+
+	LedgerPlay other(false);
+	other.submit(1, 10);
+	other.run_for(6000);
+	EXPECT_TRUE(other.ledgers.empty());
+}
+
+/* Guards against a ledger that becomes stale while work waits, against one that
+ * is published too often, and against one that says for ever that work waits.
+ */
+TEST(FlowLedger, IsPublishedWhileWorkWaitsAndOnceAfterwards)
+{
+	LedgerPlay play;
+
+	play.submit(1, 8);
+	play.run_for(20000);
+	ASSERT_GE(play.ledgers.size(), 3u);
+	for (size_t i = 0; i < play.ledgers.size(); i++) {
+		bool last = i + 1 == play.ledgers.size();
+
+		EXPECT_EQ(last ? 0u : 1u, play.ledgers[i].pool_count) << i;
+		EXPECT_NE(0u, play.ledgers[i].term);
+		if (i > 0) {
+			EXPECT_GE(play.times[i] - play.times[i - 1], 490);
+			EXPECT_LE(play.times[i] - play.times[i - 1], 3000);
+		}
+	}
+	EXPECT_LE(play.times.back() - play.times.front(), 12000);
+}
+
+/* Guards against estimates that are not corrected by the ends of runs, and a
+ * successor that loses the correction. */
+TEST(FlowLedger, RunTimesCorrectTheEstimatesAlsoOfASuccessor)
+{
+	LedgerPlay play;
+	SimVm *next = play.sim.add_vm("b");
+
+	next->fixture.put_setup({next->fixture.queue});
+	/* Runs of the simulated worker do not take as long as estimated. */
+	play.submit(1, 14);
+	play.run_for(30000);
+	ASSERT_FALSE(play.ledgers.empty());
+	ASSERT_EQ(1u, play.ledgers.back().queue_count);
+	uint64_t ratio = play.ledgers.back().queues[0].ratio_milli;
+
+	EXPECT_NE(1000u, ratio);
+	play.sim.kill(play.vm);
+	play.vm = next;
+	play.run_for(8000);
+	play.submit(100, 6);
+	play.run_for(2000);
+	const struct bd_ledger &taken = play.ledgers.back();
+
+	ASSERT_EQ(1u, taken.queue_count);
+	EXPECT_GT(taken.term, play.ledgers.front().term);
+	EXPECT_EQ(ratio, taken.queues[0].ratio_milli);
+}
