--- a/lib/flow/admission.c
+++ b/lib/flow/admission.c
@@ -183,6 +183,19 @@
 	return code;
 }
 
+/* Returns whether a job was handed to the store by this VM and may be stored
+ * without having been read back. */
+bool
+fw_admission_is_pending(struct fw_admission *admission, uint64_t id)
+{
+	bool pending;
+
+	pthread_mutex_lock(&admission->lock);
+	pending = find_pending(admission, id) != NULL;
+	pthread_mutex_unlock(&admission->lock);
+	return pending;
+}
+
 /* Ends a call that has reserved a row. code is the outcome of its append:
  * CW_OK, FW_EUNKNOWN if it may be stored yet, or that it never will be. */
 void
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -469,6 +469,7 @@
 #define FW_PENDING_MAX 256
 
 struct fw_admission;
+struct fw_rejections;
 
 int fw_admission_create(struct fw_admission **out, const struct bd_board *board,
     const struct fw_follower *jobs, uint32_t rows_max, uint32_t copy_age_max_ms,
@@ -476,6 +477,7 @@
 void fw_admission_free(struct fw_admission *admission);
 int fw_admission_reserve(
     struct fw_admission *admission, uint64_t id, int64_t now_ms);
+bool fw_admission_is_pending(struct fw_admission *admission, uint64_t id);
 void fw_admission_settle(
     struct fw_admission *admission, uint64_t id, int code, int64_t now_ms);
 uint32_t fw_admission_retry_after_s(
@@ -485,6 +487,7 @@
 struct fw_front {
 	struct bd_board *board;
 	struct fw_admission *admission;
+	struct fw_rejections *rejections; /* NULL: no job is rejected */
 	struct fw_store store;
 	struct fw_follower *jobs;
 	struct fw_follower *config;
--- a/lib/flow/submit.c
+++ b/lib/flow/submit.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "flow_internal.h"
+#include "rejections.h"
 
 /* The store answers within 4 ms, plus 60 ms between regions, or within a few
  * hundred ms while it is slow. An append without an answer is repeated: only
@@ -53,6 +54,8 @@
     const struct fw_record *record, size_t progress_bytes);
 static int append_job(const struct fw_front *front,
     const struct fw_record *record, int64_t deadline_ms);
+static int submit_new(const struct fw_front *front, const struct bd_flow *flow,
+    const struct fw_record *record, int64_t deadline_ms);
 static int await_job(struct fw_front *front, uint64_t queue, const char *name,
     int64_t deadline_ms, uint32_t *state);
 
@@ -208,10 +211,25 @@
 	return code;
 }
 
+/* Submits a job that is not on the board. */
+static int
+submit_new(const struct fw_front *front, const struct bd_flow *flow,
+    const struct fw_record *record, int64_t deadline_ms)
+{
+	int code = check_size(front, record, fw_progress_bytes_max(flow));
+
+	if (code == CW_OK)
+		code = fw_overload_check(
+		    front, flow, flow->accepted_ms, deadline_ms);
+	if (code != CW_OK || is_applied(front, record))
+		return code;
+	return append_job(front, record, deadline_ms);
+}
+
 /*
  * Submits a job. It is durable when this returns CW_OK; submitting it again is
- * idempotent and needs no room. Returns FW_EBADJOB, FW_ENOMEM, FW_EFULL or
- * FW_ESTORE, after which the job never runs, or FW_EUNKNOWN.
+ * idempotent and needs no room. Returns FW_EBADJOB, FW_ENOMEM, FW_EFULL,
+ * FW_EOVERLOAD or FW_ESTORE, after which the job never runs, or FW_EUNKNOWN.
  */
 int
 fw_submit(const struct fw_front *front, const struct fw_job_spec *spec,
@@ -219,26 +237,23 @@
 {
 	struct fw_record record = {0};
 	struct bd_flow *flow;
-	size_t progress_bytes;
 	size_t bytes;
 	void *value;
 	int code = fw_flow_build(spec, &flow, &bytes);
 
 	if (code != CW_OK)
 		return code;
-	progress_bytes = fw_progress_bytes_max(flow);
 	code = fw_job_encode(flow, &value, &bytes);
-	free(flow);
-	if (code != CW_OK)
+	if (code != CW_OK) {
+		free(flow);
 		return code;
+	}
 	fw_record_key(record.key, FW_RECORD_JOB, spec->name);
 	record.value = value;
 	record.value_bytes = bytes;
-	if (!is_applied(front, &record)) {
-		code = check_size(front, &record, progress_bytes);
-		if (code == CW_OK)
-			code = append_job(front, &record, deadline_ms);
-	}
+	if (!is_applied(front, &record))
+		code = submit_new(front, flow, &record, deadline_ms);
+	free(flow);
 	free(value);
 	return code;
 }
