Test of rejections through a whole daemon

One worker is given jobs until the front answers 503; the ledger and the metrics show why, and the rejected job is not stored.

--- a/tests/test_platform_system.cc
+++ b/tests/test_platform_system.cc
@@ -598,3 +598,42 @@
 	}));
 	EXPECT_TRUE(deployment.all_done(1));
 }
+
+/* Guards against an overload in which every job is accepted, and against a VM
+ * that does not show by which numbers it rejects: one worker is given jobs for
+ * minutes. The rejected one must not be stored. */
+TEST(PlatformSystem, JobsThatWouldBeTooLateAreRejected)
+{
+	Deployment deployment;
+	int submitted = 0;
+	auto get = [&](const std::string &path) {
+		std::string address = deployment.ready_addresses[0];
+		size_t colon = address.rfind(':');
+		int port = std::stoi(address.substr(colon + 1)) + 1;
+		std::string answer;
+
+		EXPECT_EQ(200,
+		    deployment.call("127.0.0.1:" + std::to_string(port), path,
+			"", &answer));
+		return answer;
+	};
+
+	ASSERT_TRUE(deployment.platform.start(1, 200));
+	deployment.configure();
+	deployment.spawn();
+	ASSERT_TRUE(deployment.ready(0));
+	EXPECT_EQ("{}", get("/ledger"));
+	ASSERT_TRUE(deployment.wait([&] {
+		return deployment.submit(
+			   0, job(submitted++), 40, {1000, 100, 8}) == 503;
+	}));
+	EXPECT_NE(std::string::npos, get("/ledger").find("\"Services\":[{"));
+	std::string metrics = get("/metrics");
+
+	EXPECT_NE(std::string::npos,
+	    metrics.find("camphor_admission_total{verdict=\"rejected\","
+			 "reason=\"accels\"} 1\n"));
+	EXPECT_NE(std::string::npos, metrics.find("camphor_ready 1\n"));
+	EXPECT_EQ("", deployment.job_state(0, job(submitted - 1)));
+	EXPECT_NE("", deployment.job_state(0, job(submitted - 2)));
+}
