--- a/lib/flow/apply.c
+++ b/lib/flow/apply.c
@@ -253,8 +253,9 @@
 
 /*
  * Applies one record to the table of jobs, to that of the ends of leases or to
- * that of the ledger; applying it again has no effect. Returns FW_EBADRECORD for a malformed
- * record, in which case the table is unchanged, or a status code of the board.
+ * that of the ledger; applying it again has no effect. Returns FW_EBADRECORD
+ * for a malformed record, in which case the table is unchanged but a ledger is
+ * removed, or a status code of the board.
  */
 int
 fw_record_apply(struct bd_board *board, const struct fw_record *record)
