--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "adapter.h"
+#include "ledger.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 static void check_record(void *ctx, const struct fw_record *record);
@@ -42,10 +43,16 @@
 static void
 check_job_record(const char *text, size_t size)
 {
+	struct bd_ledger ledger;
 	struct bd_flow *flow;
 	size_t bytes;
 	void *value;
 
+	if (fw_ledger_decode(text, size, &ledger) == CW_OK &&
+	    (ledger.pool_count > BD_LEDGER_POOLS ||
+		ledger.account_count > BD_LEDGER_ACCOUNTS ||
+		ledger.queue_count > BD_LEDGER_QUEUES))
+		abort();
 	if (fw_job_decode(text, size, &flow) != CW_OK)
 		return;
 	if (fw_job_encode(flow, &value, &bytes) != CW_OK)
