--- a/lib/flow/caller_cost.h
+++ b/lib/flow/caller_cost.h
@@ -25,7 +25,7 @@
 /* Rules that can be switched off, to compare them under the same load. */
 enum fw_cost_rule {
 	FW_RULE_LEAVE_TIMELY = 1, /* backlog of priorities other than 0 */
-	FW_RULE_STOP_COST = 2,    /* what a stopped job earns, earlier stops */
+	FW_RULE_STOP_COST = 2,    /* earlier stops raise the cost of a stop */
 	FW_RULE_MIDDLE_PREEMPTS = 4, /* priority 1 preempts lower ones */
 	FW_RULE_ORDER = 8,           /* saved work and aging in the order */
 };
