Known red: seeds 5, 15 and 50 have tests of their own

Cause: in seeds 5 and 15 a task that lasts stands for 5.9 and 6.3 s, bound to a worker by a start that may be late, since the order by cost; seed 50 has a late start that reaches a new incarnation first, since workers that come and go are a last resort.

--- a/tests/test_flow_faults.cc
+++ b/tests/test_flow_faults.cc
@@ -133,15 +133,26 @@
 
 /* Guards against late starts that reach a new incarnation before any call that
  * could refuse them. */
+static void
+expect_no_late_start_first(unsigned seed)
+{
+	FlowFaults faults(seed);
+
+	SCOPED_TRACE("seed " + std::to_string(seed));
+	faults.run();
+	EXPECT_EQ(0, faults.sim.run_checker.unpreventable);
+}
+
 TEST(FlowFaults, LateStartsDoNotReachANewIncarnationFirst)
 {
-	for (unsigned seed : {9U, 50U}) {
-		FlowFaults faults(seed);
+	expect_no_late_start_first(9);
+}
 
-		SCOPED_TRACE("seed " + std::to_string(seed));
-		faults.run();
-		EXPECT_EQ(0, faults.sim.run_checker.unpreventable);
-	}
+/* The same, in a play in which it happens since workers that come and go are
+ * used as a last resort. */
+TEST(FlowFaults, LateStartsDoNotComeFirstAsOtherWorkersAreChosen)
+{
+	expect_no_late_start_first(50);
 }
 
 static const FlowPlan kills_plan = {true, false, true};
@@ -153,10 +164,29 @@
 	for_seeds(20, play, kills_plan);
 }
 
+/* Seeds in which a task is bound to a worker by a start that may be late, and
+ * finds no room there. They have a test of their own. */
+static const std::set<unsigned> bound_seeds = {5, 15};
+
+static void
+expect_no_stands_unless_bound(unsigned seed, const FlowPlan &plan)
+{
+	if (getenv("SEED") != nullptr || bound_seeds.count(seed) == 0)
+		expect_no_stands(seed, plan);
+}
+
 /* Guards against waits that begin anew with each of these placers. */
 TEST(FlowFaults, TasksDoNotStandStillWhilePlacersAreKilledAndWorkersLeave)
 {
-	for_seeds(20, expect_no_stands, kills_plan);
+	for_seeds(20, expect_no_stands_unless_bound, kills_plan);
+}
+
+/* Guards against lasting tasks that wait for the room of one worker while
+ * others have room. */
+TEST(FlowFaults, BoundTasksDoNotStandStillWhilePlacersAreKilled)
+{
+	for (unsigned seed : bound_seeds)
+		expect_no_stands(seed, kills_plan);
 }
 
 /* Returns what a seed draws while nothing moves: no placer, worker or time, so
