--- a/lib/flow/flow_waits.h
+++ b/lib/flow/flow_waits.h
@@ -68,6 +68,10 @@
 	struct fw_wait_cause cause;
 };
 
+/* A wait is logged once it is this long: tasks that are ready have to be
+ * started within 3 s. */
+#define FW_WAIT_LOGGED_MS 1000
+
 /* Entries of the table; further groups that wait are only counted. */
 #define FW_WAITS_MAX 16384
 
@@ -100,6 +104,10 @@
     const struct fw_tables *tables, const struct fw_reservation *reservations,
     uint64_t term);
 void fw_waits_clear(struct fw_waits *waits);
+void fw_waits_log_waiting(struct fw_waits *waits,
+    const struct fw_tables *tables, uint64_t term, int64_t now_ms);
+void fw_waits_log_over(
+    struct fw_waits *waits, const struct fw_tables *tables, uint64_t term);
 
 #ifdef __cplusplus
 }
