What is known of a follower has a file of its own

Change: follow_state.c has the age, the position and the like, and follow_internal.h the state; no behaviour has changed.

--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -4,56 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "flow_internal.h"
+#include "follow_internal.h"
 #include "record_buffer.h"
 
 /* Delay after a failed read; doubles up to the maximum. */
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 400
-/* The store counts as unreachable when an answer is late by this much. It
- * answers within a few ms, or within a few hundred ms while it is slow. */
-#define ANSWER_OVERDUE_MS 700
-/* A copy that was never read has a larger age. */
-#define AGE_KNOWN_MAX_MS (INT64_MAX / 4)
 /* A read for a caller is sent in a later ms than its call arrived, so that its
  * send time tells that it came after the call. */
 #define REFRESH_DELAY_MS 1
 
-struct fw_follower {
-	struct bd_board *board;
-	struct fw_store store;
-	struct fw_follow_spec spec;
-	atomic_bool stopped;
-	atomic_bool loaded;
-	atomic_uint read_interval_ms;
-	atomic_uint_least64_t position;     /* offset of the next record */
-	atomic_uint_least64_t catch_up_end; /* see fw_follower_catch_up */
-	atomic_int_least64_t synced_ms;     /* see fw_follower_age_ms */
-	atomic_int_least64_t read_sent_ms;  /* send time of the latest read */
-	atomic_bool read_failed;            /* the last read has failed */
-	atomic_bool paused;
-	atomic_bool refreshing; /* see fw_follower_refresh */
-	atomic_uint refresh_delay_ms;
-	/* Owned by the platform's thread: */
-	bool read_pending;   /* a read or the timer before it is pending */
-	bool reload_pending; /* load again once that read has ended */
-	bool loading;        /* is reading a snapshot, page by page */
-	char cursor[FW_CURSOR_BYTES]; /* loading: of the last record */
-	uint64_t first_end;           /* end of the log at the first page */
-	bool first_page;
-	bool page_incomplete; /* a record of a page was left out */
-	bool behind; /* has not reached the end of the log since the load */
-	bool end_unknown;      /* newest_suffices: the next read is end_only */
-	int64_t load_sent_ms;  /* send time of the first page's read */
-	uint64_t read_from;    /* position when the pending read was sent */
-	uint64_t refresh_from; /* the same of the pending refresh */
-	bool unanswered;       /* the read before the pending one */
-	bool held;             /* a record of this read could not be applied */
-	struct fw_record_buffer buffered; /* records of the pages so far */
-	uint32_t retry_ms;
-	int64_t now_ms;
-};
-
 static void send_read(void *ctx, int64_t now_ms);
 static void reload(void *ctx, int64_t now_ms);
 static void reset_load(struct fw_follower *follower);
@@ -549,14 +509,6 @@
 	free(follower);
 }
 
-/* Sets the minimum time between two reads. */
-void
-fw_follower_set_read_interval(
-    struct fw_follower *follower, uint32_t read_interval_ms)
-{
-	atomic_store(&follower->read_interval_ms, read_interval_ms);
-}
-
 /* Reads at once up to an offset that an append has returned: the store does not
  * always wake a read that began to wait during the append. */
 void
@@ -591,46 +543,3 @@
 		atomic_store(&follower->refreshing, false);
 	}
 }
-
-/* Returns whether the load is complete. */
-bool
-fw_follower_loaded(const struct fw_follower *follower)
-{
-	return atomic_load(&((struct fw_follower *)follower)->loaded);
-}
-
-/* Returns the offset of the next record to be read. */
-uint64_t
-fw_follower_position(const struct fw_follower *follower)
-{
-	return atomic_load(&((struct fw_follower *)follower)->position);
-}
-
-/* Returns whether the store is unreachable from this process: the last read has
- * failed, or the answer to the pending one is overdue. */
-bool
-fw_follower_stalled(const struct fw_follower *follower, int64_t now_ms)
-{
-	struct fw_follower *writable = (struct fw_follower *)follower;
-
-	return atomic_load(&writable->read_failed) ||
-	    now_ms - atomic_load(&writable->read_sent_ms) >
-	    (int64_t)follower->spec.wait_ms + ANSWER_OVERDUE_MS;
-}
-
-/* Returns an age as it is written to logs and metrics: -1 for a copy that was
- * never read. */
-int64_t
-fw_age_shown_ms(int64_t age_ms)
-{
-	return age_ms > AGE_KNOWN_MAX_MS ? -1 : age_ms;
-}
-
-/* Returns the age of this process's copy of the topic in ms: the time since the
- * last read that reached the end of the log was sent. */
-int64_t
-fw_follower_age_ms(const struct fw_follower *follower, int64_t now_ms)
-{
-	return now_ms -
-	    atomic_load(&((struct fw_follower *)follower)->synced_ms);
-}
