Test of a peer that dies while it serves a forwarded call

Cause: a frozen peer was played, one that is killed halfway was not. Change: the peer is stopped, gets a submission and is killed: the caller is told 504, nothing is stored, and the same submission is accepted later.

--- a/tests/test_platform_relay.cc
+++ b/tests/test_platform_relay.cc
@@ -241,6 +241,32 @@
 	EXPECT_EQ(3, deployment.platform.run_checker.starts);
 }
 
+/* The same where the peer's process ends: nothing of the call is left there,
+ * and the same submission is accepted once a VM has the store again. */
+TEST(PlatformRelay, APeerThatDiesHalfwayLeavesTheOutcomeUnknown)
+{
+	PeerDeployment deployment;
+
+	ASSERT_TRUE(deployment.start(2));
+	ASSERT_TRUE(deployment.reject(1));
+	EXPECT_EQ(200, deployment.submit(0, job(1), 1));
+	::kill(deployment.pids[1], SIGSTOP);
+	std::thread caller([&] {
+		EXPECT_EQ(504, deployment.submit(0, job(2), 1));
+	});
+	/* Over open links it is sent within some ms; the origin waits for
+	 * 1.2 s. */
+	std::this_thread::sleep_for(std::chrono::milliseconds(600));
+	deployment.kill(1);
+	caller.join();
+	EXPECT_FALSE(deployment.stored(job(2)));
+	deployment.platform.rejected_vms = 0;
+	ASSERT_TRUE(deployment.ready(0));
+	EXPECT_EQ(200, deployment.submit(0, job(2), 1));
+	EXPECT_TRUE(deployment.all_done(3));
+	EXPECT_EQ(3, deployment.platform.run_checker.starts);
+}
+
 /* The store stops answering a VM while a submission is in progress there, which
  * has sent an append. Guards against 503 from the peer's side of it, and
  * against two runs of the job. */
