--- /dev/null
+++ b/review/standin-3/case.cc
@@ -0,0 +1,358 @@
+#include "harness.h"
+
+/* The cases of this review that need processes. Each returns whether the rule
+ * held. Usage: case NUMBER RECORD; TROUBLE=0 leaves the disruption out. */
+
+static const char job_id[] = "5c0e7a21d94b36f8";
+
+/* Runners crash under a task, one after the other. */
+static bool
+runners_crash(Harness &h, bool trouble)
+{
+	const std::string task = std::string(job_id) + ".0.0.0";
+	std::string last;
+	bool held = true;
+	int crashes = 0;
+
+	h.start_platform(6, 12000);
+	h.configure();
+	for (int n = 0; n < 3; n++)
+		h.spawn_daemon();
+	for (size_t n = 0; n < 3; n++)
+		h.wait_ready(n);
+	if (h.submit(job_id,
+		"{\"Spec\":\"s\",\"Steps\":[{\"Count\":1,\"Cpu\":4000,"
+		"\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":12000}]}") /
+		100 !=
+	    2)
+		h.die("the job was not accepted");
+	while (h.elapsed_ms() < 90000) {
+		int runner = h.runner_of(task);
+
+		if (trouble && crashes < 4 && runner >= 0) {
+			Harness::sleep_ms(1500);
+			if (h.runner_of(task) == runner) {
+				crashes++;
+				h.crash_runner((size_t)runner, 3000);
+			}
+		}
+		for (size_t n = 0; n < 3; n++) {
+			std::string now = h.state(n, job_id);
+
+			if (now != last && !now.empty()) {
+				h.note("client: GET %s at daemon %zu -> %s",
+				    job_id, n, now.c_str());
+				last = now;
+			}
+			if (now == "failed")
+				held = false;
+		}
+		if (last == "failed" || last == "completed")
+			break;
+		Harness::sleep_ms(100);
+	}
+	h.note("%d crashes; ends `failed` that runners have listed: 0; "
+	       "MaxAttempts %d; state at the end: %s",
+	    crashes, h.attempts_max, last.c_str());
+	if (last != "failed" && last != "completed")
+		h.die("the job has no final state within 90 s");
+	return held;
+}
+
+/* The store carries appends out late, without an answer. Stands before the
+ * handler of the platform. */
+struct LateStore {
+	static constexpr int64_t LATE_MS = 6000;
+
+	Harness *h = nullptr;
+	std::atomic<bool> losing{false};
+	std::atomic<int> writes{0}; /* while it is losing */
+	std::atomic<int> lost{0};
+
+	static bool
+	is_new_job(const std::string &topic, const std::string &epoch,
+	    const std::string &body)
+	{
+		return topic == "keyed.jobs" && epoch.empty() &&
+		    body.compare(5, 2, "j/") == 0;
+	}
+
+	static int
+	handle(struct mg_connection *connection, void *ctx)
+	{
+		LateStore *store = (LateStore *)ctx;
+		Harness *h = store->h;
+		const struct mg_request_info *info =
+		    mg_get_request_info(connection);
+		std::string path = info->local_uri;
+		bool is_append = path == "/camphorworks/log-append";
+		bool is_join = path == "/camphorworks/log-join";
+
+		if (!store->losing || (!is_append && !is_join))
+			return Emulator::handle(connection, &h->platform);
+		store->writes++;
+		if (is_join)
+			return Emulator::handle(connection, &h->platform);
+		std::string body = Emulator::read_body(connection);
+		std::string topic = Emulator::query(info, "Topic");
+
+		if (!is_new_job(topic, Emulator::query(info, "epoch"), body)) {
+			h->platform.serve_append(connection, info, body);
+			return 1;
+		}
+		store->lost++;
+		h->note("store: an append of a job gets no answer");
+		std::thread([h, topic, body] {
+			Harness::sleep_ms(LATE_MS);
+			if (h->ending)
+				return;
+			std::lock_guard<std::mutex> guard(h->platform.lock);
+			uint64_t end;
+
+			h->note("store: carries that append out");
+			h->platform.topics[topic].append(
+			    Emulator::parse_records(body), 0, 0, &end);
+			h->platform.log_changed.notify_all();
+		}).detach();
+		Harness::sleep_ms(1500);
+		mg_close_connection(connection);
+		return 1;
+	}
+};
+
+/* A caller whose submission was not answered cancels its job. */
+static bool
+cancelled_job_starts(Harness &h, bool trouble)
+{
+	static LateStore store;
+	const int64_t cancel_ms = 3000, stop_ms = 200, contact_ms = 4000;
+	const std::string task = std::string(job_id) + ".0.0.0";
+	const std::string path = std::string("/jobs/") + job_id;
+	std::atomic<int64_t> started_ms{0};
+	std::atomic<int64_t> ended_ms{0};
+	int64_t loss_end_ms = 0;
+	int64_t cancelled_ms = 0;
+	bool held = true;
+	int status;
+
+	store.h = &h;
+	h.start_platform(6, 20000);
+	mg_set_request_handler(
+	    h.platform.context, "/", LateStore::handle, &store);
+	auto observer = h.platform.run_checker.observer;
+	h.platform.run_checker.observer = [&](const char *what,
+					      const std::string &name,
+					      uint32_t run, const void *at) {
+		observer(what, name, run, at);
+		if (strcmp(what, "end") == 0)
+			ended_ms = h.elapsed_ms();
+		else
+			started_ms = h.elapsed_ms();
+	};
+	h.configure();
+	for (int n = 0; n < 3; n++)
+		h.spawn_daemon();
+	for (size_t n = 0; n < 3; n++)
+		h.wait_ready(n);
+	Harness::sleep_ms(4000);
+	std::thread losses([&] {
+		if (!trouble)
+			return;
+		h.note("store: loses appends from now on");
+		store.losing = true;
+		Harness::sleep_ms(2600);
+		store.losing = false;
+		loss_end_ms = h.elapsed_ms();
+		h.note("store: answers again; %d of %d writes were lost",
+		    store.lost.load(), store.writes.load());
+	});
+	Harness::sleep_ms(1000);
+	status = Harness::call(h.fronts[0], "POST", path,
+	    "{\"Spec\":\"s\",\"Steps\":[{\"Count\":1,\"Cpu\":4000,"
+	    "\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":20000}]}");
+	h.note("client: POST %s at daemon 0 -> %d", job_id, status);
+	for (size_t n = 1; cancelled_ms == 0; n++) {
+		status = Harness::call(h.fronts[n % 3], "DELETE", path, "");
+		h.note("client: DELETE %s at daemon %zu -> %d", job_id, n % 3,
+		    status);
+		if (status / 100 == 2 || status == 410)
+			cancelled_ms = h.elapsed_ms();
+		else if (n > 20)
+			h.die("the cancellation is not acknowledged");
+	}
+	losses.join();
+	Harness::sleep_ms(9000);
+	for (size_t n = 0; n < 3; n++) {
+		std::string now = h.state(n, job_id, &status);
+
+		h.note("client: GET %s at daemon %zu -> %d %s", job_id, n,
+		    status, now.c_str());
+	}
+	if (started_ms > cancelled_ms + cancel_ms) {
+		h.note("a task was started %lld ms after the cancellation was "
+		       "acknowledged, %lld ms after the store was sound again",
+		    (long long)(started_ms - cancelled_ms),
+		    (long long)(started_ms - loss_end_ms));
+		held = started_ms <= loss_end_ms + contact_ms;
+	}
+	if (started_ms != 0 && started_ms <= cancelled_ms &&
+	    (ended_ms < started_ms ||
+		ended_ms > cancelled_ms + cancel_ms + stop_ms)) {
+		h.note("a task ran on after the cancellation");
+		held = false;
+	}
+	return held;
+}
+
+/* Sends a request and leaves after leave_ms without waiting for the answer. */
+static void
+send_and_leave(
+    const std::string &address, const std::string &request, int64_t leave_ms)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in to = {};
+
+	to.sin_family = AF_INET;
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	to.sin_port =
+	    htons((uint16_t)atoi(address.c_str() + address.rfind(':') + 1));
+	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0)
+		(void)!send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+	Harness::sleep_ms(leave_ms);
+	close(fd);
+}
+
+/* A daemon is frozen with a submission; its caller leaves and cancels. */
+static bool
+frozen_daemon_submits(Harness &h, bool trouble)
+{
+	const int64_t cancel_ms = 3000, stop_ms = 200;
+	const int64_t leave_ms = 200, freeze_ms = 3500;
+	const std::string task = std::string(job_id) + ".0.0.0";
+	const std::string path = std::string("/jobs/") + job_id;
+	const std::string body =
+	    "{\"Spec\":\"s\",\"Steps\":[{\"Count\":1,\"Cpu\":4000,"
+	    "\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":20000}]}";
+	std::atomic<int64_t> started_ms{0};
+	std::atomic<int64_t> ended_ms{0};
+	int64_t cancelled_ms = 0;
+	const size_t daemons = 8;
+	size_t frozen = 0;
+	bool held = true;
+	int status = 0;
+
+	h.start_platform(6, 20000);
+	auto observer = h.platform.run_checker.observer;
+	h.platform.run_checker.observer = [&](const char *what,
+					      const std::string &name,
+					      uint32_t run, const void *at) {
+		observer(what, name, run, at);
+		if (strcmp(what, "end") == 0)
+			ended_ms = h.elapsed_ms();
+		else
+			started_ms = h.elapsed_ms();
+	};
+	h.configure();
+	for (size_t n = 0; n < daemons; n++)
+		h.spawn_daemon();
+	for (size_t n = 0; n < daemons; n++)
+		h.wait_ready(n);
+	Harness::sleep_ms(4500);
+	{
+		std::lock_guard<std::mutex> guard(h.platform.lock);
+
+		/* Not the one that gives the orders. */
+		if (h.platform.group.owner.compare(0, 9, "front-z-0") == 0)
+			frozen = 1;
+		h.note("placer: %s", h.platform.group.owner.c_str());
+	}
+	if (trouble) {
+		h.note("daemon %zu is frozen", frozen);
+		::kill(h.pids[frozen], SIGSTOP);
+	}
+	std::thread thaw([&] {
+		Harness::sleep_ms(freeze_ms);
+		if (!trouble)
+			return;
+		h.note("daemon %zu goes on", frozen);
+		::kill(h.pids[frozen], SIGCONT);
+	});
+	h.note("client: POST %s at daemon %zu, leaves after %lld ms", job_id,
+	    frozen, (long long)leave_ms);
+	send_and_leave(h.fronts[frozen],
+	    "POST " + path +
+		" HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key"
+		"\r\nContent-Type: application/json\r\n"
+		"Camphorworks-Request-Deadline: 3000\r\nContent-Length: " +
+		std::to_string(body.size()) + "\r\n\r\n" + body,
+	    leave_ms);
+	for (size_t n = frozen + 1; cancelled_ms == 0; n++) {
+		if (n % daemons == frozen)
+			continue;
+		status =
+		    Harness::call(h.fronts[n % daemons], "DELETE", path, "");
+		h.note("client: DELETE %s at daemon %zu -> %d", job_id,
+		    n % daemons, status);
+		if (status / 100 == 2 || status == 410)
+			cancelled_ms = h.elapsed_ms();
+		else if (n > 20)
+			h.die("the cancellation is not acknowledged");
+	}
+	thaw.join();
+	Harness::sleep_ms(12000);
+	for (size_t n = 0; n < daemons; n++) {
+		std::string now = h.state(n, job_id, &status);
+
+		h.note("client: GET %s at daemon %zu -> %d %s", job_id, n,
+		    status, now.c_str());
+	}
+	if (started_ms > cancelled_ms + cancel_ms) {
+		h.note("a task was started %lld ms after the cancellation was "
+		       "acknowledged",
+		    (long long)(started_ms - cancelled_ms));
+		held = false;
+	}
+	if (started_ms != 0 && started_ms <= cancelled_ms + cancel_ms &&
+	    (ended_ms < started_ms ||
+		ended_ms > cancelled_ms + cancel_ms + stop_ms)) {
+		h.note("a task ran on after the cancellation");
+		held = false;
+	}
+	return held;
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct {
+		int number;
+		bool (*run)(Harness &h, bool trouble);
+	} cases[] = {
+	    {12, runners_crash},
+	    {13, frozen_daemon_submits},
+	    {14, cancelled_job_starts},
+	};
+	const char *off = getenv("TROUBLE");
+	bool trouble = off == nullptr || strcmp(off, "0") != 0;
+	int number = argc > 2 ? atoi(argv[1]) : 0;
+
+	signal(SIGPIPE, SIG_IGN);
+	for (const auto &one : cases)
+		if (one.number == number) {
+			bool held;
+
+			{
+				Harness h(argv[2]);
+
+				h.note("trouble: %d", trouble);
+				held = one.run(h, trouble);
+				h.note(held ? "the rule held"
+					    : "the rule was broken");
+			}
+			printf(
+			    "case %d: %s\n", number, held ? "held" : "broken");
+			return held ? 0 : 1;
+		}
+	fprintf(stderr, "usage: case NUMBER RECORD\n");
+	return 2;
+}
