review 15: a deleted job runs again

Cause: a load of the jobs after expired history leaves the rows of jobs that were deleted meanwhile; a placer takes them for waiting ones. Change: adds a script with its claim, and what part one has tried.

--- a/review/standin-3/case.cc
+++ b/review/standin-3/case.cc
@@ -321,6 +321,163 @@
 	return held;
 }
 
+/* The store keeps KEEP_MS of its history, and one daemon, which uses its
+ * address 127.0.0.2, can be cut off from it. Stands before the handler of the
+ * platform. */
+struct CutStore {
+	static constexpr int64_t KEEP_MS = 20000;
+
+	Harness *h = nullptr;
+	std::atomic<bool> cut{false};
+	/* By topic: time and end of the log, once a second. */
+	std::map<std::string, std::vector<std::pair<int64_t, uint64_t>>> ends;
+
+	static int
+	handle(struct mg_connection *connection, void *ctx)
+	{
+		CutStore *store = (CutStore *)ctx;
+		const char *host = mg_get_header(connection, "Host");
+
+		if (host == nullptr || strncmp(host, "127.0.0.2", 9) != 0 ||
+		    !store->cut)
+			return Emulator::handle(
+			    connection, &store->h->platform);
+		/* Longer than any call of the daemon lasts. */
+		Harness::sleep_ms(2100);
+		mg_close_connection(connection);
+		return 1;
+	}
+
+	/* Drops the records that are older than KEEP_MS. The newest one of each
+	 * key stays in snapshots. */
+	static void
+	drop(SimLog &log, uint64_t first)
+	{
+		size_t count = (size_t)(first - log.first);
+
+		for (size_t i = 0; i < count; i++) {
+			const SimRecord &row = log.records[i];
+
+			if (row.value.empty())
+				log.kept.erase(row.key);
+			else
+				log.kept[row.key] = {log.first + i, row.value};
+		}
+		log.records.erase(log.records.begin(),
+		    log.records.begin() + (std::ptrdiff_t)count);
+		log.first = first;
+	}
+
+	/* Call once a second. */
+	void
+	expire()
+	{
+		std::lock_guard<std::mutex> guard(h->platform.lock);
+		int64_t now_ms = Emulator::now_ms();
+
+		for (auto &topic : h->platform.topics) {
+			auto &marks = ends[topic.first];
+
+			marks.push_back({now_ms, topic.second.end()});
+			while (now_ms - marks.front().first > KEEP_MS) {
+				if (marks.front().second > topic.second.first)
+					drop(
+					    topic.second, marks.front().second);
+				marks.erase(marks.begin());
+			}
+		}
+	}
+};
+
+/* A daemon is without the store until a job that it knows was deleted, and
+ * then gets the placing duty. */
+static bool
+deleted_job_runs_again(Harness &h, bool trouble)
+{
+	static CutStore store;
+	const std::string task = std::string(job_id) + ".0.0.0";
+	std::atomic<bool> watching{true};
+	std::atomic<int64_t> ended_ms{0};
+	std::atomic<int> late_starts{0};
+	int status = 0;
+
+	store.h = &h;
+	h.status_s = 5;
+	h.start_platform(6, 3000);
+	mg_set_request_handler(
+	    h.platform.context, "/", CutStore::handle, &store);
+	auto observer = h.platform.run_checker.observer;
+	h.platform.run_checker.observer = [&](const char *what,
+					      const std::string &name,
+					      uint32_t run, const void *at) {
+		observer(what, name, run, at);
+		if (strcmp(what, "acknowledged") == 0)
+			ended_ms = h.elapsed_ms();
+		else if (strcmp(what, "start") == 0 && ended_ms != 0)
+			late_starts++;
+	};
+	std::thread history([&] {
+		while (watching) {
+			Harness::sleep_ms(1000);
+			store.expire();
+		}
+	});
+	h.configure();
+	for (int n = 0; n < 2; n++)
+		h.spawn_daemon();
+	for (size_t n = 0; n < 2; n++)
+		h.wait_ready(n);
+	h.spawn_daemon("127.0.0.2:" + std::to_string(h.platform.port));
+	h.wait_ready(2);
+	if (h.submit(job_id,
+		"{\"Spec\":\"s\",\"Steps\":[{\"Count\":1,\"Cpu\":4000,"
+		"\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":3000}]}") /
+		100 !=
+	    2)
+		h.die("the job was not accepted");
+	h.note("client: GET %s at daemon 2 -> %s", job_id,
+	    h.state(2, job_id).c_str());
+	if (trouble) {
+		h.note("daemon 2 is cut off from the store");
+		store.cut = true;
+	}
+	for (std::string now; now != "completed"; Harness::sleep_ms(100)) {
+		now = h.state(0, job_id);
+		if (h.elapsed_ms() > 15000)
+			h.die("the job is not completed");
+	}
+	h.note("client: GET %s at daemon 0 -> completed", job_id);
+	for (; status != 410; Harness::sleep_ms(500)) {
+		h.state(0, job_id, &status);
+		if (h.elapsed_ms() > 85000)
+			h.die("the job is not deleted");
+	}
+	h.note("client: GET %s at daemon 0 -> 410, after status_s", job_id);
+	store.cut = false;
+	h.note("daemon 2 reaches the store again");
+	h.wait_ready(2);
+	std::string shown = h.state(2, job_id, &status);
+
+	h.note("client: GET %s at daemon 2 -> %d %s", job_id, status,
+	    shown.c_str());
+	Harness::sleep_ms(2000);
+	for (size_t n = 0; n < 2; n++) {
+		h.note("daemon %zu gets SIGTERM", n);
+		::kill(h.pids[n], SIGTERM);
+	}
+	Harness::sleep_ms(12000);
+	for (size_t n = 0; n < 2; n++)
+		h.kill_daemon(n);
+	shown = h.state(2, job_id, &status);
+	h.note("client: GET %s at daemon 2 -> %d %s", job_id, status,
+	    shown.c_str());
+	watching = false;
+	history.join();
+	h.note("%d starts after the end `done` was taken note of",
+	    late_starts.load());
+	return late_starts == 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -331,6 +488,7 @@
 	    {12, runners_crash},
 	    {13, frozen_daemon_submits},
 	    {14, cancelled_job_starts},
+	    {15, deleted_job_runs_again},
 	};
 	const char *off = getenv("TROUBLE");
 	bool trouble = off == nullptr || strcmp(off, "0") != 0;
--- a/review/standin-3/harness.h
+++ b/review/standin-3/harness.h
@@ -36,6 +36,7 @@
 	std::string more_routes; /* JSON, begins with a comma */
 	int attempts_max = 3;
 	int priority = 1;
+	int status_s = 120;
 	std::string bounds; /* more members of "Bounds", begins with a comma */
 	FILE *record = nullptr;
 	int64_t start_ms = Emulator::now_ms();
@@ -307,7 +308,9 @@
 		       "\"StopTimeoutMs\":200,\"GangTimeoutMs\":3000,"
 		       "\"cancel_ms\":3000,\"visible_ms\":3000,\"early_ms\":"
 		       "250,"
-		       "\"finish_s\":14,\"status_s\":120,\"RemoteFactor\":3,"
+		       "\"finish_s\":14,\"status_s\":"
+		    << status_s
+		    << ",\"RemoteFactor\":3,"
 		       "\"CheckpointS\":1,\"RestoreMs\":600,\"ReclaimMs\":2700"
 		    << bounds
 		    << "},\"Orders\":\"request\",\"platform\":{\"Address\":\""
