Ends of leases are dated by steady clocks, not by wall clocks

Cause: a placer stored the end of a silent worker's last lease as its wall time, and its successor compared that with its own. A placer whose clock was 3.78 s back stored an end that had passed, or nearly.

Change: the record carries the time that is left. A successor counts it from when it knew the record to have been stored. Every VM follows the jobs topic; the placer writes a watermark there, the offset of the progress topic up to which it has read its records back, and each VM keeps by its steady clock when it received it. A VM that was late, frozen or has just started counts from a later time. Ends are stored again as the time goes by, so that a VM that starts meanwhile does not begin anew.

--- a/lib/board/board.h
+++ b/lib/board/board.h
@@ -472,6 +472,7 @@
 	BD_TABLE(departure, struct bd_departure, BD_WRITER_FLOW, 4096)      \
 	BD_TABLE(evacuation, struct bd_evacuation, BD_WRITER_FLOW, 256)     \
 	BD_TABLE(last_lease, struct bd_last_lease, BD_WRITER_FLOW, 8192)    \
+	BD_TABLE(watermarks, struct bd_watermarks, BD_WRITER_FLOW, 1)       \
 	BD_TABLE(peer, struct bd_peer, BD_WRITER_FLOW, 1024)                \
 	BD_TABLE(tombstone, struct bd_tombstone, BD_WRITER_FLOW, 16384)     \
 	BD_TABLE(flow, struct bd_flow, BD_WRITER_FLOW, 98304)
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -134,8 +134,31 @@
 /* Table "last_lease": a worker whose leases no placer renews before it has
  * deleted this row's record. */
 struct bd_last_lease {
-	uint64_t id;      /* cw_id_from_name(name) of the worker */
-	int64_t until_ms; /* wall time at which its last lease ends */
+	uint64_t id;     /* cw_id_from_name(name) of the worker */
+	uint64_t offset; /* of the record in the log */
+	/* The last lease ends within this time after the record was stored, -1:
+	 * not given. */
+	int64_t left_ms;
+};
+
+/* The records of progress below an offset were stored before this VM received
+ * the watermark. */
+struct bd_watermark {
+	uint64_t position; /* that offset */
+	int64_t read_ms;   /* monotonic */
+};
+
+/* A placer writes up to three in a second. The oldest one kept is older than
+ * any time that is looked up. */
+#define BD_WATERMARKS_MAX 96
+
+/* Table "watermarks", one row with id BD_CONFIG_ID: the latest ones, by rising
+ * positions. */
+struct bd_watermarks {
+	uint64_t id;
+	uint32_t count;
+	uint32_t reserved;
+	struct bd_watermark items[BD_WATERMARKS_MAX];
 };
 
 /* Table "tombstone": a job that was cancelled when it was not known. */
--- a/lib/flow/apply.c
+++ b/lib/flow/apply.c
@@ -4,6 +4,7 @@
 #include "flow_internal.h"
 #include "relay.h"
 #include "tombstone.h"
+#include "watermark.h"
 
 static struct bd_flow *copy_row(const struct bd_board *board, uint64_t id);
 static int put_row(struct bd_board *board, const struct bd_flow *flow);
@@ -274,11 +275,13 @@
 	bd_read_end();
 }
 
-/* Applies the end of a worker's last lease. Its value is a wall time. */
+/* Applies the end of a worker's last lease, see last_lease.c. */
 static int
 apply_lease(struct bd_board *board, const struct fw_record *record, uint64_t id)
 {
-	struct bd_last_lease row = {.id = id, .until_ms = read_time(record)};
+	struct bd_last_lease row = {.id = id,
+	    .offset = record->offset,
+	    .left_ms = fw_lease_record_left_ms(record)};
 
 	return bd_put(board, BD_TABLE_last_lease, BD_WRITER_FLOW, id, &row,
 	    sizeof(row), NULL);
@@ -303,9 +306,9 @@
 
 /*
  * Applies one record to the tables of jobs, of tombstones, of the ends of
- * leases or of VMs;
- * applying it again has no effect. Returns FW_EBADRECORD for a malformed
- * record, in which case the table is unchanged, or a status code of the board.
+ * leases, of watermarks or of VMs; applying it again has no effect. Returns
+ * FW_EBADRECORD for a malformed record, in which case the table is unchanged,
+ * or a status code of the board.
  */
 int
 fw_record_apply(struct bd_board *board, const struct fw_record *record)
@@ -340,6 +343,8 @@
 			return apply_tombstone(board, record);
 		bd_remove(board, BD_TABLE_tombstone, BD_WRITER_FLOW, id);
 		return CW_OK;
+	case FW_RECORD_WATERMARK:
+		return deleted ? CW_OK : fw_watermark_apply(board, record);
 	case FW_RECORD_PEER:
 		return fw_peer_apply(board, record, id);
 	default:
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -97,6 +97,7 @@
 	FW_RECORD_LEASE = 'l',     /* named by the id of a worker */
 	FW_RECORD_PEER = 'v',      /* named by the id of a VM */
 	FW_RECORD_TOMBSTONE = 't', /* a cancellation of an unknown job */
+	FW_RECORD_WATERMARK = 'w', /* dates the records of progress */
 };
 
 struct fw_record {
@@ -104,6 +105,7 @@
 	const void *value; /* NULL: deletes the key */
 	size_t value_bytes;
 	uint64_t offset; /* in the log */
+	int64_t read_ms; /* monotonic time at which this VM received it */
 	/* In a snapshot: opaque text with which to read on after this record;
 	 * NULL: its key. Valid during the callback. */
 	const char *cursor;
@@ -206,6 +208,9 @@
 	uint64_t from;    /* otherwise: return records from this offset */
 	uint32_t wait_ms; /* long poll: wait for a record */
 	bool unanswered;  /* the read before this one got no answer */
+	/* Set by the store: monotonic time at which the answer was received.
+	 * Its records carry it as read_ms. */
+	int64_t answered_ms;
 	/* record is called for each record, then done once. more: the snapshot
 	 * has further pages; end: offset after the last record of the log. */
 	void (*record)(void *ctx, const struct fw_record *record);
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -97,6 +97,13 @@
 	bool logged;
 };
 
+/* The latest watermark of the placer. Times are monotonic. */
+struct fw_watermark_writer {
+	uint64_t position;
+	int64_t written_ms;
+	bool is_urgent; /* the end of a lease is or will be stored behind it */
+};
+
 struct fw_placer {
 	struct fw_placer_parts parts;
 	struct fw_tables tables;
@@ -122,6 +129,7 @@
 	struct fw_stops stops; /* for the sake of others, in this term */
 	struct fw_waits waits; /* for the log */
 	struct fw_undecided undecided;
+	struct fw_watermark_writer watermark;
 	struct fw_freeze freeze;
 	/* Average demand of priority 0, in thousandths of an accelerator, and
 	 * the time of its last update. */
--- a/lib/flow/flow_runs.h
+++ b/lib/flow/flow_runs.h
@@ -55,6 +55,7 @@
 bool fw_worker_renews(const struct fw_tables *tables, uint32_t handle);
 
 /* The ends of leases that placers store for their successors. */
+int64_t fw_lease_record_left_ms(const struct fw_record *record);
 bool fw_lease_end_is_noted(
     const struct bd_board *board, const struct fw_worker_state *worker);
 bool fw_lapse_is_certain(const struct fw_tables *tables,
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -278,6 +278,7 @@
 		spec->first(spec->ctx);
 	for (i = 0; i < follower->buffered.count; i++) {
 		fw_record_buffer_get(&follower->buffered, i, &record);
+		record.read_ms = now_ms;
 		if (spec->record(spec->ctx, &record, now_ms) != CW_OK)
 			return false;
 	}
--- a/lib/flow/last_lease.c
+++ b/lib/flow/last_lease.c
@@ -1,8 +1,10 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "flow_internal.h"
+#include "watermark.h"
 
 /*
  * When the leases of a worker end that nobody renews. A placer stores it while
@@ -11,15 +13,21 @@
  * grants a lease again, it deletes the record, and reads that back.
  */
 
+/* The value of a record is two decimal numbers: the end as a wall time, for
+ * versions that go by it, and the time that is left, by which this one goes. A
+ * version that stored the wall time only may have known of a late grant. */
+
 /* An end is stored after this silence, or at once by a successor that the
  * worker has not answered yet. Shorter silences are frequent. */
 #define NOTED_SILENCE_MS 400
-#define TIME_BYTES 24
+/* It is stored again once so much less is left. */
+#define REPEAT_MS 1000
+#define RECORD_BYTES 48
 
 static bool is_silent(const struct fw_worker_state *worker, int64_t now_ms);
 static bool answers(const struct fw_worker_state *worker);
 static int add_record(
-    struct fw_placer *placer, uint64_t host, int64_t until_ms);
+    struct fw_placer *placer, uint64_t host, int64_t left_ms, int64_t wall_ms);
 static int note_end(struct fw_placer *placer, struct fw_worker_state *worker,
     int64_t now_ms, int64_t wall_ms);
 static int delete_ends(struct fw_placer *placer);
@@ -45,39 +53,63 @@
 	    !worker->replaced;
 }
 
-/* Adds the record of a worker to the batch. 0: its deletion. */
+/* Adds the record of a worker to the batch. left_ms 0: its deletion. */
 static int
-add_record(struct fw_placer *placer, uint64_t host, int64_t until_ms)
+add_record(
+    struct fw_placer *placer, uint64_t host, int64_t left_ms, int64_t wall_ms)
 {
-	char name[TIME_BYTES];
+	char name[BD_FLOW_NAME_BYTES];
 	char *text = NULL;
 	int bytes = 0;
 
 	snprintf(name, sizeof(name), "%016" PRIx64, host);
-	if (until_ms > 0) {
-		text = malloc(TIME_BYTES);
+	if (left_ms > 0) {
+		text = malloc(RECORD_BYTES);
 		if (text == NULL)
 			return cw_error_set(
 			    FW_ENOMEM, "out of memory for the end of a lease");
-		bytes = snprintf(text, TIME_BYTES, "%" PRId64, until_ms);
+		bytes = snprintf(text, RECORD_BYTES, "%" PRId64 " %" PRId64,
+		    wall_ms + left_ms, left_ms);
 	}
 	return fw_writer_add(
 	    &placer->progress, FW_RECORD_LEASE, name, text, (size_t)bytes);
 }
 
-/* Stores the end of the last lease of a worker that has runs and is silent. */
+/* Returns the time in ms that was left of a worker's last lease when its record
+ * was stored, at the most, or -1 if the record does not give it. */
+int64_t
+fw_lease_record_left_ms(const struct fw_record *record)
+{
+	char text[RECORD_BYTES] = "";
+	int64_t left_ms;
+
+	if (record->value_bytes < sizeof(text))
+		memcpy(text, record->value, record->value_bytes);
+	return sscanf(text, "%*s %" SCNd64, &left_ms) == 1 && left_ms >= 0
+	    ? left_ms
+	    : -1;
+}
+
+/* Stores the end of the last lease of a worker that has runs and is silent, and
+ * stores it again as the time that is left goes by: a VM that starts meanwhile
+ * counts it from then. */
 static int
 note_end(struct fw_placer *placer, struct fw_worker_state *worker,
     int64_t now_ms, int64_t wall_ms)
 {
+	const struct bd_last_lease *row =
+	    bd_last_lease_lookup(placer->parts.board, worker->host);
+	int64_t left_ms = worker->lease_end_ms - now_ms;
+
 	worker->lease_end_due = false;
-	if (fw_lease_end_is_noted(placer->parts.board, worker) ||
-	    !is_silent(worker, now_ms) || worker->lease_end_ms <= now_ms ||
+	if (!is_silent(worker, now_ms) || answers(worker) || left_ms <= 0 ||
 	    !fw_worker_has_open_run(&placer->tables, worker))
 		return CW_OK;
-	worker->lease_end_due = true;
-	return add_record(
-	    placer, worker->host, wall_ms + worker->lease_end_ms - now_ms);
+	if (row != NULL && row->left_ms >= 0 &&
+	    row->left_ms - left_ms < REPEAT_MS)
+		return CW_OK;
+	worker->lease_end_due = placer->watermark.is_urgent = true;
+	return add_record(placer, worker->host, left_ms, wall_ms);
 }
 
 /* Deletes the ends of workers that answer, and of those without runs. */
@@ -97,7 +129,7 @@
 		    !fw_worker_has_open_run(
 			tables, &tables->worker_states[found]) ||
 		    answers(&tables->worker_states[found]))
-			code = add_record(placer, row->id, 0);
+			code = add_record(placer, row->id, 0, 0);
 	}
 	return code;
 }
@@ -162,7 +194,8 @@
 /* Sets the end of the leases of a worker that earlier placers have granted: as
  * one of them has stored it, or else when any of theirs is over. The stored end
  * may be the later one, if that placer knew of a grant that may be carried out
- * late. Call within a read section. */
+ * late. What was left when it was stored counts from when this VM knew that it
+ * was. Call within a read section. */
 void
 fw_adopt_leases(
     struct fw_placer *placer, struct fw_worker_state *worker, int64_t now_ms)
@@ -173,14 +206,11 @@
 
 	if (worker->lease_end_ms != 0)
 		return;
-	if (row != NULL) {
-		int64_t stored_ms = now_ms + row->until_ms -
-		    placer->parts.wall_ms(placer->parts.ctx);
-
-		if (stored_ms > end_ms)
-			end_ms = stored_ms;
-		if (stored_ms + FW_CLOCK_SKEW_MAX_MS < end_ms)
-			end_ms = stored_ms + FW_CLOCK_SKEW_MAX_MS;
-	}
+	if (row != NULL)
+		end_ms = fw_stored_before_ms(
+			     placer->parts.board, row->offset, now_ms) +
+		    (row->left_ms >= 0 ? row->left_ms
+				       : FW_ORDER_LATE_MAX_MS +
+				placer->tables.lease_max_ms);
 	worker->lease_end_ms = end_ms > 1 ? end_ms : 1;
 }
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -52,6 +52,7 @@
 	fw_reservations_clear(&placer->reservations);
 	fw_waits_clear(&placer->waits);
 	fw_stops_clear(&placer->stops);
+	memset(&placer->watermark, 0, sizeof(placer->watermark));
 	fw_tables_clear(&placer->tables);
 	fw_departures_end(placer->parts.departures);
 	fw_follower_set_read_interval(placer->parts.jobs, READ_GAP_IDLE_MS);
--- a/lib/flow/publish.c
+++ b/lib/flow/publish.c
@@ -3,6 +3,7 @@
 #include "flow_internal.h"
 #include "relay.h"
 #include "tombstone.h"
+#include "watermark.h"
 
 /* Time between two publications of newly running jobs; ended jobs are published
  * at once. Each batch ends the pending reads of all VMs. */
@@ -181,6 +182,8 @@
 	if (code == CW_OK)
 		code = fw_tombstones_prune(writer, parts->board, wall_ms,
 		    parts->settings.retention_ms);
+	if (code == CW_OK)
+		code = fw_watermark_add(placer, now_ms);
 	if (code != CW_OK)
 		ev_emit(EV_FLOW_NO_MEMORY, "what=state reason=\"%s\"",
 		    cw_error_last());
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -34,6 +34,7 @@
 	bool jobs_unreadable = false;   /* reads of the jobs topic fail */
 	bool config_unreadable = false; /* so do those of the configuration */
 	bool paused = false;            /* the placer is not stepped */
+	int64_t wall_ahead_ms = 0;      /* of its wall clock */
 	uint64_t seen_version = 0;
 	int64_t next_step_ms = 0;
 };
@@ -86,7 +87,7 @@
 	std::map<std::string, int> last_orders;  /* by worker */
 	std::vector<std::unique_ptr<SimVm>> vms;
 	int64_t store_latency_ms = 4;
-	int64_t wall_ahead_ms = 0; /* of wall clocks */
+	int64_t wall_ahead_ms = 0; /* of the wall clocks of all VMs */
 	/* Setting of VMs that are added, 0: that of the fixture. */
 	uint32_t ack_timeout_ms = 0;
 	uint32_t lease_ms = 0; /* the same */
@@ -396,9 +397,10 @@
 	static int64_t
 	wall_clock(void *ctx)
 	{
-		const FlowSim *sim = (const FlowSim *)ctx;
+		const SimVm *vm = (const SimVm *)ctx;
 
-		return sim->now_ms + sim->wall_ahead_ms;
+		return vm->sim->now_ms + vm->sim->wall_ahead_ms +
+		    vm->wall_ahead_ms;
 	}
 
 	static int on_zone(
@@ -431,7 +433,7 @@
 		if (lease_ms > 0)
 			parts.settings.lease_ms = lease_ms;
 		parts.wall_ms = wall_clock;
-		parts.ctx = this;
+		parts.ctx = vm;
 		spec.topic = FW_TOPIC_JOBS;
 		spec.wait_ms = 500;
 		spec.record = on_record;
