Late starts are noted as durations, and first starts as settled

What callers saw: two runs of a task at the same time, or a start after an end that had been acknowledged (TWICE), where a start that a lost placer had no answer to is carried out late by a worker that has started again.

Cause: a job's row told successors by wall time until when a start may be late (late_until_ms), and a first start was assumed for runs whose placement was within 2.7 s of the latest one, by the wall times of both (changed_ms). By a clock that was ahead, or had jumped between the two, nothing was on its way.

Change: the row has for how long after its record a start may be late, which a successor counts from when it knew the record to be stored (watermarks). A watermark tells as well up to when the first starts of a term are answered or noted. The placer's own check that a start is covered goes by a clock that counts suspension. A record without these fields (an older version, or no room) says that any start may be late.

--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -76,6 +76,7 @@
  * decisions take the present time as an argument, so that tests control it.
  */
 int64_t cw_clock_wall_ms(void);
+int64_t cw_clock_boot_ms(void);
 int64_t cw_clock_mono_ms(void);
 int64_t cw_clock_mono_us(void);
 void cw_clock_deadline(int64_t wait_ms, struct timespec *until);
--- a/lib/base/clock.c
+++ b/lib/base/clock.c
@@ -18,6 +18,13 @@
 	return read_clock_us(CLOCK_REALTIME) / 1000;
 }
 
+/* Returns the monotonic time in ms, counting the time in suspension too. */
+int64_t
+cw_clock_boot_ms(void)
+{
+	return read_clock_us(CLOCK_BOOTTIME) / 1000;
+}
+
 /* Returns the monotonic time in ms. */
 int64_t
 cw_clock_mono_ms(void)
--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -146,6 +146,10 @@
 struct bd_watermark {
 	uint64_t position; /* that offset */
 	int64_t read_ms;   /* monotonic */
+	uint64_t term;     /* of the placer that wrote it */
+	/* First starts of what it had placed by then are answered or noted; by
+	 * its clock, as bd_flow.stored_ms. */
+	int64_t settled_ms;
 };
 
 /* A placer writes up to three in a second. The oldest one kept is older than
@@ -220,6 +224,15 @@
 	BD_STEP_TASK_DONE,
 };
 
+/* Starts of a task that may be carried out late, bits. */
+enum bd_late_start {
+	/* The first one of the latest run, sent within a second; until a
+	 * watermark tells that it is settled. */
+	BD_LATE_FIRST = 1 << 0,
+	BD_LATE_LATEST = 1 << 1, /* of the latest run, within late_ms */
+	BD_LATE_BEFORE = 1 << 2, /* of one before it, within late_ms */
+};
+
 struct bd_step_task {
 	uint64_t host;          /* id of the worker of the latest run */
 	int64_t incarnation_ms; /* of that worker when it was placed there */
@@ -232,8 +245,12 @@
 	/* Of these: the worker may have been cut off, or if the task lasts it
 	 * is not the likely cause. */
 	uint16_t presumed_crashes;
-	/* Wall time until which an unanswered start of its runs may be carried
-	 * out by that worker, 0: there is none. */
+	/* Time after the record of its row was stored in which that worker may
+	 * carry out an unanswered start. */
+	uint16_t late_ms;
+	uint16_t late; /* enum bd_late_start */
+	uint32_t reserved;
+	/* The same as a wall time, for versions that go by it. */
 	int64_t late_until_ms;
 	uint64_t address; /* id of that worker's address, 0: unknown */
 	/* Among the checkpoints of its row; bytes 0: there is none. */
@@ -247,7 +264,11 @@
 	uint64_t queue;
 	uint64_t pool;
 	uint64_t client;
-	uint64_t epoch;       /* offset after its progress record, 0: none */
+	uint64_t epoch; /* offset after its progress record, 0: none */
+	uint64_t term;  /* of the placer that wrote it, 0: not given */
+	/* When it did, by its clock, which counts time in suspension too. Such
+	 * times are compared only with others of the same term. */
+	int64_t stored_ms;
 	int64_t accepted_ms;  /* wall time */
 	int64_t changed_ms;   /* wall time of the latest change of state */
 	int64_t first_due_ms; /* wall time, 0: due at once */
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -7,12 +7,6 @@
  * resort, and if two runs in a row have failed only for groups that have to
  * run: the tasks may be the cause, and so of all workers of a service. */
 #define SUSPECT_MS 8000
-/* A job's row covers the starts of this time, so that it is not stored for each
- * of them. */
-#define START_COVER_MS 3000
-/* Difference of the rates of the wall clock and the monotonic clock, over the
- * time in which a start may be late. */
-#define CLOCK_NOISE_MS 100
 /* A worker that has not answered the repeated start of a run is used only as a
  * last resort for this long. The task itself waits for a part of that. */
 #define UNANSWERED_AVOID_MS 30000
@@ -47,11 +41,6 @@
 static void charge_crash(struct fw_placer *placer, const struct fw_run *run,
     struct bd_flow *flow, const struct fw_view *view);
 static void apply_ends(struct fw_placer *placer, struct fw_view *view);
-static bool is_late_run(
-    const struct fw_tables *tables, const struct fw_run *run);
-static void note_late_start(struct fw_view *view, const struct fw_run *run,
-    int64_t until_ms, int64_t cover_ms);
-static void note_late_starts(struct fw_placer *placer, struct fw_view *view);
 static void charge_late_crashes(struct fw_placer *placer, struct fw_view *view);
 static void on_blocked(
     void *ctx, struct fw_view *view, const struct fw_group *group);
@@ -285,66 +274,6 @@
 	}
 }
 
-/* Returns whether a worker lists a run as running that counts as ended: its
- * start was carried out late. */
-static bool
-is_late_run(const struct fw_tables *tables, const struct fw_run *run)
-{
-	return run->phase == FW_PHASE_ENDED && run->start_uncertain &&
-	    run->end_listed_ms == 0 && run->last_listed_ms != 0 &&
-	    run->last_listed_ms ==
-	    tables->worker_states[run->worker].report.sent_ms;
-}
-
-/* Notes in the row of a run's task that a start of it may be carried out until
- * until_ms (wall time), and for cover_ms longer if that is not noted yet. */
-static void
-note_late_start(struct fw_view *view, const struct fw_run *run,
-    int64_t until_ms, int64_t cover_ms)
-{
-	uint32_t job = fw_view_job_index(view, run->flow);
-	struct bd_flow *copy;
-
-	if (job == FW_NONE ||
-	    fw_flow_tasks(fw_job_current(&view->jobs[job]))[run->index]
-		    .late_until_ms >= until_ms)
-		return;
-	copy = fw_job_writable(&view->jobs[job]);
-	if (copy == NULL)
-		ev_emit(EV_FLOW_NO_MEMORY, "what=job");
-	else
-		fw_flow_tasks(copy)[run->index].late_until_ms =
-		    until_ms + cover_ms;
-}
-
-/* Notes in the jobs' rows until when successors have to expect a late start: an
- * unanswered one, the next one of a run that waits to be covered, or one that
- * was carried out after its run had ended. */
-static void
-note_late_starts(struct fw_placer *placer, struct fw_view *view)
-{
-	int64_t latest_ms = view->wall_ms + FW_ORDER_LATE_MAX_MS;
-	uint32_t i;
-
-	for (i = 0; i < placer->tables.run_count; i++) {
-		struct fw_run *run = &placer->tables.runs[i];
-		int64_t ago_ms = view->now_ms - run->uncertain_ms;
-
-		if (!run->used)
-			continue;
-		if (is_late_run(&placer->tables, run) ||
-		    (run->note_due && run->phase != FW_PHASE_ENDED))
-			note_late_start(view, run, latest_ms, START_COVER_MS);
-		else if (run->start_uncertain && !run->start_assumed &&
-		    fw_run_has_unknown_start(run) &&
-		    ago_ms < FW_ORDER_LATE_MAX_MS)
-			note_late_start(view, run,
-			    latest_ms - ago_ms - CLOCK_NOISE_MS,
-			    CLOCK_NOISE_MS);
-		run->note_due = false;
-	}
-}
-
 /* Charges the crashes that were found after their runs had ended as lost, of
  * tasks that are not done by now. */
 static void
@@ -442,6 +371,7 @@
 
 		if (job->copy == NULL)
 			continue;
+		fw_late_starts_describe(placer, job->copy, view);
 		code = fw_progress_encode(job->copy,
 		    placer->parts.settings.record_bytes, &value, &bytes);
 		if (code != CW_OK)
@@ -499,7 +429,7 @@
 	reserve_urgent(placer, &view);
 	apply_ends(placer, &view);
 	charge_late_crashes(placer, &view);
-	note_late_starts(placer, &view);
+	fw_late_starts_note(placer, &view);
 	if (fw_groups_ready(&groups, &view) == CW_OK) {
 		fw_groups_defer(&groups, &view, &placer->tables);
 		fw_reservations_apply(&placer->reservations, &view, &groups);
@@ -514,6 +444,7 @@
 	} else
 		ev_emit(EV_FLOW_NO_MEMORY, "what=groups");
 	any = fill_batch(placer, &view);
+	fw_late_starts_noted(placer);
 	fw_preempt_end(&waiting.preempt);
 	fw_advance_end(&waiting.advance);
 	fw_view_free(&view);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -459,6 +459,8 @@
 	struct fw_duty *duty;
 	struct fw_settings settings;
 	int64_t (*wall_ms)(void *ctx); /* returns the wall time in ms */
+	/* Returns a monotonic time in ms that counts suspension too. */
+	int64_t (*boot_ms)(void *ctx);
 	void *ctx;
 };
 
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -100,6 +100,7 @@
 /* The latest watermark of the placer. Times are monotonic. */
 struct fw_watermark_writer {
 	uint64_t position;
+	int64_t settled_ms; /* as in struct bd_watermark */
 	int64_t written_ms;
 	bool is_urgent; /* the end of a lease is or will be stored behind it */
 };
@@ -110,8 +111,11 @@
 	CW_ATOMIC(uint32_t) state; /* enum fw_placer_state */
 	uint64_t term;
 	int64_t active_since_ms;
-	int64_t last_placed_ms;    /* wall time, by earlier placers */
-	int64_t last_step_ms;      /* time of the last step while active */
+	/* These three as bd_flow.stored_ms. */
+	int64_t boot_ms;      /* time of the present step */
+	int64_t decided_ms;   /* time of the latest decision with records */
+	int64_t settled_ms;   /* all that was decided by then is stored */
+	int64_t last_step_ms; /* time of the last step while active */
 	int64_t duty_confirmed_ms; /* when the duty was last confirmed */
 	/* All leases of earlier placers are over after this time. */
 	int64_t earlier_leases_end_ms;
@@ -141,6 +145,12 @@
 	uint32_t callbacks_pending; /* of calls to the store and to workers */
 };
 
+/* The first start of a run is sent within this time after its placement, unless
+ * the job's row covers it. */
+#define FW_FIRST_START_MAX_MS 1000
+/* Longest time that is noted for a late start: one that is sent within 3 s. */
+#define FW_LATE_NOTED_MAX_MS (FW_ORDER_LATE_MAX_MS + 3000)
+
 /* Added to the retention period of ended jobs, as clocks differ. */
 #define FW_RETENTION_MARGIN_MS 60000
 
@@ -177,10 +187,16 @@
 bool fw_has_departed(const struct fw_worker_state *worker);
 bool fw_departures_sync(struct fw_placer *placer, int64_t now_ms);
 
+/* What a placer stores of late starts for its successors, see late_notes.c. */
+bool fw_start_is_covered(const struct fw_placer *placer,
+    const struct bd_flow *flow, const struct fw_run *run);
+void fw_late_starts_note(struct fw_placer *placer, struct fw_view *view);
+void fw_late_starts_describe(
+    struct fw_placer *placer, struct bd_flow *flow, const struct fw_view *view);
+void fw_late_starts_noted(struct fw_placer *placer);
+int64_t fw_first_starts_settled_ms(const struct fw_placer *placer);
+
 /* What a successor takes over from earlier placers by the jobs' rows. */
-int64_t fw_last_placed_ms(const struct bd_board *board);
-bool fw_start_is_covered(
-    const struct bd_flow *flow, const struct fw_run *run, int64_t wall_ms);
 void fw_assume_late_start(struct fw_placer *placer, struct fw_run *run,
     const struct bd_flow *flow, int64_t now_ms);
 void fw_add_ended_run(struct fw_placer *placer, const struct bd_flow *flow,
--- a/lib/flow/orders.c
+++ b/lib/flow/orders.c
@@ -353,8 +353,7 @@
 				: "zone_evacuated");
 		return;
 	}
-	if (!fw_start_is_covered(
-		flow, run, placer->parts.wall_ms(placer->parts.ctx))) {
+	if (!fw_start_is_covered(placer, flow, run)) {
 		run->note_due = placer->decision_due = true;
 		return;
 	}
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -481,8 +481,6 @@
 		const struct bd_host *host = view->hosts[hosts[n]].row;
 
 		assert(tasks[n].state == BD_STEP_TASK_WAITING);
-		if (tasks[n].host != host->id)
-			tasks[n].late_until_ms = 0;
 		tasks[n].state = BD_STEP_TASK_PLACED;
 		tasks[n].run = run + 1;
 		tasks[n].host = host->id;
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -53,6 +53,7 @@
 	fw_waits_clear(&placer->waits);
 	fw_stops_clear(&placer->stops);
 	memset(&placer->watermark, 0, sizeof(placer->watermark));
+	placer->decided_ms = placer->settled_ms = 0;
 	fw_tables_clear(&placer->tables);
 	fw_departures_end(placer->parts.departures);
 	fw_follower_set_read_interval(placer->parts.jobs, READ_GAP_IDLE_MS);
@@ -173,11 +174,17 @@
 	due |= fw_runs_sync(placer, now_ms);
 	placer->decision_due |= due;
 	fw_undecided_note(placer, obstacle, now_ms);
+	if (placer->progress.count == 0 &&
+	    placer->decided_ms > placer->settled_ms)
+		placer->settled_ms = placer->decided_ms;
 	if (obstacle == FW_OBSTACLE_NONE && placer->decision_due) {
 		placer->decision_due = false;
 		placer->last_decision_ms = now_ms;
-		if (fw_decide(placer, now_ms))
+		if (fw_decide(placer, now_ms)) {
+			placer->decided_ms = placer->boot_ms;
 			fw_writer_send(&placer->progress, now_ms);
+		} else
+			placer->settled_ms = placer->boot_ms;
 	}
 	if (fw_writer_idle(&placer->job_states, now_ms))
 		fw_publish_states(placer, now_ms);
@@ -197,6 +204,7 @@
 	uint64_t term =
 	    fw_duty_term(placer->parts.duty, &placer->duty_confirmed_ms);
 
+	placer->boot_ms = placer->parts.boot_ms(placer->parts.ctx);
 	fw_freeze_look(
 	    &placer->freeze, now_ms, placer->parts.wall_ms(placer->parts.ctx));
 	if (term == 0)
--- a/lib/flow/progress_record.c
+++ b/lib/flow/progress_record.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "flow_internal.h"
 #include "record_fields.h"
 
 /* The fifth field is the latest end of the late starts of all tasks, for
@@ -10,6 +11,9 @@
 /* The seventh one has the checkpoints that are longer than versions before it
  * can read as a field of their task. */
 #define PROGRESS_FIELDS_LONG 7
+/* The eighth one has the writer's term and time, and what it knows of late
+ * starts. Without it, any start may be late. */
+#define PROGRESS_FIELDS_LATE 8
 /* A task under which workers have crashed has two more fields: their number,
  * and how many of them are presumed. They come last, as versions that do not
  * know them ignore what follows the others. */
@@ -24,9 +28,16 @@
 /* Numbers of a task among the places, and their largest encoded size. */
 #define PLACE_FIELDS 3
 #define PLACE_BYTES_MAX 21
-/* The same of what precedes and follows the tasks, without places and without
- * long checkpoints. */
-#define PROGRESS_HEAD_BYTES_MAX 32
+/* The same of what precedes and follows the tasks, without places, without long
+ * checkpoints and without the late starts of single tasks. */
+#define PROGRESS_HEAD_BYTES_MAX 64
+/* Largest encoded size of a task among the late starts: its index with the bits
+ * of enum bd_late_start, and a time in ms. */
+#define LATE_SHIFT 3
+#define LATE_BYTES_MAX 8
+/* Fields before these tasks: term, time, and the time in ms for all tasks if
+ * there is no room for single ones. */
+#define LATE_HEAD_FIELDS 3
 
 _Static_assert(FW_TASKS_MAX *TASK_BYTES_MAX < FW_RECORD_BYTES_MAX,
     "the progress of the largest job fits into one record");
@@ -35,6 +46,8 @@
 struct progress_plan {
 	uint32_t started;      /* tasks with a run */
 	uint32_t places;       /* tasks whose place is stored */
+	uint32_t late;         /* tasks whose late starts are stored */
+	bool late_for_all;     /* there is no room for these */
 	uint32_t long_count;   /* tasks with a long checkpoint that fits */
 	uint32_t left_out;     /* tasks with one that does not */
 	size_t long_bytes_max; /* largest encoded size of one that fits */
@@ -50,6 +63,9 @@
     msgpack_packer *packer, const struct bd_flow *flow, uint32_t index);
 static void pack_places(msgpack_packer *packer,
     const struct bd_step_task *tasks, uint32_t count, uint32_t places);
+static bool is_late_for(const struct bd_step_task *task);
+static void pack_late_starts(msgpack_packer *packer, const struct bd_flow *flow,
+    const struct progress_plan *plan);
 static void pack_long_checkpoints(msgpack_packer *packer,
     const struct bd_flow *flow, const struct progress_plan *plan);
 static void read_task(
@@ -58,6 +74,8 @@
 static void read_long_checkpoints(
     struct fw_cursor *cursor, struct bd_flow *flow, struct bd_text *last);
 static void spread_late_until(struct bd_flow *flow, int64_t until_ms);
+static void set_late_for_all(struct bd_flow *flow, uint16_t late_ms);
+static void read_late_starts(struct fw_cursor *cursor, struct bd_flow *flow);
 static bool read_progress(struct fw_cursor *cursor, struct bd_flow *flow);
 
 /* Returns the largest encoded size of the progress of a job. */
@@ -99,9 +117,10 @@
 	return INDEX_BYTES_MAX + packed_bytes(task->checkpoint.bytes);
 }
 
-/* Plans the record of a job's progress. No places are stored if they could make
- * it larger than record_bytes_max. Long checkpoints share what room is left
- * then: all of them if they fit, otherwise those within an equal part of it. */
+/* Plans the record of a job's progress. No places and no late starts of single
+ * tasks are stored if they could make it larger than record_bytes_max. Long
+ * checkpoints share what room is left then: all of them if they fit, otherwise
+ * those within an equal part of it. */
 static void
 plan_progress(const struct bd_flow *flow, size_t record_bytes_max,
     struct progress_plan *plan)
@@ -118,6 +137,7 @@
 	for (i = 0; i < count; i++) {
 		plan->started += tasks[i].run > 0;
 		plan->places += has_place(&tasks[i]);
+		plan->late += tasks[i].run > 0 && tasks[i].late != 0;
 		if (has_long_checkpoint(&tasks[i])) {
 			with_long++;
 			sum += long_bytes(&tasks[i]);
@@ -125,10 +145,13 @@
 	}
 	used = fw_record_bytes(flow->name,
 	    PROGRESS_HEAD_BYTES_MAX + (size_t)plan->started * TASK_BYTES_MAX +
-		(size_t)plan->places * PLACE_BYTES_MAX);
+		(size_t)plan->places * PLACE_BYTES_MAX +
+		(size_t)plan->late * LATE_BYTES_MAX);
 	left = used < record_bytes_max ? record_bytes_max - used : 0;
-	if (used > record_bytes_max)
-		plan->places = 0;
+	if (used > record_bytes_max) {
+		plan->places = plan->late = 0;
+		plan->late_for_all = true;
+	}
 	if (with_long > 0)
 		plan->long_bytes_max = sum <= left ? sum : left / with_long;
 	for (i = 0; i < count; i++)
@@ -180,7 +203,7 @@
 	uint32_t i;
 
 	msgpack_pack_array(packer, (size_t)places * PLACE_FIELDS);
-	for (i = 0; i < count; i++) {
+	for (i = 0; places > 0 && i < count; i++) {
 		if (!has_place(&tasks[i]))
 			continue;
 		msgpack_pack_uint32(packer, i);
@@ -210,6 +233,39 @@
 	}
 }
 
+/* Returns whether late starts of a task are stored with a time. */
+static bool
+is_late_for(const struct bd_step_task *task)
+{
+	return (task->late & (BD_LATE_LATEST | BD_LATE_BEFORE)) != 0;
+}
+
+static void
+pack_late_starts(msgpack_packer *packer, const struct bd_flow *flow,
+    const struct progress_plan *plan)
+{
+	const struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t count = plan->late > 0 ? fw_flow_task_count(flow) : 0;
+	size_t fields = LATE_HEAD_FIELDS;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (tasks[i].run > 0 && tasks[i].late != 0)
+			fields += is_late_for(&tasks[i]) ? 2 : 1;
+	msgpack_pack_array(packer, fields);
+	msgpack_pack_uint64(packer, flow->term);
+	msgpack_pack_int64(packer, flow->stored_ms);
+	msgpack_pack_uint32(
+	    packer, plan->late_for_all ? FW_LATE_NOTED_MAX_MS : 0);
+	for (i = 0; i < count; i++) {
+		if (tasks[i].run == 0 || tasks[i].late == 0)
+			continue;
+		msgpack_pack_uint32(packer, i << LATE_SHIFT | tasks[i].late);
+		if (is_late_for(&tasks[i]))
+			msgpack_pack_uint16(packer, tasks[i].late_ms);
+	}
+}
+
 /*
  * Encodes the progress of a job: its state, each task with a run, the end of
  * late starts, and the places and the long checkpoints of tasks as far as a
@@ -235,9 +291,10 @@
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer,
-	    plan.long_count > 0   ? PROGRESS_FIELDS_LONG
-		: plan.places > 0 ? PROGRESS_FIELDS_PLACES
-				  : PROGRESS_FIELDS);
+	    flow->term > 0            ? PROGRESS_FIELDS_LATE
+		: plan.long_count > 0 ? PROGRESS_FIELDS_LONG
+		: plan.places > 0     ? PROGRESS_FIELDS_PLACES
+				      : PROGRESS_FIELDS);
 	msgpack_pack_uint32(&packer, FW_LAYOUT_VERSION);
 	msgpack_pack_uint32(&packer, flow->state);
 	msgpack_pack_int64(&packer, flow->changed_ms);
@@ -246,10 +303,12 @@
 		if (tasks[i].run > 0)
 			pack_task(&packer, flow, i);
 	msgpack_pack_int64(&packer, late_until_ms);
-	if (plan.places > 0 || plan.long_count > 0)
+	if (plan.places > 0 || plan.long_count > 0 || flow->term > 0)
 		pack_places(&packer, tasks, count, plan.places);
-	if (plan.long_count > 0)
+	if (plan.long_count > 0 || flow->term > 0)
 		pack_long_checkpoints(&packer, flow, &plan);
+	if (flow->term > 0)
+		pack_late_starts(&packer, flow, &plan);
 	fw_release_buffer(&buffer, out, bytes);
 	return *out != NULL ? CW_OK
 			    : cw_error_set(FW_ENOMEM, "no memory for a record");
@@ -347,6 +406,47 @@
 			tasks[i].late_until_ms = until_ms;
 }
 
+/* Sets that starts of each task with a run may be late. */
+static void
+set_late_for_all(struct bd_flow *flow, uint16_t late_ms)
+{
+	struct bd_step_task *tasks = fw_flow_tasks(flow);
+	uint32_t count = fw_flow_task_count(flow);
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (tasks[i].run > 0) {
+			tasks[i].late = BD_LATE_LATEST | BD_LATE_BEFORE;
+			tasks[i].late_ms = late_ms;
+		}
+}
+
+static void
+read_late_starts(struct fw_cursor *cursor, struct bd_flow *flow)
+{
+	struct fw_cursor list;
+	uint16_t all_ms;
+
+	fw_next_array(cursor, &list);
+	flow->term = fw_next_id(&list);
+	flow->stored_ms = fw_next_int(&list, INT64_MAX);
+	all_ms = (uint16_t)fw_next_int(&list, UINT16_MAX);
+	if (all_ms > 0 && !list.malformed)
+		set_late_for_all(flow, all_ms);
+	while (!list.malformed && list.remaining > 0) {
+		int64_t word = fw_next_int(&list,
+		    ((int64_t)fw_flow_task_count(flow) << LATE_SHIFT) - 1);
+		struct bd_step_task *task =
+		    &fw_flow_tasks(flow)[word >> LATE_SHIFT];
+
+		task->late = word & ((1 << LATE_SHIFT) - 1);
+		if (is_late_for(task))
+			task->late_ms =
+			    (uint16_t)fw_next_int(&list, UINT16_MAX);
+	}
+	cursor->malformed |= list.malformed;
+}
+
 /* Reads the fields of a progress record into a copy of a row that has room for
  * the checkpoints. Returns false if it is malformed. */
 static bool
@@ -371,6 +471,12 @@
 		spread_late_until(flow, late_until_ms);
 	if (cursor->remaining > 0)
 		read_long_checkpoints(cursor, flow, &last);
+	flow->term = 0;
+	flow->stored_ms = 0;
+	if (cursor->remaining > 0)
+		read_late_starts(cursor, flow);
+	else if (!cursor->malformed)
+		set_late_for_all(flow, FW_LATE_NOTED_MAX_MS);
 	return !cursor->malformed && !list.malformed;
 }
 
--- a/lib/flow/sync.c
+++ b/lib/flow/sync.c
@@ -153,7 +153,7 @@
 		    fw_run_find(&placer->tables, flow->id, i, tasks[i].run) ==
 			FW_NONE)
 			fw_add_run(placer, flow, i, tasks[i].run, now_ms);
-		if (first && tasks[i].late_until_ms > 0)
+		if (first && tasks[i].late_ms > 0)
 			fw_add_ended_run(placer, flow, i, now_ms);
 	}
 }
@@ -460,8 +460,6 @@
 		sync_hosts(placer, now_ms);
 		placer->hosts_synced_ms = now_ms;
 	}
-	if (first)
-		placer->last_placed_ms = fw_last_placed_ms(board);
 	while (jobs_changed && (flow = bd_flow_next(board, &cursor)) != NULL)
 		sync_flow(placer, flow, now_ms);
 	placer->jobs_position = jobs;
--- a/lib/flow/watermark.c
+++ b/lib/flow/watermark.c
@@ -18,10 +18,14 @@
  * any VM received it. Each VM keeps that time by its own steady clock. A VM
  * that received the watermark late, was frozen or has just started takes the
  * records for younger than they are, and waits for longer.
+ *
+ * It also tells up to when the first starts of the runs that its placer had
+ * placed are answered, or noted in the records of their jobs.
  */
 
-#define NAME "0000000000000000"
-#define TEXT_BYTES 24
+/* The latest watermarks of so many terms stay in snapshots of the topic. */
+#define KEYS 16
+#define TEXT_BYTES 72
 /* A watermark is written with other records of its topic after this time, */
 #define GAP_SHARED_MS 300
 /* and by itself after this time. */
@@ -36,19 +40,30 @@
 	struct bd_watermarks row = {.id = BD_CONFIG_ID};
 	const struct bd_watermarks *known;
 	struct bd_watermark mark = {.read_ms = record->read_ms};
+	const struct bd_watermark *last = NULL;
 	char text[TEXT_BYTES] = "";
 
 	if (record->value_bytes < sizeof(text))
 		memcpy(text, record->value, record->value_bytes);
-	if (sscanf(text, "%" SCNu64, &mark.position) != 1)
+	if (sscanf(text, "%" SCNu64 " %" SCNu64 " %" SCNd64, &mark.position,
+		&mark.term, &mark.settled_ms) != 3)
 		return cw_error_set(FW_EBADRECORD, "malformed watermark");
 	bd_read_begin();
 	known = bd_watermarks_lookup(board, BD_CONFIG_ID);
 	if (known != NULL)
 		row = *known;
 	bd_read_end();
-	if (row.count > 0 && row.items[row.count - 1].position >= mark.position)
+	if (row.count > 0)
+		last = &row.items[row.count - 1];
+	if (last != NULL && last->position > mark.position)
 		return CW_OK;
+	if (last != NULL && last->position == mark.position &&
+	    last->term == mark.term) {
+		if (mark.settled_ms <= last->settled_ms)
+			return CW_OK;
+		mark.read_ms = last->read_ms;
+		row.count--;
+	}
 	if (row.count == BD_WATERMARKS_MAX) {
 		memmove(row.items, row.items + 1,
 		    (BD_WATERMARKS_MAX - 1) * sizeof(row.items[0]));
@@ -78,16 +93,34 @@
 	return now_ms;
 }
 
-/* Returns whether records have been read back since the latest watermark, and
- * the next one is due. */
+/* Returns the time up to which all that the placer of a term had decided is
+ * known to be stored, as bd_flow.stored_ms, or 0. Call within a read section.
+ */
+int64_t
+fw_settled_ms(const struct bd_board *board, uint64_t term)
+{
+	const struct bd_watermarks *row =
+	    bd_watermarks_lookup(board, BD_CONFIG_ID);
+	uint32_t i;
+
+	for (i = row != NULL ? row->count : 0; i > 0; i--)
+		if (row->items[i - 1].term == term)
+			return row->items[i - 1].settled_ms;
+	return 0;
+}
+
+/* Returns whether the latest watermark does not cover all records that have
+ * been read back, or not the first starts that the latest ones are about, and
+ * the next watermark is due. */
 static bool
 is_due(const struct fw_placer *placer, int64_t now_ms)
 {
 	const struct fw_watermark_writer *latest = &placer->watermark;
 	bool shared = placer->job_states.count > 0 || latest->is_urgent;
 
-	return fw_follower_position(placer->parts.progress) !=
-	    latest->position &&
+	return (fw_follower_position(placer->parts.progress) !=
+		       latest->position ||
+		   latest->settled_ms < placer->decided_ms) &&
 	    now_ms - latest->written_ms >= (shared ? GAP_SHARED_MS : GAP_MS);
 }
 
@@ -97,6 +130,7 @@
 fw_watermark_add(struct fw_placer *placer, int64_t now_ms)
 {
 	struct fw_watermark_writer *latest = &placer->watermark;
+	char name[BD_FLOW_NAME_BYTES];
 	char *text;
 	int bytes;
 
@@ -106,9 +140,12 @@
 	if (text == NULL)
 		return cw_error_set(FW_ENOMEM, "out of memory for a watermark");
 	latest->position = fw_follower_position(placer->parts.progress);
+	latest->settled_ms = fw_first_starts_settled_ms(placer);
 	latest->written_ms = now_ms;
 	latest->is_urgent = latest->is_urgent && placer->progress.count > 0;
-	bytes = snprintf(text, TEXT_BYTES, "%" PRIu64, latest->position);
-	return fw_writer_add(&placer->job_states, FW_RECORD_WATERMARK, NAME,
+	bytes = snprintf(text, TEXT_BYTES, "%" PRIu64 " %" PRIu64 " %" PRId64,
+	    latest->position, placer->term, latest->settled_ms);
+	snprintf(name, sizeof(name), "%016" PRIx64, placer->term % KEYS);
+	return fw_writer_add(&placer->job_states, FW_RECORD_WATERMARK, name,
 	    text, (size_t)bytes);
 }
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -403,6 +403,12 @@
 		    vm->wall_ahead_ms;
 	}
 
+	static int64_t
+	boot_clock(void *ctx)
+	{
+		return ((const SimVm *)ctx)->sim->now_ms;
+	}
+
 	static int on_zone(
 	    void *ctx, const struct fw_record *record, int64_t now_ms);
 	static void follow_zones(SimVm *vm, const struct fw_store &store);
@@ -433,6 +439,7 @@
 		if (lease_ms > 0)
 			parts.settings.lease_ms = lease_ms;
 		parts.wall_ms = wall_clock;
+		parts.boot_ms = boot_clock;
 		parts.ctx = vm;
 		spec.topic = FW_TOPIC_JOBS;
 		spec.wait_ms = 500;
--- a/tests/test_flow_apply.cc
+++ b/tests/test_flow_apply.cc
@@ -299,7 +299,11 @@
 		task->host = task->address = UINT64_MAX;
 		task->incarnation_ms = task->changed_ms = INT64_MAX;
 		task->late_until_ms = INT64_MAX;
+		task->late = BD_LATE_FIRST | BD_LATE_BEFORE;
+		task->late_ms = UINT16_MAX;
 	}
+	copy->term = UINT64_MAX;
+	copy->stored_ms = INT64_MAX;
 	for (uint32_t i = 0; i < FW_TASKS_MAX; i++) {
 		std::string checkpoint = std::to_string(i);
 
@@ -369,6 +373,86 @@
 	free(read);
 }
 
+/* Encodes the progress of a copy of a job's row, with four tasks that have
+ * runs, and decodes it into another one. The caller frees that. */
+static struct bd_flow *
+store_late_starts(FlowFixture &fixture, uint64_t term, size_t record_bytes)
+{
+	const uint16_t late[] = {
+	    0, BD_LATE_FIRST, BD_LATE_LATEST, BD_LATE_FIRST | BD_LATE_BEFORE};
+	struct bd_flow *copy;
+	struct bd_flow *read;
+	void *value;
+	size_t bytes;
+
+	EXPECT_EQ(CW_OK, fixture.submit(JOB, {FlowFixture::make_step(5, 0)}));
+	bd_read_begin();
+	const struct bd_flow *row = fixture.find_flow(JOB);
+	copy = (struct bd_flow *)malloc(fw_flow_bytes(row));
+	read = (struct bd_flow *)malloc(fw_flow_bytes(row));
+	memcpy(copy, row, fw_flow_bytes(row));
+	memcpy(read, row, fw_flow_bytes(row));
+	bd_read_end();
+	for (uint32_t i = 0; i < 4; i++) {
+		struct bd_step_task *task = &fw_flow_tasks(copy)[i];
+
+		task->run = 2;
+		task->state = BD_STEP_TASK_PLACED;
+		task->late = late[i];
+		task->late_ms = i >= 2 ? 1000 * i : 0;
+	}
+	copy->term = term;
+	copy->stored_ms = 1234567;
+	EXPECT_EQ(
+	    CW_OK, fw_progress_encode(copy, record_bytes, &value, &bytes));
+	EXPECT_EQ(CW_OK, fw_progress_decode(value, bytes, &read));
+	free(value);
+	free(copy);
+	return read;
+}
+
+/* Progress tells of each task for how long a start may be late. */
+TEST(FlowApply, LateStartsOfTasksAreStored)
+{
+	FlowFixture fixture;
+	struct bd_flow *read =
+	    store_late_starts(fixture, 7, FW_RECORD_BYTES_MAX);
+	const struct bd_step_task *tasks = fw_flow_tasks(read);
+
+	EXPECT_EQ(7U, read->term);
+	EXPECT_EQ(1234567, read->stored_ms);
+	EXPECT_EQ(0U, tasks[0].late);
+	EXPECT_EQ(BD_LATE_FIRST, tasks[1].late);
+	EXPECT_EQ(0U, tasks[1].late_ms);
+	EXPECT_EQ(BD_LATE_LATEST, tasks[2].late);
+	EXPECT_EQ(2000U, tasks[2].late_ms);
+	EXPECT_EQ(BD_LATE_FIRST | BD_LATE_BEFORE, tasks[3].late);
+	EXPECT_EQ(3000U, tasks[3].late_ms);
+	EXPECT_EQ(0U, tasks[4].late);
+	free(read);
+}
+
+/* Guards against late starts that nobody expects, as there was no room in the
+ * record, or as an older version wrote it. */
+TEST(FlowApply, AnyStartMayBeLateWhereTheRecordDoesNotTell)
+{
+	for (uint64_t term : {0, 7}) {
+		FlowFixture fixture;
+		struct bd_flow *read = store_late_starts(
+		    fixture, term, term == 0 ? FW_RECORD_BYTES_MAX : 64);
+		const struct bd_step_task *tasks = fw_flow_tasks(read);
+
+		EXPECT_EQ(term, read->term);
+		for (uint32_t i = 0; i < 4; i++) {
+			EXPECT_EQ(
+			    BD_LATE_LATEST | BD_LATE_BEFORE, tasks[i].late);
+			EXPECT_EQ(FW_LATE_NOTED_MAX_MS, tasks[i].late_ms);
+		}
+		EXPECT_EQ(0U, tasks[4].late);
+		free(read);
+	}
+}
+
 /* A record may declare a larger length than it contains, and the msgpack
  * library allocates by the declared length. */
 TEST(FlowApply, DeclaredLengthsAreCheckedBeforeAllocation)
--- a/tests/test_flow_wall_clocks.cc
+++ b/tests/test_flow_wall_clocks.cc
@@ -121,3 +121,154 @@
 			play.expect_next_run();
 		}
 }
+
+/* Starts that w1 carries out late, once it has started again. Placer a is lost
+ * before that; b takes over and cannot ask w1. */
+struct LateStartOfLostPlacer {
+	FlowSim sim;
+	SimVm *a;
+	SimVm *b;
+	int64_t sent_ms = 0; /* of the last start to w1 */
+	int64_t late_ms = 0;
+	bool cut = false; /* of w1 */
+
+	LateStartOfLostPlacer()
+	{
+		sim.add_worker("w1").work_ms = 60000;
+		a = sim.add_vm("a");
+		sim.run_for(120000); /* no wall time is negative */
+		b = sim.add_vm("b");
+		sim.order_fault = [this](const SimVm *, const std::string &at,
+				      enum fw_order_kind kind) {
+			SimOrderFault fault;
+
+			if (at != "w1")
+				return fault;
+			fault.unreachable = cut;
+			if (!cut && kind == FW_ORDER_START) {
+				sent_ms = sim.now_ms;
+				fault.late_ms = late_ms;
+			}
+			return fault;
+		};
+	}
+
+	~LateStartOfLostPlacer()
+	{
+		sim.order_fault = nullptr;
+	}
+
+	void
+	run_until(int64_t end_ms)
+	{
+		while (sim.now_ms < end_ms) {
+			sim.run_for(1);
+			sim.advance_workers();
+		}
+	}
+
+	void
+	submit(int64_t late)
+	{
+		late_ms = late;
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 8)});
+		while (sent_ms == 0)
+			run_until(sim.now_ms + 1);
+	}
+
+	/* The task does not run elsewhere before its start has arrived. */
+	void
+	expect_no_second_run()
+	{
+		cut = true;
+		sim.kill(a);
+		sim.add_worker("w2").work_ms = 60000;
+		run_until(sent_ms + late_ms - 100);
+		sim.workers["w1"].restart(sim.now_ms);
+		run_until(sent_ms + late_ms + 3000);
+		EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+		EXPECT_EQ(1U, sim.workers["w1"].runs.size());
+	}
+};
+
+/* Guards against a task that runs elsewhere while a start that its placer has
+ * repeated may still be carried out: by the successor's clock it may not. */
+TEST(FlowWallClocks, RepeatedLateStartsDoNotDependOnThem)
+{
+	for (int64_t of_a : CLOCK_ERRORS_MS)
+		for (int64_t of_b : CLOCK_ERRORS_MS) {
+			LateStartOfLostPlacer play;
+
+			SCOPED_TRACE("ahead by " + std::to_string(of_a) +
+			    " and " + std::to_string(of_b));
+			play.a->wall_ahead_ms = of_a;
+			play.b->wall_ahead_ms = of_b;
+			play.submit(12000);
+			play.run_until(play.sent_ms + 4500);
+			play.expect_no_second_run();
+		}
+}
+
+/* The same for a first start, of which only the time of the placement tells,
+ * and for a clock that jumps between two placements. */
+TEST(FlowWallClocks, FirstLateStartsDoNotDependOnTheirJumps)
+{
+	for (int64_t jump_ms : CLOCK_ERRORS_MS)
+		for (int64_t of_b : CLOCK_ERRORS_MS) {
+			LateStartOfLostPlacer play;
+
+			SCOPED_TRACE("jump by " + std::to_string(jump_ms) +
+			    ", ahead by " + std::to_string(of_b));
+			play.b->wall_ahead_ms = of_b;
+			play.submit(12500);
+			play.a->wall_ahead_ms = jump_ms;
+			play.sim.add_worker("w3").work_ms = 60000;
+			play.sim.submit(JOB_B, {FlowFixture::make_step(1, 8)});
+			while (play.sim.run_checker.starts == 0 &&
+			    play.sim.now_ms < play.sent_ms + 1000)
+				play.run_until(play.sim.now_ms + 1);
+			EXPECT_EQ(1, play.sim.run_checker.starts);
+			play.expect_no_second_run();
+		}
+}
+
+/* A placer whose clock jumps back must not take a start for covered by what it
+ * stored before. */
+TEST(FlowWallClocks, StartsAreCoveredAnewAfterAJumpBack)
+{
+	for (int64_t jump_ms : CLOCK_ERRORS_MS) {
+		LateStartOfLostPlacer play;
+
+		SCOPED_TRACE("jump by " + std::to_string(jump_ms));
+		play.submit(12000);
+		play.run_until(play.sent_ms + 2000);
+		play.a->wall_ahead_ms = jump_ms;
+		play.run_until(play.sent_ms + 9000);
+		play.expect_no_second_run();
+	}
+}
+
+/* Guards against an end that a successor acknowledges while a start of the run,
+ * to which its predecessor had no answer, may still be carried out. */
+TEST(FlowWallClocks, EndsThatAStartMayFollowAreNotAcknowledgedByThem)
+{
+	for (int64_t ahead_ms : CLOCK_ERRORS_MS) {
+		LateStarts play;
+		FlowSim &sim = play.sim;
+
+		SCOPED_TRACE("ahead by " + std::to_string(ahead_ms));
+		play.run_until(120000); /* no wall time is negative */
+		play.submit(1, 132500);
+		play.run_until(123000);
+		ASSERT_EQ(1, sim.run_checker.starts);
+		sim.kill(play.vm);
+		SimVm *b = sim.add_vm("b");
+		b->wall_ahead_ms = ahead_ms;
+		play.run_until(131000);
+		ASSERT_EQ(BD_FLOW_COMPLETED, sim.state(b, JOB_A));
+		play.crash(132499);
+		play.run_until(133000);
+		EXPECT_EQ(2, sim.run_checker.starts);
+		play.expect_no_violations(132500);
+	}
+}
