Watermarks tell a VM that has just started of earlier ones

A VM that starts takes them over. What is settled is kept by term. Times of receipt go by the clock that counts suspension, so a VM that was frozen knows them as exactly as the others.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -141,27 +141,31 @@
 	int64_t left_ms;
 };
 
-/* The records of progress below an offset were stored before this VM received
- * the watermark. */
+/* The records of progress below an offset were stored by a time. */
 struct bd_watermark {
 	uint64_t position; /* that offset */
-	int64_t read_ms;   /* monotonic */
-	uint64_t term;     /* of the placer that wrote it */
-	/* First starts of what it had placed by then are answered or noted; by
-	 * its clock, as bd_flow.stored_ms. */
-	int64_t settled_ms;
+	int64_t stored_ms; /* that time, by this VM's clock, as read_ms */
+};
+
+/* First starts of what the placer of a term had placed by then are answered or
+ * noted. */
+struct bd_settled_term {
+	uint64_t term;
+	int64_t settled_ms; /* by that placer's clock, as bd_flow.stored_ms */
 };
 
 /* A placer writes up to three in a second. The oldest one kept is older than
  * any time that is looked up. */
 #define BD_WATERMARKS_MAX 96
+#define BD_SETTLED_TERMS_MAX 16
 
 /* Table "watermarks", one row with id BD_CONFIG_ID: the latest ones, by rising
- * positions. */
+ * positions, and the latest terms. */
 struct bd_watermarks {
 	uint64_t id;
 	uint32_t count;
-	uint32_t reserved;
+	uint32_t term_count;
+	struct bd_settled_term terms[BD_SETTLED_TERMS_MAX];
 	struct bd_watermark items[BD_WATERMARKS_MAX];
 };
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -105,7 +105,9 @@
 	const void *value; /* NULL: deletes the key */
 	size_t value_bytes;
 	uint64_t offset; /* in the log */
-	int64_t read_ms; /* monotonic time at which this VM received it */
+	/* Time at which this VM received it, by the clock that counts
+	 * suspension (cw_clock_boot_ms). */
+	int64_t read_ms;
 	/* In a snapshot: opaque text with which to read on after this record;
 	 * NULL: its key. Valid during the callback. */
 	const char *cursor;
@@ -208,8 +210,8 @@
 	uint64_t from;    /* otherwise: return records from this offset */
 	uint32_t wait_ms; /* long poll: wait for a record */
 	bool unanswered;  /* the read before this one got no answer */
-	/* Set by the store: monotonic time at which the answer was received.
-	 * Its records carry it as read_ms. */
+	/* Set by the store: time at which the answer was received, which its
+	 * records carry as read_ms. */
 	int64_t answered_ms;
 	/* record is called for each record, then done once. more: the snapshot
 	 * has further pages; end: offset after the last record of the log. */
--- a/lib/flow/follow.c
+++ b/lib/flow/follow.c
@@ -238,6 +238,7 @@
 	}
 	snprintf(follower->cursor, sizeof(follower->cursor), "%s",
 	    record->cursor != NULL ? record->cursor : record->key);
+	follower->page_read_ms = record->read_ms;
 	/* Without memory the page counts as unread. */
 	if (record->value != NULL &&
 	    !fw_record_buffer_add(&follower->buffered, record))
@@ -278,7 +279,7 @@
 		spec->first(spec->ctx);
 	for (i = 0; i < follower->buffered.count; i++) {
 		fw_record_buffer_get(&follower->buffered, i, &record);
-		record.read_ms = now_ms;
+		record.read_ms = follower->page_read_ms;
 		if (spec->record(spec->ctx, &record, now_ms) != CW_OK)
 			return false;
 	}
--- a/lib/flow/follow_internal.h
+++ b/lib/flow/follow_internal.h
@@ -32,9 +32,10 @@
 	bool first_page;
 	bool page_incomplete; /* a record of a page was left out */
 	bool behind; /* has not reached the end of the log since the load */
-	bool end_unknown;      /* newest_suffices: the next read is end_only */
-	int64_t load_sent_ms;  /* send time of the first page's read */
-	uint64_t read_from;    /* position when the pending read was sent */
+	bool end_unknown;     /* newest_suffices: the next read is end_only */
+	int64_t load_sent_ms; /* send time of the first page's read */
+	int64_t page_read_ms; /* loading: as record.read_ms, of the last page */
+	uint64_t read_from;   /* position when the pending read was sent */
 	uint64_t refresh_from; /* the same of the pending refresh */
 	bool unanswered;       /* the read before the pending one */
 	bool held;             /* a record of this read could not be applied */
--- a/lib/flow/last_lease.c
+++ b/lib/flow/last_lease.c
@@ -207,8 +207,9 @@
 	if (worker->lease_end_ms != 0)
 		return;
 	if (row != NULL)
-		end_ms = fw_stored_before_ms(
-			     placer->parts.board, row->offset, now_ms) +
+		end_ms = now_ms -
+		    fw_record_age_ms(
+			placer->parts.board, row->offset, placer->boot_ms) +
 		    (row->left_ms >= 0 ? row->left_ms
 				       : FW_ORDER_LATE_MAX_MS +
 				placer->tables.lease_max_ms);
--- a/lib/flow/takeover.c
+++ b/lib/flow/takeover.c
@@ -3,6 +3,8 @@
 
 static bool first_start_is_settled(
     const struct bd_board *board, const struct bd_flow *flow);
+static int64_t row_age_ms(
+    const struct fw_placer *placer, const struct bd_flow *flow);
 static int64_t noted_sent_ms(const struct fw_placer *placer,
     const struct bd_flow *flow, const struct bd_step_task *task,
     int64_t now_ms);
@@ -17,15 +19,23 @@
 	return flow->stored_ms <= fw_settled_ms(board, flow->term);
 }
 
+/* Returns the time for which a job's progress record has been stored at least.
+ */
+static int64_t
+row_age_ms(const struct fw_placer *placer, const struct bd_flow *flow)
+{
+	return fw_record_age_ms(
+	    placer->parts.board, flow->epoch - 1, placer->boot_ms);
+}
+
 /* Returns the latest time at which the late start was sent that a task's row
  * tells of. */
 static int64_t
 noted_sent_ms(const struct fw_placer *placer, const struct bd_flow *flow,
     const struct bd_step_task *task, int64_t now_ms)
 {
-	return fw_stored_before_ms(
-		   placer->parts.board, flow->epoch - 1, now_ms) +
-	    task->late_ms - FW_ORDER_LATE_MAX_MS;
+	return now_ms - row_age_ms(placer, flow) + task->late_ms -
+	    FW_ORDER_LATE_MAX_MS;
 }
 
 /* Notes that an earlier placer may have had no answer to a start of a run,
@@ -59,8 +69,7 @@
 	else if ((task->late & BD_LATE_FIRST) != 0 &&
 	    !first_start_is_settled(board, flow))
 		assume_sent(run, 1,
-		    fw_stored_before_ms(board, flow->epoch - 1, now_ms) +
-			FW_FIRST_START_MAX_MS,
+		    now_ms - row_age_ms(placer, flow) + FW_FIRST_START_MAX_MS,
 		    now_ms);
 }
 
