The age of a worker is told by its own clock

What callers may see: two runs of a task at the same time. A successor decides by a worker's age whether a renewal of its predecessor may have given it a longer lease. It took the age from `born`, the worker's wall time, and its own wall clock, with 2.5 s for clocks that differ: by a clock that was ahead by more, a worker that had just started was old, and its lease over too early.

Change: the worker's clock counts from its start and is not fast, so that its reading is the least age.

Evidence: FlowWallClocks.AgesOfWorkersDoNotDependOnThem; found by reading, not seen in a play.

--- a/lib/flow/last_lease.c
+++ b/lib/flow/last_lease.c
@@ -31,8 +31,7 @@
 static int note_end(struct fw_placer *placer, struct fw_worker_state *worker,
     int64_t now_ms, int64_t wall_ms);
 static int delete_ends(struct fw_placer *placer);
-static int64_t born_at_ms(
-    const struct fw_placer *placer, int64_t incarnation_ms, int64_t now_ms);
+static int64_t born_at_ms(const struct fw_report *report);
 
 /* Returns whether the leases of a worker are over unless it answers. */
 static bool
@@ -160,16 +159,12 @@
 	    bd_last_lease_lookup(board, worker->host) != NULL;
 }
 
-/* Returns the time of a worker's start by its own word, no later than now_ms,
- * for the clocks that differ most. */
+/* Returns the time of a worker's start, or a later one: its clock counts from
+ * then, and is not fast. */
 static int64_t
-born_at_ms(
-    const struct fw_placer *placer, int64_t incarnation_ms, int64_t now_ms)
+born_at_ms(const struct fw_report *report)
 {
-	int64_t born_ms = now_ms + incarnation_ms + FW_CLOCK_SKEW_MAX_MS -
-	    placer->parts.wall_ms(placer->parts.ctx);
-
-	return born_ms < now_ms ? born_ms : now_ms;
+	return report->now_ms - report->clock_ms;
 }
 
 /* Extends the leases of a worker that lists its runs to this placer for the
@@ -179,9 +174,7 @@
 fw_first_list_leases(struct fw_placer *placer, struct fw_worker_state *worker,
     const struct fw_report *report)
 {
-	int64_t granted_ms =
-	    born_at_ms(placer, report->incarnation_ms, report->now_ms) +
-	    FW_ORDER_LATE_MAX_MS;
+	int64_t granted_ms = born_at_ms(report) + FW_ORDER_LATE_MAX_MS;
 	int64_t end_ms;
 
 	if (report->incarnation_ms == 0 || granted_ms > report->now_ms)
--- a/tests/test_flow_wall_clocks.cc
+++ b/tests/test_flow_wall_clocks.cc
@@ -272,3 +272,35 @@
 		play.expect_no_violations(132500);
 	}
 }
+
+/* Guards against a run beside one whose lease a late renewal has given to a
+ * worker that started again lately: its age is told by its own clock. */
+TEST(FlowWallClocks, AgesOfWorkersDoNotDependOnThem)
+{
+	for (int64_t ahead_ms : CLOCK_ERRORS_MS) {
+		FlowFixture fixture;
+		struct fw_placer *placer =
+		    (struct fw_placer *)calloc(1, sizeof(*placer));
+		struct fw_worker_state worker = {};
+		struct fw_report report = {};
+
+		SCOPED_TRACE("ahead by " + std::to_string(ahead_ms));
+		placer->parts.wall_ms = [](void *ctx) {
+			return *(int64_t *)ctx;
+		};
+		int64_t wall_ms = 500000 + ahead_ms;
+		placer->parts.ctx = &wall_ms;
+		placer->tables.lease_max_ms = 6200;
+		report.now_ms = 90000;
+		report.clock_ms = 3000;
+		report.incarnation_ms = 500000 - 3000;
+		fw_first_list_leases(placer, &worker, &report);
+		EXPECT_EQ(90000 + 6200, worker.lease_end_ms);
+		worker.lease_end_ms = 0;
+		report.clock_ms = 20000;
+		report.incarnation_ms = 500000 - 20000;
+		fw_first_list_leases(placer, &worker, &report);
+		EXPECT_EQ(90000 - 7000 + 6200, worker.lease_end_ms);
+		free(placer);
+	}
+}
