Ended jobs and tombstones are kept by a steady clock

What callers may see: 410 for a job that has ended (LOST), or a cancelled job that runs (UNASKED). The placer deleted records of ended jobs and tombstones by the wall time that another VM, or itself before a jump, had written: by a clock that was ahead by more than the margin of 60 s, too early; by one that was behind, too late, and the rows kept room from new jobs.

Change: each VM keeps in the row when it received the end or the tombstone, by the clock that counts suspension, and the time counts from then. A VM that has just started counts from its start, so rows may stay for longer.

Evidence: FlowWallClocks.EndedJobsAreKeptForTheirTime and .TombstonesAreKeptForTheirTime. FlowSubmit.RetryAfterFitsTheRateAtWhichRowsBecomeFree sets the new field in place of the wall time and asks for the same.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -174,6 +174,8 @@
 	uint64_t id;          /* of the job */
 	uint64_t queue;       /* from which it was cancelled */
 	int64_t cancelled_ms; /* wall time */
+	uint64_t offset;      /* of its record in the log */
+	int64_t read_ms;      /* when this VM received that, as ended_ms */
 };
 
 #define BD_PEER_TEXT_BYTES 64
@@ -273,8 +275,11 @@
 	/* When it did, by its clock, which counts time in suspension too. Such
 	 * times are compared only with others of the same term. */
 	int64_t stored_ms;
-	int64_t accepted_ms;  /* wall time */
-	int64_t changed_ms;   /* wall time of the latest change of state */
+	int64_t accepted_ms; /* wall time */
+	int64_t changed_ms;  /* wall time of the latest change of state */
+	/* When this VM received its end, by the clock that counts suspension,
+	 * 0: it has not. */
+	int64_t ended_ms;
 	int64_t first_due_ms; /* wall time, 0: due at once */
 	int64_t interval_ms;  /* between the due times of occurrences */
 	char name[BD_FLOW_NAME_BYTES];
--- a/lib/flow/admission.c
+++ b/lib/flow/admission.c
@@ -45,7 +45,7 @@
 static void release_pending(struct fw_admission *admission, int64_t now_ms);
 static bool has_room(const struct fw_admission *admission);
 static int check_room(struct fw_admission *admission, int64_t now_ms);
-static void count_free_rows(struct fw_admission *admission, int64_t wall_ms);
+static void count_free_rows(struct fw_admission *admission, int64_t boot_ms);
 
 static bool
 on_board(const struct fw_admission *admission, uint64_t id)
@@ -211,7 +211,7 @@
 
 /* Counts the rows of ended jobs by the time at which they are deleted. */
 static void
-count_free_rows(struct fw_admission *admission, int64_t wall_ms)
+count_free_rows(struct fw_admission *admission, int64_t boot_ms)
 {
 	const struct bd_flow *row;
 	uint32_t cursor = 0;
@@ -220,9 +220,9 @@
 	memset(admission->free_within_s, 0, sizeof(admission->free_within_s));
 	bd_read_begin();
 	while ((row = bd_flow_next(admission->board, &cursor)) != NULL) {
-		int64_t left_ms = row->changed_ms +
+		int64_t left_ms = row->ended_ms +
 		    (int64_t)admission->retention_ms + FW_RETENTION_MARGIN_MS -
-		    wall_ms;
+		    boot_ms;
 
 		if (fw_flow_public_state(row) < BD_FLOW_COMPLETED ||
 		    left_ms >= RETRY_MAX_S * 1000)
@@ -235,7 +235,7 @@
 	bd_read_end();
 	for (s = 1; s <= RETRY_MAX_S; s++)
 		admission->free_within_s[s] += admission->free_within_s[s - 1];
-	admission->counted_ms = wall_ms;
+	admission->counted_ms = boot_ms;
 	admission->refused_counted = admission->refused;
 	admission->refused = 0;
 }
@@ -244,16 +244,16 @@
  * should try again: by then a row is free for each caller that was refused
  * lately. */
 uint32_t
-fw_admission_retry_after_s(struct fw_admission *admission, int64_t wall_ms)
+fw_admission_retry_after_s(struct fw_admission *admission, int64_t boot_ms)
 {
 	int64_t elapsed_ms;
 	uint32_t callers;
 	uint32_t s = RETRY_MIN_S;
 
 	pthread_mutex_lock(&admission->lock);
-	elapsed_ms = wall_ms - admission->counted_ms;
+	elapsed_ms = boot_ms - admission->counted_ms;
 	if (elapsed_ms < 0 || elapsed_ms >= COUNT_MS)
-		count_free_rows(admission, wall_ms);
+		count_free_rows(admission, boot_ms);
 	admission->refused++;
 	callers = admission->refused_counted + admission->refused;
 	while (s < RETRY_MAX_S && admission->free_within_s[s] < callers)
--- a/lib/flow/apply.c
+++ b/lib/flow/apply.c
@@ -7,13 +7,16 @@
 #include "watermark.h"
 
 static struct bd_flow *copy_row(const struct bd_board *board, uint64_t id);
-static int put_row(struct bd_board *board, const struct bd_flow *flow);
+static int put_row(
+    struct bd_board *board, struct bd_flow *flow, int64_t read_ms);
 static void apply_final_state(struct bd_flow *flow);
-static int put_compacted(struct bd_board *board, const struct bd_flow *row);
+static int put_compacted(
+    struct bd_board *board, const struct bd_flow *row, int64_t read_ms);
 static int apply_job(struct bd_board *board, const struct fw_record *record);
 static int apply_progress(
     struct bd_board *board, const struct fw_record *record, uint64_t id);
-static int delete_progress(struct bd_board *board, uint64_t id);
+static int delete_progress(
+    struct bd_board *board, const struct fw_record *record, uint64_t id);
 static void cancel_row(struct bd_flow *flow, int64_t wall_ms);
 static int apply_cancel(
     struct bd_board *board, const struct fw_record *record, uint64_t id);
@@ -46,9 +49,14 @@
 	return copy;
 }
 
+/* Writes a job's row after a record that was received at read_ms, from when on
+ * an ended job is kept for its time. */
 static int
-put_row(struct bd_board *board, const struct bd_flow *flow)
+put_row(struct bd_board *board, struct bd_flow *flow, int64_t read_ms)
 {
+	if (flow->ended_ms == 0 &&
+	    fw_flow_public_state(flow) >= BD_FLOW_COMPLETED)
+		flow->ended_ms = read_ms;
 	return bd_put(board, BD_TABLE_flow, BD_WRITER_FLOW, flow->id, flow,
 	    fw_flow_bytes(flow), NULL);
 }
@@ -65,7 +73,8 @@
 
 /* Replaces the row of an ended job by its compacted row. */
 static int
-put_compacted(struct bd_board *board, const struct bd_flow *row)
+put_compacted(
+    struct bd_board *board, const struct bd_flow *row, int64_t read_ms)
 {
 	struct bd_flow *compacted = fw_flow_compact(row);
 	int code;
@@ -73,7 +82,7 @@
 	if (compacted == NULL)
 		return cw_error_set(
 		    FW_ENOMEM, "out of memory while compacting a job");
-	code = put_row(board, compacted);
+	code = put_row(board, compacted, read_ms);
 	free(compacted);
 	return code;
 }
@@ -94,9 +103,9 @@
 	known = copy_row(board, flow->id);
 	if (known == NULL) {
 		cancel_if_tombstone(board, flow);
-		code = put_row(board, flow);
+		code = put_row(board, flow, record->read_ms);
 	} else if (flow->compacted != 0 && known->compacted == 0)
-		code = put_compacted(board, known);
+		code = put_compacted(board, known, record->read_ms);
 	free(known);
 	free(flow);
 	return code;
@@ -121,7 +130,7 @@
 	flow->epoch = record->offset + 1;
 	apply_final_state(flow);
 	if (code == CW_OK)
-		code = put_row(board, flow);
+		code = put_row(board, flow, record->read_ms);
 	free(flow);
 	return code;
 }
@@ -129,14 +138,15 @@
 /* Notes that the progress record of a job, whose job record has been compacted,
  * is deleted. */
 static int
-delete_progress(struct bd_board *board, uint64_t id)
+delete_progress(
+    struct bd_board *board, const struct fw_record *record, uint64_t id)
 {
 	struct bd_flow *flow = copy_row(board, id);
 	int code = CW_OK;
 
 	if (flow != NULL) {
 		flow->epoch = 0;
-		code = put_row(board, flow);
+		code = put_row(board, flow, record->read_ms);
 	}
 	free(flow);
 	return code;
@@ -175,7 +185,7 @@
 
 	if (flow != NULL && flow->cancelled == 0) {
 		cancel_row(flow, wall_ms);
-		code = put_row(board, flow);
+		code = put_row(board, flow, record->read_ms);
 	}
 	free(flow);
 	return code;
@@ -198,19 +208,26 @@
 static int
 apply_tombstone(struct bd_board *board, const struct fw_record *record)
 {
+	const struct bd_tombstone *known;
 	struct bd_tombstone row;
 	struct bd_flow *flow;
 	int code = fw_tombstone_parse(record, &row);
 
-	if (code == CW_OK)
-		code = bd_put(board, BD_TABLE_tombstone, BD_WRITER_FLOW, row.id,
-		    &row, sizeof(row), NULL);
+	if (code != CW_OK)
+		return code;
+	bd_read_begin();
+	known = bd_tombstone_lookup(board, row.id);
+	if (known != NULL && known->offset == row.offset)
+		row.read_ms = known->read_ms;
+	bd_read_end();
+	code = bd_put(board, BD_TABLE_tombstone, BD_WRITER_FLOW, row.id, &row,
+	    sizeof(row), NULL);
 	if (code != CW_OK)
 		return code;
 	flow = copy_row(board, row.id);
 	if (flow != NULL && flow->queue == row.queue && flow->cancelled == 0) {
 		cancel_row(flow, row.cancelled_ms);
-		code = put_row(board, flow);
+		code = put_row(board, flow, record->read_ms);
 	}
 	free(flow);
 	return code;
@@ -233,7 +250,7 @@
 	code = fw_state_decode(record->value, record->value_bytes, flow);
 	apply_final_state(flow);
 	if (code == CW_OK && flow->public_state > before)
-		code = put_row(board, flow);
+		code = put_row(board, flow, record->read_ms);
 	free(flow);
 	return code;
 }
@@ -267,7 +284,7 @@
 		copy->checkpoint_bytes = 0;
 		copy->epoch = 0;
 		copy->state = fw_flow_public_state(copy);
-		if (put_row(board, copy) != CW_OK)
+		if (put_row(board, copy, 0) != CW_OK)
 			ev_emit(EV_FLOW_RECORD_BAD, "key=p/%s reason=\"%s\"",
 			    copy->name, cw_error_last());
 		free(copy);
@@ -327,7 +344,7 @@
 		bd_remove(board, BD_TABLE_flow, BD_WRITER_FLOW, id);
 		return CW_OK;
 	case FW_RECORD_PROGRESS:
-		return deleted ? delete_progress(board, id)
+		return deleted ? delete_progress(board, record, id)
 			       : apply_progress(board, record, id);
 	case FW_RECORD_CANCEL:
 		return deleted ? CW_OK : apply_cancel(board, record, id);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -494,7 +494,7 @@
 void fw_admission_settle(
     struct fw_admission *admission, uint64_t id, int code, int64_t now_ms);
 uint32_t fw_admission_retry_after_s(
-    struct fw_admission *admission, int64_t wall_ms);
+    struct fw_admission *admission, int64_t boot_ms);
 
 /* What the functions below work on. */
 struct fw_front {
--- a/lib/flow/flow_placer.h
+++ b/lib/flow/flow_placer.h
@@ -151,7 +151,8 @@
 /* Longest time that is noted for a late start: one that is sent within 3 s. */
 #define FW_LATE_NOTED_MAX_MS (FW_ORDER_LATE_MAX_MS + 3000)
 
-/* Added to the retention period of ended jobs, as clocks differ. */
+/* Added to the retention period of ended jobs, as VMs receive the end of a job
+ * at different times. */
 #define FW_RETENTION_MARGIN_MS 60000
 
 /* Nothing is placed while the records of the workers may be older than this. */
--- a/lib/flow/publish.c
+++ b/lib/flow/publish.c
@@ -20,7 +20,7 @@
 static int add_deletion(struct fw_writer *writer, const struct bd_flow *row);
 static bool was_restarted(const struct bd_flow *row);
 static int add_cleanup(struct fw_placer *placer, const struct bd_flow *row,
-    int64_t wall_ms, uint32_t *changes_left);
+    int64_t boot_ms, uint32_t *changes_left);
 
 /* Returns whether a task of a job has begun, as far as is known: a worker has
  * accepted or listed a run of it, or it has ended by itself. */
@@ -128,7 +128,7 @@
  */
 static int
 add_cleanup(struct fw_placer *placer, const struct bd_flow *row,
-    int64_t wall_ms, uint32_t *changes_left)
+    int64_t boot_ms, uint32_t *changes_left)
 {
 	struct fw_writer *writer = &placer->job_states;
 	uint32_t retention_ms = placer->parts.settings.retention_ms;
@@ -139,7 +139,7 @@
 		return CW_OK;
 	if (row->compacted == 0) {
 		if (was_restarted(row) &&
-		    wall_ms - row->changed_ms <= (int64_t)retention_ms)
+		    boot_ms - row->ended_ms <= (int64_t)retention_ms)
 			return CW_OK;
 		if (fw_flow_has_runs(&placer->tables, row))
 			return CW_OK;
@@ -147,7 +147,7 @@
 		return add_compacted(writer, row);
 	}
 	if (row->epoch != 0 ||
-	    wall_ms - row->changed_ms <=
+	    boot_ms - row->ended_ms <=
 		(int64_t)retention_ms + FW_RETENTION_MARGIN_MS)
 		return CW_OK;
 	--*changes_left;
@@ -176,12 +176,12 @@
 	    (row = bd_flow_next(parts->board, &cursor)) != NULL)
 		code = is_stale(&placer->tables, row, running)
 		    ? add_state(writer, row)
-		    : add_cleanup(placer, row, wall_ms, &changes_left);
+		    : add_cleanup(placer, row, placer->boot_ms, &changes_left);
 	if (code == CW_OK)
 		code = fw_peers_prune(writer, parts->board, wall_ms);
 	if (code == CW_OK)
-		code = fw_tombstones_prune(writer, parts->board, wall_ms,
-		    parts->settings.retention_ms);
+		code = fw_tombstones_prune(writer, parts->board,
+		    placer->boot_ms, parts->settings.retention_ms);
 	if (code == CW_OK)
 		code = fw_watermark_add(placer, now_ms);
 	if (code != CW_OK)
--- a/lib/flow/tombstone.c
+++ b/lib/flow/tombstone.c
@@ -17,7 +17,7 @@
 #define PRUNED_MAX 16
 
 static bool is_due(const struct bd_board *board, const struct bd_tombstone *row,
-    int64_t wall_ms, int64_t retention_ms);
+    int64_t boot_ms, int64_t retention_ms);
 
 /* Writes the value of a tombstone: the wall time of the cancellation in ms and
  * the id of the queue. */
@@ -42,6 +42,8 @@
 	    sscanf(text, "%" SCNd64 " %" SCNx64, &row->cancelled_ms,
 		&row->queue) != 2)
 		return cw_error_set(FW_EBADRECORD, "malformed tombstone");
+	row->offset = record->offset;
+	row->read_ms = record->read_ms;
 	return CW_OK;
 }
 
@@ -58,17 +60,17 @@
  * not stored within the time for which ended jobs are kept. */
 static bool
 is_due(const struct bd_board *board, const struct bd_tombstone *row,
-    int64_t wall_ms, int64_t retention_ms)
+    int64_t boot_ms, int64_t retention_ms)
 {
 	return bd_flow_lookup(board, row->id) == NULL &&
-	    wall_ms - row->cancelled_ms > retention_ms + FW_RETENTION_MARGIN_MS;
+	    boot_ms - row->read_ms > retention_ms + FW_RETENTION_MARGIN_MS;
 }
 
 /* Adds the deletions of tombstones that are no longer needed to the open batch
  * of the placer. Call within a read section. Returns FW_ENOMEM. */
 int
 fw_tombstones_prune(struct fw_writer *writer, const struct bd_board *board,
-    int64_t wall_ms, int64_t retention_ms)
+    int64_t boot_ms, int64_t retention_ms)
 {
 	const struct bd_tombstone *row;
 	uint32_t left = PRUNED_MAX;
@@ -78,7 +80,7 @@
 
 	while (code == CW_OK && left > 0 &&
 	    (row = bd_tombstone_next(board, &cursor)) != NULL) {
-		if (!is_due(board, row, wall_ms, retention_ms))
+		if (!is_due(board, row, boot_ms, retention_ms))
 			continue;
 		left--;
 		snprintf(name, sizeof(name), "%016" PRIx64, row->id);
--- a/lib/flow/tombstone.h
+++ b/lib/flow/tombstone.h
@@ -22,7 +22,7 @@
 const struct bd_tombstone *fw_tombstone_of(
     const struct bd_board *board, uint64_t id, uint64_t queue);
 int fw_tombstones_prune(struct fw_writer *writer, const struct bd_board *board,
-    int64_t wall_ms, int64_t retention_ms);
+    int64_t boot_ms, int64_t retention_ms);
 
 #ifdef __cplusplus
 }
--- a/tests/test_flow_submit.cc
+++ b/tests/test_flow_submit.cc
@@ -455,7 +455,7 @@
 	Vm vm(&log, 4);
 	const int64_t retention_ms =
 	    vm.fixture.settings.retention_ms + FW_RETENTION_MARGIN_MS;
-	const int64_t wall_ms = 10000000;
+	const int64_t boot_ms = 10000000;
 	const int64_t ended_ms[] = {5500, 5500, 20500};
 
 	for (uint32_t i = 1; i <= 4; i++)
@@ -469,22 +469,22 @@
 		    vm.fixture.find_flow(Vm::name_of(i + 1).c_str()));
 		bd_read_end();
 		row->public_state = row->state = BD_FLOW_COMPLETED;
-		row->changed_ms = wall_ms - retention_ms + ended_ms[i];
+		row->ended_ms = boot_ms - retention_ms + ended_ms[i];
 		bd_put(vm.fixture.board, BD_TABLE_flow, BD_WRITER_FLOW, row->id,
 		    row, fw_flow_bytes(row), nullptr);
 		free(row);
 	}
-	EXPECT_EQ(6U, fw_admission_retry_after_s(vm.front.admission, wall_ms));
-	EXPECT_EQ(6U, fw_admission_retry_after_s(vm.front.admission, wall_ms));
-	EXPECT_EQ(21U, fw_admission_retry_after_s(vm.front.admission, wall_ms));
-	EXPECT_EQ(60U, fw_admission_retry_after_s(vm.front.admission, wall_ms));
+	EXPECT_EQ(6U, fw_admission_retry_after_s(vm.front.admission, boot_ms));
+	EXPECT_EQ(6U, fw_admission_retry_after_s(vm.front.admission, boot_ms));
+	EXPECT_EQ(21U, fw_admission_retry_after_s(vm.front.admission, boot_ms));
+	EXPECT_EQ(60U, fw_admission_retry_after_s(vm.front.admission, boot_ms));
 	/* Two seconds later the callers of the last count have been told. */
-	fw_admission_retry_after_s(vm.front.admission, wall_ms + 1000);
+	fw_admission_retry_after_s(vm.front.admission, boot_ms + 1000);
 	EXPECT_EQ(
-	    4U, fw_admission_retry_after_s(vm.front.admission, wall_ms + 2000));
+	    4U, fw_admission_retry_after_s(vm.front.admission, boot_ms + 2000));
 	/* Rows that are due already. */
 	EXPECT_EQ(1U,
-	    fw_admission_retry_after_s(vm.front.admission, wall_ms + 40000));
+	    fw_admission_retry_after_s(vm.front.admission, boot_ms + 40000));
 }
 
 /* A daemon that had read the store up to 2.6 s before answered 410 to the
--- a/tests/test_flow_wall_clocks.cc
+++ b/tests/test_flow_wall_clocks.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "../lib/flow/tombstone.h"
 #include "sim/late_starts.h"
 
 /*
@@ -273,6 +274,63 @@
 	}
 }
 
+/* Guards against ended jobs that callers ask for in vain, as the placer deleted
+ * them by a clock that had jumped ahead, and against rows that stay for long.
+ */
+TEST(FlowWallClocks, EndedJobsAreKeptForTheirTime)
+{
+	for (int64_t jump_ms : {-600000, -60000, 0, 60000, 600000}) {
+		FlowSim sim;
+
+		SCOPED_TRACE("jump by " + std::to_string(jump_ms));
+		sim.add_worker("w1");
+		SimVm *vm = sim.add_vm("a");
+		const int64_t kept_ms = vm->fixture.settings.retention_ms;
+
+		sim.run_for(700000); /* no wall time is negative */
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
+		sim.run_for(3000);
+		ASSERT_EQ(BD_FLOW_COMPLETED, sim.state(vm, JOB_A));
+		vm->wall_ahead_ms = jump_ms;
+		sim.run_for(kept_ms - 3000);
+		bd_read_begin();
+		EXPECT_NE(nullptr, vm->fixture.find_flow(JOB_A));
+		bd_read_end();
+		sim.run_for(FW_RETENTION_MARGIN_MS + 5000);
+		bd_read_begin();
+		EXPECT_EQ(nullptr, vm->fixture.find_flow(JOB_A));
+		bd_read_end();
+	}
+}
+
+/* Guards against a cancelled job that runs, as its tombstone was deleted by a
+ * clock that had jumped ahead before the submission was stored. */
+TEST(FlowWallClocks, TombstonesAreKeptForTheirTime)
+{
+	for (int64_t jump_ms : {-600000, 0, 600000}) {
+		FlowSim sim;
+		uint64_t end;
+
+		SCOPED_TRACE("jump by " + std::to_string(jump_ms));
+		sim.add_worker("w1");
+		SimVm *vm = sim.add_vm("a");
+		sim.run_for(700000); /* no wall time is negative */
+		char text[FW_TOMBSTONE_BYTES];
+		char key[FW_KEY_BYTES];
+
+		fw_tombstone_format(vm->fixture.queue.id, sim.now_ms, text);
+		fw_record_key(key, FW_RECORD_TOMBSTONE, JOB_A);
+		sim.job_log.append({{key, text}}, 0, 0, &end);
+		sim.run_for(1000);
+		vm->wall_ahead_ms = jump_ms;
+		sim.run_for(10000);
+		sim.submit(JOB_A, {FlowFixture::make_step(1, 1)});
+		sim.run_for(3000);
+		EXPECT_EQ(BD_FLOW_CANCELLED, sim.state(vm, JOB_A));
+		EXPECT_EQ(0, sim.run_checker.starts);
+	}
+}
+
 /* Guards against a run beside one whose lease a late renewal has given to a
  * worker that started again lately: its age is told by its own clock. */
 TEST(FlowWallClocks, AgesOfWorkersDoNotDependOnThem)
