Late starts count from the record that noted them first

What callers saw: tasks that wait for a late start for several seconds more with each change of the placer (LOST).

Cause: trace of a play: a start sent at 33.0 s is taken for one of 37.6, 39.1 and 39.8 s by three placers in a row, the same VM, killed and started each time. Each one counts the age of the row from the next watermark, or from its own start, and stores the row anew with what is left, so that these errors add up.

Change: what an earlier placer has noted is passed on as it is, with the offset of the record that it counts from. Watermarks name earlier ones half a second apart.

--- a/lib/board/flow_rows.h
+++ b/lib/board/flow_rows.h
@@ -237,6 +237,8 @@
 	BD_LATE_FIRST = 1 << 0,
 	BD_LATE_LATEST = 1 << 1, /* of the latest run, within late_ms */
 	BD_LATE_BEFORE = 1 << 2, /* of one before it, within late_ms */
+	/* late_ms counts from the record at late_offset, not from this one. */
+	BD_LATE_SINCE = 1 << 3,
 };
 
 struct bd_step_task {
@@ -256,6 +258,7 @@
 	uint16_t late_ms;
 	uint16_t late; /* enum bd_late_start */
 	uint32_t reserved;
+	uint64_t late_offset; /* of the record that noted it first */
 	/* The same as a wall time, for versions that go by it. */
 	int64_t late_until_ms;
 	uint64_t address; /* id of that worker's address, 0: unknown */
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -151,8 +151,11 @@
 	uint32_t starts;        /* sent, 2: or more */
 	bool began;             /* listed by its worker, not only as stopped */
 	int64_t uncertain_ms;   /* latest time at which such a start was sent */
-	int64_t progressed_ms;  /* time of the latest change of percent */
-	int64_t pace_from_ms;   /* its pace is measured since, 0: not yet */
+	/* start_assumed: what the record at this offset told of it. */
+	uint64_t noted_offset;
+	uint16_t noted_ms;
+	int64_t progressed_ms;      /* time of the latest change of percent */
+	int64_t pace_from_ms;       /* its pace is measured since, 0: not yet */
 	uint32_t pace_from_percent; /* its percentage at that time */
 	uint32_t pace_percent;      /* its percentage when last looked at */
 	int64_t end_listed_ms;  /* time at which its end was first listed, 0 */
--- a/lib/flow/late_notes.c
+++ b/lib/flow/late_notes.c
@@ -28,6 +28,8 @@
     const struct bd_flow *flow, const struct fw_run *run, int64_t now_ms);
 static bool is_first_start_open(const struct fw_placer *placer,
     const struct bd_flow *flow, const struct fw_run *run);
+static bool is_inherited(
+    const struct fw_placer *placer, const struct fw_run *run);
 static void describe_task(struct fw_placer *placer, struct bd_flow *flow,
     uint32_t index, const struct fw_view *view);
 
@@ -68,7 +70,7 @@
 	bool latest = task->run == run->run;
 	uint32_t bit = latest ? BD_LATE_LATEST : BD_LATE_BEFORE;
 
-	if (flow->term != placer->term)
+	if (flow->term != placer->term || (task->late & BD_LATE_SINCE) != 0)
 		return 0;
 	if ((task->late & bit) != 0)
 		return flow->stored_ms + task->late_ms;
@@ -160,6 +162,16 @@
 								     : late_ms;
 }
 
+/* Returns whether all that is known of a late start is what an earlier placer
+ * has noted. It is passed on as it is: counted anew by each placer, its time
+ * would grow by what each one does not know of the age of the record. */
+static bool
+is_inherited(const struct fw_placer *placer, const struct fw_run *run)
+{
+	return run->start_assumed && !run->note_due &&
+	    !is_late_run(&placer->tables, run);
+}
+
 /* Sets what the row of a task tells of late starts. */
 static void
 describe_task(struct fw_placer *placer, struct bd_flow *flow, uint32_t index,
@@ -168,6 +180,8 @@
 	struct bd_step_task *task = &fw_flow_tasks(flow)[index];
 	uint32_t i = fw_run_first(&placer->tables, flow->id, index);
 	bool placed_now = task->state == BD_STEP_TASK_PLACED;
+	const struct fw_run *longest = NULL;
+	bool all_inherited = true;
 	int64_t longest_ms = 0;
 	uint32_t late = 0;
 
@@ -189,14 +203,23 @@
 		if (late_ms <= 0)
 			continue;
 		late |= latest ? BD_LATE_LATEST : BD_LATE_BEFORE;
-		if (late_ms > longest_ms)
+		all_inherited &= is_inherited(placer, run);
+		if (late_ms > longest_ms) {
 			longest_ms = late_ms;
+			longest = run;
+		}
 	}
 	if (placed_now)
 		late |= BD_LATE_FIRST;
+	task->late_until_ms = longest_ms > 0 ? view->wall_ms + longest_ms : 0;
+	task->late_offset = 0;
+	if (longest != NULL && all_inherited) {
+		late |= BD_LATE_SINCE;
+		longest_ms = longest->noted_ms;
+		task->late_offset = longest->noted_offset;
+	}
 	task->late = (uint16_t)late;
 	task->late_ms = (uint16_t)longest_ms;
-	task->late_until_ms = longest_ms > 0 ? view->wall_ms + longest_ms : 0;
 }
 
 /* Sets what the row of a job tells of late starts, before it is stored. */
--- a/lib/flow/progress_record.c
+++ b/lib/flow/progress_record.c
@@ -32,9 +32,9 @@
  * checkpoints and without the late starts of single tasks. */
 #define PROGRESS_HEAD_BYTES_MAX 64
 /* Largest encoded size of a task among the late starts: its index with the bits
- * of enum bd_late_start, and a time in ms. */
-#define LATE_SHIFT 3
-#define LATE_BYTES_MAX 8
+ * of enum bd_late_start, a time in ms, and an offset. */
+#define LATE_SHIFT 4
+#define LATE_BYTES_MAX 17
 /* Fields before these tasks: term, time, and the time in ms for all tasks if
  * there is no room for single ones. */
 #define LATE_HEAD_FIELDS 3
@@ -64,6 +64,7 @@
 static void pack_places(msgpack_packer *packer,
     const struct bd_step_task *tasks, uint32_t count, uint32_t places);
 static bool is_late_for(const struct bd_step_task *task);
+static bool is_late_since(const struct bd_step_task *task);
 static void pack_late_starts(msgpack_packer *packer, const struct bd_flow *flow,
     const struct progress_plan *plan);
 static void pack_long_checkpoints(msgpack_packer *packer,
@@ -240,6 +241,13 @@
 	return (task->late & (BD_LATE_LATEST | BD_LATE_BEFORE)) != 0;
 }
 
+/* Returns whether that time counts from an earlier record. */
+static bool
+is_late_since(const struct bd_step_task *task)
+{
+	return (task->late & BD_LATE_SINCE) != 0;
+}
+
 static void
 pack_late_starts(msgpack_packer *packer, const struct bd_flow *flow,
     const struct progress_plan *plan)
@@ -251,7 +259,8 @@
 
 	for (i = 0; i < count; i++)
 		if (tasks[i].run > 0 && tasks[i].late != 0)
-			fields += is_late_for(&tasks[i]) ? 2 : 1;
+			fields += 1 + (is_late_for(&tasks[i]) ? 1 : 0) +
+			    (is_late_since(&tasks[i]) ? 1 : 0);
 	msgpack_pack_array(packer, fields);
 	msgpack_pack_uint64(packer, flow->term);
 	msgpack_pack_int64(packer, flow->stored_ms);
@@ -263,6 +272,8 @@
 		msgpack_pack_uint32(packer, i << LATE_SHIFT | tasks[i].late);
 		if (is_late_for(&tasks[i]))
 			msgpack_pack_uint16(packer, tasks[i].late_ms);
+		if (is_late_since(&tasks[i]))
+			msgpack_pack_uint64(packer, tasks[i].late_offset);
 	}
 }
 
@@ -443,6 +454,8 @@
 		if (is_late_for(task))
 			task->late_ms =
 			    (uint16_t)fw_next_int(&list, UINT16_MAX);
+		if (is_late_since(task))
+			task->late_offset = fw_next_id(&list);
 	}
 	cursor->malformed |= list.malformed;
 }
--- a/lib/flow/takeover.c
+++ b/lib/flow/takeover.c
@@ -3,13 +3,9 @@
 
 static bool first_start_is_settled(
     const struct bd_board *board, const struct bd_flow *flow);
-static int64_t row_age_ms(
-    const struct fw_placer *placer, const struct bd_flow *flow);
-static int64_t noted_sent_ms(const struct fw_placer *placer,
-    const struct bd_flow *flow, const struct bd_step_task *task,
+static void assume_sent(const struct fw_placer *placer,
+    const struct bd_flow *flow, struct fw_run *run, uint32_t starts,
     int64_t now_ms);
-static void assume_sent(
-    struct fw_run *run, uint32_t starts, int64_t sent_ms, int64_t now_ms);
 
 /* Returns whether the first starts of the runs that were placed with a job's
  * row have been answered. */
@@ -19,31 +15,26 @@
 	return flow->stored_ms <= fw_settled_ms(board, flow->term);
 }
 
-/* Returns the time for which a job's progress record has been stored at least.
+/* Notes that an earlier placer may have had no answer to a start of a run, by
+ * what the row of its job tells. It was sent before that placer's term ended.
  */
-static int64_t
-row_age_ms(const struct fw_placer *placer, const struct bd_flow *flow)
-{
-	return fw_record_age_ms(
-	    placer->parts.board, flow->epoch - 1, placer->boot_ms);
-}
-
-/* Returns the latest time at which the late start was sent that a task's row
- * tells of. */
-static int64_t
-noted_sent_ms(const struct fw_placer *placer, const struct bd_flow *flow,
-    const struct bd_step_task *task, int64_t now_ms)
-{
-	return now_ms - row_age_ms(placer, flow) + task->late_ms -
-	    FW_ORDER_LATE_MAX_MS;
-}
-
-/* Notes that an earlier placer may have had no answer to a start of a run,
- * which it sent before its term ended. */
 static void
-assume_sent(
-    struct fw_run *run, uint32_t starts, int64_t sent_ms, int64_t now_ms)
+assume_sent(const struct fw_placer *placer, const struct bd_flow *flow,
+    struct fw_run *run, uint32_t starts, int64_t now_ms)
 {
+	const struct bd_step_task *task = &fw_flow_tasks(flow)[run->index];
+	int64_t sent_ms;
+
+	run->noted_offset = (task->late & BD_LATE_SINCE) != 0
+	    ? task->late_offset
+	    : flow->epoch - 1;
+	run->noted_ms = starts > 1
+	    ? task->late_ms
+	    : FW_FIRST_START_MAX_MS + FW_ORDER_LATE_MAX_MS;
+	sent_ms = now_ms -
+	    fw_record_age_ms(
+		placer->parts.board, run->noted_offset, placer->boot_ms) +
+	    run->noted_ms - FW_ORDER_LATE_MAX_MS;
 	run->starts = starts;
 	run->start_assumed = true;
 	run->uncertain_ms = sent_ms < now_ms ? sent_ms : now_ms;
@@ -64,13 +55,10 @@
 
 	run->starts = 1;
 	if ((task->late & BD_LATE_LATEST) != 0)
-		assume_sent(
-		    run, 2, noted_sent_ms(placer, flow, task, now_ms), now_ms);
+		assume_sent(placer, flow, run, 2, now_ms);
 	else if ((task->late & BD_LATE_FIRST) != 0 &&
 	    !first_start_is_settled(board, flow))
-		assume_sent(run, 1,
-		    now_ms - row_age_ms(placer, flow) + FW_FIRST_START_MAX_MS,
-		    now_ms);
+		assume_sent(placer, flow, run, 1, now_ms);
 }
 
 /* Adds the run of a task that an earlier placer had no answer to a start of, if
@@ -94,7 +82,7 @@
 	if (handle == FW_NONE)
 		return;
 	run = &placer->tables.runs[handle];
-	assume_sent(run, 2, noted_sent_ms(placer, flow, task, now_ms), now_ms);
+	assume_sent(placer, flow, run, 2, now_ms);
 	fw_run_mark_ended(run,
 	    task->state == BD_STEP_TASK_DONE ? FW_END_DONE : FW_END_LOST,
 	    FW_OVER_NOT_LISTED);
--- a/lib/flow/watermark.c
+++ b/lib/flow/watermark.c
@@ -33,7 +33,7 @@
 #define GAP_MS 1000
 /* Least time between two earlier ones that it names, and the age of the oldest:
  * nothing that is noted in the progress topic lasts for longer. */
-#define EARLIER_GAP_MS 1000
+#define EARLIER_GAP_MS 500
 #define EARLIER_MAX_MS 24000
 #define EARLIER_COUNT_MAX (EARLIER_MAX_MS / EARLIER_GAP_MS + 1)
 /* Layout, position, term, time; and two fields for each earlier one. */
--- a/tests/test_flow_apply.cc
+++ b/tests/test_flow_apply.cc
@@ -299,8 +299,9 @@
 		task->host = task->address = UINT64_MAX;
 		task->incarnation_ms = task->changed_ms = INT64_MAX;
 		task->late_until_ms = INT64_MAX;
-		task->late = BD_LATE_FIRST | BD_LATE_BEFORE;
+		task->late = BD_LATE_FIRST | BD_LATE_BEFORE | BD_LATE_SINCE;
 		task->late_ms = UINT16_MAX;
+		task->late_offset = UINT64_MAX;
 	}
 	copy->term = UINT64_MAX;
 	copy->stored_ms = INT64_MAX;
@@ -378,8 +379,8 @@
 static struct bd_flow *
 store_late_starts(FlowFixture &fixture, uint64_t term, size_t record_bytes)
 {
-	const uint16_t late[] = {
-	    0, BD_LATE_FIRST, BD_LATE_LATEST, BD_LATE_FIRST | BD_LATE_BEFORE};
+	const uint16_t late[] = {0, BD_LATE_FIRST,
+	    BD_LATE_LATEST | BD_LATE_SINCE, BD_LATE_FIRST | BD_LATE_BEFORE};
 	struct bd_flow *copy;
 	struct bd_flow *read;
 	void *value;
@@ -400,6 +401,7 @@
 		task->state = BD_STEP_TASK_PLACED;
 		task->late = late[i];
 		task->late_ms = i >= 2 ? 1000 * i : 0;
+		task->late_offset = i == 2 ? 77 : 0;
 	}
 	copy->term = term;
 	copy->stored_ms = 1234567;
@@ -424,7 +426,8 @@
 	EXPECT_EQ(0U, tasks[0].late);
 	EXPECT_EQ(BD_LATE_FIRST, tasks[1].late);
 	EXPECT_EQ(0U, tasks[1].late_ms);
-	EXPECT_EQ(BD_LATE_LATEST, tasks[2].late);
+	EXPECT_EQ(BD_LATE_LATEST | BD_LATE_SINCE, tasks[2].late);
+	EXPECT_EQ(77U, tasks[2].late_offset);
 	EXPECT_EQ(2000U, tasks[2].late_ms);
 	EXPECT_EQ(BD_LATE_FIRST | BD_LATE_BEFORE, tasks[3].late);
 	EXPECT_EQ(3000U, tasks[3].late_ms);
--- a/tests/test_flow_late_takeover.cc
+++ b/tests/test_flow_late_takeover.cc
@@ -433,3 +433,43 @@
 {
 	EXPECT_EQ(0, restart_unseen());
 }
+
+/* Guards against a wait for a late start that grows with each placer: each one
+ * stores the row of its job anew, and has just started. */
+TEST(FlowLateStart, WaitsForLateStartsDoNotGrowWithEachPlacer)
+{
+	LateStarts play;
+	FlowSim &sim = play.sim;
+	SimVm *placer = play.vm;
+	int64_t sent_ms = 0;
+
+	sim.add_worker("w3").work_ms = 700;
+	sim.order_fault = [&](const SimVm *, const std::string &at,
+			      enum fw_order_kind kind) {
+		SimOrderFault fault;
+
+		if (at != "w1")
+			return fault;
+		if (kind == FW_ORDER_START && sent_ms == 0)
+			sent_ms = sim.now_ms;
+		fault.unreachable = sent_ms != 0;
+		return fault;
+	};
+	sim.submit(JOB_A, {FlowFixture::make_step(60, 8)});
+	while (sent_ms == 0)
+		play.run_until(sim.now_ms + 1);
+	std::string task = std::string(JOB_A) + ".0.0.0";
+	for (int n = 0; n < 20 && sim.run_checker.started[task] == 0; n++) {
+		int64_t end_ms = sim.now_ms + 2700;
+
+		while (
+		    sim.now_ms < end_ms && sim.run_checker.started[task] == 0)
+			play.run_until(sim.now_ms + 1);
+		sim.kill(placer);
+		placer = sim.add_vm("n" + std::to_string(n));
+	}
+	EXPECT_EQ(1, sim.run_checker.started[task]);
+	/* Until the start can no longer arrive, and a longest lease. */
+	EXPECT_LT(sim.now_ms - sent_ms, 13000 + 6200);
+	EXPECT_EQ(0, sim.run_checker.concurrent_runs);
+}
