--- a/tests/sim/flow_faults.h
+++ b/tests/sim/flow_faults.h
@@ -14,6 +14,8 @@
 	/* Instead of other faults, the placer is killed again and again while
 	 * workers leave, crash and come back. */
 	bool placer_kills = false;
+	/* The wall clocks of VMs jump by up to a minute, several at once. */
+	bool clock_jumps = false;
 };
 
 /*
@@ -41,6 +43,9 @@
 		ROOM_CHANGED,
 		KINDS
 	};
+	/* Wall clocks that jump are ahead by this, so that none is negative. */
+	static constexpr int64_t WALL_MS = 1000000;
+	static constexpr int CLOCK_ERROR_MAX_MS = 60000;
 	static constexpr int64_t FAULTS_MS = 30000;
 	static constexpr int64_t SETTLE_MAX_MS = 60000;
 	static constexpr int64_t KILL_INTERVAL_MS = 3000;
@@ -75,6 +80,8 @@
 	{
 		for (bool &kind : enabled)
 			kind = draw(0, 1) == 0;
+		if (plan.clock_jumps)
+			sim.wall_ahead_ms = WALL_MS;
 	}
 
 	int
@@ -376,11 +383,28 @@
 		}
 	}
 
+	/* Sets the wall clocks of some VMs, which are right again at times. */
+	void
+	jump_clocks()
+	{
+		for (auto &vm : sim.vms) {
+			if (!vm->alive || draw_added(0, 3) > 0)
+				continue;
+			vm->wall_ahead_ms = draw_added(0, 2) == 0
+			    ? 0
+			    : draw_added(
+				  -CLOCK_ERROR_MAX_MS, CLOCK_ERROR_MAX_MS);
+		}
+	}
+
 	void
 	inject()
 	{
 		int kind = draw(0, KINDS - 1);
 
+		if (plan.clock_jumps)
+			jump_clocks();
+
 		if (!enabled[kind])
 			return;
 		if (kind != JOB_CANCELLED)
--- a/tests/sim/flow_sim.h
+++ b/tests/sim/flow_sim.h
@@ -589,7 +589,7 @@
 		spec.name = name;
 		spec.queue = &scratch.queue;
 		spec.client = client;
-		spec.accepted_ms = now_ms;
+		spec.accepted_ms = now_ms + wall_ahead_ms;
 		spec.occurrences = 1;
 		spec.steps = steps.data();
 		spec.step_count = (uint32_t)steps.size();
--- a/tests/test_flow_faults.cc
+++ b/tests/test_flow_faults.cc
@@ -178,6 +178,23 @@
 		expect_no_stands(seed, kills_plan);
 }
 
+static const FlowPlan jumps_plan = {true, false, false, true};
+
+/* Guards against what one VM stores by its wall clock and another one decides
+ * by: the clocks of VMs are wrong by up to a minute, and jump. */
+TEST(FlowFaults, TasksRunOnceWhileWallClocksJump)
+{
+	for_seeds(12, play, jumps_plan);
+}
+
+static const FlowPlan kills_and_jumps_plan = {true, false, true, true};
+
+/* The same, as the placer is killed every 3 s while workers leave. */
+TEST(FlowFaults, TasksRunOnceWhileWallClocksJumpAndPlacersAreKilled)
+{
+	for_seeds(12, play, kills_and_jumps_plan);
+}
+
 /* Returns what a seed draws while nothing moves: no placer, worker or time, so
  * that no decision of the product shows in it. */
 static std::string
