A start in flight is not described by what was inherited

Found by reading: a successor that repeats a start which its predecessor had noted stores a note of its own first. If the row was stored once more while that start was in flight, the inherited note took its place, with an earlier end, and the next successor did not expect the start for long enough. No test shows it: it needs a second change of the placer within 1.2 s.

--- a/lib/flow/late_notes.c
+++ b/lib/flow/late_notes.c
@@ -168,7 +168,7 @@
 static bool
 is_inherited(const struct fw_placer *placer, const struct fw_run *run)
 {
-	return run->start_assumed && !run->note_due &&
+	return run->start_assumed && !run->note_due && !run->start_in_flight &&
 	    !is_late_run(&placer->tables, run);
 }
 
